--- /dev/null
+++ b/src/bin/bitternlatch-drill.rs
@@ -0,0 +1,14 @@
+//! Hosts many routers on the simulator's wire: batches on standard input, replies on standard output.
+
+use std::io::{stdin, stdout, BufReader};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match bitternlatch::wire::serve(BufReader::with_capacity(1 << 16, stdin().lock()), stdout().lock()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("bitternlatch-drill: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,938 @@
+//! The decision module. Its types (settings, events, actions, ids) are in `src/interface.rs`.
+//!
+//! Sections: 1 tuned values; 2 what is known of a server; 3 requests; 4 entry and events; 5 the server
+//! list; 6 first-token estimates and the prefix table; 7 writers; 8 admission; 9 the request machine, with
+//! `launch` as the one place that sends and `finish` as the one that ends; 10 outcomes, health and
+//! learning; 11 cold servers; 12 timers.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::interface::*;
+
+// ---- 1 tuned values -------------------------------------------------------------------------------
+
+/// Prior of the read time: seconds, and seconds per 1,000 uncached and 1,000 total tokens. A mid-range
+/// accelerator; the online fit replaces it within some dozens of reads.
+const READ_PRIOR: [f64; 3] = [0.02, 0.06, 0.003];
+/// Step of the online fit: slow enough to ride out noise, fast enough to settle within a minute.
+const FIT_STEP: f64 = 0.08;
+/// Weight of the newest sample in speed ratios and other moving averages.
+const BLEND: f64 = 0.15;
+/// Seconds an unused prefix entry is believed; readers evict at an unknown rate.
+const PREFIX_AGE_S: f64 = 120.0;
+/// A hit this much smaller than believed means that the reader has lost what it kept.
+const LOST_SHARE: f64 = 0.5;
+/// Seconds after which a load report no longer speaks for the present.
+const REPORT_AGE_S: f64 = 1.5;
+/// Seconds between probes of one server where reports come only on probes.
+const PROBE_EVERY_S: f64 = 0.5;
+/// Half-life, in seconds, of delay seen beyond prediction: about the time in which a queue turns over.
+const EXCESS_HALF_S: f64 = 0.7;
+/// Seconds a failure costs: the lost attempt and the next one's wait.
+const FAILURE_COST_S: f64 = 0.5;
+/// Weight of the newest outcome in a server's trouble score; three failures in a row bar a server.
+const TROUBLE_BLEND: f64 = 0.3;
+/// Above this score a server gets trial traffic only.
+const TROUBLE_BAR: f64 = 0.6;
+/// Seconds between trials of a barred server.
+const TRIAL_EVERY_S: f64 = 1.0;
+/// Seconds of waiting that a full writer stands for, by share of its memory.
+const WRITER_LOAD_S: f64 = 0.2;
+/// Load by which another cell's writer must be lighter: a move costs a few points in a hundred.
+const CELL_MARGIN: f64 = 0.08;
+/// The same for another zone, where a token also takes several times as long.
+const ZONE_MARGIN: f64 = 0.15;
+/// Seconds by which another zone's reader must be quicker.
+const ZONE_READ_S: f64 = 0.03;
+/// Seconds for which a server that said `full` is passed over.
+const FULL_PAUSE_S: f64 = 0.2;
+/// Writer load at which answers begin to wait for memory.
+const WRITER_FULL: f64 = 0.9;
+/// Share of the output ceiling that answers use, before any is seen.
+const OUTPUT_PRIOR: f64 = 0.4;
+/// Refuse when the first token is expected later than this multiple of its aim.
+const REFUSE_AT: f64 = 1.0;
+/// The same for traffic over its tenant's share, which is worth little.
+const REFUSE_OVER_AT: f64 = 0.35;
+/// Further attempts earned by one arrival, and the most that can be saved up.
+const RETRY_EARN: f64 = 0.2;
+const RETRY_SAVE: f64 = 20.0;
+/// Share of the pin limit for which a state may wait for a writer.
+const HOLD_SHARE: f64 = 0.5;
+/// A read's time-out: multiple of its estimate, plus seconds.
+const READ_PATIENCE: (f64, f64) = (3.0, 0.7);
+/// A safe answer's time-out for its first token, seconds beyond what is expected.
+const WRITE_PATIENCE_S: f64 = 1.5;
+/// Seconds between ticks.
+const TICK_S: f64 = 0.05;
+/// Time constant, in seconds, of send rates.
+const RATE_S: f64 = 5.0;
+/// Share of the fall-over multiple that is used on the capacity a cold server surely has.
+const COLD_CARE: f64 = 0.8;
+
+// ---- 2 what is known of a server ------------------------------------------------------------------
+
+/// One of this router's attempts that waits for its read or first token.
+#[derive(Clone, Debug)]
+struct Pending {
+    work_s: f64,
+    due: f64,
+    tokens: f64,
+}
+
+/// The last load report.
+#[derive(Clone, Debug)]
+struct Seen {
+    at: f64,
+    /// Share of memory or slots in use, the larger.
+    load: f64,
+    /// Requests of other dispatchers that wait or run.
+    others: f64,
+    own_tokens: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Server {
+    entry: ServerEntry,
+    role: Role,
+    memory: f64,
+    pending: BTreeMap<RequestId, Pending>,
+    streams: BTreeMap<RequestId, f64>,
+    /// Share of late outcomes that failed.
+    trouble: f64,
+    last_trial: f64,
+    /// Delay beyond prediction, and when it was seen.
+    excess: (f64, f64),
+    /// Time taken against the fit, over both stages' own samples.
+    pace: f64,
+    seen: Option<Seen>,
+    full_until: f64,
+    next_probe: f64,
+    /// Decayed count of sends, and when it was last brought up to date.
+    sent: (f64, f64),
+    recent: VecDeque<f64>,
+}
+
+impl Server {
+    fn new(entry: ServerEntry, kind: &KindSettings, now: f64) -> Self {
+        let memory = kind.memory_tokens.max(1.0);
+        Server { entry, role: kind.role, memory, pace: 1.0, next_probe: now, ..Server::default() }
+    }
+
+    fn own_tokens(&self) -> f64 {
+        self.pending.values().map(|p| p.tokens).sum::<f64>() + self.streams.values().sum::<f64>()
+    }
+
+    fn excess(&self, now: f64) -> f64 {
+        self.excess.0 * 0.5f64.powf((now - self.excess.1).max(0.0) / EXCESS_HALF_S)
+    }
+
+    /// Age beyond its due time of the oldest own attempt that has not been heard of. A paused, slow, dead
+    /// or cut-off server shows first as this, whatever the cause; it harms a server only while it is late.
+    fn overdue(&self, now: f64) -> f64 {
+        self.pending.values().map(|p| now - p.due).fold(0.0, f64::max)
+    }
+
+    fn rate(&self, now: f64) -> f64 {
+        self.sent.0 * (-(now - self.sent.1) / RATE_S).exp() / RATE_S
+    }
+
+    fn report(&self, now: f64) -> Option<&Seen> {
+        self.seen.as_ref().filter(|s| now - s.at < REPORT_AGE_S)
+    }
+}
+
+/// Online linear fit of the read time for one kind of server.
+#[derive(Clone, Debug)]
+struct Fit([f64; 3]);
+
+impl Fit {
+    fn features(uncached: f64, total: f64) -> [f64; 3] {
+        [1.0, uncached / 1000.0, total / 1000.0]
+    }
+
+    fn predict(&self, uncached: f64, total: f64) -> f64 {
+        let x = Self::features(uncached, total);
+        self.0.iter().zip(x).map(|(w, x)| w * x).sum::<f64>().max(0.001)
+    }
+
+    /// Surprises upwards are mostly other traffic's queue, so that they pull less than those downwards.
+    fn learn(&mut self, uncached: f64, total: f64, took: f64) {
+        let x = Self::features(uncached, total);
+        let guess = self.predict(uncached, total);
+        let err = (took - guess).clamp(-guess, guess);
+        let step = FIT_STEP * if err > 0.0 { 0.4 } else { 1.0 } * err / x.iter().map(|v| v * v).sum::<f64>();
+        for (w, x) in self.0.iter_mut().zip(x) {
+            *w = (*w + step * x).clamp(0.0, 2.0);
+        }
+    }
+}
+
+// ---- 3 requests -----------------------------------------------------------------------------------
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+enum Stage {
+    /// An attempt is out whose server reads, writes or does both.
+    Out,
+    /// A state waits at this reader and no attempt is out.
+    Held { since: f64 },
+    /// The answer runs; it is the client's.
+    Streaming,
+    /// Nothing is out and nothing is held.
+    #[default]
+    Idle,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Job {
+    ask: Request,
+    deadline: f64,
+    stage: Stage,
+    attempts: u32,
+    /// Server of the attempt that is out, or that streams, and when it was sent.
+    at: ServerId,
+    sent: f64,
+    /// The reader that holds the state.
+    state_at: Option<ServerId>,
+    believed_hit: f64,
+    queue_s: f64,
+    read_s: f64,
+    /// Servers that failed it.
+    failed_at: Vec<ServerId>,
+    /// The first attempt that may have had an effect: server and time of sending.
+    may_have_run: Option<(ServerId, f64)>,
+    /// The final answer is given; only an outcome is waited for.
+    over: bool,
+    first_after: f64,
+}
+
+#[derive(Clone, Copy)]
+struct Estimate {
+    server: ServerId,
+    queue_s: f64,
+    read_s: f64,
+    hit: f64,
+    total_s: f64,
+}
+
+/// One attempt about to be sent.
+struct Plan {
+    to: ServerId,
+    work_s: f64,
+    expected: f64,
+    patience: f64,
+}
+
+/// Prefix table key: sessions and shared prefixes have number spaces of their own.
+type PrefixKey = (bool, u64);
+
+/// One dispatcher's decisions.
+pub struct Router {
+    set: Settings,
+    seed: u64,
+    servers: BTreeMap<ServerId, Server>,
+    jobs: BTreeMap<RequestId, Job>,
+    prefixes: BTreeMap<PrefixKey, BTreeMap<ServerId, (f64, f64)>>,
+    fits: Vec<Fit>,
+    /// Per class: stream seconds per expected second.
+    stretch: Vec<f64>,
+    /// Per tenant: requests in hand within the share, and when counted.
+    allowance: Vec<(f64, f64)>,
+    retries: f64,
+    ticking: bool,
+    next_sweep: f64,
+    subscribed: bool,
+}
+
+fn mix(a: u64, b: u64) -> u64 {
+    let mut z = a ^ b.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    z ^ (z >> 31)
+}
+
+/// A finite, non-negative figure, or nothing.
+fn sane(v: f64) -> f64 {
+    Some(v).filter(|v| v.is_finite() && *v > 0.0).unwrap_or(0.0)
+}
+
+const TICK_LABEL: u64 = u64::MAX;
+
+// ---- 4 entry and events ---------------------------------------------------------------------------
+
+impl Router {
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Router {
+            fits: vec![Fit(READ_PRIOR); settings.kinds.len()],
+            stretch: vec![0.0; settings.classes.len()],
+            allowance: vec![(f64::INFINITY, 0.0); settings.tenants.len()],
+            set: settings,
+            seed,
+            servers: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            prefixes: BTreeMap::new(),
+            retries: RETRY_SAVE / 2.0,
+            ticking: false,
+            next_sweep: 0.0,
+            subscribed: false,
+        }
+    }
+
+    /// Takes one event at clock time `now` and appends what is to be done.
+    pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Servers { form, entries } => self.on_list(now, form, entries, out),
+            Event::Arrival(ask) => self.on_arrival(now, ask, out),
+            Event::FirstToken { request, server, elapsed_s, .. } => {
+                self.on_first_token(now, request, server, elapsed_s)
+            }
+            Event::AttemptEnded(end) => self.on_end(now, end, out),
+            Event::ClientGone { request } => self.on_client_gone(request, out),
+            Event::Timer { label } => self.on_timer(now, label, out),
+            Event::ProbeEnded { server, outcome, report, .. } => self.on_probe(now, server, outcome, &report),
+            Event::PlaceAnswer { .. } | Event::PeerMessage { .. } => {}
+        }
+        self.keep_ticking(now, out);
+    }
+
+    // ---- 5 the server list ------------------------------------------------------------------------
+
+    fn on_list(&mut self, now: f64, form: ListForm, entries: Vec<ServerEntry>, out: &mut Vec<Action>) {
+        if self.set.must_subscribe && (!self.subscribed || form == ListForm::Failed) {
+            self.subscribed = true;
+            out.push(Action::Subscribe);
+        }
+        if form == ListForm::Failed {
+            return;
+        }
+        if form != ListForm::Delta {
+            let missing = |s: &&mut Server| !entries.iter().any(|e| e.id == s.entry.id);
+            self.servers.values_mut().filter(missing).for_each(|s| s.entry.standing = Standing::Gone);
+        }
+        for entry in entries {
+            self.on_entry(now, entry);
+        }
+        self.servers.retain(|_, s| {
+            s.entry.standing != Standing::Gone || !s.pending.is_empty() || !s.streams.is_empty()
+        });
+    }
+
+    fn on_entry(&mut self, now: f64, mut entry: ServerEntry) {
+        let Some(kind) = self.set.kinds.get(usize::from(entry.kind)) else { return };
+        entry.weight = if sane(entry.weight) > 0.0 { entry.weight } else { 1.0 };
+        entry.booted_at = sane(entry.booted_at);
+        let id = entry.id;
+        match self.servers.get_mut(&id) {
+            Some(s) if s.entry.booted_at == entry.booted_at => s.entry = entry,
+            Some(s) => {
+                // A new process: what the old one kept, and how it behaved, is gone with it.
+                let (pending, streams) = (std::mem::take(&mut s.pending), std::mem::take(&mut s.streams));
+                *s = Server { pending, streams, ..Server::new(entry, kind, now) };
+                self.forget(id);
+            }
+            None => {
+                self.servers.insert(id, Server::new(entry, kind, now));
+            }
+        }
+    }
+
+    /// Drops all that the prefix table credits to a server.
+    fn forget(&mut self, id: ServerId) {
+        self.prefixes.retain(|_, held| {
+            held.remove(&id);
+            !held.is_empty()
+        });
+    }
+
+    // ---- 6 first-token estimates and the prefix table ----------------------------------------------
+
+    fn keys(ask: &Request) -> [(PrefixKey, f64); 2] {
+        [((true, ask.session), ask.prompt_tokens), ((false, ask.prefix), ask.prefix_tokens)]
+    }
+
+    /// Home of a key no reader is known to hold: the highest hash over the sorted readers of this zone, or
+    /// over all where the zone has none.
+    fn home(&self, now: f64, ask: &Request) -> Option<ServerId> {
+        let key = if ask.prefix != 0 { ask.prefix } else { ask.session };
+        let pick = |here: bool| {
+            let fit = |s: &&Server| {
+                s.role == Role::Reader
+                    && s.entry.standing == Standing::Ready
+                    && (!here || s.entry.zone == self.set.zone)
+                    && self.capacity(s, now) >= 1.0
+            };
+            let rank = |s: &&Server| mix(key, u64::from(s.entry.id));
+            self.servers.values().filter(fit).max_by_key(rank).map(|s| s.entry.id)
+        };
+        pick(true).or_else(|| pick(false))
+    }
+
+    fn known_hit(&self, id: ServerId, ask: &Request) -> f64 {
+        let held = |(key, most): (PrefixKey, f64)| {
+            let tokens = self.prefixes.get(&key).and_then(|h| h.get(&id)).map_or(0.0, |h| h.0);
+            tokens.min(most)
+        };
+        Self::keys(ask).into_iter().map(held).fold(0.0, f64::max)
+    }
+
+    fn unseen(&self, ask: &Request) -> bool {
+        !Self::keys(ask).into_iter().any(|(key, _)| key.1 != 0 && self.prefixes.contains_key(&key))
+    }
+
+    fn note_held(&mut self, now: f64, id: ServerId, ask: &Request) {
+        for (key, tokens) in Self::keys(ask) {
+            if key.1 != 0 && tokens > 0.0 {
+                self.prefixes.entry(key).or_default().insert(id, (tokens, now));
+            }
+        }
+    }
+
+    /// Other dispatchers' reads at a server, in seconds: the last report where there is one, else this
+    /// router's own share scaled by their number; or delay lately seen beyond prediction, if larger.
+    fn others_s(&self, s: &Server, own_s: f64, now: f64) -> f64 {
+        let mean = self.fits[usize::from(s.entry.kind)].predict(700.0, 2500.0) * s.pace;
+        let told = match s.report(now) {
+            Some(seen) => seen.others * mean,
+            None => own_s * f64::from(self.set.dispatchers - 1) * 0.5,
+        };
+        told.max(s.excess(now))
+    }
+
+    fn estimate(&self, s: &Server, job: &Job, home: Option<ServerId>, now: f64) -> Estimate {
+        let ask = &job.ask;
+        let known = self.known_hit(s.entry.id, ask);
+        let assumed =
+            if home == Some(s.entry.id) { ask.prefix_tokens.max(0.1 * ask.prompt_tokens) } else { 0.0 };
+        let hit = known.max(assumed).min((ask.prompt_tokens - 1.0).max(0.0));
+        let slow = s.pace / self.capacity(s, now);
+        let fit = &self.fits[usize::from(s.entry.kind)];
+        let read_s = fit.predict(ask.prompt_tokens - hit, ask.prompt_tokens) * slow;
+        let own_s = s.pending.values().map(|p| p.work_s).sum::<f64>();
+        let queue_s = own_s + self.others_s(s, own_s, now) + s.overdue(now);
+        let far = if s.entry.zone == self.set.zone { 0.0 } else { ZONE_READ_S };
+        let write = if s.role == Role::Mixed { self.write_wait(s, now) } else { 0.0 };
+        let total_s = queue_s + read_s + far + write + self.risk_s(s, job);
+        Estimate { server: s.entry.id, queue_s, read_s, hit: known, total_s }
+    }
+
+    /// Seconds that a server's failures add. Quick failures empty a queue and would make it look the best
+    /// choice; this keeps it from drawing traffic, and prices what may not be tried twice the higher.
+    fn risk_s(&self, s: &Server, job: &Job) -> f64 {
+        let once = self.class(job).effect == Effect::Unsafe && s.role != Role::Reader;
+        let again = if job.failed_at.contains(&s.entry.id) { 1.0 } else { 0.0 };
+        FAILURE_COST_S * (again + s.trouble / (1.02 - s.trouble).max(0.02) * if once { 5.0 } else { 1.0 })
+    }
+
+    /// The mechanism: the lowest estimated first-token time among readers and mixed servers.
+    fn best_reader(&self, job: &Job, now: f64) -> Option<Estimate> {
+        let home = if self.unseen(&job.ask) { self.home(now, &job.ask) } else { None };
+        let wait = self.lightest_wait(now);
+        let price = |s: &Server| {
+            let mut e = self.estimate(s, job, home, now);
+            e.total_s += if s.role == Role::Reader { wait } else { 0.0 };
+            (e.total_s, e)
+        };
+        self.cheapest(job, now, Role::Writer, price)
+    }
+
+    /// The usable server of the least price; barred ones only when nothing else is left, so that never
+    /// everybody is excluded.
+    fn cheapest<T>(&self, job: &Job, now: f64, not: Role, price: impl Fn(&Server) -> (f64, T)) -> Option<T> {
+        let fits = |s: &&Server| s.role != not && self.usable(s, job, now);
+        let rank = |s: &Server| (self.barred(s, job, now), price(s));
+        let least =
+            |a: &(bool, (f64, T)), b: &(bool, (f64, T))| a.0.cmp(&b.0).then(a.1 .0.total_cmp(&b.1 .0));
+        self.servers.values().filter(fits).map(rank).min_by(least).map(|r| r.1 .1)
+    }
+
+    // ---- 7 writers --------------------------------------------------------------------------------
+
+    fn expected_tokens(&self, ask: &Request) -> f64 {
+        let class = usize::from(ask.class);
+        let gap = self.set.classes[class].token_gap_aim_s;
+        match ask.output_hint_s {
+            Some(hint) if gap > 0.0 && sane(hint) > 0.0 => (hint / gap).min(ask.max_output_tokens),
+            _ => ask.max_output_tokens * OUTPUT_PRIOR,
+        }
+    }
+
+    /// Load of a writer: the last report plus what was sent since, or own streams scaled by the number of
+    /// dispatchers; in shares of memory, stretched by how slowly it has written of late.
+    fn load(&self, s: &Server, now: f64) -> f64 {
+        let own = s.own_tokens();
+        let share = match s.report(now) {
+            Some(seen) => (seen.load + (own - seen.own_tokens) / s.memory).max(own / s.memory),
+            None => own * f64::from(self.set.dispatchers) / s.memory,
+        };
+        share / self.capacity(s, now)
+    }
+
+    /// Seconds that an answer would wait at a writer, by its load.
+    fn write_wait(&self, s: &Server, now: f64) -> f64 {
+        let load = self.load(s, now);
+        load * WRITER_LOAD_S + (load - WRITER_FULL).max(0.0) * 5.0
+    }
+
+    fn lightest_wait(&self, now: f64) -> f64 {
+        let writes = |s: &&Server| s.role == Role::Writer && s.entry.standing == Standing::Ready;
+        let wait = |s| self.write_wait(s, now) + s.overdue(now);
+        self.servers.values().filter(writes).map(wait).min_by(f64::total_cmp).unwrap_or(0.0)
+    }
+
+    fn best_writer(&self, job: &Job, now: f64) -> Option<ServerId> {
+        let from = job.state_at.and_then(|id| self.servers.get(&id)).map(|s| (s.entry.cell, s.entry.zone));
+        let weights: Vec<f64> =
+            self.servers.values().filter(|s| s.role == Role::Writer).map(|s| s.entry.weight).collect();
+        let mean = weights.iter().sum::<f64>() / weights.len().max(1) as f64;
+        let price = |s: &Server| {
+            let apart = match from {
+                Some((cell, _)) if cell == s.entry.cell => 0.0,
+                Some((_, zone)) if zone != s.entry.zone => ZONE_MARGIN,
+                _ => CELL_MARGIN,
+            };
+            let size = if s.role == Role::Writer && mean > 0.0 { s.entry.weight / mean } else { 1.0 };
+            let mixed = if s.role == Role::Mixed { 0.3 } else { 0.0 };
+            let tie = (mix(self.seed ^ u64::from(job.ask.id), u64::from(s.entry.id)) % 1000) as f64 * 1e-5;
+            let delay = s.overdue(now) + s.excess(now) + self.risk_s(s, job);
+            (self.load(s, now) * s.pace / size + delay + apart + mixed + tie, s.entry.id)
+        };
+        self.cheapest(job, now, Role::Reader, price)
+    }
+
+    // ---- 8 admission ------------------------------------------------------------------------------
+
+    fn on_arrival(&mut self, now: f64, mut ask: Request, out: &mut Vec<Action>) {
+        ask.class = ask.class.min(self.set.classes.len().saturating_sub(1) as u16);
+        ask.prompt_tokens = sane(ask.prompt_tokens).max(1.0);
+        ask.prefix_tokens = sane(ask.prefix_tokens).min(ask.prompt_tokens);
+        ask.max_output_tokens = sane(ask.max_output_tokens).max(1.0);
+        let id = ask.id;
+        let left = sane(ask.time_left_s);
+        let aim = self.aim(&ask);
+        let over = self.over_share(now, ask.tenant);
+        let job = Job { ask, deadline: now + left, ..Job::default() };
+        self.retries = (self.retries + RETRY_EARN).min(RETRY_SAVE);
+        let late = if over { aim * REFUSE_OVER_AT } else { aim * REFUSE_AT };
+        let guess = self.best_reader(&job, now);
+        self.jobs.insert(id, job);
+        let at = now + (left - 2.0 * self.set.tick_s).max(0.0);
+        out.push(Action::SetTimer { at, label: u64::from(id) });
+        match guess {
+            Some(e) if e.total_s <= late.min(left) => self.send_read(now, id, e, out),
+            Some(e) => self.give_up(id, (e.total_s - late).max(0.2), out),
+            None => self.give_up(id, 1.0, out),
+        }
+    }
+
+    fn aim(&self, ask: &Request) -> f64 {
+        let class = &self.set.classes[usize::from(ask.class)];
+        class.ttft_aim_s + class.ttft_aim_per_token_s * ask.prompt_tokens
+    }
+
+    /// Whether a tenant's traffic here runs above this router's part of its share.
+    fn over_share(&mut self, now: f64, tenant: u32) -> bool {
+        let Some(slot) = self.allowance.get_mut(tenant as usize) else { return false };
+        let part = self.set.tenants[tenant as usize].quota_rps / f64::from(self.set.dispatchers);
+        let burst = (2.0 * part).max(1.0);
+        let left = (slot.0 + (now - slot.1) * part).min(burst);
+        *slot = ((left - 1.0).max(0.0), now);
+        left < 1.0
+    }
+
+    // ---- 9 the request machine --------------------------------------------------------------------
+
+    fn class(&self, job: &Job) -> &ClassSettings {
+        &self.set.classes[usize::from(job.ask.class)]
+    }
+
+    /// Whether the rules let a request go to a server now.
+    fn usable(&self, s: &Server, job: &Job, now: f64) -> bool {
+        s.entry.standing == Standing::Ready
+            && now >= s.full_until
+            && self.cold_room(s, now)
+            && self.may_repeat_at(s, job, now)
+    }
+
+    fn may_repeat_at(&self, s: &Server, job: &Job, now: f64) -> bool {
+        let Some((first, since)) = job.may_have_run else { return true };
+        match self.class(job).effect {
+            Effect::Safe => true,
+            Effect::Unsafe => false,
+            Effect::Keyed { scope, window_s } => {
+                let same = self.servers.get(&first).is_some_and(|f| match scope {
+                    KeyScope::All => true,
+                    KeyScope::Zone => f.entry.zone == s.entry.zone,
+                    KeyScope::Cell => f.entry.cell == s.entry.cell,
+                });
+                (same || scope == KeyScope::All) && now - since < window_s * 0.9
+            }
+        }
+    }
+
+    fn may_refuse(&self, job: &Job) -> bool {
+        let clear = job.may_have_run.is_none();
+        match self.class(job).effect {
+            Effect::Safe | Effect::Keyed { scope: KeyScope::All, .. } => true,
+            _ => clear && job.stage != Stage::Out,
+        }
+    }
+
+    /// Trial traffic only: the score is high and a trial was made of late. Unsafe answers are no trials.
+    fn barred(&self, s: &Server, job: &Job, now: f64) -> bool {
+        let once = self.class(job).effect == Effect::Unsafe && s.role != Role::Reader;
+        s.trouble > TROUBLE_BAR && (once || now - s.last_trial < TRIAL_EVERY_S)
+    }
+
+    fn send_read(&mut self, now: f64, id: RequestId, e: Estimate, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        (job.believed_hit, job.queue_s, job.read_s) = (e.hit, e.queue_s, e.read_s);
+        let expected = e.queue_s + e.read_s;
+        let mixed = self.servers.get(&e.server).is_some_and(|s| s.role == Role::Mixed);
+        let patience =
+            expected * READ_PATIENCE.0 + READ_PATIENCE.1 + if mixed { WRITE_PATIENCE_S } else { 0.0 };
+        self.launch(now, id, Plan { to: e.server, work_s: e.read_s, expected, patience }, out);
+    }
+
+    fn send_write(&mut self, now: f64, id: RequestId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        match self.best_writer(job, now) {
+            Some(w) => {
+                let wait = 0.15 + self.servers.get(&w).map_or(0.0, |s| self.write_wait(s, now));
+                let patience = wait + WRITE_PATIENCE_S;
+                self.launch(now, id, Plan { to: w, work_s: 0.02, expected: wait, patience }, out);
+            }
+            None => self.hold(now, id, out),
+        }
+    }
+
+    /// The one place that sends. Refuses what a rule forbids, whatever the caller chose.
+    fn launch(&mut self, now: f64, id: RequestId, plan: Plan, out: &mut Vec<Action>) {
+        let Plan { to, work_s, expected, patience } = plan;
+        let (Some(job), Some(s)) = (self.jobs.get(&id), self.servers.get(&to)) else { return };
+        let tokens = job.ask.prompt_tokens + 0.5 * self.expected_tokens(&job.ask);
+        let allowed = !job.over
+            && matches!(job.stage, Stage::Idle | Stage::Held { .. })
+            && job.attempts < self.set.limits.max_attempts
+            && now < job.deadline
+            && self.usable(s, job, now);
+        if !allowed {
+            return self.give_up(id, 0.5, out);
+        }
+        let unsafe_write = self.class(job).effect == Effect::Unsafe && s.role != Role::Reader;
+        let timeout_s = if unsafe_write { 0.0 } else { patience.min(job.deadline - now) };
+        let (Some(job), Some(s)) = (self.jobs.get_mut(&id), self.servers.get_mut(&to)) else { return };
+        job.stage = Stage::Out;
+        job.at = to;
+        job.sent = now;
+        job.attempts += 1;
+        s.pending.insert(id, Pending { work_s, due: now + expected, tokens });
+        s.sent = (s.rate(now) * RATE_S + 1.0, now);
+        s.recent.push_back(now);
+        while s.recent.front().is_some_and(|&t| now - t > self.set.cold.window_s) {
+            s.recent.pop_front();
+        }
+        if s.trouble > TROUBLE_BAR {
+            s.last_trial = now;
+        }
+        out.push(Action::Send { request: id, server: to, timeout_s });
+    }
+
+    /// No writer can take the state now: wait a little within the pin limit, then let go.
+    fn hold(&mut self, now: f64, id: RequestId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Stage::Held { since } = job.stage else {
+            return self.give_up(id, 0.5, out);
+        };
+        if now - since > self.set.pin_limit_s * HOLD_SHARE {
+            self.give_up(id, 0.5, out);
+        }
+    }
+
+    fn give_up(&mut self, id: RequestId, retry_after_s: f64, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let answer = if self.may_refuse(job) {
+            let most = self.set.limits.max_retry_after_s.max(0.0);
+            Action::Refuse { request: id, retry_after_s: retry_after_s.min(most) }
+        } else {
+            Action::Fail { request: id }
+        };
+        self.finish(id, Some(answer), out);
+    }
+
+    /// The one place that ends a request: gives the final answer, if it is owed, and lets go of its state.
+    fn finish(&mut self, id: RequestId, answer: Option<Action>, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if !job.over {
+            job.over = true;
+            out.extend(answer);
+        }
+        if matches!(job.stage, Stage::Out | Stage::Streaming) {
+            return;
+        }
+        if job.state_at.is_some() {
+            out.push(Action::Release { request: id });
+        }
+        self.jobs.remove(&id);
+    }
+
+    fn on_client_gone(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        self.cancel(id, out);
+        self.finish(id, None, out);
+    }
+
+    fn cancel(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        if let Some(job) = self.jobs.get(&id).filter(|j| j.stage == Stage::Out && !j.over) {
+            if self.set.limits.may_cancel {
+                out.push(Action::Cancel { request: id, attempt: (job.attempts - 1) as u16 });
+            }
+        }
+    }
+
+    // ---- 10 outcomes, health and learning ---------------------------------------------------------
+
+    fn on_first_token(&mut self, now: f64, id: RequestId, server: ServerId, elapsed: f64) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.stage = Stage::Streaming;
+        job.first_after = sane(elapsed);
+        job.state_at = None;
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        if let Some(p) = s.pending.remove(&id) {
+            s.excess = (0.5 * s.excess(now) + 0.5 * (now - p.due).max(0.0), now);
+            s.streams.insert(id, p.tokens);
+        }
+        s.trouble *= 1.0 - TROUBLE_BLEND * 0.5;
+    }
+
+    fn on_end(&mut self, now: f64, end: AttemptEnd, out: &mut Vec<Action>) {
+        let pending = self.servers.get_mut(&end.server).and_then(|s| {
+            s.streams.remove(&end.request);
+            s.pending.remove(&end.request)
+        });
+        self.take_report(now, end.server, &end.report);
+        let Some(job) = self.jobs.get(&end.request).filter(|j| j.at == end.server) else { return };
+        let job = job.clone();
+        self.judge(now, &end, &job, pending.as_ref());
+        let id = end.request;
+        let Some(j) = self.jobs.get_mut(&id) else { return };
+        let reader = self.servers.get(&end.server).is_some_and(|s| s.role == Role::Reader);
+        let harmless = matches!(
+            end.outcome,
+            Outcome::ReadDone | Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot
+        );
+        if !harmless && !reader && j.may_have_run.is_none() {
+            j.may_have_run = Some((end.server, j.sent));
+        }
+        j.state_at = match end.outcome {
+            Outcome::ReadDone => Some(end.server),
+            Outcome::Full { state_gone: true } => None,
+            _ => j.state_at,
+        };
+        j.stage = if j.state_at.is_some() { Stage::Held { since: now } } else { Stage::Idle };
+        if end.finished || j.over {
+            j.over = true;
+            return self.finish(id, None, out);
+        }
+        if end.outcome != Outcome::ReadDone {
+            j.failed_at.push(end.server);
+        }
+        self.go_on(now, id, end.outcome, out);
+    }
+
+    /// The next step after an outcome that did not finish the request.
+    fn go_on(&mut self, now: f64, id: RequestId, outcome: Outcome, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let spent = self.class(job).effect == Effect::Unsafe && job.may_have_run.is_some();
+        if spent || now + 2.0 * self.set.tick_s >= job.deadline || outcome == Outcome::Moot {
+            return self.give_up(id, 0.2, out);
+        }
+        if outcome == Outcome::ReadDone {
+            return self.send_write(now, id, out);
+        }
+        if self.retries < 1.0 {
+            return self.give_up(id, 0.5, out);
+        }
+        self.retries -= 1.0;
+        if job.state_at.is_some() {
+            return self.send_write(now, id, out);
+        }
+        match self.best_reader(job, now) {
+            Some(e) if now + e.total_s < job.deadline => self.send_read(now, id, e, out),
+            _ => self.give_up(id, 0.5, out),
+        }
+    }
+
+    /// Health, speed, prefix table and fits from one outcome.
+    fn judge(&mut self, now: f64, end: &AttemptEnd, job: &Job, pending: Option<&Pending>) {
+        let cut = now + 2.0 * self.set.tick_s >= job.deadline;
+        let mark = match end.outcome {
+            Outcome::Served | Outcome::ReadDone => Some(0.0),
+            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => Some(1.0),
+            Outcome::TimedOut if !cut && pending.is_some() => Some(1.0),
+            _ => None,
+        };
+        let Some(s) = self.servers.get_mut(&end.server) else { return };
+        if let Some(mark) = mark {
+            s.trouble += TROUBLE_BLEND * (mark - s.trouble);
+        }
+        if matches!(end.outcome, Outcome::Full { state_gone: false }) {
+            s.full_until = now + FULL_PAUSE_S;
+        }
+        match end.outcome {
+            Outcome::ReadDone => self.learn_read(now, end, job, sane(end.elapsed_s)),
+            Outcome::Served => self.learn_answer(now, end, job),
+            _ => {}
+        }
+    }
+
+    fn learn_read(&mut self, now: f64, end: &AttemptEnd, job: &Job, took: f64) {
+        let hit = sane(end.prefix_hit_tokens).min(job.ask.prompt_tokens);
+        if hit < LOST_SHARE * job.believed_hit {
+            // The reader lost what it kept (flush, silent restart, eviction): believe nothing of it that
+            // has not been read again. Eviction of one text alone costs the others' credit for one read.
+            self.forget(end.server);
+        }
+        self.note_held(now, end.server, &job.ask);
+        let capacity = self.servers.get(&end.server).map_or(1.0, |s| self.capacity(s, now));
+        let Some(s) = self.servers.get_mut(&end.server) else { return };
+        let fit = &mut self.fits[usize::from(s.entry.kind)];
+        let total = job.ask.prompt_tokens;
+        let alone = fit.predict(total - hit, total);
+        let work = (took - job.queue_s).max(0.25 * alone);
+        if job.queue_s < 0.5 * alone {
+            fit.learn(total - hit, total, took * capacity / s.pace);
+        }
+        let ratio = (took / (job.queue_s + alone / capacity)).clamp(0.3, 8.0);
+        s.pace = (s.pace + BLEND * (ratio.min(work * capacity / alone) - s.pace)).clamp(0.5, 8.0);
+        let surprise = (took - job.queue_s - alone * s.pace / capacity).max(0.0);
+        s.excess = (0.5 * s.excess(now) + 0.5 * surprise, now);
+    }
+
+    fn learn_answer(&mut self, now: f64, end: &AttemptEnd, job: &Job) {
+        let mixed = self.servers.get(&end.server).is_some_and(|s| s.role == Role::Mixed);
+        if mixed && job.state_at.is_none() {
+            self.learn_read(now, end, job, job.first_after);
+        }
+        let class = usize::from(job.ask.class);
+        let expected = job.ask.output_hint_s.filter(|h| sane(*h) > 0.0).unwrap_or(1.0);
+        let stretch = (sane(end.elapsed_s) - job.first_after).max(0.001) / expected;
+        let mean = &mut self.stretch[class];
+        *mean = if *mean > 0.0 { *mean + 0.03 * (stretch - *mean) } else { stretch };
+        let ratio = (stretch / *mean).clamp(0.2, 5.0);
+        if let Some(s) = self.servers.get_mut(&end.server).filter(|s| s.role == Role::Writer) {
+            s.pace = (s.pace + 0.5 * BLEND * (ratio - s.pace)).clamp(0.5, 8.0);
+        }
+    }
+
+    fn take_report(&mut self, now: f64, id: ServerId, report: &[f64]) {
+        let Some(s) = self.servers.get_mut(&id) else { return };
+        if report.is_empty() || report.iter().any(|v| !v.is_finite()) {
+            return;
+        }
+        let own_held = (s.pending.len() + s.streams.len()) as f64;
+        let mut seen = Seen { at: now, load: 0.0, others: 0.0, own_tokens: s.own_tokens() };
+        for (field, &value) in self.set.report_fields.iter().zip(report) {
+            match field {
+                ReportField::SlotShare if s.role != Role::Reader => seen.load = seen.load.max(value),
+                ReportField::MemoryShare => seen.load = seen.load.max(value),
+                ReportField::Concurrent if s.role == Role::Reader => {
+                    seen.others = seen.others.max(0.5 * (value - own_held))
+                }
+                ReportField::Queue if s.role == Role::Reader => {
+                    seen.others = seen.others.max(value - own_held)
+                }
+                _ => {}
+            }
+        }
+        s.seen = Some(seen);
+    }
+
+    fn on_probe(&mut self, now: f64, id: ServerId, outcome: Outcome, report: &[f64]) {
+        self.take_report(now, id, report);
+        let Some(s) = self.servers.get_mut(&id) else { return };
+        if matches!(outcome, Outcome::ConnectFailed | Outcome::Reset) {
+            s.trouble += TROUBLE_BLEND * (1.0 - s.trouble);
+        }
+    }
+
+    // ---- 11 cold servers --------------------------------------------------------------------------
+
+    /// Share of its capacity that a server has by now, at a guess: a straight line from the told start to
+    /// the told warm time.
+    fn capacity(&self, s: &Server, now: f64) -> f64 {
+        let cold = &self.set.cold;
+        if s.entry.booted_at <= 0.0 || now >= s.entry.booted_at + cold.warm_after_s {
+            return 1.0;
+        }
+        let age = (now - s.entry.booted_at).max(0.0) / cold.warm_after_s.max(0.1);
+        (cold.start_capacity + (1.0 - cold.start_capacity) * age).clamp(0.05, 1.0)
+    }
+
+    /// Own-share budget of sends to a cold server: what warm servers of its role get from this router, times
+    /// the capacity it has, and never more than the told multiple of the capacity it started with. Every
+    /// router doing so keeps the sum, with nothing agreed.
+    fn cold_room(&self, s: &Server, now: f64) -> bool {
+        let capacity = self.capacity(s, now);
+        if capacity >= 1.0 {
+            return true;
+        }
+        let cold = &self.set.cold;
+        let warm = |o: &&Server| {
+            o.role == s.role && o.entry.standing == Standing::Ready && self.capacity(o, now) >= 1.0
+        };
+        let rates: Vec<f64> = self.servers.values().filter(warm).map(|o| o.rate(now)).collect();
+        let rate = rates.iter().sum::<f64>() / rates.len().max(1) as f64;
+        let share = capacity.min(COLD_CARE * cold.overload_factor * cold.start_capacity);
+        let budget = (rate * share * cold.window_s).max(1.0);
+        let spent = s.recent.iter().filter(|&&t| now - t < cold.window_s).count() as f64;
+        spent + 1.0 <= budget
+    }
+
+    // ---- 12 timers --------------------------------------------------------------------------------
+
+    fn keep_ticking(&mut self, now: f64, out: &mut Vec<Action>) {
+        if !self.ticking && (!self.jobs.is_empty() || self.probes_pay()) {
+            self.ticking = true;
+            out.push(Action::SetTimer { at: now + TICK_S, label: TICK_LABEL });
+        }
+    }
+
+    /// Probes pay only where they are the one source of load reports.
+    fn probes_pay(&self) -> bool {
+        self.set.report_mode == ReportMode::OnProbe && self.set.limits.may_probe
+    }
+
+    fn on_timer(&mut self, now: f64, label: u64, out: &mut Vec<Action>) {
+        if label == TICK_LABEL {
+            self.ticking = false;
+            return self.on_tick(now, out);
+        }
+        let id = label as RequestId;
+        let due = |j: &&Job| now + 3.0 * self.set.tick_s >= j.deadline && j.stage != Stage::Streaming;
+        if self.jobs.get(&id).filter(due).is_some() {
+            self.cancel(id, out);
+            self.finish(id, Some(Action::Fail { request: id }), out);
+        }
+    }
+
+    fn on_tick(&mut self, now: f64, out: &mut Vec<Action>) {
+        let held = |(id, j): (&RequestId, &Job)| matches!(j.stage, Stage::Held { .. }).then_some(*id);
+        let waiting: Vec<RequestId> = self.jobs.iter().filter_map(held).collect();
+        for id in waiting {
+            self.send_write(now, id, out);
+        }
+        if self.probes_pay() {
+            let due = |s: &&mut Server| s.entry.standing == Standing::Ready && now >= s.next_probe;
+            for s in self.servers.values_mut().filter(due) {
+                s.next_probe = now + PROBE_EVERY_S;
+                out.push(Action::Probe { server: s.entry.id });
+            }
+        }
+        if now >= self.next_sweep {
+            self.next_sweep = now + 5.0;
+            self.prefixes.retain(|_, held| {
+                held.retain(|_, h| now - h.1 < PREFIX_AGE_S);
+                !held.is_empty()
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,51 @@
+//! Routing decisions for a model service in which one set of servers reads prompts and another writes
+//! answers.
+//!
+//! A dispatcher owns one [`choice::Router`], tells it what happens and does what it says:
+//!
+//! ```
+//! use bitternlatch::choice::Router;
+//! use bitternlatch::interface::*;
+//!
+//! let class = ClassSettings {
+//!     effect: Effect::Safe,
+//!     ttft_aim_s: 1.0,
+//!     ttft_aim_per_token_s: 4e-5,
+//!     token_gap_aim_s: 0.05,
+//!     deadline_s: 5.0,
+//!     worth: 1.0,
+//!     late_worth: 0.3,
+//! };
+//! let kind = |role| KindSettings { role, memory_tokens: 150_000.0 };
+//! let settings = Settings {
+//!     dispatchers: 1,
+//!     zone: 0,
+//!     classes: vec![class],
+//!     tenants: vec![],
+//!     kinds: vec![kind(Role::Reader), kind(Role::Writer)],
+//!     report_fields: vec![],
+//!     report_mode: ReportMode::Off,
+//!     cold: ColdStart { start_capacity: 0.25, overload_factor: 2.5, window_s: 3.0, warm_after_s: 14.0 },
+//!     limits: Limits { max_attempts: 4, may_cancel: true, may_probe: false, max_retry_after_s: 1.0 },
+//!     pin_limit_s: 1.0,
+//!     over_share_worth: 1.0,
+//!     must_subscribe: false,
+//!     writers_read: false,
+//!     tick_s: 0.001,
+//! };
+//! let server = |id, kind| ServerEntry {
+//!     id, standing: Standing::Ready, kind, cell: 0, zone: 0, weight: 1.0, booted_at: 0.0,
+//! };
+//! let mut router = Router::new(settings, 42);
+//! let mut todo = Vec::new();
+//! let entries = vec![server(1, 0), server(2, 1)];
+//! router.handle(0.0, Event::Servers { form: ListForm::Full, entries }, &mut todo);
+//! let request = Request { id: 7, prompt_tokens: 900.0, max_output_tokens: 200.0, time_left_s: 5.0,
+//!     ..Request::default() };
+//! router.handle(0.1, Event::Arrival(request), &mut todo);
+//! assert!(todo.iter().any(|a| matches!(a, Action::Send { request: 7, server: 1, .. })));
+//! ```
+
+pub mod choice;
+pub mod interface;
+pub mod wire;
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,553 @@
+//! The simulator's wire: framing, the start settings and the map of instances. It decides nothing.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::io::{self, Read, Write};
+
+use crate::choice::Router;
+use crate::interface::*;
+
+/// Why a run had to stop: what was wrong and where.
+#[derive(Debug)]
+pub struct WireError(String);
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for WireError {}
+
+impl From<io::Error> for WireError {
+    fn from(e: io::Error) -> Self {
+        WireError(format!("input or output failed: {e}"))
+    }
+}
+
+type Result<T> = std::result::Result<T, WireError>;
+
+const HEADER_BYTES: usize = 16;
+const LIST_NUMBERS: u32 = 16;
+
+fn bad<T>(what: impl Into<String>) -> Result<T> {
+    Err(WireError(what.into()))
+}
+
+/// A cursor over one frame; every read is checked against the frame's end.
+struct Cursor<'a> {
+    data: &'a [u8],
+    at: usize,
+}
+
+impl<'a> Cursor<'a> {
+    fn take(&mut self, n: usize, what: &str) -> Result<&'a [u8]> {
+        match self.at.checked_add(n).and_then(|end| self.data.get(self.at..end)) {
+            Some(bytes) => {
+                self.at += n;
+                Ok(bytes)
+            }
+            None => bad(format!("frame ends at byte {} inside {what} at byte {}", self.data.len(), self.at)),
+        }
+    }
+
+    fn array<const N: usize>(&mut self, what: &str) -> Result<[u8; N]> {
+        let mut out = [0; N];
+        out.copy_from_slice(self.take(N, what)?);
+        Ok(out)
+    }
+
+    fn u8(&mut self, what: &str) -> Result<u8> {
+        Ok(self.array::<1>(what)?[0])
+    }
+
+    fn u16(&mut self, what: &str) -> Result<u16> {
+        Ok(u16::from_le_bytes(self.array(what)?))
+    }
+
+    fn u32(&mut self, what: &str) -> Result<u32> {
+        Ok(u32::from_le_bytes(self.array(what)?))
+    }
+
+    fn u64(&mut self, what: &str) -> Result<u64> {
+        Ok(u64::from_le_bytes(self.array(what)?))
+    }
+
+    fn f32(&mut self, what: &str) -> Result<f64> {
+        Ok(f64::from(f32::from_le_bytes(self.array(what)?)))
+    }
+
+    fn f64(&mut self, what: &str) -> Result<f64> {
+        Ok(f64::from_le_bytes(self.array(what)?))
+    }
+
+    fn report(&mut self, what: &str) -> Result<Vec<f64>> {
+        let n = self.u8(what)?;
+        (0..n).map(|_| self.f32(what)).collect()
+    }
+
+    fn outcome(&mut self, what: &str) -> Result<Outcome> {
+        let at = self.at;
+        Ok(match self.u8(what)? {
+            0 => Outcome::Served,
+            202 => Outcome::ReadDone,
+            255 => Outcome::Error,
+            254 => Outcome::Full { state_gone: false },
+            253 => Outcome::TimedOut,
+            252 => Outcome::ConnectFailed,
+            251 => Outcome::Reset,
+            250 => Outcome::Cancelled,
+            249 => Outcome::Moot,
+            code => return bad(format!("unknown outcome {code} in {what} at byte {at}")),
+        })
+    }
+}
+
+/// The start settings as path=value pairs.
+struct Facts<'a>(HashMap<&'a str, &'a str>);
+
+impl<'a> Facts<'a> {
+    fn parse(text: &'a str) -> Result<Self> {
+        let mut map = HashMap::new();
+        for (i, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
+            match line.split_once('=') {
+                Some((k, v)) => map.insert(k.trim(), v.trim()),
+                None => return bad(format!("settings line {} has no '='", i + 1)),
+            };
+        }
+        Ok(Facts(map))
+    }
+
+    fn text(&self, key: &str) -> Result<&'a str> {
+        self.0.get(key).copied().ok_or_else(|| WireError(format!("setting {key} is missing")))
+    }
+
+    fn number_or(&self, key: &str, default: f64) -> Result<f64> {
+        self.0.get(key).map_or(Ok(default), |v| number(key, v))
+    }
+
+    fn number(&self, key: &str) -> Result<f64> {
+        number(key, self.text(key)?)
+    }
+
+    fn count(&self, key: &str) -> Result<u32> {
+        let v = self.number(key)?;
+        if (0.0..=65_535.0).contains(&v) && v.fract() == 0.0 {
+            Ok(v as u32)
+        } else {
+            bad(format!("setting {key} is no small whole number: {v}"))
+        }
+    }
+
+    fn flag_or(&self, key: &str, default: bool) -> Result<bool> {
+        match self.0.get(key).copied() {
+            None => Ok(default),
+            Some("true") => Ok(true),
+            Some("false") => Ok(false),
+            Some(v) => bad(format!("setting {key} is neither true nor false: {v}")),
+        }
+    }
+
+    fn list(&self, key: &str) -> Vec<&'a str> {
+        self.0.get(key).map(|v| v.split(',').filter(|s| !s.is_empty()).collect()).unwrap_or_default()
+    }
+
+    fn numbers(&self, key: &str) -> Result<Vec<f64>> {
+        self.list(key).into_iter().map(|v| number(key, v)).collect()
+    }
+}
+
+fn number(key: &str, value: &str) -> Result<f64> {
+    match value.parse::<f64>() {
+        Ok(v) if v.is_finite() => Ok(v),
+        _ => bad(format!("setting {key} is no number: {value}")),
+    }
+}
+
+/// Reads the start settings; keys that are not known are skipped.
+pub fn parse_settings(text: &str) -> Result<Settings> {
+    let f = Facts::parse(text)?;
+    Ok(Settings {
+        dispatchers: f.count("balancers")?.max(1),
+        zone: f.count("locality")? as u16,
+        classes: parse_classes(&f)?,
+        tenants: parse_tenants(&f)?,
+        kinds: parse_kinds(&f)?,
+        report_fields: f.list("report.fields").into_iter().map(|w| report_field(w, &f)).collect(),
+        report_mode: match f.text("report.how")? {
+            "inline" => ReportMode::WithAnswers,
+            "on_probe" => ReportMode::OnProbe,
+            "off" => ReportMode::Off,
+            v => return bad(format!("setting report.how is not known: {v}")),
+        },
+        cold: ColdStart {
+            start_capacity: f.number("contract.startCapacity")?,
+            overload_factor: f.number("contract.overloadFactor")?,
+            window_s: f.number("contract.fallS")?,
+            warm_after_s: f.number("contract.warmAfterS")?,
+        },
+        limits: Limits {
+            max_attempts: f.count("limits.maxAttempts")?,
+            may_cancel: f.flag_or("limits.cancel", false)?,
+            may_probe: f.flag_or("limits.probing", false)?,
+            max_retry_after_s: f.number_or("limits.maxRetryAfterS", 0.0)?,
+        },
+        pin_limit_s: f.number("extra.pinLimitS")?,
+        over_share_worth: f.number_or("overShareWorth", 1.0)?,
+        must_subscribe: f.text("membershipMode")? == "on_request",
+        writers_read: f.flag_or("extra.localRead", false)?,
+        tick_s: f.number_or("tickS", 0.001)?,
+    })
+}
+
+fn report_field(word: &str, f: &Facts) -> ReportField {
+    match word {
+        "concurrent" => ReportField::Concurrent,
+        "depth" => ReportField::Queue,
+        "load_share" => ReportField::SlotShare,
+        "x0" if f.0.get("extra.reportX0").is_some_and(|v| v.contains("memory")) => ReportField::MemoryShare,
+        "x1" if f.0.get("extra.reportX1").is_some_and(|v| v.contains("tokens")) => {
+            ReportField::WaitingKiloTokens
+        }
+        _ => ReportField::Other,
+    }
+}
+
+fn parse_classes(f: &Facts) -> Result<Vec<ClassSettings>> {
+    let per_k = f.numbers("extra.aimUsPer1000PromptTokens")?;
+    let gaps = f.numbers("extra.tokenAimS")?;
+    (0..f.count("classes.count")?).map(|i| parse_class(f, i as usize, &per_k, &gaps)).collect()
+}
+
+fn parse_class(f: &Facts, i: usize, per_k: &[f64], gaps: &[f64]) -> Result<ClassSettings> {
+    let key = |name: &str| format!("classes.{i}.{name}");
+    let window_s = f.number_or(&key("repeatWindowS"), 0.0)?;
+    let scope = match f.0.get(key("keyScope").as_str()).copied() {
+        None | Some("all") => KeyScope::All,
+        Some("zone") => KeyScope::Zone,
+        Some("cell") => KeyScope::Cell,
+        Some(v) => return bad(format!("setting {} is not known: {v}", key("keyScope"))),
+    };
+    Ok(ClassSettings {
+        effect: match f.text(&key("effect"))? {
+            "free" => Effect::Safe,
+            "guarded" => Effect::Keyed { scope, window_s },
+            "single_shot" => Effect::Unsafe,
+            v => return bad(format!("setting {} is not known: {v}", key("effect"))),
+        },
+        ttft_aim_s: f.number(&key("aimS"))?,
+        ttft_aim_per_token_s: per_k.get(i).copied().unwrap_or(0.0) / 1e9,
+        token_gap_aim_s: gaps.get(i).copied().unwrap_or(0.0),
+        deadline_s: f.number(&key("deadlineS"))?,
+        worth: f.number_or(&key("worth"), 1.0)?,
+        late_worth: f.number_or(&key("lateWorth"), 0.0)?,
+    })
+}
+
+fn parse_tenants(f: &Facts) -> Result<Vec<TenantSettings>> {
+    let n = if f.0.contains_key("customers.count") { f.count("customers.count")? } else { 0 };
+    (0..n).map(|i| Ok(TenantSettings { quota_rps: f.number(&format!("customers.{i}.quotaRps"))? })).collect()
+}
+
+fn parse_kinds(f: &Facts) -> Result<Vec<KindSettings>> {
+    let memory = f.numbers("extra.kindMemoryTokens")?;
+    let role = |(i, word): (usize, &str)| {
+        let role = match word {
+            "read" => Role::Reader,
+            "write" => Role::Writer,
+            "both" => Role::Mixed,
+            v => return bad(format!("setting extra.kindRole is not known: {v}")),
+        };
+        Ok(KindSettings { role, memory_tokens: memory.get(i).copied().unwrap_or(0.0) })
+    };
+    f.text("extra.kindRole")?.split(',').enumerate().map(role).collect()
+}
+
+/// All instances of one process and the numbered lists they refer to.
+#[derive(Default)]
+pub struct Adapter {
+    routers: BTreeMap<u16, Router>,
+    lists: BTreeMap<u32, Vec<ServerEntry>>,
+    actions: Vec<Action>,
+}
+
+impl Adapter {
+    /// Answers one whole batch frame with one whole reply frame.
+    pub fn answer(&mut self, frame: &[u8]) -> Result<Vec<u8>> {
+        let mut c = Cursor { data: frame, at: 0 };
+        let count = c.u32("the record count")?;
+        let size = c.u32("the frame size")?;
+        if size as usize != frame.len() {
+            return bad(format!("frame says {size} bytes but has {}", frame.len()));
+        }
+        let now = c.f64("the clock")?;
+        if !now.is_finite() {
+            return bad("the clock is not a finite number");
+        }
+        let mut reply = Reply::default();
+        let mut who = None;
+        for i in 0..count {
+            self.record(&mut c, now, &mut who, &mut reply)
+                .map_err(|e| WireError(format!("record {i}: {e}")))?;
+        }
+        if c.at != frame.len() {
+            return bad(format!("{} bytes left after {count} records", frame.len() - c.at));
+        }
+        Ok(reply.finish())
+    }
+
+    fn record(&mut self, c: &mut Cursor, now: f64, who: &mut Option<u16>, reply: &mut Reply) -> Result<()> {
+        let at = c.at;
+        let code = c.u8("a record code")?;
+        match code {
+            13 => {
+                *who = Some(c.u16("at")?);
+                return Ok(());
+            }
+            12 => return self.inventory(c),
+            _ => {}
+        }
+        let Some(instance) = *who else {
+            return bad(format!("event {code} at byte {at} comes before any instance"));
+        };
+        match code {
+            1 => return self.start(c, instance),
+            10 => {
+                self.routers.remove(&instance);
+                return Ok(());
+            }
+            _ => {}
+        }
+        let event = self.event(c, code, at)?;
+        let Some(router) = self.routers.get_mut(&instance) else {
+            return bad(format!(
+                "event {code} at byte {at} is for instance {instance}, which has not started"
+            ));
+        };
+        self.actions.clear();
+        router.handle(now, event, &mut self.actions);
+        for action in &self.actions {
+            reply.put(instance, action);
+        }
+        Ok(())
+    }
+
+    fn start(&mut self, c: &mut Cursor, instance: u16) -> Result<()> {
+        let seed = c.u64("start")?;
+        let n = c.u32("start")? as usize;
+        let text = std::str::from_utf8(c.take(n, "the settings")?)
+            .map_err(|e| WireError(format!("the settings are not UTF-8: {e}")))?;
+        self.routers.insert(instance, Router::new(parse_settings(text)?, seed));
+        Ok(())
+    }
+
+    fn inventory(&mut self, c: &mut Cursor) -> Result<()> {
+        let at = c.at;
+        let set = c.u32("inventory")?;
+        if set >= LIST_NUMBERS {
+            return bad(format!("list number {set} at byte {at} is out of range"));
+        }
+        let n = c.u32("inventory")?;
+        let mut entries = Vec::new();
+        for _ in 0..n {
+            entries.push(read_entry(c)?);
+        }
+        self.lists.insert(set, entries);
+        Ok(())
+    }
+
+    fn event(&mut self, c: &mut Cursor, code: u8, at: usize) -> Result<Event> {
+        Ok(match code {
+            2 => self.view(c)?,
+            3 => Event::Arrival(read_request(c)?),
+            4 => Event::FirstToken {
+                request: c.u32("begun")?,
+                attempt: c.u16("begun")?,
+                server: c.u32("begun")?,
+                elapsed_s: c.f64("begun")?,
+            },
+            5 => Event::AttemptEnded(read_end(c)?),
+            6 => Event::ClientGone { request: c.u32("hangup")? },
+            7 => Event::Timer { label: c.u64("alarm")? },
+            8 => Event::ProbeEnded {
+                server: c.u32("probe_done")?,
+                outcome: c.outcome("probe_done")?,
+                elapsed_s: c.f64("probe_done")?,
+                report: c.report("probe_done")?,
+            },
+            9 => {
+                let from = c.u32("inbox")?;
+                let n = c.u16("inbox")?;
+                Event::PeerMessage { from, data: c.take(usize::from(n), "inbox")?.to_vec() }
+            }
+            11 => {
+                let (request, attempt) = (c.u32("reserved")?, c.u16("reserved")?);
+                let (server, held) = (c.u32("reserved")?, c.u8("reserved")? == 1);
+                c.f32("reserved")?;
+                Event::PlaceAnswer { request, attempt, server, held }
+            }
+            _ => return bad(format!("unknown event code {code} at byte {at}")),
+        })
+    }
+
+    fn view(&mut self, c: &mut Cursor) -> Result<Event> {
+        let at = c.at;
+        let form = match c.u8("view")? {
+            0 => ListForm::Delta,
+            1 => ListForm::Full,
+            2 => ListForm::Cached,
+            3 => ListForm::Failed,
+            v => return bad(format!("unknown list form {v} at byte {at}")),
+        };
+        c.u32("view")?;
+        let set = c.u32("view")?;
+        let entries = match (form, self.lists.get(&set)) {
+            (ListForm::Failed, _) => Vec::new(),
+            (_, Some(list)) => list.clone(),
+            (_, None) => return bad(format!("view at byte {at} names list {set}, which was never sent")),
+        };
+        Ok(Event::Servers { form, entries })
+    }
+}
+
+fn read_entry(c: &mut Cursor) -> Result<ServerEntry> {
+    let what = "a list entry";
+    let (weight, cell, zone) = (c.f32(what)?, c.u16(what)?, c.u16(what)?);
+    let at = c.at;
+    let standing = match c.u8(what)? {
+        0 => Standing::Draining,
+        1 => Standing::Gone,
+        2 => Standing::Ready,
+        v => return bad(format!("unknown health {v} at byte {at}")),
+    };
+    Ok(ServerEntry {
+        id: c.u32(what)?,
+        standing,
+        kind: c.u16(what)?,
+        cell,
+        zone,
+        weight,
+        booted_at: c.f64(what)?,
+    })
+}
+
+fn read_request(c: &mut Cursor) -> Result<Request> {
+    let what = "accept";
+    let (id, max_output_tokens, tenant) = (c.u32(what)?, c.f32(what)?, c.u32(what)?);
+    let (marks, session, hint) = (c.u16(what)?, c.u64(what)?, c.f64(what)?);
+    Ok(Request {
+        id,
+        max_output_tokens,
+        tenant,
+        session,
+        output_hint_s: (marks & 1 != 0).then_some(hint),
+        class: c.u16(what)?,
+        time_left_s: c.f64(what)?,
+        prefix: c.u64(what)?,
+        prompt_tokens: c.f32(what)?,
+        prefix_tokens: c.f32(what)?,
+    })
+}
+
+fn read_end(c: &mut Cursor) -> Result<AttemptEnd> {
+    let what = "completed";
+    let (request, attempt, server) = (c.u32(what)?, c.u16(what)?, c.u32(what)?);
+    let (outcome, elapsed_s) = (c.outcome(what)?, c.f64(what)?);
+    let (finished, info) = (c.u8(what)? != 0, c.u32(what)?);
+    let outcome = match outcome {
+        Outcome::Full { .. } => Outcome::Full { state_gone: info == 1 },
+        other => other,
+    };
+    let prefix_hit_tokens = f64::from(info);
+    Ok(AttemptEnd {
+        request,
+        attempt,
+        server,
+        outcome,
+        elapsed_s,
+        finished,
+        prefix_hit_tokens,
+        report: c.report(what)?,
+    })
+}
+
+/// A reply under construction.
+#[derive(Default)]
+struct Reply {
+    count: u32,
+    body: Vec<u8>,
+    who: Option<u16>,
+}
+
+impl Reply {
+    fn put(&mut self, instance: u16, action: &Action) {
+        if self.who != Some(instance) {
+            self.who = Some(instance);
+            self.record(14, &[&instance.to_le_bytes()]);
+        }
+        match *action {
+            Action::Send { request, server, timeout_s } => {
+                self.record(15, &[&request.to_le_bytes(), &timeout_s.to_le_bytes(), &server.to_le_bytes()])
+            }
+            Action::Cancel { request, attempt } => {
+                self.record(2, &[&request.to_le_bytes(), &attempt.to_le_bytes()])
+            }
+            Action::Refuse { request, retry_after_s } => {
+                self.record(11, &[&request.to_le_bytes(), &retry_after_s.to_le_bytes()])
+            }
+            Action::Fail { request } => self.record(3, &[&request.to_le_bytes()]),
+            Action::Release { request } => self.record(6, &[&request.to_le_bytes()]),
+            Action::Probe { server } => self.record(7, &[&server.to_le_bytes()]),
+            Action::SetTimer { at, label } => self.record(9, &[&at.to_le_bytes(), &label.to_le_bytes()]),
+            Action::Subscribe => self.record(4, &[&[1]]),
+        }
+    }
+
+    fn record(&mut self, code: u8, fields: &[&[u8]]) {
+        self.count += 1;
+        self.body.push(code);
+        for field in fields {
+            self.body.extend_from_slice(field);
+        }
+    }
+
+    fn finish(self) -> Vec<u8> {
+        let mut out = Vec::with_capacity(8 + self.body.len());
+        out.extend_from_slice(&self.count.to_le_bytes());
+        out.extend_from_slice(&(8 + self.body.len() as u32).to_le_bytes());
+        out.extend_from_slice(&self.body);
+        out
+    }
+}
+
+/// Reads one frame; `None` at a clean end of input. The length field alone reserves no memory.
+fn read_frame(input: &mut impl Read) -> Result<Option<Vec<u8>>> {
+    let mut frame = Vec::new();
+    input.by_ref().take(HEADER_BYTES as u64).read_to_end(&mut frame)?;
+    if frame.is_empty() {
+        return Ok(None);
+    }
+    if frame.len() < HEADER_BYTES {
+        return bad(format!("input ends after {} bytes of a frame's header", frame.len()));
+    }
+    let size = Cursor { data: &frame, at: 4 }.u32("the frame size")?;
+    if (size as usize) < HEADER_BYTES {
+        return bad(format!("frame size {size} is shorter than a header"));
+    }
+    let rest = u64::from(size) - HEADER_BYTES as u64;
+    input.by_ref().take(rest).read_to_end(&mut frame)?;
+    if frame.len() < size as usize {
+        return bad(format!("input ends after {} of a frame's {size} bytes", frame.len()));
+    }
+    Ok(Some(frame))
+}
+
+/// Answers batches until the input ends.
+pub fn serve(mut input: impl Read, mut output: impl Write) -> Result<()> {
+    let mut adapter = Adapter::default();
+    while let Some(frame) = read_frame(&mut input)? {
+        output.write_all(&adapter.answer(&frame)?)?;
+        output.flush()?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,179 @@
+//! A small fleet and short ways to drive a router through its public interface.
+#![allow(dead_code)]
+
+use bitternlatch::choice::Router;
+use bitternlatch::interface::*;
+
+pub const T0: f64 = 1000.0;
+
+pub fn class(effect: Effect) -> ClassSettings {
+    ClassSettings {
+        effect,
+        ttft_aim_s: 1.5,
+        ttft_aim_per_token_s: 4e-5,
+        token_gap_aim_s: 0.07,
+        deadline_s: 6.0,
+        worth: 1.0,
+        late_worth: 0.3,
+    }
+}
+
+pub fn settings(effect: Effect) -> Settings {
+    let kind = |role| KindSettings { role, memory_tokens: 150_000.0 };
+    Settings {
+        dispatchers: 2,
+        zone: 0,
+        classes: vec![class(effect)],
+        tenants: vec![],
+        kinds: vec![kind(Role::Reader), kind(Role::Writer), kind(Role::Mixed)],
+        report_fields: vec![ReportField::SlotShare, ReportField::Queue, ReportField::MemoryShare],
+        report_mode: ReportMode::WithAnswers,
+        cold: ColdStart { start_capacity: 0.25, overload_factor: 2.5, window_s: 3.0, warm_after_s: 14.0 },
+        limits: Limits { max_attempts: 4, may_cancel: true, may_probe: true, max_retry_after_s: 2.0 },
+        pin_limit_s: 1.0,
+        over_share_worth: 1.0,
+        must_subscribe: false,
+        writers_read: false,
+        tick_s: 0.002,
+    }
+}
+
+pub fn server(id: ServerId, kind: u16, cell: u16) -> ServerEntry {
+    ServerEntry { id, standing: Standing::Ready, kind, cell, zone: 0, weight: 1.0, booted_at: 0.0 }
+}
+
+pub fn ask(id: RequestId) -> Request {
+    Request {
+        id,
+        class: 0,
+        tenant: 0,
+        session: u64::from(id) + 10_000,
+        prefix: 77,
+        prompt_tokens: 2000.0,
+        prefix_tokens: 1500.0,
+        max_output_tokens: 300.0,
+        output_hint_s: None,
+        time_left_s: 6.0,
+    }
+}
+
+/// A router with its clock and what it last asked for.
+pub struct Desk {
+    pub router: Router,
+    pub now: f64,
+    pub timers: Vec<(f64, u64)>,
+    /// Attempts sent so far: request, server, time-out.
+    pub sends: Vec<(RequestId, ServerId, f64)>,
+    pub log: Vec<Action>,
+}
+
+impl Desk {
+    /// Readers 1 and 2, writers 11 and 12; cells 0 and 1.
+    pub fn new(settings: Settings) -> Self {
+        let fleet = vec![server(1, 0, 0), server(2, 0, 1), server(11, 1, 0), server(12, 1, 1)];
+        Desk::with_fleet(settings, fleet)
+    }
+
+    pub fn with_fleet(settings: Settings, fleet: Vec<ServerEntry>) -> Self {
+        let router = Router::new(settings, 7);
+        let mut desk = Desk { router, now: T0, timers: vec![], sends: vec![], log: vec![] };
+        desk.tell(Event::Servers { form: ListForm::Cached, entries: fleet });
+        desk
+    }
+
+    pub fn tell(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.router.handle(self.now, event, &mut out);
+        for action in &out {
+            match *action {
+                Action::SetTimer { at, label } => self.timers.push((at, label)),
+                Action::Send { request, server, timeout_s } => self.sends.push((request, server, timeout_s)),
+                _ => {}
+            }
+        }
+        self.log.extend(out.iter().cloned());
+        out
+    }
+
+    pub fn change(&mut self, entry: ServerEntry) {
+        self.tell(Event::Servers { form: ListForm::Delta, entries: vec![entry] });
+    }
+
+    pub fn arrive(&mut self, ask: Request) -> Vec<Action> {
+        self.tell(Event::Arrival(ask))
+    }
+
+    /// Lets time pass, with the timers that come due.
+    pub fn pass(&mut self, seconds: f64) -> Vec<Action> {
+        let end = self.now + seconds;
+        let mut all = Vec::new();
+        loop {
+            self.timers.sort_by(|a, b| a.0.total_cmp(&b.0));
+            match self.timers.first().copied() {
+                Some((at, label)) if at <= end => {
+                    self.timers.remove(0);
+                    self.now = at.max(self.now);
+                    all.extend(self.tell(Event::Timer { label }));
+                }
+                _ => break,
+            }
+        }
+        self.now = end;
+        all
+    }
+
+    pub fn last(&self) -> (RequestId, ServerId) {
+        self.sends.last().map(|s| (s.0, s.1)).expect("something was sent")
+    }
+
+    /// Ends the newest attempt of a request.
+    pub fn end(&mut self, request: RequestId, outcome: Outcome, took: f64, hit: f64) -> Vec<Action> {
+        let sent: Vec<_> = self.sends.iter().filter(|s| s.0 == request).collect();
+        let (attempt, server) = ((sent.len() - 1) as u16, sent[sent.len() - 1].1);
+        let finished = outcome == Outcome::Served;
+        self.tell(Event::AttemptEnded(AttemptEnd {
+            request,
+            attempt,
+            server,
+            outcome,
+            elapsed_s: took,
+            finished,
+            prefix_hit_tokens: hit,
+            report: vec![],
+        }))
+    }
+
+    /// Takes a request through read and answer; returns its reader.
+    pub fn serve(&mut self, ask: Request, hit: f64) -> ServerId {
+        let id = ask.id;
+        self.arrive(ask);
+        let reader = self.last().1;
+        self.pass(0.05);
+        self.end(id, Outcome::ReadDone, 0.05, hit);
+        self.stream(id);
+        self.pass(0.05);
+        self.end(id, Outcome::Served, 0.1, 0.0);
+        reader
+    }
+
+    pub fn stream(&mut self, request: RequestId) {
+        let server = self.sends.iter().rev().find(|s| s.0 == request).map(|s| s.1).expect("sent");
+        self.tell(Event::FirstToken { request, attempt: 1, server, elapsed_s: 0.05 });
+    }
+}
+
+pub fn refused(actions: &[Action], id: RequestId) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { request, .. } if *request == id))
+}
+
+pub fn failed(actions: &[Action], id: RequestId) -> bool {
+    actions.contains(&Action::Fail { request: id })
+}
+
+pub fn released(actions: &[Action], id: RequestId) -> bool {
+    actions.contains(&Action::Release { request: id })
+}
+
+pub fn final_answers(log: &[Action], id: RequestId) -> usize {
+    log.iter().filter(|a| refused(std::slice::from_ref(a), id) || failed(std::slice::from_ref(a), id)).count()
+}
--- /dev/null
+++ b/tests/routing.rs
@@ -0,0 +1,83 @@
+//! The ordinary path: lowest estimated first-token time, then the lightest writer.
+mod common;
+use bitternlatch::interface::*;
+use common::*;
+
+#[test]
+fn one_prefix_is_read_at_one_home_from_two_routers() {
+    let mut a = Desk::new(settings(Effect::Safe));
+    let mut b = Desk::new(settings(Effect::Safe));
+    for prefix in 1..20u64 {
+        let one = Request { prefix, ..ask(prefix as u32) };
+        assert_eq!(a.serve(one.clone(), 0.0), b.serve(Request { session: prefix + 500, ..one }, 0.0));
+        a.pass(1.0);
+        b.pass(1.0);
+    }
+}
+
+#[test]
+fn a_held_prefix_draws_the_next_request_of_it() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    let first = desk.serve(ask(1), 0.0);
+    desk.pass(1.0);
+    assert_eq!(desk.serve(ask(2), 1500.0), first);
+}
+
+#[test]
+fn a_long_own_queue_sends_a_request_away_from_its_home() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    for id in 1..12 {
+        desk.arrive(ask(id));
+    }
+    let readers: std::collections::BTreeSet<_> = desk.sends.iter().map(|s| s.1).collect();
+    assert_eq!(readers.len(), 2);
+}
+
+#[test]
+fn the_writer_is_picked_after_the_read_and_in_the_readers_cell() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    desk.arrive(ask(1));
+    assert_eq!(desk.sends.len(), 1);
+    let reader = desk.last().1;
+    desk.end(1, Outcome::ReadDone, 0.1, 0.0);
+    assert_eq!(desk.last().1, reader + 10);
+}
+
+#[test]
+fn a_loaded_writer_loses_to_a_lighter_one_in_another_cell() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    desk.arrive(ask(1));
+    let near = desk.last().1 + 10;
+    let report = vec![0.9, 3.0, 0.9];
+    desk.tell(Event::ProbeEnded { server: near, outcome: Outcome::Served, elapsed_s: 0.01, report });
+    desk.end(1, Outcome::ReadDone, 0.1, 0.0);
+    assert_ne!(desk.last().1, near);
+}
+
+#[test]
+fn a_mixed_server_takes_a_request_whole() {
+    let mut desk = Desk::with_fleet(settings(Effect::Safe), vec![server(1, 2, 0)]);
+    desk.arrive(ask(1));
+    desk.stream(1);
+    desk.end(1, Outcome::Served, 2.0, 0.0);
+    assert_eq!(desk.sends.len(), 1);
+}
+
+#[test]
+fn a_full_writer_passes_the_state_to_the_next() {
+    let mut desk = Desk::new(settings(Effect::Unsafe));
+    desk.arrive(ask(1));
+    desk.end(1, Outcome::ReadDone, 0.1, 0.0);
+    let first = desk.last().1;
+    desk.end(1, Outcome::Full { state_gone: false }, 0.01, 0.0);
+    assert!(desk.last().1 > 10 && desk.last().1 != first);
+}
+
+#[test]
+fn a_lost_state_is_read_again() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    desk.arrive(ask(1));
+    desk.end(1, Outcome::ReadDone, 0.1, 0.0);
+    desk.end(1, Outcome::Full { state_gone: true }, 0.01, 0.0);
+    assert!(desk.last().1 < 10);
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,130 @@
+//! The five rules, each kept by one router alone.
+mod common;
+use bitternlatch::interface::*;
+use common::*;
+
+#[test]
+fn an_overdue_request_is_failed_once_before_its_deadline() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    desk.arrive(ask(1));
+    let done = desk.pass(6.1);
+    assert_eq!(final_answers(&done, 1), 1);
+    assert_eq!(final_answers(&desk.log, 1), 1);
+}
+
+#[test]
+fn nothing_is_sent_after_the_client_has_gone() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    desk.arrive(ask(1));
+    desk.tell(Event::ClientGone { request: 1 });
+    let after = desk.end(1, Outcome::Error, 0.1, 0.0);
+    assert!(!after.iter().any(|a| matches!(a, Action::Send { .. } | Action::Refuse { .. })));
+}
+
+#[test]
+fn a_read_that_ends_after_the_client_has_gone_is_released() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    desk.arrive(ask(1));
+    desk.tell(Event::ClientGone { request: 1 });
+    assert!(released(&desk.end(1, Outcome::ReadDone, 0.1, 0.0), 1));
+}
+
+#[test]
+fn an_unsafe_answer_that_may_have_run_fails_and_is_not_repeated() {
+    let mut desk = Desk::new(settings(Effect::Unsafe));
+    desk.arrive(ask(1));
+    desk.end(1, Outcome::ReadDone, 0.1, 0.0);
+    let after = desk.end(1, Outcome::Error, 0.1, 0.0);
+    assert!(failed(&after, 1) && released(&after, 1));
+    assert_eq!(desk.sends.len(), 2);
+}
+
+#[test]
+fn an_unsafe_read_that_failed_is_read_elsewhere() {
+    let mut desk = Desk::new(settings(Effect::Unsafe));
+    desk.arrive(ask(1));
+    let first = desk.last().1;
+    desk.end(1, Outcome::Error, 0.1, 0.0);
+    assert_eq!(desk.sends.len(), 2);
+    assert_ne!(desk.last().1, first);
+}
+
+#[test]
+fn an_unsafe_answer_is_never_timed_out_by_the_router() {
+    let mut desk = Desk::new(settings(Effect::Unsafe));
+    desk.arrive(ask(1));
+    desk.end(1, Outcome::ReadDone, 0.1, 0.0);
+    assert_eq!(desk.sends[1].2, 0.0);
+}
+
+#[test]
+fn a_keyed_request_that_may_have_run_stays_in_its_cell() {
+    let effect = Effect::Keyed { scope: KeyScope::Cell, window_s: 5.0 };
+    let mut desk = Desk::new(settings(effect));
+    desk.arrive(ask(1));
+    desk.end(1, Outcome::ReadDone, 0.1, 0.0);
+    let cell = u16::from(desk.last().1 == 12);
+    desk.end(1, Outcome::Error, 0.1, 0.0);
+    for &(_, server, _) in &desk.sends[2..] {
+        assert_eq!(u16::from(server == 12 || server == 2), cell);
+    }
+    desk.pass(1.0);
+    assert!(!desk.log.iter().any(|a| matches!(a, Action::Refuse { .. })));
+}
+
+#[test]
+fn a_draining_server_gets_nothing_new() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    desk.change(ServerEntry { standing: Standing::Draining, ..server(1, 0, 0) });
+    for id in 1..20 {
+        desk.serve(ask(id), 0.0);
+    }
+    assert!(desk.sends.iter().all(|s| s.1 != 1));
+}
+
+#[test]
+fn a_server_left_out_of_a_full_list_gets_nothing_new() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    let entries = vec![server(2, 0, 1), server(11, 1, 0), server(12, 1, 1)];
+    desk.tell(Event::Servers { form: ListForm::Full, entries });
+    for id in 1..20 {
+        desk.serve(ask(id), 0.0);
+    }
+    assert!(desk.sends.iter().all(|s| s.1 != 1));
+}
+
+#[test]
+fn a_cold_server_gets_a_few_sends_a_window_however_many_ask() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    for id in 1..60 {
+        desk.serve(Request { prefix: 0, ..ask(id) }, 0.0);
+    }
+    desk.change(ServerEntry { booted_at: desk.now, ..server(1, 0, 0) });
+    let before = desk.sends.len();
+    for id in 60..120 {
+        desk.serve(Request { prefix: 0, ..ask(id) }, 0.0);
+        desk.pass(0.02);
+    }
+    let (cold, warm) = desk.sends[before..].iter().fold((0, 0), |n, s| match s.1 {
+        1 => (n.0 + 1, n.1),
+        2 => (n.0, n.1 + 1),
+        _ => n,
+    });
+    assert!(warm > 30 && cold * 2 < warm, "cold {cold}, warm {warm}");
+}
+
+#[test]
+fn a_state_that_no_writer_takes_is_let_go_within_the_pin_limit() {
+    let mut desk = Desk::with_fleet(settings(Effect::Safe), vec![server(1, 0, 0)]);
+    desk.arrive(ask(1));
+    desk.end(1, Outcome::ReadDone, 0.1, 0.0);
+    let after = desk.pass(0.9);
+    assert!(released(&after, 1) && refused(&after, 1));
+}
+
+#[test]
+fn an_empty_list_refuses_at_once_with_a_time_to_come_back() {
+    let mut desk = Desk::with_fleet(settings(Effect::Safe), vec![]);
+    let out = desk.arrive(ask(1));
+    assert!(out.iter().any(|a| matches!(a, Action::Refuse { retry_after_s, .. } if *retry_after_s > 0.0)));
+}
