Call back only from silent servers, price failures by the time they take, use the cold budget

Cause: safe answers timed out in writers' queues and were read again; quick failures of reads barred readers that could still do half their work; a reader's speed was learnt from queued reads and stuck; a full but fast writer looked light; cold servers got one send a window. Harm: a long lone read may be called back; a server that fails all at once still gets rare trials.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,14 +28,17 @@
 const PROBE_EVERY_S: f64 = 0.5;
 /// Half-life, in seconds, of delay seen beyond prediction: about the time in which a queue turns over.
 const EXCESS_HALF_S: f64 = 0.7;
-/// Seconds a failure costs: the lost attempt and the next one's wait.
-const FAILURE_COST_S: f64 = 0.5;
-/// Weight of the newest outcome in a server's trouble score; three failures in a row bar a server.
+/// Seconds a failure costs beyond the time it took: the next attempt's way and wait.
+const FAILURE_COST_S: f64 = 0.1;
+/// Seconds that the certain failure of an answer that may not be tried again stands for.
+const UNSAFE_COST_S: f64 = 10.0;
+/// Weight of the newest outcome in a server's trouble score.
 const TROUBLE_BLEND: f64 = 0.3;
-/// Above this score a server gets trial traffic only.
-const TROUBLE_BAR: f64 = 0.6;
-/// Seconds between trials of a barred server.
-const TRIAL_EVERY_S: f64 = 1.0;
+/// Seconds of expected loss above which a server gets trial traffic only: one attempt lost to silence, or
+/// nine in ten lost at once.
+const LOSS_BAR_S: f64 = 0.4;
+/// Seconds between trials of a barred server: the first, doubled with each trial that fails, and the most.
+const TRIAL_EVERY_S: (f64, f64) = (1.0, 8.0);
 /// Seconds of waiting that a full writer stands for, by share of its memory.
 const WRITER_LOAD_S: f64 = 0.2;
 /// Load by which another cell's writer must be lighter: a move costs a few points in a hundred.
@@ -48,10 +51,12 @@
 const FULL_PAUSE_S: f64 = 0.2;
 /// Writer load at which answers begin to wait for memory.
 const WRITER_FULL: f64 = 0.9;
+/// Seconds of waiting for each further unit of load: about the time in which a writer turns over.
+const OVERFLOW_S: f64 = 5.0;
 /// Share of the output ceiling that answers use, before any is seen.
 const OUTPUT_PRIOR: f64 = 0.4;
 /// Refuse when the first token is expected later than this multiple of its aim.
-const REFUSE_AT: f64 = 1.0;
+const REFUSE_AT: f64 = 1.2;
 /// The same for traffic over its tenant's share, which is worth little.
 const REFUSE_OVER_AT: f64 = 0.35;
 /// Further attempts earned by one arrival, and the most that can be saved up.
@@ -59,14 +64,13 @@
 const RETRY_SAVE: f64 = 20.0;
 /// Share of the pin limit for which a state may wait for a writer.
 const HOLD_SHARE: f64 = 0.5;
-/// A read's time-out: multiple of its estimate, plus seconds.
-const READ_PATIENCE: (f64, f64) = (3.0, 0.7);
-/// A safe answer's time-out for its first token, seconds beyond what is expected.
-const WRITE_PATIENCE_S: f64 = 1.5;
+/// A time-out: multiple of the estimate, plus seconds. Long, since work that is dropped is work lost.
+const PATIENCE: (f64, f64) = (3.0, 3.0);
+/// Seconds past its due time after which an attempt is called back from a server that has said nothing
+/// since it was sent: longer than a pause, shorter than any aim.
+const SILENCE_S: f64 = 1.0;
 /// Seconds between ticks.
 const TICK_S: f64 = 0.05;
-/// Time constant, in seconds, of send rates.
-const RATE_S: f64 = 5.0;
 /// Share of the fall-over multiple that is used on the capacity a cold server surely has.
 const COLD_CARE: f64 = 0.8;
 
@@ -100,7 +104,12 @@
     streams: BTreeMap<RequestId, f64>,
     /// Share of late outcomes that failed.
     trouble: f64,
+    /// Mean time that its failures took.
+    lost_s: f64,
     last_trial: f64,
+    trial_gap: f64,
+    /// When anything was last heard of it.
+    heard: f64,
     /// Delay beyond prediction, and when it was seen.
     excess: (f64, f64),
     /// Time taken against the fit, over both stages' own samples.
@@ -108,8 +117,7 @@
     seen: Option<Seen>,
     full_until: f64,
     next_probe: f64,
-    /// Decayed count of sends, and when it was last brought up to date.
-    sent: (f64, f64),
+    /// Times of the sends within the cold rule's window.
     recent: VecDeque<f64>,
 }
 
@@ -119,6 +127,23 @@
         Server { entry, role: kind.role, memory, pace: 1.0, next_probe: now, ..Server::default() }
     }
 
+    /// One outcome: 0 good, 1 bad.
+    fn mark(&mut self, now: f64, bad: f64) {
+        if bad == 0.0 {
+            (self.heard, self.trial_gap) = (now, TRIAL_EVERY_S.0);
+        } else if self.loss_s() > LOSS_BAR_S {
+            self.trial_gap = (2.0 * self.trial_gap).clamp(TRIAL_EVERY_S.0, TRIAL_EVERY_S.1);
+        }
+        self.trouble += TROUBLE_BLEND * (bad - self.trouble);
+    }
+
+    /// Seconds that its failures add to an attempt. Quick failures empty a queue and would make a server look
+    /// the best choice; yet a quick failure of a read loses little, so that a server that fails half of
+    /// them still takes part of the load. It answers errors, resets, refusals to connect and silence alike.
+    fn loss_s(&self) -> f64 {
+        self.trouble / (1.05 - self.trouble) * (self.lost_s + FAILURE_COST_S)
+    }
+
     fn own_tokens(&self) -> f64 {
         self.pending.values().map(|p| p.tokens).sum::<f64>() + self.streams.values().sum::<f64>()
     }
@@ -133,8 +158,8 @@
         self.pending.values().map(|p| now - p.due).fold(0.0, f64::max)
     }
 
-    fn rate(&self, now: f64) -> f64 {
-        self.sent.0 * (-(now - self.sent.1) / RATE_S).exp() / RATE_S
+    fn sends_since(&self, then: f64) -> f64 {
+        self.recent.iter().filter(|&&t| t > then).count() as f64
     }
 
     fn report(&self, now: f64) -> Option<&Seen> {
@@ -196,7 +221,6 @@
     state_at: Option<ServerId>,
     believed_hit: f64,
     queue_s: f64,
-    read_s: f64,
     /// Servers that failed it.
     failed_at: Vec<ServerId>,
     /// The first attempt that may have had an effect: server and time of sending.
@@ -215,14 +239,6 @@
     total_s: f64,
 }
 
-/// One attempt about to be sent.
-struct Plan {
-    to: ServerId,
-    work_s: f64,
-    expected: f64,
-    patience: f64,
-}
-
 /// Prefix table key: sessions and shared prefixes have number spaces of their own.
 type PrefixKey = (bool, u64);
 
@@ -241,7 +257,6 @@
     retries: f64,
     ticking: bool,
     next_sweep: f64,
-    subscribed: bool,
 }
 
 fn mix(a: u64, b: u64) -> u64 {
@@ -274,7 +289,6 @@
             retries: RETRY_SAVE / 2.0,
             ticking: false,
             next_sweep: 0.0,
-            subscribed: false,
         }
     }
 
@@ -283,8 +297,8 @@
         match event {
             Event::Servers { form, entries } => self.on_list(now, form, entries, out),
             Event::Arrival(ask) => self.on_arrival(now, ask, out),
-            Event::FirstToken { request, server, elapsed_s, .. } => {
-                self.on_first_token(now, request, server, elapsed_s)
+            Event::FirstToken { request, server, elapsed_s: t, .. } => {
+                self.on_first_token(now, request, server, t)
             }
             Event::AttemptEnded(end) => self.on_end(now, end, out),
             Event::ClientGone { request } => self.on_client_gone(request, out),
@@ -298,8 +312,7 @@
     // ---- 5 the server list ------------------------------------------------------------------------
 
     fn on_list(&mut self, now: f64, form: ListForm, entries: Vec<ServerEntry>, out: &mut Vec<Action>) {
-        if self.set.must_subscribe && (!self.subscribed || form == ListForm::Failed) {
-            self.subscribed = true;
+        if self.set.must_subscribe && matches!(form, ListForm::Cached | ListForm::Failed) {
             out.push(Action::Subscribe);
         }
         if form == ListForm::Failed {
@@ -312,9 +325,8 @@
         for entry in entries {
             self.on_entry(now, entry);
         }
-        self.servers.retain(|_, s| {
-            s.entry.standing != Standing::Gone || !s.pending.is_empty() || !s.streams.is_empty()
-        });
+        let idle = |s: &Server| s.pending.is_empty() && s.streams.is_empty();
+        self.servers.retain(|_, s| s.entry.standing != Standing::Gone || !idle(s));
     }
 
     fn on_entry(&mut self, now: f64, mut entry: ServerEntry) {
@@ -355,23 +367,18 @@
     fn home(&self, now: f64, ask: &Request) -> Option<ServerId> {
         let key = if ask.prefix != 0 { ask.prefix } else { ask.session };
         let pick = |here: bool| {
-            let fit = |s: &&Server| {
-                s.role == Role::Reader
-                    && s.entry.standing == Standing::Ready
-                    && (!here || s.entry.zone == self.set.zone)
-                    && self.capacity(s, now) >= 1.0
-            };
-            let rank = |s: &&Server| mix(key, u64::from(s.entry.id));
-            self.servers.values().filter(fit).max_by_key(rank).map(|s| s.entry.id)
+            let ready = |s: &&Server| s.role == Role::Reader && s.entry.standing == Standing::Ready;
+            let near = |s: &&Server| !here || s.entry.zone == self.set.zone;
+            let fit = |s: &&Server| ready(s) && near(s) && self.capacity(s, now) >= 1.0;
+            let ids = self.servers.values().filter(fit).map(|s| s.entry.id);
+            ids.max_by_key(|id| mix(key, u64::from(*id)))
         };
         pick(true).or_else(|| pick(false))
     }
 
     fn known_hit(&self, id: ServerId, ask: &Request) -> f64 {
-        let held = |(key, most): (PrefixKey, f64)| {
-            let tokens = self.prefixes.get(&key).and_then(|h| h.get(&id)).map_or(0.0, |h| h.0);
-            tokens.min(most)
-        };
+        let held =
+            |(key, most)| self.prefixes.get(&key).and_then(|h| h.get(&id)).map_or(0.0, |h| h.0.min(most));
         Self::keys(ask).into_iter().map(held).fold(0.0, f64::max)
     }
 
@@ -415,12 +422,10 @@
         Estimate { server: s.entry.id, queue_s, read_s, hit: known, total_s }
     }
 
-    /// Seconds that a server's failures add. Quick failures empty a queue and would make it look the best
-    /// choice; this keeps it from drawing traffic, and prices what may not be tried twice the higher.
     fn risk_s(&self, s: &Server, job: &Job) -> f64 {
         let once = self.class(job).effect == Effect::Unsafe && s.role != Role::Reader;
-        let again = if job.failed_at.contains(&s.entry.id) { 1.0 } else { 0.0 };
-        FAILURE_COST_S * (again + s.trouble / (1.02 - s.trouble).max(0.02) * if once { 5.0 } else { 1.0 })
+        let again = if job.failed_at.contains(&s.entry.id) { FAILURE_COST_S } else { 0.0 };
+        again + s.loss_s() + if once { s.trouble * UNSAFE_COST_S } else { 0.0 }
     }
 
     /// The mechanism: the lowest estimated first-token time among readers and mixed servers.
@@ -448,8 +453,7 @@
     // ---- 7 writers --------------------------------------------------------------------------------
 
     fn expected_tokens(&self, ask: &Request) -> f64 {
-        let class = usize::from(ask.class);
-        let gap = self.set.classes[class].token_gap_aim_s;
+        let gap = self.set.classes[usize::from(ask.class)].token_gap_aim_s;
         match ask.output_hint_s {
             Some(hint) if gap > 0.0 && sane(hint) > 0.0 => (hint / gap).min(ask.max_output_tokens),
             _ => ask.max_output_tokens * OUTPUT_PRIOR,
@@ -470,7 +474,12 @@
     /// Seconds that an answer would wait at a writer, by its load.
     fn write_wait(&self, s: &Server, now: f64) -> f64 {
         let load = self.load(s, now);
-        load * WRITER_LOAD_S + (load - WRITER_FULL).max(0.0) * 5.0
+        load * WRITER_LOAD_S + self.overflow(load)
+    }
+
+    /// Seconds that answers wait for memory or a slot at a load, whatever the writer's speed.
+    fn overflow(&self, load: f64) -> f64 {
+        (load - WRITER_FULL).max(0.0) * OVERFLOW_S
     }
 
     fn lightest_wait(&self, now: f64) -> f64 {
@@ -481,20 +490,20 @@
 
     fn best_writer(&self, job: &Job, now: f64) -> Option<ServerId> {
         let from = job.state_at.and_then(|id| self.servers.get(&id)).map(|s| (s.entry.cell, s.entry.zone));
-        let weights: Vec<f64> =
-            self.servers.values().filter(|s| s.role == Role::Writer).map(|s| s.entry.weight).collect();
-        let mean = weights.iter().sum::<f64>() / weights.len().max(1) as f64;
+        let writers = || self.servers.values().filter(|s| s.role == Role::Writer).map(|s| s.entry.weight);
+        let mean = writers().sum::<f64>() / writers().count().max(1) as f64;
         let price = |s: &Server| {
             let apart = match from {
                 Some((cell, _)) if cell == s.entry.cell => 0.0,
                 Some((_, zone)) if zone != s.entry.zone => ZONE_MARGIN,
                 _ => CELL_MARGIN,
             };
-            let size = if s.role == Role::Writer && mean > 0.0 { s.entry.weight / mean } else { 1.0 };
-            let mixed = if s.role == Role::Mixed { 0.3 } else { 0.0 };
+            let (size, mixed) = if s.role == Role::Mixed { (1.0, 0.3) } else { (s.entry.weight / mean, 0.0) };
             let tie = (mix(self.seed ^ u64::from(job.ask.id), u64::from(s.entry.id)) % 1000) as f64 * 1e-5;
             let delay = s.overdue(now) + s.excess(now) + self.risk_s(s, job);
-            (self.load(s, now) * s.pace / size + delay + apart + mixed + tie, s.entry.id)
+            let load = self.load(s, now);
+            let price = load * s.pace / size + self.overflow(load) + delay + apart + mixed + tie;
+            (price, s.entry.id)
         };
         self.cheapest(job, now, Role::Reader, price)
     }
@@ -580,17 +589,14 @@
     /// Trial traffic only: the score is high and a trial was made of late. Unsafe answers are no trials.
     fn barred(&self, s: &Server, job: &Job, now: f64) -> bool {
         let once = self.class(job).effect == Effect::Unsafe && s.role != Role::Reader;
-        s.trouble > TROUBLE_BAR && (once || now - s.last_trial < TRIAL_EVERY_S)
+        s.loss_s() > LOSS_BAR_S && (once || now - s.last_trial < s.trial_gap)
     }
 
     fn send_read(&mut self, now: f64, id: RequestId, e: Estimate, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        (job.believed_hit, job.queue_s, job.read_s) = (e.hit, e.queue_s, e.read_s);
+        (job.believed_hit, job.queue_s) = (e.hit, e.queue_s);
         let expected = e.queue_s + e.read_s;
-        let mixed = self.servers.get(&e.server).is_some_and(|s| s.role == Role::Mixed);
-        let patience =
-            expected * READ_PATIENCE.0 + READ_PATIENCE.1 + if mixed { WRITE_PATIENCE_S } else { 0.0 };
-        self.launch(now, id, Plan { to: e.server, work_s: e.read_s, expected, patience }, out);
+        self.launch(now, id, (e.server, e.read_s, expected), out);
     }
 
     fn send_write(&mut self, now: f64, id: RequestId, out: &mut Vec<Action>) {
@@ -598,16 +604,16 @@
         match self.best_writer(job, now) {
             Some(w) => {
                 let wait = 0.15 + self.servers.get(&w).map_or(0.0, |s| self.write_wait(s, now));
-                let patience = wait + WRITE_PATIENCE_S;
-                self.launch(now, id, Plan { to: w, work_s: 0.02, expected: wait, patience }, out);
+                self.launch(now, id, (w, 0.02, wait), out);
             }
             None => self.hold(now, id, out),
         }
     }
 
     /// The one place that sends. Refuses what a rule forbids, whatever the caller chose.
-    fn launch(&mut self, now: f64, id: RequestId, plan: Plan, out: &mut Vec<Action>) {
-        let Plan { to, work_s, expected, patience } = plan;
+    fn launch(&mut self, now: f64, id: RequestId, plan: (ServerId, f64, f64), out: &mut Vec<Action>) {
+        let (to, work_s, expected) = plan;
+        let patience = expected * PATIENCE.0 + PATIENCE.1;
         let (Some(job), Some(s)) = (self.jobs.get(&id), self.servers.get(&to)) else { return };
         let tokens = job.ask.prompt_tokens + 0.5 * self.expected_tokens(&job.ask);
         let allowed = !job.over
@@ -621,17 +627,13 @@
         let unsafe_write = self.class(job).effect == Effect::Unsafe && s.role != Role::Reader;
         let timeout_s = if unsafe_write { 0.0 } else { patience.min(job.deadline - now) };
         let (Some(job), Some(s)) = (self.jobs.get_mut(&id), self.servers.get_mut(&to)) else { return };
-        job.stage = Stage::Out;
-        job.at = to;
-        job.sent = now;
-        job.attempts += 1;
+        (job.stage, job.at, job.sent, job.attempts) = (Stage::Out, to, now, job.attempts + 1);
         s.pending.insert(id, Pending { work_s, due: now + expected, tokens });
-        s.sent = (s.rate(now) * RATE_S + 1.0, now);
         s.recent.push_back(now);
         while s.recent.front().is_some_and(|&t| now - t > self.set.cold.window_s) {
             s.recent.pop_front();
         }
-        if s.trouble > TROUBLE_BAR {
+        if s.loss_s() > LOSS_BAR_S {
             s.last_trial = now;
         }
         out.push(Action::Send { request: id, server: to, timeout_s });
@@ -639,23 +641,18 @@
 
     /// No writer can take the state now: wait a little within the pin limit, then let go.
     fn hold(&mut self, now: f64, id: RequestId, out: &mut Vec<Action>) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        let Stage::Held { since } = job.stage else {
-            return self.give_up(id, 0.5, out);
-        };
-        if now - since > self.set.pin_limit_s * HOLD_SHARE {
-            self.give_up(id, 0.5, out);
+        let limit = self.set.pin_limit_s * HOLD_SHARE;
+        match self.jobs.get(&id).map(|j| j.stage) {
+            Some(Stage::Held { since }) if now - since <= limit => {}
+            _ => self.give_up(id, 0.5, out),
         }
     }
 
     fn give_up(&mut self, id: RequestId, retry_after_s: f64, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let answer = if self.may_refuse(job) {
-            let most = self.set.limits.max_retry_after_s.max(0.0);
-            Action::Refuse { request: id, retry_after_s: retry_after_s.min(most) }
-        } else {
-            Action::Fail { request: id }
-        };
+        let retry_after_s = retry_after_s.min(self.set.limits.max_retry_after_s.max(0.0));
+        let refusal = Action::Refuse { request: id, retry_after_s };
+        let answer = if self.may_refuse(job) { refusal } else { Action::Fail { request: id } };
         self.finish(id, Some(answer), out);
     }
 
@@ -681,10 +678,9 @@
     }
 
     fn cancel(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        if let Some(job) = self.jobs.get(&id).filter(|j| j.stage == Stage::Out && !j.over) {
-            if self.set.limits.may_cancel {
-                out.push(Action::Cancel { request: id, attempt: (job.attempts - 1) as u16 });
-            }
+        let cancellable = |j: &&Job| j.stage == Stage::Out && !j.over && self.set.limits.may_cancel;
+        if let Some(job) = self.jobs.get(&id).filter(cancellable) {
+            out.push(Action::Cancel { request: id, attempt: (job.attempts - 1) as u16 });
         }
     }
 
@@ -700,7 +696,7 @@
             s.excess = (0.5 * s.excess(now) + 0.5 * (now - p.due).max(0.0), now);
             s.streams.insert(id, p.tokens);
         }
-        s.trouble *= 1.0 - TROUBLE_BLEND * 0.5;
+        s.mark(now, 0.0);
     }
 
     fn on_end(&mut self, now: f64, end: AttemptEnd, out: &mut Vec<Action>) {
@@ -710,16 +706,13 @@
         });
         self.take_report(now, end.server, &end.report);
         let Some(job) = self.jobs.get(&end.request).filter(|j| j.at == end.server) else { return };
-        let job = job.clone();
+        let (id, job) = (end.request, job.clone());
         self.judge(now, &end, &job, pending.as_ref());
-        let id = end.request;
         let Some(j) = self.jobs.get_mut(&id) else { return };
         let reader = self.servers.get(&end.server).is_some_and(|s| s.role == Role::Reader);
-        let harmless = matches!(
-            end.outcome,
-            Outcome::ReadDone | Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot
-        );
-        if !harmless && !reader && j.may_have_run.is_none() {
+        use Outcome::{ConnectFailed, Full, Moot, ReadDone};
+        let never_ran = matches!(end.outcome, ReadDone | Full { .. } | ConnectFailed | Moot);
+        if !never_ran && !reader && j.may_have_run.is_none() {
             j.may_have_run = Some((end.server, j.sent));
         }
         j.state_at = match end.outcome {
@@ -745,13 +738,12 @@
         if spent || now + 2.0 * self.set.tick_s >= job.deadline || outcome == Outcome::Moot {
             return self.give_up(id, 0.2, out);
         }
-        if outcome == Outcome::ReadDone {
-            return self.send_write(now, id, out);
-        }
-        if self.retries < 1.0 {
-            return self.give_up(id, 0.5, out);
+        if outcome != Outcome::ReadDone {
+            if self.retries < 1.0 {
+                return self.give_up(id, 0.5, out);
+            }
+            self.retries -= 1.0;
         }
-        self.retries -= 1.0;
         if job.state_at.is_some() {
             return self.send_write(now, id, out);
         }
@@ -767,12 +759,13 @@
         let mark = match end.outcome {
             Outcome::Served | Outcome::ReadDone => Some(0.0),
             Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => Some(1.0),
-            Outcome::TimedOut if !cut && pending.is_some() => Some(1.0),
+            Outcome::TimedOut | Outcome::Cancelled if !cut && !job.over && pending.is_some() => Some(1.0),
             _ => None,
         };
         let Some(s) = self.servers.get_mut(&end.server) else { return };
         if let Some(mark) = mark {
-            s.trouble += TROUBLE_BLEND * (mark - s.trouble);
+            s.mark(now, mark);
+            s.lost_s += mark * 0.5 * (sane(end.elapsed_s) - s.lost_s);
         }
         if matches!(end.outcome, Outcome::Full { state_gone: false }) {
             s.full_until = now + FULL_PAUSE_S;
@@ -797,25 +790,24 @@
         let fit = &mut self.fits[usize::from(s.entry.kind)];
         let total = job.ask.prompt_tokens;
         let alone = fit.predict(total - hit, total);
-        let work = (took - job.queue_s).max(0.25 * alone);
         if job.queue_s < 0.5 * alone {
+            // Only reads that met no queue of ours tell of speed; a queue unseen is the excess's part.
             fit.learn(total - hit, total, took * capacity / s.pace);
+            let ratio = ((took - job.queue_s) * capacity / alone).clamp(0.3, 8.0);
+            let step = if ratio > s.pace { 0.5 * BLEND } else { BLEND };
+            s.pace = (s.pace + step * (ratio - s.pace)).clamp(0.6, 8.0);
         }
-        let ratio = (took / (job.queue_s + alone / capacity)).clamp(0.3, 8.0);
-        s.pace = (s.pace + BLEND * (ratio.min(work * capacity / alone) - s.pace)).clamp(0.5, 8.0);
         let surprise = (took - job.queue_s - alone * s.pace / capacity).max(0.0);
         s.excess = (0.5 * s.excess(now) + 0.5 * surprise, now);
     }
 
     fn learn_answer(&mut self, now: f64, end: &AttemptEnd, job: &Job) {
-        let mixed = self.servers.get(&end.server).is_some_and(|s| s.role == Role::Mixed);
-        if mixed && job.state_at.is_none() {
+        if job.state_at.is_none() && self.servers.get(&end.server).is_some_and(|s| s.role == Role::Mixed) {
             self.learn_read(now, end, job, job.first_after);
         }
-        let class = usize::from(job.ask.class);
         let expected = job.ask.output_hint_s.filter(|h| sane(*h) > 0.0).unwrap_or(1.0);
         let stretch = (sane(end.elapsed_s) - job.first_after).max(0.001) / expected;
-        let mean = &mut self.stretch[class];
+        let mean = &mut self.stretch[usize::from(job.ask.class)];
         *mean = if *mean > 0.0 { *mean + 0.03 * (stretch - *mean) } else { stretch };
         let ratio = (stretch / *mean).clamp(0.2, 5.0);
         if let Some(s) = self.servers.get_mut(&end.server).filter(|s| s.role == Role::Writer) {
@@ -828,18 +820,15 @@
         if report.is_empty() || report.iter().any(|v| !v.is_finite()) {
             return;
         }
+        let reads = s.role == Role::Reader;
         let own_held = (s.pending.len() + s.streams.len()) as f64;
         let mut seen = Seen { at: now, load: 0.0, others: 0.0, own_tokens: s.own_tokens() };
         for (field, &value) in self.set.report_fields.iter().zip(report) {
             match field {
-                ReportField::SlotShare if s.role != Role::Reader => seen.load = seen.load.max(value),
+                ReportField::SlotShare if !reads => seen.load = seen.load.max(value),
                 ReportField::MemoryShare => seen.load = seen.load.max(value),
-                ReportField::Concurrent if s.role == Role::Reader => {
-                    seen.others = seen.others.max(0.5 * (value - own_held))
-                }
-                ReportField::Queue if s.role == Role::Reader => {
-                    seen.others = seen.others.max(value - own_held)
-                }
+                ReportField::Concurrent if reads => seen.others = (0.5 * (value - own_held)).max(0.0),
+                ReportField::Queue if reads => seen.others = (value - own_held).max(0.0),
                 _ => {}
             }
         }
@@ -850,7 +839,7 @@
         self.take_report(now, id, report);
         let Some(s) = self.servers.get_mut(&id) else { return };
         if matches!(outcome, Outcome::ConnectFailed | Outcome::Reset) {
-            s.trouble += TROUBLE_BLEND * (1.0 - s.trouble);
+            s.mark(now, 1.0);
         }
     }
 
@@ -868,23 +857,20 @@
     }
 
     /// Own-share budget of sends to a cold server: what warm servers of its role get from this router, times
-    /// the capacity it has, and never more than the told multiple of the capacity it started with. Every
-    /// router doing so keeps the sum, with nothing agreed.
+    /// the told multiple of the capacity that it surely has. Every router doing so keeps the sum, with
+    /// nothing agreed; within the budget its price decides, which counts the capacity it likely has.
     fn cold_room(&self, s: &Server, now: f64) -> bool {
         let capacity = self.capacity(s, now);
         if capacity >= 1.0 {
             return true;
         }
         let cold = &self.set.cold;
-        let warm = |o: &&Server| {
-            o.role == s.role && o.entry.standing == Standing::Ready && self.capacity(o, now) >= 1.0
-        };
-        let rates: Vec<f64> = self.servers.values().filter(warm).map(|o| o.rate(now)).collect();
-        let rate = rates.iter().sum::<f64>() / rates.len().max(1) as f64;
-        let share = capacity.min(COLD_CARE * cold.overload_factor * cold.start_capacity);
-        let budget = (rate * share * cold.window_s).max(1.0);
-        let spent = s.recent.iter().filter(|&&t| now - t < cold.window_s).count() as f64;
-        spent + 1.0 <= budget
+        let ready = |o: &&Server| o.role == s.role && o.entry.standing == Standing::Ready;
+        let warm = || self.servers.values().filter(ready).filter(|o| self.capacity(o, now) >= 1.0);
+        let then = now - cold.window_s;
+        let usual = warm().map(|o| o.sends_since(then)).sum::<f64>() / warm().count().max(1) as f64;
+        let share = (COLD_CARE * cold.overload_factor * cold.start_capacity).min(1.0);
+        s.sends_since(then) + 1.0 <= (usual * share).max(1.0)
     }
 
     // ---- 12 timers --------------------------------------------------------------------------------
@@ -914,12 +900,27 @@
         }
     }
 
+    /// Calls attempts back from servers that have said nothing since: dead but listed, cut off, hung. Other
+    /// answers from it in the meantime mean a queue, where calling back would only waste work. Harm: a
+    /// server with one long read of ours and no other traffic may lose that read.
+    fn call_back_silent(&mut self, now: f64, out: &mut Vec<Action>) {
+        let silent = |(id, j): (&RequestId, &Job)| {
+            let s = self.servers.get(&j.at).filter(|s| j.stage == Stage::Out && s.heard < j.sent)?;
+            let once = self.class(j).effect == Effect::Unsafe && s.role != Role::Reader;
+            let due = s.pending.get(id)?.due;
+            (!once && now - due > SILENCE_S + (due - j.sent)).then_some(*id)
+        };
+        let calls: Vec<RequestId> = self.jobs.iter().filter_map(silent).collect();
+        calls.into_iter().for_each(|id| self.cancel(id, out));
+    }
+
     fn on_tick(&mut self, now: f64, out: &mut Vec<Action>) {
         let held = |(id, j): (&RequestId, &Job)| matches!(j.stage, Stage::Held { .. }).then_some(*id);
         let waiting: Vec<RequestId> = self.jobs.iter().filter_map(held).collect();
         for id in waiting {
             self.send_write(now, id, out);
         }
+        self.call_back_silent(now, out);
         if self.probes_pay() {
             let due = |s: &&mut Server| s.entry.standing == Standing::Ready && now >= s.next_probe;
             for s in self.servers.values_mut().filter(due) {
