--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,6 +14,8 @@
 /// Prior of the read time: seconds, and seconds per 1,000 uncached and 1,000 total tokens. A mid-range
 /// accelerator; the online fit replaces it within some dozens of reads.
 const READ_PRIOR: [f64; 3] = [0.02, 0.06, 0.003];
+/// Uncached and total tokens of the read that stands for one whose prompt is not known.
+const TYPICAL_TOKENS: (f64, f64) = (700.0, 2500.0);
 /// Step of the online fit: slow enough to ride out noise, fast enough to settle within a minute.
 const FIT_STEP: f64 = 0.08;
 /// Weight of the newest sample in speed ratios and other moving averages.
@@ -73,6 +75,8 @@
 const TICK_S: f64 = 0.05;
 /// Share of the fall-over multiple that is used on the capacity a cold server surely has.
 const COLD_CARE: f64 = 0.8;
+/// Fall-over windows over which a cold server's budget is kept exactly; within one it is rounded up.
+const COLD_MEMORY: f64 = 3.0;
 
 // ---- 2 what is known of a server ------------------------------------------------------------------
 
@@ -397,7 +401,7 @@
     /// Other dispatchers' reads at a server, in seconds: the last report where there is one, else this
     /// router's own share scaled by their number; or delay lately seen beyond prediction, if larger.
     fn others_s(&self, s: &Server, own_s: f64, now: f64) -> f64 {
-        let mean = self.fits[usize::from(s.entry.kind)].predict(700.0, 2500.0) * s.pace;
+        let mean = self.typical_read(s) * s.pace;
         let told = match s.report(now) {
             Some(seen) => seen.others * mean,
             None => own_s * f64::from(self.set.dispatchers - 1) * 0.5,
@@ -405,6 +409,10 @@
         told.max(s.excess(now))
     }
 
+    fn typical_read(&self, s: &Server) -> f64 {
+        self.fits[usize::from(s.entry.kind)].predict(TYPICAL_TOKENS.0, TYPICAL_TOKENS.1)
+    }
+
     fn estimate(&self, s: &Server, job: &Job, home: Option<ServerId>, now: f64) -> Estimate {
         let ask = &job.ask;
         let known = self.known_hit(s.entry.id, ask);
@@ -630,7 +638,7 @@
         (job.stage, job.at, job.sent, job.attempts) = (Stage::Out, to, now, job.attempts + 1);
         s.pending.insert(id, Pending { work_s, due: now + expected, tokens });
         s.recent.push_back(now);
-        while s.recent.front().is_some_and(|&t| now - t > self.set.cold.window_s) {
+        while s.recent.front().is_some_and(|&t| now - t > COLD_MEMORY * self.set.cold.window_s) {
             s.recent.pop_front();
         }
         if s.loss_s() > LOSS_BAR_S {
@@ -867,10 +875,21 @@
         let cold = &self.set.cold;
         let ready = |o: &&Server| o.role == s.role && o.entry.standing == Standing::Ready;
         let warm = || self.servers.values().filter(ready).filter(|o| self.capacity(o, now) >= 1.0);
-        let then = now - cold.window_s;
-        let usual = warm().map(|o| o.sends_since(then)).sum::<f64>() / warm().count().max(1) as f64;
-        let share = (COLD_CARE * cold.overload_factor * cold.start_capacity).min(1.0);
-        s.sends_since(then) + 1.0 <= (usual * share).max(1.0)
+        let count = warm().count().max(1) as f64;
+        let usual =
+            |windows: f64| warm().map(|o| o.sends_since(now - windows * cold.window_s)).sum::<f64>() / count;
+        let busy = match s.role {
+            Role::Reader => {
+                usual(1.0) / cold.window_s * self.typical_read(s) * f64::from(self.set.dispatchers)
+            }
+            _ => warm().map(|o| self.load(o, now)).sum::<f64>() / count,
+        };
+        let share = COLD_CARE * cold.overload_factor * cold.start_capacity / busy.clamp(0.5, 2.0);
+        let room = |windows: f64, slack: f64| {
+            let spent = s.sends_since(now - windows * cold.window_s) + 1.0;
+            spent <= (usual(COLD_MEMORY) * share * windows / COLD_MEMORY + slack).max(1.0)
+        };
+        room(1.0, 0.9) && room(COLD_MEMORY, 0.0)
     }
 
     // ---- 12 timers --------------------------------------------------------------------------------
