Lay delay at link or writer, count coming load, price quick failures instead of barring

Harm: a slow writer that gets far moves alone makes a link look slow; a server that fails nearly all at once costs further attempts while the others are jammed.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,8 +11,7 @@
 
 // ---- 1 tuned values -------------------------------------------------------------------------------
 
-/// Prior of the read time: seconds, and seconds per 1,000 uncached and 1,000 total tokens. A mid-range
-/// accelerator; the online fit replaces it within some dozens of reads.
+/// Prior of the read time: seconds, and seconds per 1,000 uncached and total tokens; a mid-range machine.
 const READ_PRIOR: [f64; 3] = [0.02, 0.06, 0.003];
 /// Uncached and total tokens of the read that stands for one whose prompt is not known.
 const TYPICAL_TOKENS: (f64, f64) = (700.0, 2500.0);
@@ -30,15 +29,16 @@
 const PROBE_EVERY_S: f64 = 0.5;
 /// Half-life, in seconds, of delay seen beyond prediction: about the time in which a queue turns over.
 const EXCESS_HALF_S: f64 = 0.7;
+/// The same for a cell's link, which carries fewer states.
+const LINK_HALF_S: f64 = 2.0;
 /// Seconds a failure costs beyond the time it took: the next attempt's way and wait.
 const FAILURE_COST_S: f64 = 0.1;
 /// Seconds that the certain failure of an answer that may not be tried again stands for.
 const UNSAFE_COST_S: f64 = 10.0;
 /// Weight of the newest outcome in a server's trouble score.
 const TROUBLE_BLEND: f64 = 0.3;
-/// Seconds of expected loss above which a server gets trial traffic only: one attempt lost to silence, or
-/// nine in ten lost at once.
-const LOSS_BAR_S: f64 = 0.4;
+/// Expected loss, and mean time lost by a failure, in seconds, above which a server gets trials only.
+const LOSS_BAR_S: (f64, f64) = (0.4, 0.2);
 /// Seconds between trials of a barred server: the first, doubled with each trial that fails, and the most.
 const TRIAL_EVERY_S: (f64, f64) = (1.0, 8.0);
 /// Seconds of waiting that a full writer stands for, by share of its memory.
@@ -53,23 +53,21 @@
 const FULL_PAUSE_S: f64 = 0.2;
 /// Writer load at which answers begin to wait for memory.
 const WRITER_FULL: f64 = 0.9;
-/// Seconds of waiting for each further unit of load: about the time in which a writer turns over.
-const OVERFLOW_S: f64 = 5.0;
-/// Share of the output ceiling that answers use, before any is seen.
-const OUTPUT_PRIOR: f64 = 0.4;
+/// Prior of the mean time an answer runs, in which a writer's memory turns over.
+const TURNOVER_S: f64 = 5.0;
+/// Share of the output ceiling that an answer holds of memory in the mean of its run.
+const OUTPUT_SHARE: f64 = 0.2;
 /// Refuse when the first token is expected later than this multiple of its aim.
 const REFUSE_AT: f64 = 1.2;
 /// The same for traffic over its tenant's share, which is worth little.
 const REFUSE_OVER_AT: f64 = 0.35;
 /// Further attempts earned by one arrival, and the most that can be saved up.
-const RETRY_EARN: f64 = 0.2;
-const RETRY_SAVE: f64 = 20.0;
+const RETRIES: (f64, f64) = (0.3, 20.0);
 /// Share of the pin limit for which a state may wait for a writer.
 const HOLD_SHARE: f64 = 0.5;
 /// A time-out: multiple of the estimate, plus seconds. Long, since work that is dropped is work lost.
 const PATIENCE: (f64, f64) = (3.0, 3.0);
-/// Seconds past its due time after which an attempt is called back from a server that has said nothing
-/// since it was sent: longer than a pause, shorter than any aim.
+/// Seconds past due after which an attempt is called back from a silent server; longer than a pause.
 const SILENCE_S: f64 = 1.0;
 /// Seconds between ticks.
 const TICK_S: f64 = 0.05;
@@ -86,16 +84,15 @@
     work_s: f64,
     due: f64,
     tokens: f64,
+    link: Option<u16>, // The reader's cell, where the state crosses that cell's link.
 }
 
 /// The last load report.
 #[derive(Clone, Debug)]
 struct Seen {
     at: f64,
-    /// Share of memory or slots in use, the larger.
-    load: f64,
-    /// Requests of other dispatchers that wait or run.
-    others: f64,
+    load: f64,   // Share of memory or slots in use, the larger.
+    others: f64, // Requests of other dispatchers that wait or run.
     own_tokens: f64,
 }
 
@@ -106,23 +103,17 @@
     memory: f64,
     pending: BTreeMap<RequestId, Pending>,
     streams: BTreeMap<RequestId, f64>,
-    /// Share of late outcomes that failed.
-    trouble: f64,
-    /// Mean time that its failures took.
-    lost_s: f64,
+    trouble: f64, // Share of late outcomes that failed.
+    lost_s: f64,  // Mean time that its failures took.
     last_trial: f64,
     trial_gap: f64,
-    /// When anything was last heard of it.
-    heard: f64,
-    /// Delay beyond prediction, and when it was seen.
-    excess: (f64, f64),
-    /// Time taken against the fit, over both stages' own samples.
-    pace: f64,
+    heard: f64,         // When anything was last heard of it.
+    excess: (f64, f64), // Delay beyond prediction, and when it was seen.
+    pace: f64,          // Time taken against the fit, over both stages' own samples.
     seen: Option<Seen>,
     full_until: f64,
     next_probe: f64,
-    /// Times of the sends within the cold rule's window.
-    recent: VecDeque<f64>,
+    recent: VecDeque<f64>, // Times of the sends within the cold rule's window.
 }
 
 impl Server {
@@ -135,7 +126,7 @@
     fn mark(&mut self, now: f64, bad: f64) {
         if bad == 0.0 {
             (self.heard, self.trial_gap) = (now, TRIAL_EVERY_S.0);
-        } else if self.loss_s() > LOSS_BAR_S {
+        } else if self.costly() {
             self.trial_gap = (2.0 * self.trial_gap).clamp(TRIAL_EVERY_S.0, TRIAL_EVERY_S.1);
         }
         self.trouble += TROUBLE_BLEND * (bad - self.trouble);
@@ -148,24 +139,35 @@
         self.trouble / (1.05 - self.trouble) * (self.lost_s + FAILURE_COST_S)
     }
 
+    /// Whether it is worth trials only: its failures take long. One that fails at once is priced instead, as
+    /// the state still waits and the next server is a moment away: shut out, it would jam the others.
+    fn costly(&self) -> bool {
+        self.loss_s() > LOSS_BAR_S.0 && self.lost_s > LOSS_BAR_S.1
+    }
+
     fn own_tokens(&self) -> f64 {
         self.pending.values().map(|p| p.tokens).sum::<f64>() + self.streams.values().sum::<f64>()
     }
 
     fn excess(&self, now: f64) -> f64 {
-        self.excess.0 * 0.5f64.powf((now - self.excess.1).max(0.0) / EXCESS_HALF_S)
+        fade(self.excess, now, EXCESS_HALF_S)
     }
 
     /// Age beyond its due time of the oldest own attempt that has not been heard of. A paused, slow, dead
     /// or cut-off server shows first as this, whatever the cause; it harms a server only while it is late.
     fn overdue(&self, now: f64) -> f64 {
-        self.pending.values().map(|p| now - p.due).fold(0.0, f64::max)
+        self.late(now, None)
     }
 
     fn sends_since(&self, then: f64) -> f64 {
         self.recent.iter().filter(|&&t| t > then).count() as f64
     }
 
+    /// The oldest own attempt's age beyond its due time, of those over a cell's link or over none.
+    fn late(&self, now: f64, link: Option<u16>) -> f64 {
+        self.pending.values().filter(|p| p.link == link).map(|p| now - p.due).fold(0.0, f64::max)
+    }
+
     fn report(&self, now: f64) -> Option<&Seen> {
         self.seen.as_ref().filter(|s| now - s.at < REPORT_AGE_S)
     }
@@ -201,12 +203,11 @@
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 enum Stage {
-    /// An attempt is out whose server reads, writes or does both.
-    Out,
-    /// A state waits at this reader and no attempt is out.
-    Held { since: f64 },
-    /// The answer runs; it is the client's.
-    Streaming,
+    Out, // An attempt is out whose server reads, writes or does both.
+    Held {
+        since: f64,
+    }, // A state waits at this reader and no attempt is out.
+    Streaming, // The answer runs; it is the client's.
     /// Nothing is out and nothing is held.
     #[default]
     Idle,
@@ -218,23 +219,18 @@
     deadline: f64,
     stage: Stage,
     attempts: u32,
-    /// Server of the attempt that is out, or that streams, and when it was sent.
-    at: ServerId,
+    at: ServerId, // Server of the attempt that is out, or that streams, and when it was sent.
     sent: f64,
-    /// The reader that holds the state.
-    state_at: Option<ServerId>,
+    state_at: Option<ServerId>, // The reader that holds the state.
     believed_hit: f64,
     queue_s: f64,
-    /// Servers that failed it.
-    failed_at: Vec<ServerId>,
+    failed_at: Vec<ServerId>, // Servers that failed it.
     /// The first attempt that may have had an effect: server and time of sending.
     may_have_run: Option<(ServerId, f64)>,
-    /// The final answer is given; only an outcome is waited for.
-    over: bool,
+    over: bool, // The final answer is given; only an outcome is waited for.
     first_after: f64,
 }
 
-#[derive(Clone, Copy)]
 struct Estimate {
     server: ServerId,
     queue_s: f64,
@@ -254,10 +250,10 @@
     jobs: BTreeMap<RequestId, Job>,
     prefixes: BTreeMap<PrefixKey, BTreeMap<ServerId, (f64, f64)>>,
     fits: Vec<Fit>,
-    /// Per class: stream seconds per expected second.
-    stretch: Vec<f64>,
-    /// Per tenant: requests in hand within the share, and when counted.
-    allowance: Vec<(f64, f64)>,
+    /// Per cell: delay of states over its link beyond prediction, and when it was seen.
+    links: BTreeMap<u16, (f64, f64)>,
+    turnover_s: f64,            // Mean time that answers run.
+    allowance: Vec<(f64, f64)>, // Per tenant: requests in hand within the share, and when counted.
     retries: f64,
     ticking: bool,
     next_sweep: f64,
@@ -270,6 +266,11 @@
     z ^ (z >> 31)
 }
 
+/// A value seen some time ago, faded by its half-life.
+fn fade((value, at): (f64, f64), now: f64, half_s: f64) -> f64 {
+    value * 0.5f64.powf((now - at).max(0.0) / half_s)
+}
+
 /// A finite, non-negative figure, or nothing.
 fn sane(v: f64) -> f64 {
     Some(v).filter(|v| v.is_finite() && *v > 0.0).unwrap_or(0.0)
@@ -283,14 +284,15 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         Router {
             fits: vec![Fit(READ_PRIOR); settings.kinds.len()],
-            stretch: vec![0.0; settings.classes.len()],
             allowance: vec![(f64::INFINITY, 0.0); settings.tenants.len()],
             set: settings,
             seed,
             servers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             prefixes: BTreeMap::new(),
-            retries: RETRY_SAVE / 2.0,
+            links: BTreeMap::new(),
+            turnover_s: TURNOVER_S,
+            retries: RETRIES.1 / 2.0,
             ticking: false,
             next_sweep: 0.0,
         }
@@ -305,7 +307,10 @@
                 self.on_first_token(now, request, server, t)
             }
             Event::AttemptEnded(end) => self.on_end(now, end, out),
-            Event::ClientGone { request } => self.on_client_gone(request, out),
+            Event::ClientGone { request } => {
+                self.cancel(request, out);
+                self.finish(request, None, out);
+            }
             Event::Timer { label } => self.on_timer(now, label, out),
             Event::ProbeEnded { server, outcome, report, .. } => self.on_probe(now, server, outcome, &report),
             Event::PlaceAnswer { .. } | Event::PeerMessage { .. } => {}
@@ -337,19 +342,17 @@
         let Some(kind) = self.set.kinds.get(usize::from(entry.kind)) else { return };
         entry.weight = if sane(entry.weight) > 0.0 { entry.weight } else { 1.0 };
         entry.booted_at = sane(entry.booted_at);
-        let id = entry.id;
-        match self.servers.get_mut(&id) {
-            Some(s) if s.entry.booted_at == entry.booted_at => s.entry = entry,
-            Some(s) => {
+        let (id, fresh) = (entry.id, Server::new(entry.clone(), kind, now));
+        let server = match self.servers.remove(&id) {
+            Some(old) if old.entry.booted_at == entry.booted_at => Server { entry, ..old },
+            Some(old) => {
                 // A new process: what the old one kept, and how it behaved, is gone with it.
-                let (pending, streams) = (std::mem::take(&mut s.pending), std::mem::take(&mut s.streams));
-                *s = Server { pending, streams, ..Server::new(entry, kind, now) };
                 self.forget(id);
+                Server { pending: old.pending, streams: old.streams, ..fresh }
             }
-            None => {
-                self.servers.insert(id, Server::new(entry, kind, now));
-            }
-        }
+            None => fresh,
+        };
+        self.servers.insert(id, server);
     }
 
     /// Drops all that the prefix table credits to a server.
@@ -370,14 +373,10 @@
     /// over all where the zone has none.
     fn home(&self, now: f64, ask: &Request) -> Option<ServerId> {
         let key = if ask.prefix != 0 { ask.prefix } else { ask.session };
-        let pick = |here: bool| {
-            let ready = |s: &&Server| s.role == Role::Reader && s.entry.standing == Standing::Ready;
-            let near = |s: &&Server| !here || s.entry.zone == self.set.zone;
-            let fit = |s: &&Server| ready(s) && near(s) && self.capacity(s, now) >= 1.0;
-            let ids = self.servers.values().filter(fit).map(|s| s.entry.id);
-            ids.max_by_key(|id| mix(key, u64::from(*id)))
-        };
-        pick(true).or_else(|| pick(false))
+        let ready = |s: &&Server| s.role == Role::Reader && s.entry.standing == Standing::Ready;
+        let warm = self.servers.values().filter(ready).filter(|s| self.capacity(s, now) >= 1.0);
+        let rank = |e: &&ServerEntry| (e.zone == self.set.zone, mix(key, u64::from(e.id)));
+        warm.map(|s| &s.entry).max_by_key(rank).map(|e| e.id)
     }
 
     fn known_hit(&self, id: ServerId, ask: &Request) -> f64 {
@@ -391,10 +390,8 @@
     }
 
     fn note_held(&mut self, now: f64, id: ServerId, ask: &Request) {
-        for (key, tokens) in Self::keys(ask) {
-            if key.1 != 0 && tokens > 0.0 {
-                self.prefixes.entry(key).or_default().insert(id, (tokens, now));
-            }
+        for (key, tokens) in Self::keys(ask).into_iter().filter(|(key, tokens)| key.1 != 0 && *tokens > 0.0) {
+            self.prefixes.entry(key).or_default().insert(id, (tokens, now));
         }
     }
 
@@ -413,19 +410,22 @@
         self.fits[usize::from(s.entry.kind)].predict(TYPICAL_TOKENS.0, TYPICAL_TOKENS.1)
     }
 
-    fn estimate(&self, s: &Server, job: &Job, home: Option<ServerId>, now: f64) -> Estimate {
+    fn estimate(&self, s: &Server, job: &Job, home: Option<ServerId>, coming: f64, now: f64) -> Estimate {
         let ask = &job.ask;
         let known = self.known_hit(s.entry.id, ask);
-        let assumed =
-            if home == Some(s.entry.id) { ask.prefix_tokens.max(0.1 * ask.prompt_tokens) } else { 0.0 };
-        let hit = known.max(assumed).min((ask.prompt_tokens - 1.0).max(0.0));
+        let at_home =
+            home.filter(|h| *h == s.entry.id).map(|_| ask.prefix_tokens.max(0.1 * ask.prompt_tokens));
+        let hit = known.max(at_home.unwrap_or(0.0)).min((ask.prompt_tokens - 1.0).max(0.0));
         let slow = s.pace / self.capacity(s, now);
         let fit = &self.fits[usize::from(s.entry.kind)];
         let read_s = fit.predict(ask.prompt_tokens - hit, ask.prompt_tokens) * slow;
         let own_s = s.pending.values().map(|p| p.work_s).sum::<f64>();
         let queue_s = own_s + self.others_s(s, own_s, now) + s.overdue(now);
         let far = if s.entry.zone == self.set.zone { 0.0 } else { ZONE_READ_S };
-        let write = if s.role == Role::Mixed { self.write_wait(s, now) } else { 0.0 };
+        let write = match s.role {
+            Role::Reader => self.lightest_wait(s, coming, now),
+            _ => self.write_wait(self.load(s, now)),
+        };
         let total_s = queue_s + read_s + far + write + self.risk_s(s, job);
         Estimate { server: s.entry.id, queue_s, read_s, hit: known, total_s }
     }
@@ -439,10 +439,9 @@
     /// The mechanism: the lowest estimated first-token time among readers and mixed servers.
     fn best_reader(&self, job: &Job, now: f64) -> Option<Estimate> {
         let home = if self.unseen(&job.ask) { self.home(now, &job.ask) } else { None };
-        let wait = self.lightest_wait(now);
+        let coming = self.coming_load();
         let price = |s: &Server| {
-            let mut e = self.estimate(s, job, home, now);
-            e.total_s += if s.role == Role::Reader { wait } else { 0.0 };
+            let e = self.estimate(s, job, home, coming, now);
             (e.total_s, e)
         };
         self.cheapest(job, now, Role::Writer, price)
@@ -460,16 +459,8 @@
 
     // ---- 7 writers --------------------------------------------------------------------------------
 
-    fn expected_tokens(&self, ask: &Request) -> f64 {
-        let gap = self.set.classes[usize::from(ask.class)].token_gap_aim_s;
-        match ask.output_hint_s {
-            Some(hint) if gap > 0.0 && sane(hint) > 0.0 => (hint / gap).min(ask.max_output_tokens),
-            _ => ask.max_output_tokens * OUTPUT_PRIOR,
-        }
-    }
-
     /// Load of a writer: the last report plus what was sent since, or own streams scaled by the number of
-    /// dispatchers; in shares of memory, stretched by how slowly it has written of late.
+    /// dispatchers; in shares of memory, or of slots where those are scarcer.
     fn load(&self, s: &Server, now: f64) -> f64 {
         let own = s.own_tokens();
         let share = match s.report(now) {
@@ -479,38 +470,56 @@
         share / self.capacity(s, now)
     }
 
-    /// Seconds that an answer would wait at a writer, by its load.
-    fn write_wait(&self, s: &Server, now: f64) -> f64 {
-        let load = self.load(s, now);
-        load * WRITER_LOAD_S + self.overflow(load)
+    /// Seconds that an answer would wait at a writer's load: little, until memory or slots run out.
+    fn write_wait(&self, load: f64) -> f64 {
+        load * WRITER_LOAD_S + (load - WRITER_FULL).max(0.0) * self.turnover_s
     }
 
-    /// Seconds that answers wait for memory or a slot at a load, whatever the writer's speed.
-    fn overflow(&self, load: f64) -> f64 {
-        (load - WRITER_FULL).max(0.0) * OVERFLOW_S
+    /// Share of the writers' memory that reads under way will need, others' reads taken like one's own: the
+    /// paper's early rejection by predicted load, so that writers are full no sooner than readers know.
+    fn coming_load(&self) -> f64 {
+        let of = |role| self.servers.values().filter(move |s| s.role == role);
+        let room = of(Role::Writer).filter(|s| s.entry.standing == Standing::Ready).map(|s| s.memory);
+        let tokens = of(Role::Reader).map(Server::own_tokens).sum::<f64>();
+        tokens * f64::from(self.set.dispatchers) / room.sum::<f64>().max(1.0)
     }
 
-    fn lightest_wait(&self, now: f64) -> f64 {
+    /// What a state of this cell would wait for outside it: delay seen on the cell's link, or the age of a
+    /// move that is overdue. Far moves are laid at the link, near ones at the writer, so that a slow rack
+    /// link keeps traffic in its cell without barring the writers behind it. Harm: a slow writer that gets
+    /// far moves alone makes a link look slow for some seconds.
+    fn link_delay(&self, cell: u16, now: f64) -> f64 {
+        let seen = self.links.get(&cell).map_or(0.0, |l| fade(*l, now, LINK_HALF_S));
+        self.servers.values().map(|s| s.late(now, Some(cell))).fold(seen, f64::max)
+    }
+
+    /// The least wait for a first token that a read at a server can count on.
+    fn lightest_wait(&self, from: &Server, coming: f64, now: f64) -> f64 {
+        let link = self.link_delay(from.entry.cell, now);
         let writes = |s: &&Server| s.role == Role::Writer && s.entry.standing == Standing::Ready;
-        let wait = |s| self.write_wait(s, now) + s.overdue(now);
+        let wait = |s: &Server| {
+            let far = if s.entry.cell == from.entry.cell { 0.0 } else { link };
+            self.write_wait(self.load(s, now) + coming) + s.overdue(now) + s.excess(now) + far
+        };
         self.servers.values().filter(writes).map(wait).min_by(f64::total_cmp).unwrap_or(0.0)
     }
 
     fn best_writer(&self, job: &Job, now: f64) -> Option<ServerId> {
         let from = job.state_at.and_then(|id| self.servers.get(&id)).map(|s| (s.entry.cell, s.entry.zone));
+        let link = from.map_or(0.0, |(cell, _)| self.link_delay(cell, now));
         let writers = || self.servers.values().filter(|s| s.role == Role::Writer).map(|s| s.entry.weight);
         let mean = writers().sum::<f64>() / writers().count().max(1) as f64;
         let price = |s: &Server| {
             let apart = match from {
                 Some((cell, _)) if cell == s.entry.cell => 0.0,
-                Some((_, zone)) if zone != s.entry.zone => ZONE_MARGIN,
-                _ => CELL_MARGIN,
+                Some((_, zone)) if zone != s.entry.zone => ZONE_MARGIN + link,
+                _ => CELL_MARGIN + link,
             };
             let (size, mixed) = if s.role == Role::Mixed { (1.0, 0.3) } else { (s.entry.weight / mean, 0.0) };
             let tie = (mix(self.seed ^ u64::from(job.ask.id), u64::from(s.entry.id)) % 1000) as f64 * 1e-5;
             let delay = s.overdue(now) + s.excess(now) + self.risk_s(s, job);
             let load = self.load(s, now);
-            let price = load * s.pace / size + self.overflow(load) + delay + apart + mixed + tie;
+            let price = load / size + self.write_wait(load) + delay + apart + mixed + tie;
             (price, s.entry.id)
         };
         self.cheapest(job, now, Role::Reader, price)
@@ -523,12 +532,12 @@
         ask.prompt_tokens = sane(ask.prompt_tokens).max(1.0);
         ask.prefix_tokens = sane(ask.prefix_tokens).min(ask.prompt_tokens);
         ask.max_output_tokens = sane(ask.max_output_tokens).max(1.0);
-        let id = ask.id;
-        let left = sane(ask.time_left_s);
-        let aim = self.aim(&ask);
+        let (id, left) = (ask.id, sane(ask.time_left_s));
+        let class = &self.set.classes[usize::from(ask.class)];
+        let aim = class.ttft_aim_s + class.ttft_aim_per_token_s * ask.prompt_tokens;
         let over = self.over_share(now, ask.tenant);
         let job = Job { ask, deadline: now + left, ..Job::default() };
-        self.retries = (self.retries + RETRY_EARN).min(RETRY_SAVE);
+        self.retries = (self.retries + RETRIES.0).min(RETRIES.1);
         let late = if over { aim * REFUSE_OVER_AT } else { aim * REFUSE_AT };
         let guess = self.best_reader(&job, now);
         self.jobs.insert(id, job);
@@ -541,11 +550,6 @@
         }
     }
 
-    fn aim(&self, ask: &Request) -> f64 {
-        let class = &self.set.classes[usize::from(ask.class)];
-        class.ttft_aim_s + class.ttft_aim_per_token_s * ask.prompt_tokens
-    }
-
     /// Whether a tenant's traffic here runs above this router's part of its share.
     fn over_share(&mut self, now: f64, tenant: u32) -> bool {
         let Some(slot) = self.allowance.get_mut(tenant as usize) else { return false };
@@ -576,11 +580,8 @@
             Effect::Safe => true,
             Effect::Unsafe => false,
             Effect::Keyed { scope, window_s } => {
-                let same = self.servers.get(&first).is_some_and(|f| match scope {
-                    KeyScope::All => true,
-                    KeyScope::Zone => f.entry.zone == s.entry.zone,
-                    KeyScope::Cell => f.entry.cell == s.entry.cell,
-                });
+                let group = |e: &ServerEntry| if scope == KeyScope::Zone { e.zone } else { e.cell };
+                let same = self.servers.get(&first).is_some_and(|f| group(&f.entry) == group(&s.entry));
                 (same || scope == KeyScope::All) && now - since < window_s * 0.9
             }
         }
@@ -597,7 +598,7 @@
     /// Trial traffic only: the score is high and a trial was made of late. Unsafe answers are no trials.
     fn barred(&self, s: &Server, job: &Job, now: f64) -> bool {
         let once = self.class(job).effect == Effect::Unsafe && s.role != Role::Reader;
-        s.loss_s() > LOSS_BAR_S && (once || now - s.last_trial < s.trial_gap)
+        s.costly() && (once || now - s.last_trial < s.trial_gap)
     }
 
     fn send_read(&mut self, now: f64, id: RequestId, e: Estimate, out: &mut Vec<Action>) {
@@ -609,12 +610,15 @@
 
     fn send_write(&mut self, now: f64, id: RequestId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
+        let patience = self.set.pin_limit_s * HOLD_SHARE;
         match self.best_writer(job, now) {
             Some(w) => {
-                let wait = 0.15 + self.servers.get(&w).map_or(0.0, |s| self.write_wait(s, now));
+                let wait = 0.15 + self.servers.get(&w).map_or(0.0, |s| self.write_wait(self.load(s, now)));
                 self.launch(now, id, (w, 0.02, wait), out);
             }
-            None => self.hold(now, id, out),
+            // No writer can take the state now: it waits a little within the pin limit.
+            None if matches!(job.stage, Stage::Held { since } if now - since <= patience) => {}
+            None => self.give_up(id, 0.5, out),
         }
     }
 
@@ -623,7 +627,7 @@
         let (to, work_s, expected) = plan;
         let patience = expected * PATIENCE.0 + PATIENCE.1;
         let (Some(job), Some(s)) = (self.jobs.get(&id), self.servers.get(&to)) else { return };
-        let tokens = job.ask.prompt_tokens + 0.5 * self.expected_tokens(&job.ask);
+        let tokens = job.ask.prompt_tokens + OUTPUT_SHARE * job.ask.max_output_tokens;
         let allowed = !job.over
             && matches!(job.stage, Stage::Idle | Stage::Held { .. })
             && job.attempts < self.set.limits.max_attempts
@@ -632,30 +636,19 @@
         if !allowed {
             return self.give_up(id, 0.5, out);
         }
+        let holder = job.state_at.and_then(|id| self.servers.get(&id)).map(|r| r.entry.cell);
+        let link = holder.filter(|cell| *cell != s.entry.cell);
         let unsafe_write = self.class(job).effect == Effect::Unsafe && s.role != Role::Reader;
         let timeout_s = if unsafe_write { 0.0 } else { patience.min(job.deadline - now) };
         let (Some(job), Some(s)) = (self.jobs.get_mut(&id), self.servers.get_mut(&to)) else { return };
         (job.stage, job.at, job.sent, job.attempts) = (Stage::Out, to, now, job.attempts + 1);
-        s.pending.insert(id, Pending { work_s, due: now + expected, tokens });
+        s.pending.insert(id, Pending { work_s, due: now + expected, tokens, link });
         s.recent.push_back(now);
-        while s.recent.front().is_some_and(|&t| now - t > COLD_MEMORY * self.set.cold.window_s) {
-            s.recent.pop_front();
-        }
-        if s.loss_s() > LOSS_BAR_S {
-            s.last_trial = now;
-        }
+        s.recent.retain(|t| now - t <= COLD_MEMORY * self.set.cold.window_s);
+        s.last_trial = now;
         out.push(Action::Send { request: id, server: to, timeout_s });
     }
 
-    /// No writer can take the state now: wait a little within the pin limit, then let go.
-    fn hold(&mut self, now: f64, id: RequestId, out: &mut Vec<Action>) {
-        let limit = self.set.pin_limit_s * HOLD_SHARE;
-        match self.jobs.get(&id).map(|j| j.stage) {
-            Some(Stage::Held { since }) if now - since <= limit => {}
-            _ => self.give_up(id, 0.5, out),
-        }
-    }
-
     fn give_up(&mut self, id: RequestId, retry_after_s: f64, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
         let retry_after_s = retry_after_s.min(self.set.limits.max_retry_after_s.max(0.0));
@@ -680,11 +673,6 @@
         self.jobs.remove(&id);
     }
 
-    fn on_client_gone(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        self.cancel(id, out);
-        self.finish(id, None, out);
-    }
-
     fn cancel(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let cancellable = |j: &&Job| j.stage == Stage::Out && !j.over && self.set.limits.may_cancel;
         if let Some(job) = self.jobs.get(&id).filter(cancellable) {
@@ -701,21 +689,26 @@
         job.state_at = None;
         let Some(s) = self.servers.get_mut(&server) else { return };
         if let Some(p) = s.pending.remove(&id) {
-            s.excess = (0.5 * s.excess(now) + 0.5 * (now - p.due).max(0.0), now);
+            let (seen, half) = match p.link {
+                None => (&mut s.excess, EXCESS_HALF_S),
+                Some(cell) => (self.links.entry(cell).or_default(), LINK_HALF_S),
+            };
+            *seen = (0.5 * fade(*seen, now, half) + 0.5 * (now - p.due).max(0.0), now);
             s.streams.insert(id, p.tokens);
         }
         s.mark(now, 0.0);
     }
 
     fn on_end(&mut self, now: f64, end: AttemptEnd, out: &mut Vec<Action>) {
-        let pending = self.servers.get_mut(&end.server).and_then(|s| {
+        let s = self.servers.get_mut(&end.server);
+        let waited = s.is_some_and(|s| {
             s.streams.remove(&end.request);
-            s.pending.remove(&end.request)
+            s.pending.remove(&end.request).is_some()
         });
         self.take_report(now, end.server, &end.report);
         let Some(job) = self.jobs.get(&end.request).filter(|j| j.at == end.server) else { return };
         let (id, job) = (end.request, job.clone());
-        self.judge(now, &end, &job, pending.as_ref());
+        self.judge(now, &end, &job, waited);
         let Some(j) = self.jobs.get_mut(&id) else { return };
         let reader = self.servers.get(&end.server).is_some_and(|s| s.role == Role::Reader);
         use Outcome::{ConnectFailed, Full, Moot, ReadDone};
@@ -762,15 +755,16 @@
     }
 
     /// Health, speed, prefix table and fits from one outcome.
-    fn judge(&mut self, now: f64, end: &AttemptEnd, job: &Job, pending: Option<&Pending>) {
+    fn judge(&mut self, now: f64, end: &AttemptEnd, job: &Job, waited: bool) {
         let cut = now + 2.0 * self.set.tick_s >= job.deadline;
         let mark = match end.outcome {
             Outcome::Served | Outcome::ReadDone => Some(0.0),
             Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => Some(1.0),
-            Outcome::TimedOut | Outcome::Cancelled if !cut && !job.over && pending.is_some() => Some(1.0),
+            Outcome::TimedOut | Outcome::Cancelled if !cut && !job.over && waited => Some(1.0),
             _ => None,
         };
         let Some(s) = self.servers.get_mut(&end.server) else { return };
+        let mixed = s.role == Role::Mixed;
         if let Some(mark) = mark {
             s.mark(now, mark);
             s.lost_s += mark * 0.5 * (sane(end.elapsed_s) - s.lost_s);
@@ -778,9 +772,15 @@
         if matches!(end.outcome, Outcome::Full { state_gone: false }) {
             s.full_until = now + FULL_PAUSE_S;
         }
+        if end.outcome == Outcome::Served {
+            let ran = (sane(end.elapsed_s) - job.first_after).max(0.1);
+            self.turnover_s += 0.1 * BLEND * (ran - self.turnover_s);
+        }
         match end.outcome {
             Outcome::ReadDone => self.learn_read(now, end, job, sane(end.elapsed_s)),
-            Outcome::Served => self.learn_answer(now, end, job),
+            Outcome::Served if mixed && job.state_at.is_none() => {
+                self.learn_read(now, end, job, job.first_after)
+            }
             _ => {}
         }
     }
@@ -809,25 +809,9 @@
         s.excess = (0.5 * s.excess(now) + 0.5 * surprise, now);
     }
 
-    fn learn_answer(&mut self, now: f64, end: &AttemptEnd, job: &Job) {
-        if job.state_at.is_none() && self.servers.get(&end.server).is_some_and(|s| s.role == Role::Mixed) {
-            self.learn_read(now, end, job, job.first_after);
-        }
-        let expected = job.ask.output_hint_s.filter(|h| sane(*h) > 0.0).unwrap_or(1.0);
-        let stretch = (sane(end.elapsed_s) - job.first_after).max(0.001) / expected;
-        let mean = &mut self.stretch[usize::from(job.ask.class)];
-        *mean = if *mean > 0.0 { *mean + 0.03 * (stretch - *mean) } else { stretch };
-        let ratio = (stretch / *mean).clamp(0.2, 5.0);
-        if let Some(s) = self.servers.get_mut(&end.server).filter(|s| s.role == Role::Writer) {
-            s.pace = (s.pace + 0.5 * BLEND * (ratio - s.pace)).clamp(0.5, 8.0);
-        }
-    }
-
     fn take_report(&mut self, now: f64, id: ServerId, report: &[f64]) {
-        let Some(s) = self.servers.get_mut(&id) else { return };
-        if report.is_empty() || report.iter().any(|v| !v.is_finite()) {
-            return;
-        }
+        let told = !report.is_empty() && report.iter().all(|v| v.is_finite());
+        let Some(s) = self.servers.get_mut(&id).filter(|_| told) else { return };
         let reads = s.role == Role::Reader;
         let own_held = (s.pending.len() + s.streams.len()) as f64;
         let mut seen = Seen { at: now, load: 0.0, others: 0.0, own_tokens: s.own_tokens() };
@@ -845,10 +829,8 @@
 
     fn on_probe(&mut self, now: f64, id: ServerId, outcome: Outcome, report: &[f64]) {
         self.take_report(now, id, report);
-        let Some(s) = self.servers.get_mut(&id) else { return };
-        if matches!(outcome, Outcome::ConnectFailed | Outcome::Reset) {
-            s.mark(now, 1.0);
-        }
+        let dead = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
+        self.servers.get_mut(&id).filter(|_| dead).into_iter().for_each(|s| s.mark(now, 1.0));
     }
 
     // ---- 11 cold servers --------------------------------------------------------------------------
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -216,7 +216,11 @@
 fn parse_classes(f: &Facts) -> Result<Vec<ClassSettings>> {
     let per_k = f.numbers("extra.aimUsPer1000PromptTokens")?;
     let gaps = f.numbers("extra.tokenAimS")?;
-    (0..f.count("classes.count")?).map(|i| parse_class(f, i as usize, &per_k, &gaps)).collect()
+    let count = f.count("classes.count")?;
+    if count == 0 {
+        return bad("setting classes.count is 0");
+    }
+    (0..count).map(|i| parse_class(f, i as usize, &per_k, &gaps)).collect()
 }
 
 fn parse_class(f: &Facts, i: usize, per_k: &[f64], gaps: &[f64]) -> Result<ClassSettings> {
