Correct admission by the lateness seen

The difference seen is now added, at most twice the estimate, fading in 2 s. Harm: refuses some that a healthy part of the fleet could have served.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,9 +1,8 @@
 //! The decision module. Its types (settings, events, actions, ids) are in `src/interface.rs`.
 //!
-//! Sections: 1 tuned values; 2 what is known of a server; 3 requests; 4 entry and events; 5 the server
-//! list; 6 first-token estimates and the prefix table; 7 writers; 8 admission; 9 the request machine, with
-//! `launch` as the one place that sends and `finish` as the one that ends; 10 outcomes, health and
-//! learning; 11 cold servers; 12 timers.
+//! Sections: 1 tuned values; 2 servers; 3 requests; 4 events; 5 the list; 6 first-token estimates and the
+//! prefix table; 7 writers; 8 admission; 9 the request machine (`launch` alone sends, `finish` alone ends);
+//! 10 outcomes, health and learning; 11 cold servers; 12 timers.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -31,6 +30,10 @@
 const EXCESS_HALF_S: f64 = 0.7;
 /// The same for a cell's link, which carries fewer states.
 const LINK_HALF_S: f64 = 2.0;
+/// The same for delay beyond what was expected at admission.
+const SLIP_HALF_S: f64 = 2.0;
+/// Multiple of an estimate that it may add, so that a place which looks free is still tried.
+const SLIP_MOST: f64 = 2.0;
 /// Seconds a failure costs beyond the time it took: the next attempt's way and wait.
 const FAILURE_COST_S: f64 = 0.1;
 /// Seconds that the certain failure of an answer that may not be tried again stands for.
@@ -123,7 +126,8 @@
     }
 
     /// One outcome: 0 good, 1 bad.
-    fn mark(&mut self, now: f64, bad: f64) {
+    fn mark(&mut self, now: f64, bad: f64, took: f64) {
+        self.lost_s += bad * 0.5 * (sane(took) - self.lost_s);
         if bad == 0.0 {
             (self.heard, self.trial_gap) = (now, TRIAL_EVERY_S.0);
         } else if self.costly() {
@@ -229,6 +233,7 @@
     may_have_run: Option<(ServerId, f64)>,
     over: bool, // The final answer is given; only an outcome is waited for.
     first_after: f64,
+    promised: f64, // When its first token was expected, at admission.
 }
 
 struct Estimate {
@@ -254,16 +259,16 @@
     links: BTreeMap<u16, (f64, f64)>,
     turnover_s: f64,            // Mean time that answers run.
     allowance: Vec<(f64, f64)>, // Per tenant: requests in hand within the share, and when counted.
+    lateness: (f64, f64),       // Mean first-token delay beyond promise, and when it was seen.
     retries: f64,
     ticking: bool,
     next_sweep: f64,
 }
 
 fn mix(a: u64, b: u64) -> u64 {
-    let mut z = a ^ b.wrapping_mul(0x9E37_79B9_7F4A_7C15);
-    z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-    z ^ (z >> 31)
+    let z = (a ^ b.wrapping_mul(0x9E37_79B9_7F4A_7C15)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    let z = (z ^ (z >> 31)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    z ^ (z >> 32)
 }
 
 /// A value seen some time ago, faded by its half-life.
@@ -292,6 +297,7 @@
             prefixes: BTreeMap::new(),
             links: BTreeMap::new(),
             turnover_s: TURNOVER_S,
+            lateness: (0.0, 0.0),
             retries: RETRIES.1 / 2.0,
             ticking: false,
             next_sweep: 0.0,
@@ -312,7 +318,10 @@
                 self.finish(request, None, out);
             }
             Event::Timer { label } => self.on_timer(now, label, out),
-            Event::ProbeEnded { server, outcome, report, .. } => self.on_probe(now, server, outcome, &report),
+            Event::ProbeEnded { server, outcome, elapsed_s, report } => {
+                self.take_report(now, server, &report);
+                self.on_probe(now, server, outcome, elapsed_s);
+            }
             Event::PlaceAnswer { .. } | Event::PeerMessage { .. } => {}
         }
         self.keep_ticking(now, out);
@@ -399,18 +408,15 @@
     /// router's own share scaled by their number; or delay lately seen beyond prediction, if larger.
     fn others_s(&self, s: &Server, own_s: f64, now: f64) -> f64 {
         let mean = self.typical_read(s) * s.pace;
-        let told = match s.report(now) {
-            Some(seen) => seen.others * mean,
-            None => own_s * f64::from(self.set.dispatchers - 1) * 0.5,
-        };
-        told.max(s.excess(now))
+        let scaled = own_s * f64::from(self.set.dispatchers - 1) * 0.5;
+        s.report(now).map_or(scaled, |seen| seen.others * mean).max(s.excess(now))
     }
 
     fn typical_read(&self, s: &Server) -> f64 {
         self.fits[usize::from(s.entry.kind)].predict(TYPICAL_TOKENS.0, TYPICAL_TOKENS.1)
     }
 
-    fn estimate(&self, s: &Server, job: &Job, home: Option<ServerId>, coming: f64, now: f64) -> Estimate {
+    fn estimate(&self, s: &Server, job: &Job, home: Option<ServerId>, now: f64) -> Estimate {
         let ask = &job.ask;
         let known = self.known_hit(s.entry.id, ask);
         let at_home =
@@ -422,10 +428,8 @@
         let own_s = s.pending.values().map(|p| p.work_s).sum::<f64>();
         let queue_s = own_s + self.others_s(s, own_s, now) + s.overdue(now);
         let far = if s.entry.zone == self.set.zone { 0.0 } else { ZONE_READ_S };
-        let write = match s.role {
-            Role::Reader => self.lightest_wait(s, coming, now),
-            _ => self.write_wait(self.load(s, now)),
-        };
+        let whole = s.role != Role::Reader;
+        let write = if whole { self.write_wait(self.load(s, now)) } else { self.lightest_wait(s, now) };
         let total_s = queue_s + read_s + far + write + self.risk_s(s, job);
         Estimate { server: s.entry.id, queue_s, read_s, hit: known, total_s }
     }
@@ -439,9 +443,8 @@
     /// The mechanism: the lowest estimated first-token time among readers and mixed servers.
     fn best_reader(&self, job: &Job, now: f64) -> Option<Estimate> {
         let home = if self.unseen(&job.ask) { self.home(now, &job.ask) } else { None };
-        let coming = self.coming_load();
         let price = |s: &Server| {
-            let e = self.estimate(s, job, home, coming, now);
+            let e = self.estimate(s, job, home, now);
             (e.total_s, e)
         };
         self.cheapest(job, now, Role::Writer, price)
@@ -463,11 +466,9 @@
     /// dispatchers; in shares of memory, or of slots where those are scarcer.
     fn load(&self, s: &Server, now: f64) -> f64 {
         let own = s.own_tokens();
-        let share = match s.report(now) {
-            Some(seen) => (seen.load + (own - seen.own_tokens) / s.memory).max(own / s.memory),
-            None => own * f64::from(self.set.dispatchers) / s.memory,
-        };
-        share / self.capacity(s, now)
+        let since = |seen: &Seen| (seen.load + (own - seen.own_tokens) / s.memory).max(own / s.memory);
+        let scaled = own * f64::from(self.set.dispatchers) / s.memory;
+        s.report(now).map_or(scaled, since) / self.capacity(s, now)
     }
 
     /// Seconds that an answer would wait at a writer's load: little, until memory or slots run out.
@@ -475,15 +476,6 @@
         load * WRITER_LOAD_S + (load - WRITER_FULL).max(0.0) * self.turnover_s
     }
 
-    /// Share of the writers' memory that reads under way will need, others' reads taken like one's own: the
-    /// paper's early rejection by predicted load, so that writers are full no sooner than readers know.
-    fn coming_load(&self) -> f64 {
-        let of = |role| self.servers.values().filter(move |s| s.role == role);
-        let room = of(Role::Writer).filter(|s| s.entry.standing == Standing::Ready).map(|s| s.memory);
-        let tokens = of(Role::Reader).map(Server::own_tokens).sum::<f64>();
-        tokens * f64::from(self.set.dispatchers) / room.sum::<f64>().max(1.0)
-    }
-
     /// What a state of this cell would wait for outside it: delay seen on the cell's link, or the age of a
     /// move that is overdue. Far moves are laid at the link, near ones at the writer, so that a slow rack
     /// link keeps traffic in its cell without barring the writers behind it. Harm: a slow writer that gets
@@ -494,12 +486,12 @@
     }
 
     /// The least wait for a first token that a read at a server can count on.
-    fn lightest_wait(&self, from: &Server, coming: f64, now: f64) -> f64 {
+    fn lightest_wait(&self, from: &Server, now: f64) -> f64 {
         let link = self.link_delay(from.entry.cell, now);
         let writes = |s: &&Server| s.role == Role::Writer && s.entry.standing == Standing::Ready;
         let wait = |s: &Server| {
             let far = if s.entry.cell == from.entry.cell { 0.0 } else { link };
-            self.write_wait(self.load(s, now) + coming) + s.overdue(now) + s.excess(now) + far
+            self.write_wait(self.load(s, now)) + s.overdue(now) + s.excess(now) + far
         };
         self.servers.values().filter(writes).map(wait).min_by(f64::total_cmp).unwrap_or(0.0)
     }
@@ -540,16 +532,27 @@
         self.retries = (self.retries + RETRIES.0).min(RETRIES.1);
         let late = if over { aim * REFUSE_OVER_AT } else { aim * REFUSE_AT };
         let guess = self.best_reader(&job, now);
-        self.jobs.insert(id, job);
+        let slip = self.slip(now).min(SLIP_MOST * guess.as_ref().map_or(0.0, |e| e.total_s));
+        let promised = now + guess.as_ref().map_or(0.0, |e| e.total_s);
+        self.jobs.insert(id, Job { promised, ..job });
         let at = now + (left - 2.0 * self.set.tick_s).max(0.0);
         out.push(Action::SetTimer { at, label: u64::from(id) });
         match guess {
-            Some(e) if e.total_s <= late.min(left) => self.send_read(now, id, e, out),
-            Some(e) => self.give_up(id, (e.total_s - late).max(0.2), out),
+            Some(e) if e.total_s + slip <= late.min(left) => self.send_read(now, id, e, out),
+            Some(e) => self.give_up(id, (e.total_s + slip - late).max(0.2), out),
             None => self.give_up(id, 1.0, out),
         }
     }
 
+    /// Seconds by which first tokens come later than was expected at admission: as seen of late, or the mean
+    /// age past it of those that wait. Corrects the estimate for whatever it does not see (other routers'
+    /// traffic, an unknown trouble). Harm: refuses some that a healthy part of the fleet could have served.
+    fn slip(&self, now: f64) -> f64 {
+        let waits = |j: &&Job| !j.over && j.stage != Stage::Streaming;
+        let ages = || self.jobs.values().filter(waits).map(|j| (now - j.promised).max(0.0));
+        fade(self.lateness, now, SLIP_HALF_S).max(ages().sum::<f64>() / ages().count().max(1) as f64)
+    }
+
     /// Whether a tenant's traffic here runs above this router's part of its share.
     fn over_share(&mut self, now: f64, tenant: u32) -> bool {
         let Some(slot) = self.allowance.get_mut(tenant as usize) else { return false };
@@ -588,11 +591,8 @@
     }
 
     fn may_refuse(&self, job: &Job) -> bool {
-        let clear = job.may_have_run.is_none();
-        match self.class(job).effect {
-            Effect::Safe | Effect::Keyed { scope: KeyScope::All, .. } => true,
-            _ => clear && job.stage != Stage::Out,
-        }
+        let any = matches!(self.class(job).effect, Effect::Safe | Effect::Keyed { scope: KeyScope::All, .. });
+        any || job.may_have_run.is_none() && job.stage != Stage::Out
     }
 
     /// Trial traffic only: the score is high and a trial was made of late. Unsafe answers are no trials.
@@ -660,8 +660,7 @@
     /// The one place that ends a request: gives the final answer, if it is owed, and lets go of its state.
     fn finish(&mut self, id: RequestId, answer: Option<Action>, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        if !job.over {
-            job.over = true;
+        if !std::mem::replace(&mut job.over, true) {
             out.extend(answer);
         }
         if matches!(job.stage, Stage::Out | Stage::Streaming) {
@@ -685,6 +684,9 @@
     fn on_first_token(&mut self, now: f64, id: RequestId, server: ServerId, elapsed: f64) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.stage = Stage::Streaming;
+        let slip = (now - job.promised).max(0.0);
+        let before = fade(self.lateness, now, SLIP_HALF_S);
+        self.lateness = (before + 0.5 * BLEND * (slip - before), now);
         job.first_after = sane(elapsed);
         job.state_at = None;
         let Some(s) = self.servers.get_mut(&server) else { return };
@@ -696,7 +698,7 @@
             *seen = (0.5 * fade(*seen, now, half) + 0.5 * (now - p.due).max(0.0), now);
             s.streams.insert(id, p.tokens);
         }
-        s.mark(now, 0.0);
+        s.mark(now, 0.0, elapsed);
     }
 
     fn on_end(&mut self, now: f64, end: AttemptEnd, out: &mut Vec<Action>) {
@@ -765,10 +767,7 @@
         };
         let Some(s) = self.servers.get_mut(&end.server) else { return };
         let mixed = s.role == Role::Mixed;
-        if let Some(mark) = mark {
-            s.mark(now, mark);
-            s.lost_s += mark * 0.5 * (sane(end.elapsed_s) - s.lost_s);
-        }
+        mark.into_iter().for_each(|bad| s.mark(now, bad, end.elapsed_s));
         if matches!(end.outcome, Outcome::Full { state_gone: false }) {
             s.full_until = now + FULL_PAUSE_S;
         }
@@ -827,10 +826,9 @@
         s.seen = Some(seen);
     }
 
-    fn on_probe(&mut self, now: f64, id: ServerId, outcome: Outcome, report: &[f64]) {
-        self.take_report(now, id, report);
+    fn on_probe(&mut self, now: f64, id: ServerId, outcome: Outcome, elapsed: f64) {
         let dead = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
-        self.servers.get_mut(&id).filter(|_| dead).into_iter().for_each(|s| s.mark(now, 1.0));
+        self.servers.get_mut(&id).filter(|_| dead).into_iter().for_each(|s| s.mark(now, 1.0, elapsed));
     }
 
     // ---- 11 cold servers --------------------------------------------------------------------------
