Bring shut-out servers back by unpriced trials; let writers read when readers jam; tests

A test showed that a due trial never won against its own price; losses now fade and trials go unpriced. Harm: a trial may cost a request a second; whole requests slow a writer's running answers.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -42,6 +42,8 @@
 const TROUBLE_BLEND: f64 = 0.3;
 /// Expected loss, and mean time lost by a failure, in seconds, above which a server gets trials only.
 const LOSS_BAR_S: (f64, f64) = (0.4, 0.2);
+/// Half-life, in seconds, of expected loss at a server that gets nothing sent.
+const LOSS_HALF_S: f64 = 3.0;
 /// Seconds between trials of a barred server: the first, doubled with each trial that fails, and the most.
 const TRIAL_EVERY_S: (f64, f64) = (1.0, 8.0);
 /// Seconds of waiting that a full writer stands for, by share of its memory.
@@ -52,6 +54,8 @@
 const ZONE_MARGIN: f64 = 0.15;
 /// Seconds by which another zone's reader must be quicker.
 const ZONE_READ_S: f64 = 0.03;
+/// Seconds by which a writer that reads must be quicker than a reader: it slows its running answers.
+const WRITER_READ_S: f64 = 1.0;
 /// Seconds for which a server that said `full` is passed over.
 const FULL_PAUSE_S: f64 = 0.2;
 /// Writer load at which answers begin to wait for memory.
@@ -82,7 +86,6 @@
 // ---- 2 what is known of a server ------------------------------------------------------------------
 
 /// One of this router's attempts that waits for its read or first token.
-#[derive(Clone, Debug)]
 struct Pending {
     work_s: f64,
     due: f64,
@@ -91,7 +94,6 @@
 }
 
 /// The last load report.
-#[derive(Clone, Debug)]
 struct Seen {
     at: f64,
     load: f64,   // Share of memory or slots in use, the larger.
@@ -99,7 +101,7 @@
     own_tokens: f64,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Default)]
 struct Server {
     entry: ServerEntry,
     role: Role,
@@ -136,9 +138,8 @@
         self.trouble += TROUBLE_BLEND * (bad - self.trouble);
     }
 
-    /// Seconds that its failures add to an attempt. Quick failures empty a queue and would make a server look
-    /// the best choice; yet a quick failure of a read loses little, so that a server that fails half of
-    /// them still takes part of the load. It answers errors, resets, refusals to connect and silence alike.
+    /// Seconds that its failures (errors, resets, silence alike) add to an attempt: quick ones empty a queue
+    /// and would make it look the best choice, yet lose little of a read, so that it still takes some load.
     fn loss_s(&self) -> f64 {
         self.trouble / (1.05 - self.trouble) * (self.lost_s + FAILURE_COST_S)
     }
@@ -178,7 +179,6 @@
 }
 
 /// Online linear fit of the read time for one kind of server.
-#[derive(Clone, Debug)]
 struct Fit([f64; 3]);
 
 impl Fit {
@@ -205,7 +205,7 @@
 
 // ---- 3 requests -----------------------------------------------------------------------------------
 
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Default, PartialEq)]
 enum Stage {
     Out, // An attempt is out whose server reads, writes or does both.
     Held {
@@ -217,7 +217,7 @@
     Idle,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Default)]
 struct Job {
     ask: Request,
     deadline: f64,
@@ -276,7 +276,6 @@
     value * 0.5f64.powf((now - at).max(0.0) / half_s)
 }
 
-/// A finite, non-negative figure, or nothing.
 fn sane(v: f64) -> f64 {
     Some(v).filter(|v| v.is_finite() && *v > 0.0).unwrap_or(0.0)
 }
@@ -287,8 +286,9 @@
 
 impl Router {
     pub fn new(settings: Settings, seed: u64) -> Self {
+        let slower = |k: &KindSettings| if k.role == Role::Writer { 3.0 } else { 1.0 };
         Router {
-            fits: vec![Fit(READ_PRIOR); settings.kinds.len()],
+            fits: settings.kinds.iter().map(|k| Fit(READ_PRIOR.map(|w| w * slower(k)))).collect(),
             allowance: vec![(f64::INFINITY, 0.0); settings.tenants.len()],
             set: settings,
             seed,
@@ -355,8 +355,7 @@
         let server = match self.servers.remove(&id) {
             Some(old) if old.entry.booted_at == entry.booted_at => Server { entry, ..old },
             Some(old) => {
-                // A new process: what the old one kept, and how it behaved, is gone with it.
-                self.forget(id);
+                self.forget(id); // A new process: what the old one kept and how it behaved is gone.
                 Server { pending: old.pending, streams: old.streams, ..fresh }
             }
             None => fresh,
@@ -378,8 +377,7 @@
         [((true, ask.session), ask.prompt_tokens), ((false, ask.prefix), ask.prefix_tokens)]
     }
 
-    /// Home of a key no reader is known to hold: the highest hash over the sorted readers of this zone, or
-    /// over all where the zone has none.
+    /// Home of a key not known to be held: the highest hash over the readers of this zone, else over all.
     fn home(&self, now: f64, ask: &Request) -> Option<ServerId> {
         let key = if ask.prefix != 0 { ask.prefix } else { ask.session };
         let ready = |s: &&Server| s.role == Role::Reader && s.entry.standing == Standing::Ready;
@@ -394,16 +392,6 @@
         Self::keys(ask).into_iter().map(held).fold(0.0, f64::max)
     }
 
-    fn unseen(&self, ask: &Request) -> bool {
-        !Self::keys(ask).into_iter().any(|(key, _)| key.1 != 0 && self.prefixes.contains_key(&key))
-    }
-
-    fn note_held(&mut self, now: f64, id: ServerId, ask: &Request) {
-        for (key, tokens) in Self::keys(ask).into_iter().filter(|(key, tokens)| key.1 != 0 && *tokens > 0.0) {
-            self.prefixes.entry(key).or_default().insert(id, (tokens, now));
-        }
-    }
-
     /// Other dispatchers' reads at a server, in seconds: the last report where there is one, else this
     /// router's own share scaled by their number; or delay lately seen beyond prediction, if larger.
     fn others_s(&self, s: &Server, own_s: f64, now: f64) -> f64 {
@@ -429,31 +417,44 @@
         let queue_s = own_s + self.others_s(s, own_s, now) + s.overdue(now);
         let far = if s.entry.zone == self.set.zone { 0.0 } else { ZONE_READ_S };
         let whole = s.role != Role::Reader;
+        let far = far + if s.role == Role::Writer { WRITER_READ_S } else { 0.0 };
         let write = if whole { self.write_wait(self.load(s, now)) } else { self.lightest_wait(s, now) };
-        let total_s = queue_s + read_s + far + write + self.risk_s(s, job);
+        let total_s = queue_s + read_s + far + write + self.risk_s(s, job, now);
         Estimate { server: s.entry.id, queue_s, read_s, hit: known, total_s }
     }
 
-    fn risk_s(&self, s: &Server, job: &Job) -> f64 {
+    fn risk_s(&self, s: &Server, job: &Job, now: f64) -> f64 {
         let once = self.class(job).effect == Effect::Unsafe && s.role != Role::Reader;
         let again = if job.failed_at.contains(&s.entry.id) { FAILURE_COST_S } else { 0.0 };
-        again + s.loss_s() + if once { s.trouble * UNSAFE_COST_S } else { 0.0 }
+        // A trial that is due goes at no price; other losses fade, so that nobody is priced out for good.
+        let trial = s.costly() && now - s.last_trial >= s.trial_gap;
+        let loss = if trial { 0.0 } else { fade((s.loss_s(), s.last_trial), now, LOSS_HALF_S) };
+        again + loss + if once { s.trouble * UNSAFE_COST_S } else { 0.0 }
     }
 
     /// The mechanism: the lowest estimated first-token time among readers and mixed servers.
     fn best_reader(&self, job: &Job, now: f64) -> Option<Estimate> {
-        let home = if self.unseen(&job.ask) { self.home(now, &job.ask) } else { None };
+        let known = |(key, _): (PrefixKey, f64)| key.1 != 0 && self.prefixes.contains_key(&key);
+        let seen = Self::keys(&job.ask).into_iter().any(known);
+        let home = if seen { None } else { self.home(now, &job.ask) };
         let price = |s: &Server| {
             let e = self.estimate(s, job, home, now);
             (e.total_s, e)
         };
-        self.cheapest(job, now, Role::Writer, price)
-    }
-
-    /// The usable server of the least price; barred ones only when nothing else is left, so that never
-    /// everybody is excluded.
-    fn cheapest<T>(&self, job: &Job, now: f64, not: Role, price: impl Fn(&Server) -> (f64, T)) -> Option<T> {
-        let fits = |s: &&Server| s.role != not && self.usable(s, job, now);
+        let whole = self.set.writers_read && self.class(job).effect != Effect::Unsafe;
+        let not = if whole { None } else { Some(Role::Writer) };
+        self.cheapest(job, now, not, price)
+    }
+
+    /// The usable server of the least price; barred ones when nothing else is left: never exclude everybody.
+    fn cheapest<T>(
+        &self,
+        job: &Job,
+        now: f64,
+        not: Option<Role>,
+        price: impl Fn(&Server) -> (f64, T),
+    ) -> Option<T> {
+        let fits = |s: &&Server| Some(s.role) != not && self.usable(s, job, now);
         let rank = |s: &Server| (self.barred(s, job, now), price(s));
         let least =
             |a: &(bool, (f64, T)), b: &(bool, (f64, T))| a.0.cmp(&b.0).then(a.1 .0.total_cmp(&b.1 .0));
@@ -476,10 +477,9 @@
         load * WRITER_LOAD_S + (load - WRITER_FULL).max(0.0) * self.turnover_s
     }
 
-    /// What a state of this cell would wait for outside it: delay seen on the cell's link, or the age of a
-    /// move that is overdue. Far moves are laid at the link, near ones at the writer, so that a slow rack
-    /// link keeps traffic in its cell without barring the writers behind it. Harm: a slow writer that gets
-    /// far moves alone makes a link look slow for some seconds.
+    /// Delay seen on a cell's link, or the age of an overdue move over it. Far moves are laid at the link,
+    /// near ones at the writer: a slow link keeps traffic in its cell and bars no writer. Harm: a slow writer
+    /// that gets far moves alone makes a link look slow for some seconds.
     fn link_delay(&self, cell: u16, now: f64) -> f64 {
         let seen = self.links.get(&cell).map_or(0.0, |l| fade(*l, now, LINK_HALF_S));
         self.servers.values().map(|s| s.late(now, Some(cell))).fold(seen, f64::max)
@@ -509,12 +509,12 @@
             };
             let (size, mixed) = if s.role == Role::Mixed { (1.0, 0.3) } else { (s.entry.weight / mean, 0.0) };
             let tie = (mix(self.seed ^ u64::from(job.ask.id), u64::from(s.entry.id)) % 1000) as f64 * 1e-5;
-            let delay = s.overdue(now) + s.excess(now) + self.risk_s(s, job);
+            let delay = s.overdue(now) + s.excess(now) + self.risk_s(s, job, now);
             let load = self.load(s, now);
             let price = load / size + self.write_wait(load) + delay + apart + mixed + tie;
             (price, s.entry.id)
         };
-        self.cheapest(job, now, Role::Reader, price)
+        self.cheapest(job, now, Some(Role::Reader), price)
     }
 
     // ---- 8 admission ------------------------------------------------------------------------------
@@ -766,7 +766,7 @@
             _ => None,
         };
         let Some(s) = self.servers.get_mut(&end.server) else { return };
-        let mixed = s.role == Role::Mixed;
+        let whole = s.role != Role::Reader && job.state_at.is_none();
         mark.into_iter().for_each(|bad| s.mark(now, bad, end.elapsed_s));
         if matches!(end.outcome, Outcome::Full { state_gone: false }) {
             s.full_until = now + FULL_PAUSE_S;
@@ -777,9 +777,7 @@
         }
         match end.outcome {
             Outcome::ReadDone => self.learn_read(now, end, job, sane(end.elapsed_s)),
-            Outcome::Served if mixed && job.state_at.is_none() => {
-                self.learn_read(now, end, job, job.first_after)
-            }
+            Outcome::Served if whole => self.learn_read(now, end, job, job.first_after),
             _ => {}
         }
     }
@@ -791,7 +789,9 @@
             // has not been read again. Eviction of one text alone costs the others' credit for one read.
             self.forget(end.server);
         }
-        self.note_held(now, end.server, &job.ask);
+        for (key, tokens) in Self::keys(&job.ask).into_iter().filter(|(key, n)| key.1 != 0 && *n > 0.0) {
+            self.prefixes.entry(key).or_default().insert(end.server, (tokens, now));
+        }
         let capacity = self.servers.get(&end.server).map_or(1.0, |s| self.capacity(s, now));
         let Some(s) = self.servers.get_mut(&end.server) else { return };
         let fit = &mut self.fits[usize::from(s.entry.kind)];
@@ -833,8 +833,7 @@
 
     // ---- 11 cold servers --------------------------------------------------------------------------
 
-    /// Share of its capacity that a server has by now, at a guess: a straight line from the told start to
-    /// the told warm time.
+    /// Share of its capacity that a server likely has: a straight line from the told start to the warm time.
     fn capacity(&self, s: &Server, now: f64) -> f64 {
         let cold = &self.set.cold;
         if s.entry.booted_at <= 0.0 || now >= s.entry.booted_at + cold.warm_after_s {
--- /dev/null
+++ b/tests/defences.rs
@@ -0,0 +1,249 @@
+//! Each defence against a kind of symptom, alone and two together.
+mod common;
+use bitternlatch::interface::*;
+use common::*;
+
+fn plain(id: RequestId) -> Request {
+    Request { prefix: 0, prefix_tokens: 0.0, ..ask(id) }
+}
+
+fn reads_at(desk: &Desk, from: usize, server: ServerId) -> usize {
+    desk.sends[from..].iter().filter(|s| s.1 == server).count()
+}
+
+#[test]
+fn an_overdue_read_turns_its_homes_next_requests_away() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    let home = desk.serve(ask(1), 0.0);
+    desk.arrive(ask(2));
+    assert_eq!(desk.last().1, home);
+    desk.pass(0.8);
+    desk.arrive(ask(3));
+    assert_ne!(desk.last().1, home);
+}
+
+#[test]
+fn a_reader_that_lost_its_prefixes_is_not_credited_with_any() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    for prefix in [21, 22] {
+        desk.serve(Request { prefix, ..ask(prefix as u32) }, 0.0);
+        desk.pass(1.0);
+    }
+    let home = desk.serve(Request { prefix: 21, ..ask(3) }, 1500.0);
+    desk.pass(1.0);
+    desk.serve(Request { prefix: 21, ..ask(4) }, 0.0);
+    // All credit of the reader but the newest is gone: a long queue of it is left for the other reader.
+    desk.pass(1.0);
+    desk.arrive(Request { prefix: 21, ..ask(5) });
+    assert_eq!(desk.last().1, home);
+}
+
+#[test]
+fn a_reader_that_fails_at_once_does_not_look_like_a_short_queue() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    let mut from = 0;
+    for id in 1..80 {
+        from = if id == 40 { desk.sends.len() } else { from };
+        desk.arrive(plain(id));
+        if desk.last().1 == 1 {
+            desk.end(id, Outcome::Error, 0.002, 0.0);
+        }
+        desk.pass(0.05);
+        desk.end(id, Outcome::ReadDone, 0.05, 0.0);
+        desk.stream(id);
+        desk.end(id, Outcome::Served, 0.1, 0.0);
+        desk.pass(0.3);
+    }
+    assert!(reads_at(&desk, from, 1) <= 5, "{} reads at the failing server", reads_at(&desk, from, 1));
+}
+
+#[test]
+fn a_silent_servers_read_is_called_back_and_read_elsewhere() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    desk.arrive(ask(1));
+    let silent = desk.last().1;
+    let out = desk.pass(2.5);
+    assert!(out.contains(&Action::Cancel { request: 1, attempt: 0 }));
+    desk.end(1, Outcome::Cancelled, 2.5, 0.0);
+    assert_ne!(desk.last().1, silent);
+}
+
+#[test]
+fn a_late_read_at_a_server_that_answers_others_is_left_alone() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    desk.arrive(ask(1));
+    desk.arrive(ask(2));
+    assert_eq!(desk.sends[0].1, desk.sends[1].1);
+    desk.pass(1.0);
+    desk.end(2, Outcome::ReadDone, 1.0, 0.0);
+    assert!(!desk.pass(1.5).iter().any(|a| matches!(a, Action::Cancel { request: 1, .. })));
+}
+
+#[test]
+fn a_server_shut_out_for_silence_gets_trials_and_comes_back() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    for id in 1..4 {
+        desk.change(ServerEntry { standing: Standing::Draining, ..server(2, 0, 1) });
+        desk.arrive(plain(id));
+        desk.pass(2.0);
+        desk.change(server(2, 0, 1));
+        desk.end(id, Outcome::Reset, 2.0, 0.0);
+        desk.end(id, Outcome::ReadDone, 0.05, 0.0);
+        desk.stream(id);
+        desk.end(id, Outcome::Served, 0.1, 0.0);
+    }
+    let from = desk.sends.len();
+    for id in 200..400 {
+        let group = [id, id + 1000, id + 2000];
+        group.iter().for_each(|id| drop(desk.arrive(plain(*id))));
+        desk.pass(0.1);
+        for id in group {
+            desk.end(id, Outcome::ReadDone, 0.1, 0.0);
+            desk.stream(id);
+            desk.end(id, Outcome::Served, 0.1, 0.0);
+        }
+    }
+    assert!(reads_at(&desk, from, 1) > 100, "{} reads", reads_at(&desk, from, 1));
+}
+
+#[test]
+fn retries_have_a_budget() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    let mut given_up = 0;
+    for id in 1..200 {
+        desk.arrive(plain(id));
+        while final_answers(&desk.log, id) == 0 {
+            desk.end(id, Outcome::Error, 0.002, 0.0);
+        }
+        given_up += final_answers(&desk.log, id);
+    }
+    assert_eq!(given_up, 199);
+    assert!(desk.sends.len() < 199 * 3 / 2, "{} sends", desk.sends.len());
+}
+
+#[test]
+fn a_slow_cell_link_keeps_the_next_state_in_its_cell() {
+    let fleet = vec![server(1, 0, 0), server(11, 1, 0), server(12, 1, 1)];
+    let mut desk = Desk::with_fleet(settings(Effect::Safe), fleet);
+    let busy = |desk: &mut Desk, load: f64| {
+        let report = vec![load, 0.0, load];
+        desk.tell(Event::ProbeEnded { server: 11, outcome: Outcome::Served, elapsed_s: 0.01, report });
+    };
+    busy(&mut desk, 0.3);
+    desk.arrive(ask(1));
+    desk.end(1, Outcome::ReadDone, 0.1, 0.0);
+    assert_eq!(desk.last().1, 12);
+    desk.pass(1.2);
+    desk.stream(1);
+    busy(&mut desk, 0.3);
+    desk.arrive(ask(2));
+    desk.end(2, Outcome::ReadDone, 0.1, 0.0);
+    assert_eq!(desk.last().1, 11);
+}
+
+#[test]
+fn a_burst_beyond_the_aim_is_refused_at_once_with_a_time_to_come_back() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    for id in 1..80 {
+        desk.arrive(plain(id));
+    }
+    let refusals: Vec<f64> = desk
+        .log
+        .iter()
+        .filter_map(|a| match a {
+            Action::Refuse { retry_after_s, .. } => Some(*retry_after_s),
+            _ => None,
+        })
+        .collect();
+    assert!(!refusals.is_empty() && refusals.iter().all(|t| *t > 0.0 && *t <= 2.0));
+}
+
+#[test]
+fn lateness_seen_refuses_sooner_and_is_forgotten() {
+    let sends = |late: bool, rest: f64| {
+        let mut desk = Desk::new(settings(Effect::Safe));
+        for id in 1..20 {
+            desk.arrive(plain(id));
+            desk.end(id, Outcome::ReadDone, 0.05, 0.0);
+        }
+        desk.now += if late { 2.5 } else { 0.1 };
+        for id in 1..20 {
+            desk.stream(id);
+            desk.end(id, Outcome::Served, 0.1, 0.0);
+        }
+        desk.pass(rest);
+        let from = desk.sends.len();
+        for id in 100..180 {
+            desk.arrive(plain(id));
+        }
+        desk.sends.len() - from
+    };
+    let (usual, soon, later) = (sends(false, 1.0), sends(true, 0.1), sends(true, 30.0));
+    assert!(soon < usual, "{soon} against {usual}");
+    assert!(later + 3 >= usual, "{later} against {usual}");
+}
+
+#[test]
+fn a_tenant_over_its_share_is_refused_first() {
+    let tenants = vec![TenantSettings { quota_rps: 2.0 }, TenantSettings { quota_rps: 200.0 }];
+    let mut desk = Desk::new(Settings { tenants, over_share_worth: 0.05, ..settings(Effect::Safe) });
+    for id in 1..30 {
+        desk.arrive(Request { tenant: id % 2, ..plain(id) });
+    }
+    let refused_of = |tenant: u32| (1..30).filter(|id| id % 2 == tenant && refused(&desk.log, *id)).count();
+    assert!(refused_of(0) > refused_of(1));
+}
+
+#[test]
+fn restarts_are_told_by_boot_time_and_clear_what_was_believed() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    let home = desk.serve(ask(1), 0.0);
+    desk.pass(1.0);
+    desk.change(ServerEntry { booted_at: desk.now, ..server(home, 0, (home - 1) as u16) });
+    desk.arrive(ask(2));
+    assert_ne!(desk.last().1, home);
+}
+
+#[test]
+fn a_failing_reader_and_a_drain_together_still_get_the_request_read() {
+    let mut fleet = vec![server(1, 0, 0), server(2, 0, 1), server(3, 0, 0), server(11, 1, 0)];
+    fleet[2].standing = Standing::Draining;
+    let mut desk = Desk::with_fleet(settings(Effect::Unsafe), fleet);
+    desk.arrive(ask(1));
+    let first = desk.last().1;
+    desk.end(1, Outcome::Reset, 0.01, 0.0);
+    assert!(desk.last().1 != first && desk.last().1 != 3);
+}
+
+#[test]
+fn odd_figures_and_unknown_ids_are_passed_over() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    desk.tell(Event::Timer { label: 12345 });
+    desk.tell(Event::ClientGone { request: 999 });
+    desk.tell(Event::FirstToken { request: 999, attempt: 0, server: 5, elapsed_s: f64::NAN });
+    let report = vec![f64::NAN, -1.0, f64::INFINITY];
+    desk.tell(Event::ProbeEnded { server: 1, outcome: Outcome::Served, elapsed_s: f64::NAN, report });
+    let odd = Request { prompt_tokens: f64::NAN, prefix_tokens: f64::INFINITY, class: 60_000, ..ask(1) };
+    desk.arrive(odd);
+    desk.end(1, Outcome::ReadDone, f64::NAN, f64::NAN);
+    desk.end(1, Outcome::Served, f64::NAN, 0.0);
+    desk.serve(ask(2), 0.0);
+    assert_eq!(desk.sends.iter().filter(|s| s.0 == 2).count(), 2);
+}
+
+#[test]
+fn interleaved_routers_act_as_they_do_alone() {
+    let run = |desk: &mut Desk, id: u32| {
+        desk.arrive(Request { prefix: u64::from(id % 3) + 1, ..ask(id) });
+        desk.pass(0.02);
+        desk.end(id, Outcome::ReadDone, 0.02, 0.0);
+    };
+    let mut alone = Desk::new(settings(Effect::Safe));
+    (1..40).for_each(|id| run(&mut alone, id));
+    let (mut one, mut other) = (Desk::new(settings(Effect::Safe)), Desk::new(settings(Effect::Safe)));
+    for id in 1..40 {
+        run(&mut one, id);
+        run(&mut other, 1000 + id);
+    }
+    assert_eq!(alone.log, one.log);
+}
--- /dev/null
+++ b/tests/wire.rs
@@ -0,0 +1,126 @@
+//! Frames as the wire page lays them out, and what malformed ones get.
+use bitternlatch::wire::{parse_settings, serve, Adapter};
+
+const FACTS: &str = "balancers=2\nclasses.count=1\nclasses.0.aimS=1.5\nclasses.0.deadlineS=6.0\n\
+classes.0.effect=free\nclasses.0.worth=1.0\ncontract.overloadFactor=2.5\ncontract.startCapacity=0.25\n\
+contract.fallS=3.0\ncontract.warmAfterS=14.0\nextra.kindRole=read,write\nextra.pinLimitS=1.0\n\
+extra.aimUsPer1000PromptTokens=40000.0\nextra.tokenAimS=0.07\nextra.kindMemoryTokens=200000,150000\n\
+limits.maxAttempts=4\nlocality=0\nmembershipMode=pushed\nreport.how=inline\n\
+report.fields=load_share,depth,x0\nextra.reportX0=share_of_memory_that_is_held\nsomething.new=7\n";
+
+fn frame(count: u32, body: &[u8]) -> Vec<u8> {
+    let mut out = count.to_le_bytes().to_vec();
+    out.extend((16 + body.len() as u32).to_le_bytes());
+    out.extend(18.823384_f64.to_le_bytes());
+    out.extend(body);
+    out
+}
+
+fn start(facts: &str) -> Vec<u8> {
+    let mut body = vec![13, 3, 0, 1];
+    body.extend(42u64.to_le_bytes());
+    body.extend((facts.len() as u32).to_le_bytes());
+    body.extend(facts.as_bytes());
+    body
+}
+
+fn entry(id: u32, kind: u16) -> Vec<u8> {
+    let mut out = 1f32.to_le_bytes().to_vec();
+    out.extend([0, 0, 0, 0, 2]);
+    out.extend(id.to_le_bytes());
+    out.extend(kind.to_le_bytes());
+    out.extend(0f64.to_le_bytes());
+    out
+}
+
+fn inventory_and_view(ids: &[(u32, u16)]) -> Vec<u8> {
+    let mut body = vec![12, 0, 0, 0, 0];
+    body.extend((ids.len() as u32).to_le_bytes());
+    ids.iter().for_each(|(id, kind)| body.extend(entry(*id, *kind)));
+    body.extend([2, 2, 1, 0, 0, 0, 0, 0, 0, 0]);
+    body
+}
+
+fn unhex(text: &str) -> Vec<u8> {
+    let digits: Vec<u8> = text.bytes().filter(u8::is_ascii_hexdigit).collect();
+    digits.chunks(2).map(|p| u8::from_str_radix(std::str::from_utf8(p).unwrap(), 16).unwrap()).collect()
+}
+
+/// The wire page's own `accept` record.
+const ACCEPT: &str = "03 c4913a5d 00008043 00000000 0100 640ad2557c3bf091 fa7e6abc7493883f 0000 \
+b81e85eb51b8ce3f 107cf3d901648e2b 0000e144 00009644";
+
+fn error_of(input: &[u8]) -> String {
+    serve(input, &mut Vec::new()).expect_err("malformed input").to_string()
+}
+
+#[test]
+fn the_pages_empty_batch_gets_its_empty_reply() {
+    let mut out = Vec::new();
+    serve(&unhex("00000000 10000000 508d976e12d32040")[..], &mut out).unwrap();
+    assert_eq!(out, unhex("00000000 08000000"));
+}
+
+#[test]
+fn the_pages_request_is_passed_on_to_the_reader() {
+    let mut body = start(FACTS);
+    body.extend(inventory_and_view(&[(7, 0), (8, 1)]));
+    body.extend(unhex(ACCEPT));
+    let reply = Adapter::default().answer(&frame(5, &body)).unwrap();
+    let sent = unhex("0f c4913a5d");
+    let at = reply.windows(5).position(|w| w == sent).expect("a pass_on of the request");
+    assert_eq!(reply[at + 13..at + 17], 7u32.to_le_bytes());
+    assert_eq!(reply[4..8], (reply.len() as u32).to_le_bytes());
+}
+
+#[test]
+fn a_reused_list_number_means_its_newest_list() {
+    let mut body = start(FACTS);
+    body.extend(inventory_and_view(&[(7, 0), (8, 1)]));
+    body.extend(inventory_and_view(&[(9, 0), (8, 1)]));
+    body.extend(unhex(ACCEPT));
+    let reply = Adapter::default().answer(&frame(7, &body)).unwrap();
+    let at = reply.windows(5).position(|w| w == unhex("0f c4913a5d")).unwrap();
+    assert_eq!(reply[at + 13..at + 17], 9u32.to_le_bytes());
+}
+
+#[test]
+fn a_shutdown_and_a_start_may_share_a_batch() {
+    let mut body = start(FACTS);
+    body.push(10);
+    body.extend(&start(FACTS)[3..]);
+    body.extend(inventory_and_view(&[(7, 0)]));
+    assert!(Adapter::default().answer(&frame(6, &body)).is_ok());
+    assert!(Adapter::default().answer(&frame(5, &body)).is_err(), "bytes are left over");
+    assert!(Adapter::default().answer(&frame(7, &body)).is_err(), "a record is missing");
+}
+
+#[test]
+fn unknown_settings_are_skipped_and_missing_ones_named() {
+    assert!(parse_settings(FACTS).is_ok());
+    let without = FACTS.replace("extra.pinLimitS=1.0\n", "");
+    assert!(parse_settings(&without).unwrap_err().to_string().contains("extra.pinLimitS"));
+    let odd = FACTS.replace("startCapacity=0.25", "startCapacity=NaN");
+    assert!(parse_settings(&odd).unwrap_err().to_string().contains("startCapacity"));
+}
+
+#[test]
+fn a_length_field_alone_reserves_no_memory() {
+    assert!(error_of(&unhex("00000000 ffffffff 508d976e12d32040")).contains("input ends"));
+    let mut body = vec![12, 0, 0, 0, 0];
+    body.extend(u32::MAX.to_le_bytes());
+    assert!(error_of(&frame(1, &body)).contains("list entry"));
+}
+
+#[test]
+fn malformed_frames_are_named_with_what_and_where() {
+    assert!(error_of(&[1, 2, 3]).contains("header"));
+    assert!(error_of(&frame(1, &[99])).contains("event 99"));
+    assert!(error_of(&frame(2, &[13, 3, 0, 99])).contains("unknown event code 99 at byte 19"));
+    assert!(error_of(&frame(1, &[13, 3])).contains("at byte 17"));
+    assert!(error_of(&frame(0, &[13, 3, 0])).contains("left"));
+    let mut bad_text = start("x");
+    *bad_text.last_mut().unwrap() = 0xff;
+    assert!(error_of(&frame(2, &bad_text)).contains("UTF-8"));
+    assert!(error_of(&frame(2, &[13, 3, 0, 6, 1, 0, 0, 0])).contains("not started"));
+}
