--- a/src/interface.rs
+++ b/src/interface.rs
@@ -287,5 +287,33 @@
         at: f64,
         label: u64,
     },
+    /// Follow changes of the server list.
     Subscribe,
+    Unsubscribe,
+    /// Ask for the complete list once.
+    FetchList,
+    /// Hold a slot and memory at a writer ahead of the read's end.
+    HoldPlace {
+        request: RequestId,
+        server: ServerId,
+    },
+    /// End a running stream in order, to go on elsewhere.
+    Migrate {
+        request: RequestId,
+    },
+    CloseIdle {
+        server: ServerId,
+    },
+    /// At most 256 bytes to one peer, or to all (`None`).
+    TellPeer {
+        peer: Option<u16>,
+        data: Vec<u8>,
+    },
+    Log {
+        text: String,
+    },
+    /// The decision code has failed; its host should stop.
+    Fault {
+        text: String,
+    },
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -29,6 +29,7 @@
 
 const HEADER_BYTES: usize = 16;
 const LIST_NUMBERS: u32 = 16;
+const PEER_BYTES: usize = 256;
 
 fn bad<T>(what: impl Into<String>) -> Result<T> {
     Err(WireError(what.into()))
@@ -475,6 +476,13 @@
     })
 }
 
+/// One instance's actions as a reply frame.
+pub fn encode_reply(instance: u16, actions: &[Action]) -> Vec<u8> {
+    let mut reply = Reply::default();
+    actions.iter().for_each(|a| reply.put(instance, a));
+    reply.finish()
+}
+
 /// A reply under construction.
 #[derive(Default)]
 struct Reply {
@@ -504,9 +512,29 @@
             Action::Probe { server } => self.record(7, &[&server.to_le_bytes()]),
             Action::SetTimer { at, label } => self.record(9, &[&at.to_le_bytes(), &label.to_le_bytes()]),
             Action::Subscribe => self.record(4, &[&[1]]),
+            Action::Unsubscribe => self.record(4, &[&[0]]),
+            Action::FetchList => self.record(5, &[]),
+            Action::HoldPlace { request, server } => {
+                self.record(16, &[&request.to_le_bytes(), &server.to_le_bytes()])
+            }
+            Action::Migrate { request } => self.record(8, &[&request.to_le_bytes()]),
+            Action::CloseIdle { server } => self.record(13, &[&server.to_le_bytes()]),
+            Action::TellPeer { peer, ref data } => {
+                let data = &data[..data.len().min(PEER_BYTES)];
+                let whom = peer.unwrap_or(u16::MAX);
+                self.record(12, &[&whom.to_le_bytes(), &(data.len() as u16).to_le_bytes(), data])
+            }
+            Action::Log { ref text } => self.text(1, text),
+            Action::Fault { ref text } => self.text(10, text),
         }
     }
 
+    /// A text record; longer texts are cut at what the length field holds.
+    fn text(&mut self, code: u8, text: &str) {
+        let bytes = &text.as_bytes()[..text.len().min(usize::from(u16::MAX))];
+        self.record(code, &[&(bytes.len() as u16).to_le_bytes(), bytes]);
+    }
+
     fn record(&mut self, code: u8, fields: &[&[u8]]) {
         self.count += 1;
         self.body.push(code);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -128,3 +128,22 @@
     let out = desk.arrive(ask(1));
     assert!(out.iter().any(|a| matches!(a, Action::Refuse { retry_after_s, .. } if *retry_after_s > 0.0)));
 }
+
+#[test]
+fn a_moot_attempt_ends_the_request_with_one_answer() {
+    let mut desk = Desk::new(settings(Effect::Safe));
+    desk.arrive(ask(1));
+    desk.end(1, Outcome::Moot, 0.0, 0.0);
+    desk.pass(7.0);
+    assert_eq!(final_answers(&desk.log, 1), 1);
+}
+
+#[test]
+fn a_time_out_at_the_deadline_is_answered_with_the_final_answer() {
+    let mut desk = Desk::new(settings(Effect::Unsafe));
+    desk.arrive(ask(1));
+    desk.end(1, Outcome::ReadDone, 0.1, 0.0);
+    desk.now += 6.0;
+    let out = desk.end(1, Outcome::TimedOut, 5.9, 0.0);
+    assert!(failed(&out, 1) && released(&out, 1));
+}
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,5 +1,6 @@
 //! Frames as the wire page lays them out, and what malformed ones get.
-use bitternlatch::wire::{parse_settings, serve, Adapter};
+use bitternlatch::interface::Action;
+use bitternlatch::wire::{encode_reply, parse_settings, serve, Adapter};
 
 const FACTS: &str = "balancers=2\nclasses.count=1\nclasses.0.aimS=1.5\nclasses.0.deadlineS=6.0\n\
 classes.0.effect=free\nclasses.0.worth=1.0\ncontract.overloadFactor=2.5\ncontract.startCapacity=0.25\n\
@@ -124,3 +125,20 @@
     assert!(error_of(&frame(2, &bad_text)).contains("UTF-8"));
     assert!(error_of(&frame(2, &[13, 3, 0, 6, 1, 0, 0, 0])).contains("not started"));
 }
+
+#[test]
+fn the_pages_action_examples_are_laid_out_to_the_byte() {
+    let body = |action: Action| encode_reply(3, &[action])[11..].to_vec();
+    assert_eq!(encode_reply(3, &[Action::FetchList])[8..11], unhex("0e 0300"));
+    assert_eq!(
+        body(Action::Log { text: "two servers known".into() }),
+        unhex("01 1100 74776f2073657276657273206b6e6f776e")
+    );
+    let (request, server) = (0x5d3a_91c4, 0x2c90_11f2);
+    assert_eq!(body(Action::HoldPlace { request, server }), unhex("10 c4913a5d f211902c"));
+    assert_eq!(body(Action::Release { request: 0x0e6f_2b19 }), unhex("06 192b6f0e"));
+    assert_eq!(body(Action::TellPeer { peer: None, data: b"h7 ".to_vec() }), unhex("0c ffff 0300 683720"));
+    let (timeout_s, server) = (0.08, 0x1a1c_4a07);
+    let sent = body(Action::Send { request, server, timeout_s });
+    assert_eq!((sent[..5].to_vec(), sent[13..].to_vec()), (unhex("0f c4913a5d"), unhex("074a1c1a")));
+}
