--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -147,3 +147,13 @@
     let out = desk.end(1, Outcome::TimedOut, 5.9, 0.0);
     assert!(failed(&out, 1) && released(&out, 1));
 }
+
+#[test]
+fn an_unsafe_answer_that_never_connected_goes_to_the_next_writer() {
+    let mut desk = Desk::new(settings(Effect::Unsafe));
+    desk.arrive(ask(1));
+    desk.end(1, Outcome::ReadDone, 0.1, 0.0);
+    let first = desk.last().1;
+    desk.end(1, Outcome::ConnectFailed, 0.25, 0.0);
+    assert!(desk.sends.len() == 3 && desk.last().1 > 10 && desk.last().1 != first);
+}
