--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -24,18 +24,23 @@
 
 #[test]
 fn a_reader_that_lost_its_prefixes_is_not_credited_with_any() {
-    let mut desk = Desk::new(settings(Effect::Safe));
-    for prefix in [21, 22] {
-        desk.serve(Request { prefix, ..ask(prefix as u32) }, 0.0);
-        desk.pass(1.0);
-    }
-    let home = desk.serve(Request { prefix: 21, ..ask(3) }, 1500.0);
-    desk.pass(1.0);
-    desk.serve(Request { prefix: 21, ..ask(4) }, 0.0);
-    // All credit of the reader but the newest is gone: a long queue of it is left for the other reader.
-    desk.pass(1.0);
-    desk.arrive(Request { prefix: 21, ..ask(5) });
-    assert_eq!(desk.last().1, home);
+    // Two prefixes whose home is reader 1 are read at reader 2 while the home drains.
+    let home_of = |prefix| Desk::new(settings(Effect::Safe)).serve(Request { prefix, ..ask(1) }, 0.0);
+    let at_one: Vec<u64> = (1..60).filter(|p| home_of(*p) == 1).take(2).collect();
+    let next_reader_of_the_second = |hit: f64| {
+        let mut desk = Desk::new(settings(Effect::Safe));
+        desk.change(ServerEntry { standing: Standing::Draining, ..server(1, 0, 0) });
+        for (id, prefix) in (1..3).zip(at_one.clone()) {
+            desk.serve(Request { prefix, ..ask(id) }, 0.0);
+        }
+        desk.change(server(1, 0, 0));
+        desk.pass(5.0);
+        desk.serve(Request { prefix: at_one[0], ..ask(3) }, hit);
+        desk.pass(5.0);
+        desk.serve(Request { prefix: at_one[1], ..ask(4) }, 1500.0)
+    };
+    assert_eq!(next_reader_of_the_second(1500.0), 2);
+    assert_eq!(next_reader_of_the_second(0.0), 1);
 }
 
 #[test]
