--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,7 +4,7 @@
 //! prefix table; 7 writers; 8 admission; 9 the request machine (`launch` alone sends, `finish` alone ends);
 //! 10 outcomes, health and learning; 11 cold servers; 12 timers.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use crate::interface::*;
 
@@ -12,76 +12,75 @@
 
 /// Prior of the read time: seconds, and seconds per 1,000 uncached and total tokens; a mid-range machine.
 const READ_PRIOR: [f64; 3] = [0.02, 0.06, 0.003];
+/// Times as long that a writer reads.
+const WRITER_READS: f64 = 3.0;
 /// Uncached and total tokens of the read that stands for one whose prompt is not known.
 const TYPICAL_TOKENS: (f64, f64) = (700.0, 2500.0);
-/// Step of the online fit: slow enough to ride out noise, fast enough to settle within a minute.
-const FIT_STEP: f64 = 0.08;
 /// Weight of the newest sample in speed ratios and other moving averages.
 const BLEND: f64 = 0.15;
 /// Seconds an unused prefix entry is believed; readers evict at an unknown rate.
 const PREFIX_AGE_S: f64 = 120.0;
-/// A hit this much smaller than believed means that the reader has lost what it kept.
-const LOST_SHARE: f64 = 0.5;
-/// Seconds after which a load report no longer speaks for the present.
-const REPORT_AGE_S: f64 = 1.5;
-/// Seconds between probes of one server where reports come only on probes.
+/// Half-life, in seconds, of a server's own load report against the mean of its kind.
+const REPORT_HALF_S: f64 = 1.5;
+/// The same of a kind's mean report against the prior, and the weight of the newest report in it.
+const POOL: (f64, f64) = (5.0, 0.25);
+/// Prior of a report.
+const REPORT_PRIOR: Report = Report { load: 0.4, others: 0.3 };
+/// Seconds for which a report or a probe under way is fresh enough not to probe again.
 const PROBE_EVERY_S: f64 = 0.5;
+/// Servers probed for one choice: power of two choices; each probe costs as much as 0.3% of a request.
+const PROBES: usize = 2;
+/// Seconds that an arrival waits for its probes: a few round trips with a handshake.
+const ASK_WAIT_S: f64 = 0.015;
+/// Multiple of its age that a probe unanswered after that time stands for.
+const UNANSWERED: f64 = 4.0;
+/// Homes of a key: at least two, to halve a hot one; its share of traffic does not shrink with the fleet.
+const HOMES: (usize, f64) = (2, 0.25);
+/// Multiple of its read time that a read costs those behind it: spilled reads, uncached, feed a jam.
+const READ_CARE: f64 = 1.0;
+/// Weight of a mixed server as home against a reader.
+const MIXED_WEIGHT: f64 = 0.35;
+/// Load and seconds by which equals are spread over routers, and a key's next home must be quicker.
+const SPREAD: f64 = 0.05;
 /// Half-life, in seconds, of delay seen beyond prediction: about the time in which a queue turns over.
 const EXCESS_HALF_S: f64 = 0.7;
-/// The same for a cell's link, which carries fewer states.
-const LINK_HALF_S: f64 = 2.0;
-/// The same for delay beyond what was expected at admission.
-const SLIP_HALF_S: f64 = 2.0;
+/// The same for a cell's link, for delay beyond what was expected at admission, and for loss by failures.
+const FADE_HALF_S: f64 = 2.0;
 /// Multiple of an estimate that it may add, so that a place which looks free is still tried.
 const SLIP_MOST: f64 = 2.0;
 /// Seconds a failure costs beyond the time it took: the next attempt's way and wait.
 const FAILURE_COST_S: f64 = 0.1;
-/// Seconds that the certain failure of an answer that may not be tried again stands for.
-const UNSAFE_COST_S: f64 = 10.0;
-/// Weight of the newest outcome in a server's trouble score.
-const TROUBLE_BLEND: f64 = 0.3;
-/// Expected loss, and mean time lost by a failure, in seconds, above which a server gets trials only.
-const LOSS_BAR_S: (f64, f64) = (0.4, 0.2);
-/// Half-life, in seconds, of expected loss at a server that gets nothing sent.
-const LOSS_HALF_S: f64 = 3.0;
-/// Seconds between trials of a barred server: the first, doubled with each trial that fails, and the most.
-const TRIAL_EVERY_S: (f64, f64) = (1.0, 8.0);
+/// What a server's mean loss counts, as failures come in spells; and for what may not be tried again.
+const LOSS_CARE: f64 = 4.0;
+const UNSAFE_CARE: f64 = 40.0;
 /// Seconds of waiting that a full writer stands for, by share of its memory.
 const WRITER_LOAD_S: f64 = 0.2;
-/// Load by which another cell's writer must be lighter: a move costs a few points in a hundred.
-const CELL_MARGIN: f64 = 0.08;
-/// The same for another zone, where a token also takes several times as long.
-const ZONE_MARGIN: f64 = 0.15;
-/// Seconds by which another zone's reader must be quicker.
-const ZONE_READ_S: f64 = 0.03;
+/// Load by which another cell's writer must be lighter; twice for another zone's, or a mixed server.
+const CELL_MARGIN: f64 = 0.15;
 /// Seconds by which a writer that reads must be quicker than a reader: it slows its running answers.
 const WRITER_READ_S: f64 = 1.0;
 /// Seconds for which a server that said `full` is passed over.
 const FULL_PAUSE_S: f64 = 0.2;
 /// Writer load at which answers begin to wait for memory.
 const WRITER_FULL: f64 = 0.9;
-/// Prior of the mean time an answer runs, in which a writer's memory turns over.
+/// Mean time that an answer runs, in seconds, in which a writer's memory turns over.
 const TURNOVER_S: f64 = 5.0;
 /// Share of the output ceiling that an answer holds of memory in the mean of its run.
 const OUTPUT_SHARE: f64 = 0.2;
-/// Refuse when the first token is expected later than this multiple of its aim.
-const REFUSE_AT: f64 = 1.2;
-/// The same for traffic over its tenant's share, which is worth little.
-const REFUSE_OVER_AT: f64 = 0.35;
+/// Refuse when the first token is expected later than this multiple of its aim; over its tenant's share.
+const REFUSE_AT: (f64, f64) = (1.2, 0.35);
 /// Further attempts earned by one arrival, and the most that can be saved up.
-const RETRIES: (f64, f64) = (0.3, 20.0);
+const RETRIES: (f64, f64) = (0.4, 4.0);
+/// Seconds of a tenant's share, and requests beyond, that may come at once: few arrivals are a rough count.
+const SHARE_BURST: (f64, f64) = (2.0, 3.0);
 /// Share of the pin limit for which a state may wait for a writer.
 const HOLD_SHARE: f64 = 0.5;
-/// A time-out: multiple of the estimate, plus seconds. Long, since work that is dropped is work lost.
-const PATIENCE: (f64, f64) = (3.0, 3.0);
-/// Seconds past due after which an attempt is called back from a silent server; longer than a pause.
-const SILENCE_S: f64 = 1.0;
-/// Seconds between ticks.
-const TICK_S: f64 = 0.05;
+/// Share of the aim past due after which a silent server's attempt is called back: in time for another.
+const SILENCE_SHARE: f64 = 0.3;
 /// Share of the fall-over multiple that is used on the capacity a cold server surely has.
 const COLD_CARE: f64 = 0.8;
-/// Fall-over windows over which a cold server's budget is kept exactly; within one it is rounded up.
-const COLD_MEMORY: f64 = 3.0;
+/// Part of it for those that a cold server is first choice for (its keys, its cell); the rest is for others.
+const COLD_NEAR: f64 = 0.75;
 
 // ---- 2 what is known of a server ------------------------------------------------------------------
 
@@ -93,12 +92,17 @@
     link: Option<u16>, // The reader's cell, where the state crosses that cell's link.
 }
 
-/// The last load report.
-struct Seen {
-    at: f64,
+#[derive(Clone, Copy, Default)]
+struct Report {
     load: f64,   // Share of memory or slots in use, the larger.
     others: f64, // Requests of other dispatchers that wait or run.
-    own_tokens: f64,
+}
+
+impl Report {
+    fn blend(self, old: Report, w: f64) -> Report {
+        let mean = |new: f64, old: f64| w * new + (1.0 - w) * old;
+        Report { load: mean(self.load, old.load), others: mean(self.others, old.others) }
+    }
 }
 
 #[derive(Default)]
@@ -108,46 +112,25 @@
     memory: f64,
     pending: BTreeMap<RequestId, Pending>,
     streams: BTreeMap<RequestId, f64>,
-    trouble: f64, // Share of late outcomes that failed.
-    lost_s: f64,  // Mean time that its failures took.
-    last_trial: f64,
-    trial_gap: f64,
+    loss: (f64, f64),   // Mean time lost by failures of late, and when it was seen.
     heard: f64,         // When anything was last heard of it.
     excess: (f64, f64), // Delay beyond prediction, and when it was seen.
     pace: f64,          // Time taken against the fit, over both stages' own samples.
-    seen: Option<Seen>,
+    report: Report,
+    seen_at: f64, // When that report came, and the tokens that this router held there then.
+    seen_tokens: f64,
     full_until: f64,
-    next_probe: f64,
-    recent: VecDeque<f64>, // Times of the sends within the cold rule's window.
+    probed_at: f64,
+    probe_out: bool,
 }
 
 impl Server {
-    fn new(entry: ServerEntry, kind: &KindSettings, now: f64) -> Self {
-        let memory = kind.memory_tokens.max(1.0);
-        Server { entry, role: kind.role, memory, pace: 1.0, next_probe: now, ..Server::default() }
-    }
-
-    /// One outcome: 0 good, 1 bad.
-    fn mark(&mut self, now: f64, bad: f64, took: f64) {
-        self.lost_s += bad * 0.5 * (sane(took) - self.lost_s);
-        if bad == 0.0 {
-            (self.heard, self.trial_gap) = (now, TRIAL_EVERY_S.0);
-        } else if self.costly() {
-            self.trial_gap = (2.0 * self.trial_gap).clamp(TRIAL_EVERY_S.0, TRIAL_EVERY_S.1);
-        }
-        self.trouble += TROUBLE_BLEND * (bad - self.trouble);
-    }
-
-    /// Seconds that its failures (errors, resets, silence alike) add to an attempt: quick ones empty a queue
-    /// and would make it look the best choice, yet lose little of a read, so that it still takes some load.
-    fn loss_s(&self) -> f64 {
-        self.trouble / (1.05 - self.trouble) * (self.lost_s + FAILURE_COST_S)
-    }
-
-    /// Whether it is worth trials only: its failures take long. One that fails at once is priced instead, as
-    /// the state still waits and the next server is a moment away: shut out, it would jam the others.
-    fn costly(&self) -> bool {
-        self.loss_s() > LOSS_BAR_S.0 && self.lost_s > LOSS_BAR_S.1
+    /// One outcome. A failure is priced by the time it loses, as quick ones leave a short queue; it fades.
+    fn mark(&mut self, now: f64, bad: bool, took: f64) {
+        self.heard = if bad { self.heard } else { now };
+        let lost = if bad { sane(took) + FAILURE_COST_S } else { 0.0 };
+        let before = fade(self.loss, now, FADE_HALF_S);
+        self.loss = (before + 2.0 * BLEND * (lost - before), now);
     }
 
     fn own_tokens(&self) -> f64 {
@@ -158,14 +141,10 @@
         fade(self.excess, now, EXCESS_HALF_S)
     }
 
-    /// Age beyond its due time of the oldest own attempt that has not been heard of. A paused, slow, dead
-    /// or cut-off server shows first as this, whatever the cause; it harms a server only while it is late.
+    /// Age past due of own attempts or probes: a paused, slow, dead or cut-off server shows first as this.
     fn overdue(&self, now: f64) -> f64 {
-        self.late(now, None)
-    }
-
-    fn sends_since(&self, then: f64) -> f64 {
-        self.recent.iter().filter(|&&t| t > then).count() as f64
+        let age = if self.probe_out { now - self.probed_at } else { 0.0 };
+        self.late(now, None).max(if age < 0.9 * ASK_WAIT_S { 0.0 } else { UNANSWERED * age })
     }
 
     /// The oldest own attempt's age beyond its due time, of those over a cell's link or over none.
@@ -173,33 +152,8 @@
         self.pending.values().filter(|p| p.link == link).map(|p| now - p.due).fold(0.0, f64::max)
     }
 
-    fn report(&self, now: f64) -> Option<&Seen> {
-        self.seen.as_ref().filter(|s| now - s.at < REPORT_AGE_S)
-    }
-}
-
-/// Online linear fit of the read time for one kind of server.
-struct Fit([f64; 3]);
-
-impl Fit {
-    fn features(uncached: f64, total: f64) -> [f64; 3] {
-        [1.0, uncached / 1000.0, total / 1000.0]
-    }
-
-    fn predict(&self, uncached: f64, total: f64) -> f64 {
-        let x = Self::features(uncached, total);
-        self.0.iter().zip(x).map(|(w, x)| w * x).sum::<f64>().max(0.001)
-    }
-
-    /// Surprises upwards are mostly other traffic's queue, so that they pull less than those downwards.
-    fn learn(&mut self, uncached: f64, total: f64, took: f64) {
-        let x = Self::features(uncached, total);
-        let guess = self.predict(uncached, total);
-        let err = (took - guess).clamp(-guess, guess);
-        let step = FIT_STEP * if err > 0.0 { 0.4 } else { 1.0 } * err / x.iter().map(|v| v * v).sum::<f64>();
-        for (w, x) in self.0.iter_mut().zip(x) {
-            *w = (*w + step * x).clamp(0.0, 2.0);
-        }
+    fn ready(&self) -> bool {
+        self.entry.standing == Standing::Ready
     }
 }
 
@@ -207,12 +161,10 @@
 
 #[derive(Clone, Copy, Default, PartialEq)]
 enum Stage {
-    Out, // An attempt is out whose server reads, writes or does both.
-    Held {
-        since: f64,
-    }, // A state waits at this reader and no attempt is out.
-    Streaming, // The answer runs; it is the client's.
-    /// Nothing is out and nothing is held.
+    Out,
+    Held(f64),   // Since then, a state waits at a reader and no attempt is out.
+    Asking(f64), // Until then, probes are out for the choice of a reader.
+    Streaming,
     #[default]
     Idle,
 }
@@ -226,13 +178,14 @@
     at: ServerId, // Server of the attempt that is out, or that streams, and when it was sent.
     sent: f64,
     state_at: Option<ServerId>, // The reader that holds the state.
-    believed_hit: f64,
-    queue_s: f64,
-    failed_at: Vec<ServerId>, // Servers that failed it.
+    queue_s: f64,               // As estimated when it was sent to be read.
+    read_s: f64,
+    asked: Vec<ServerId>, // Servers whose probes it waits for.
     /// The first attempt that may have had an effect: server and time of sending.
     may_have_run: Option<(ServerId, f64)>,
     over: bool, // The final answer is given; only an outcome is waited for.
     first_after: f64,
+    late_s: f64,   // Longest first-token time at which it is still taken.
     promised: f64, // When its first token was expected, at admission.
 }
 
@@ -240,29 +193,42 @@
     server: ServerId,
     queue_s: f64,
     read_s: f64,
-    hit: f64,
-    total_s: f64,
+    total_s: f64, // The first-token time.
+    price_s: f64, // The same with what it costs elsewhere.
 }
 
-/// Prefix table key: sessions and shared prefixes have number spaces of their own.
-type PrefixKey = (bool, u64);
+#[derive(Default)]
+struct Cell {
+    writers: f64,
+    wait: Option<f64>, // Least wait at its writers.
+    link: f64,         // Delay of states over its link.
+}
+
+/// What the candidates of one decision share, worked out once for it.
+#[derive(Default)]
+struct Scene {
+    cells: BTreeMap<u16, Cell>,
+    all: Cell,
+    readers: f64,
+    homes: usize, // Number of homes that a key has.
+}
+
+type PrefixKey = (bool, u64); // Whether it is a session's.
 
-/// One dispatcher's decisions.
 pub struct Router {
     set: Settings,
     seed: u64,
     servers: BTreeMap<ServerId, Server>,
     jobs: BTreeMap<RequestId, Job>,
     prefixes: BTreeMap<PrefixKey, BTreeMap<ServerId, (f64, f64)>>,
-    fits: Vec<Fit>,
+    /// Per kind: mean of its servers' reports, and when it was last told.
+    pools: Vec<(Report, f64)>,
     /// Per cell: delay of states over its link beyond prediction, and when it was seen.
     links: BTreeMap<u16, (f64, f64)>,
-    turnover_s: f64,            // Mean time that answers run.
+    typical: (f64, f64),        // Mean uncached and total tokens of a read.
     allowance: Vec<(f64, f64)>, // Per tenant: requests in hand within the share, and when counted.
     lateness: (f64, f64),       // Mean first-token delay beyond promise, and when it was seen.
     retries: f64,
-    ticking: bool,
-    next_sweep: f64,
 }
 
 fn mix(a: u64, b: u64) -> u64 {
@@ -271,24 +237,24 @@
     z ^ (z >> 32)
 }
 
-/// A value seen some time ago, faded by its half-life.
 fn fade((value, at): (f64, f64), now: f64, half_s: f64) -> f64 {
     value * 0.5f64.powf((now - at).max(0.0) / half_s)
 }
 
+fn wake(id: RequestId, at: f64, out: &mut Vec<Action>) {
+    out.push(Action::SetTimer { at, label: u64::from(id) });
+}
+
 fn sane(v: f64) -> f64 {
     Some(v).filter(|v| v.is_finite() && *v > 0.0).unwrap_or(0.0)
 }
 
-const TICK_LABEL: u64 = u64::MAX;
-
 // ---- 4 entry and events ---------------------------------------------------------------------------
 
 impl Router {
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let slower = |k: &KindSettings| if k.role == Role::Writer { 3.0 } else { 1.0 };
         Router {
-            fits: settings.kinds.iter().map(|k| Fit(READ_PRIOR.map(|w| w * slower(k)))).collect(),
+            pools: vec![(REPORT_PRIOR, 0.0); settings.kinds.len()],
             allowance: vec![(f64::INFINITY, 0.0); settings.tenants.len()],
             set: settings,
             seed,
@@ -296,21 +262,19 @@
             jobs: BTreeMap::new(),
             prefixes: BTreeMap::new(),
             links: BTreeMap::new(),
-            turnover_s: TURNOVER_S,
+            typical: TYPICAL_TOKENS,
             lateness: (0.0, 0.0),
-            retries: RETRIES.1 / 2.0,
-            ticking: false,
-            next_sweep: 0.0,
+            retries: RETRIES.1,
         }
     }
 
     /// Takes one event at clock time `now` and appends what is to be done.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::Servers { form, entries } => self.on_list(now, form, entries, out),
+            Event::Servers { form, entries } => self.on_list(form, entries, out),
             Event::Arrival(ask) => self.on_arrival(now, ask, out),
-            Event::FirstToken { request, server, elapsed_s: t, .. } => {
-                self.on_first_token(now, request, server, t)
+            Event::FirstToken { request: id, server, elapsed_s: t, .. } => {
+                self.on_first_token(now, id, server, t)
             }
             Event::AttemptEnded(end) => self.on_end(now, end, out),
             Event::ClientGone { request } => {
@@ -320,16 +284,15 @@
             Event::Timer { label } => self.on_timer(now, label, out),
             Event::ProbeEnded { server, outcome, elapsed_s, report } => {
                 self.take_report(now, server, &report);
-                self.on_probe(now, server, outcome, elapsed_s);
+                self.on_probe(now, server, outcome, elapsed_s, out);
             }
             Event::PlaceAnswer { .. } | Event::PeerMessage { .. } => {}
         }
-        self.keep_ticking(now, out);
     }
 
     // ---- 5 the server list ------------------------------------------------------------------------
 
-    fn on_list(&mut self, now: f64, form: ListForm, entries: Vec<ServerEntry>, out: &mut Vec<Action>) {
+    fn on_list(&mut self, form: ListForm, entries: Vec<ServerEntry>, out: &mut Vec<Action>) {
         if self.set.must_subscribe && matches!(form, ListForm::Cached | ListForm::Failed) {
             out.push(Action::Subscribe);
         }
@@ -341,180 +304,196 @@
             self.servers.values_mut().filter(missing).for_each(|s| s.entry.standing = Standing::Gone);
         }
         for entry in entries {
-            self.on_entry(now, entry);
+            self.on_entry(entry);
         }
         let idle = |s: &Server| s.pending.is_empty() && s.streams.is_empty();
         self.servers.retain(|_, s| s.entry.standing != Standing::Gone || !idle(s));
     }
 
-    fn on_entry(&mut self, now: f64, mut entry: ServerEntry) {
+    fn on_entry(&mut self, mut entry: ServerEntry) {
         let Some(kind) = self.set.kinds.get(usize::from(entry.kind)) else { return };
         entry.weight = if sane(entry.weight) > 0.0 { entry.weight } else { 1.0 };
         entry.booted_at = sane(entry.booted_at);
-        let (id, fresh) = (entry.id, Server::new(entry.clone(), kind, now));
+        let (id, memory) = (entry.id, kind.memory_tokens.max(1.0));
+        let fresh = Server { entry: entry.clone(), role: kind.role, memory, pace: 1.0, ..Server::default() };
         let server = match self.servers.remove(&id) {
             Some(old) if old.entry.booted_at == entry.booted_at => Server { entry, ..old },
-            Some(old) => {
-                self.forget(id); // A new process: what the old one kept and how it behaved is gone.
-                Server { pending: old.pending, streams: old.streams, ..fresh }
-            }
+            // A new process: what the old one kept and how it behaved is gone.
+            Some(old) => Server { pending: old.pending, streams: old.streams, ..fresh },
             None => fresh,
         };
         self.servers.insert(id, server);
     }
 
-    /// Drops all that the prefix table credits to a server.
-    fn forget(&mut self, id: ServerId) {
-        self.prefixes.retain(|_, held| {
-            held.remove(&id);
-            !held.is_empty()
-        });
-    }
-
     // ---- 6 first-token estimates and the prefix table ----------------------------------------------
 
     fn keys(ask: &Request) -> [(PrefixKey, f64); 2] {
         [((true, ask.session), ask.prompt_tokens), ((false, ask.prefix), ask.prefix_tokens)]
     }
 
-    /// Home of a key not known to be held: the highest hash over the readers of this zone, else over all.
-    fn home(&self, now: f64, ask: &Request) -> Option<ServerId> {
-        let key = if ask.prefix != 0 { ask.prefix } else { ask.session };
-        let ready = |s: &&Server| s.role == Role::Reader && s.entry.standing == Standing::Ready;
-        let warm = self.servers.values().filter(ready).filter(|s| self.capacity(s, now) >= 1.0);
-        let rank = |e: &&ServerEntry| (e.zone == self.set.zone, mix(key, u64::from(e.id)));
-        warm.map(|s| &s.entry).max_by_key(rank).map(|e| e.id)
+    /// Homes of a request's key: the best ranks among the readers of this zone, else of all; the same at all
+    /// routers. The session orders them, so that its next turn finds what it left.
+    fn homes(&self, now: f64, job: &Job, scene: &Scene) -> Vec<ServerId> {
+        let key = if job.ask.prefix != 0 { job.ask.prefix } else { job.ask.session };
+        let mut best: Vec<(bool, f64, ServerId)> = Vec::new();
+        for s in self.servers.values().filter(|s| s.role != Role::Writer && s.ready()) {
+            let id = s.entry.id;
+            let weight = if s.role == Role::Mixed { MIXED_WEIGHT } else { 1.0 };
+            let draw = (mix(key, u64::from(id)) >> 11) as f64 / (1u64 << 53) as f64;
+            let rank = (s.entry.zone != self.set.zone, -draw.max(1e-12).ln() / weight, id);
+            let at = best.partition_point(|b| b.0.cmp(&rank.0).then(b.1.total_cmp(&rank.1)).is_le());
+            if at < scene.homes && self.cold_turn(s, job, scene, true, now) {
+                best.insert(at, rank);
+                best.truncate(scene.homes);
+            }
+        }
+        best.sort_by_key(|b| (b.0, mix(job.ask.session, u64::from(b.2))));
+        best.into_iter().map(|b| b.2).collect()
     }
 
-    fn known_hit(&self, id: ServerId, ask: &Request) -> f64 {
-        let held =
-            |(key, most)| self.prefixes.get(&key).and_then(|h| h.get(&id)).map_or(0.0, |h| h.0.min(most));
+    fn known_hit(&self, s: &Server, ask: &Request) -> f64 {
+        let held = |(key, most)| {
+            let read = self.prefixes.get(&key).and_then(|h| h.get(&s.entry.id));
+            read.filter(|h| h.1 > s.entry.booted_at).map_or(0.0, |h: &(f64, f64)| h.0.min(most))
+        };
         Self::keys(ask).into_iter().map(held).fold(0.0, f64::max)
     }
 
-    /// Other dispatchers' reads at a server, in seconds: the last report where there is one, else this
-    /// router's own share scaled by their number; or delay lately seen beyond prediction, if larger.
-    fn others_s(&self, s: &Server, own_s: f64, now: f64) -> f64 {
-        let mean = self.typical_read(s) * s.pace;
-        let scaled = own_s * f64::from(self.set.dispatchers - 1) * 0.5;
-        s.report(now).map_or(scaled, |seen| seen.others * mean).max(s.excess(now))
+    fn pool(&self, s: &Server, now: f64) -> Report {
+        let (mean, at) = self.pools[usize::from(s.entry.kind)];
+        mean.blend(REPORT_PRIOR, fade((1.0, at), now, POOL.0))
+    }
+
+    /// The last report, weighed by age against its kind's mean; without any, own part times dispatchers.
+    fn report(&self, s: &Server, now: f64) -> Report {
+        let (own, many) = (s.own_tokens() / s.memory, f64::from(self.set.dispatchers));
+        if self.set.report_mode == ReportMode::Off {
+            return Report { load: own * many, others: s.pending.len() as f64 * (many - 1.0) * 0.5 };
+        }
+        let load = (s.report.load + own - s.seen_tokens / s.memory).max(0.0);
+        let seen = Report { load, ..s.report };
+        seen.blend(self.pool(s, now), fade((1.0, s.seen_at), now, REPORT_HALF_S))
     }
 
-    fn typical_read(&self, s: &Server) -> f64 {
-        self.fits[usize::from(s.entry.kind)].predict(TYPICAL_TOKENS.0, TYPICAL_TOKENS.1)
+    /// Other dispatchers' reads at a server, in seconds; or delay lately seen beyond prediction, if larger.
+    fn others_s(&self, s: &Server, now: f64) -> f64 {
+        let reads = if s.role == Role::Reader { self.report(s, now).others } else { 0.0 };
+        (reads * self.read_s(s, self.typical.0, self.typical.1)).max(s.excess(now))
     }
 
-    fn estimate(&self, s: &Server, job: &Job, home: Option<ServerId>, now: f64) -> Estimate {
+    /// Read time at a warm server: the prior for uncached and all tokens, times the pace that it has shown.
+    fn read_s(&self, s: &Server, uncached: f64, total: f64) -> f64 {
+        let [base, fresh, kept] = READ_PRIOR;
+        let slower = if s.role == Role::Writer { WRITER_READS } else { 1.0 };
+        (base + fresh * uncached / 1000.0 + kept * total / 1000.0) * slower * s.pace
+    }
+
+    fn estimate(&self, s: &Server, job: &Job, homes: &[ServerId], scene: &Scene, now: f64) -> Estimate {
         let ask = &job.ask;
-        let known = self.known_hit(s.entry.id, ask);
+        let home = homes.iter().position(|h| *h == s.entry.id);
+        let capacity = self.capacity(s, now);
         let at_home =
-            home.filter(|h| *h == s.entry.id).map(|_| ask.prefix_tokens.max(0.1 * ask.prompt_tokens));
-        let hit = known.max(at_home.unwrap_or(0.0)).min((ask.prompt_tokens - 1.0).max(0.0));
-        let slow = s.pace / self.capacity(s, now);
-        let fit = &self.fits[usize::from(s.entry.kind)];
-        let read_s = fit.predict(ask.prompt_tokens - hit, ask.prompt_tokens) * slow;
+            home.filter(|_| capacity >= 1.0).map_or(0.0, |_| ask.prefix_tokens.max(0.1 * ask.prompt_tokens));
+        let hit = self.known_hit(s, ask).max(at_home).min((ask.prompt_tokens - 1.0).max(0.0));
+        let read_s = self.read_s(s, ask.prompt_tokens - hit, ask.prompt_tokens) / capacity;
         let own_s = s.pending.values().map(|p| p.work_s).sum::<f64>();
-        let queue_s = own_s + self.others_s(s, own_s, now) + s.overdue(now);
-        let far = if s.entry.zone == self.set.zone { 0.0 } else { ZONE_READ_S };
-        let whole = s.role != Role::Reader;
-        let far = far + if s.role == Role::Writer { WRITER_READ_S } else { 0.0 };
-        let write = if whole { self.write_wait(self.load(s, now)) } else { self.lightest_wait(s, now) };
-        let total_s = queue_s + read_s + far + write + self.risk_s(s, job, now);
-        Estimate { server: s.entry.id, queue_s, read_s, hit: known, total_s }
+        let queue_s = own_s + self.others_s(s, now) + s.overdue(now);
+        let far = if s.entry.zone == self.set.zone { 0.0 } else { 2.0 * CELL_MARGIN * WRITER_LOAD_S };
+        let (write, dear) = match s.role {
+            Role::Reader => (scene.lightest_wait(s), 0.0),
+            Role::Writer => (self.write_wait(s, now), WRITER_READ_S),
+            Role::Mixed => (self.write_wait(s, now), 0.0),
+        };
+        let total_s = queue_s + read_s + write + self.risk_s(s, job, now);
+        let step = home.map_or(2.0 + self.draw(job, s), |h| h as f64) * SPREAD;
+        let price_s = total_s + (READ_CARE + self.pool(s, now).others) * read_s + far + dear + step;
+        Estimate { server: s.entry.id, queue_s, read_s, total_s, price_s }
+    }
+
+    fn draw(&self, job: &Job, s: &Server) -> f64 {
+        (mix(mix(self.seed, u64::from(job.ask.id)), u64::from(s.entry.id)) >> 40) as f64 / (1u64 << 24) as f64
+    }
+
+    fn scene(&self, now: f64) -> Scene {
+        let mut scene = Scene::default();
+        for (cell, seen) in &self.links {
+            scene.cells.entry(*cell).or_default().link = fade(*seen, now, FADE_HALF_S);
+        }
+        for s in self.servers.values() {
+            for link in s.pending.values().filter_map(|p| p.link) {
+                let cell = scene.cells.entry(link).or_default();
+                cell.link = cell.link.max(s.late(now, Some(link)));
+            }
+            if s.ready() && s.role == Role::Writer {
+                let wait = self.write_wait(s, now) + s.overdue(now) + s.excess(now);
+                for cell in [&mut scene.all, scene.cells.entry(s.entry.cell).or_default()] {
+                    cell.writers += 1.0;
+                    cell.wait = Some(cell.wait.map_or(wait, |least| least.min(wait)));
+                }
+            }
+        }
+        let reads = |s: &&Server| s.role == Role::Reader && s.ready();
+        let in_zone = |s: &&Server| s.entry.zone == self.set.zone;
+        scene.readers = self.servers.values().filter(reads).count() as f64;
+        let own = self.servers.values().filter(reads).filter(in_zone).count() as f64;
+        scene.homes = HOMES.0.max((own * HOMES.1).round() as usize);
+        scene
     }
 
     fn risk_s(&self, s: &Server, job: &Job, now: f64) -> f64 {
         let once = self.class(job).effect == Effect::Unsafe && s.role != Role::Reader;
-        let again = if job.failed_at.contains(&s.entry.id) { FAILURE_COST_S } else { 0.0 };
-        // A trial that is due goes at no price; other losses fade, so that nobody is priced out for good.
-        let trial = s.costly() && now - s.last_trial >= s.trial_gap;
-        let loss = if trial { 0.0 } else { fade((s.loss_s(), s.last_trial), now, LOSS_HALF_S) };
-        again + loss + if once { s.trouble * UNSAFE_COST_S } else { 0.0 }
+        let again = if job.attempts > 0 && job.at == s.entry.id { FAILURE_COST_S } else { 0.0 };
+        let loss = fade(s.loss, now, FADE_HALF_S);
+        again + loss * if once { UNSAFE_CARE } else { LOSS_CARE }
     }
 
     /// The mechanism: the lowest estimated first-token time among readers and mixed servers.
     fn best_reader(&self, job: &Job, now: f64) -> Option<Estimate> {
-        let known = |(key, _): (PrefixKey, f64)| key.1 != 0 && self.prefixes.contains_key(&key);
-        let seen = Self::keys(&job.ask).into_iter().any(known);
-        let home = if seen { None } else { self.home(now, &job.ask) };
-        let price = |s: &Server| {
-            let e = self.estimate(s, job, home, now);
-            (e.total_s, e)
-        };
+        let scene = self.scene(now);
+        let homes = self.homes(now, job, &scene);
         let whole = self.set.writers_read && self.class(job).effect != Effect::Unsafe;
-        let not = if whole { None } else { Some(Role::Writer) };
-        self.cheapest(job, now, not, price)
-    }
-
-    /// The usable server of the least price; barred ones when nothing else is left: never exclude everybody.
-    fn cheapest<T>(
-        &self,
-        job: &Job,
-        now: f64,
-        not: Option<Role>,
-        price: impl Fn(&Server) -> (f64, T),
-    ) -> Option<T> {
-        let fits = |s: &&Server| Some(s.role) != not && self.usable(s, job, now);
-        let rank = |s: &Server| (self.barred(s, job, now), price(s));
-        let least =
-            |a: &(bool, (f64, T)), b: &(bool, (f64, T))| a.0.cmp(&b.0).then(a.1 .0.total_cmp(&b.1 .0));
-        self.servers.values().filter(fits).map(rank).min_by(least).map(|r| r.1 .1)
+        let may = |s: &&Server| {
+            (whole || s.role != Role::Writer)
+                && self.usable(s, job, now)
+                && self.cold_turn(s, job, &scene, homes.contains(&s.entry.id), now)
+        };
+        let estimates = self.servers.values().filter(may).map(|s| self.estimate(s, job, &homes, &scene, now));
+        estimates.min_by(|a, b| a.price_s.total_cmp(&b.price_s))
     }
 
     // ---- 7 writers --------------------------------------------------------------------------------
 
-    /// Load of a writer: the last report plus what was sent since, or own streams scaled by the number of
-    /// dispatchers; in shares of memory, or of slots where those are scarcer.
     fn load(&self, s: &Server, now: f64) -> f64 {
-        let own = s.own_tokens();
-        let since = |seen: &Seen| (seen.load + (own - seen.own_tokens) / s.memory).max(own / s.memory);
-        let scaled = own * f64::from(self.set.dispatchers) / s.memory;
-        s.report(now).map_or(scaled, since) / self.capacity(s, now)
+        self.report(s, now).load.max(s.own_tokens() / s.memory) / self.capacity(s, now)
     }
 
-    /// Seconds that an answer would wait at a writer's load: little, until memory or slots run out.
-    fn write_wait(&self, load: f64) -> f64 {
-        load * WRITER_LOAD_S + (load - WRITER_FULL).max(0.0) * self.turnover_s
-    }
-
-    /// Delay seen on a cell's link, or the age of an overdue move over it. Far moves are laid at the link,
-    /// near ones at the writer: a slow link keeps traffic in its cell and bars no writer. Harm: a slow writer
-    /// that gets far moves alone makes a link look slow for some seconds.
-    fn link_delay(&self, cell: u16, now: f64) -> f64 {
-        let seen = self.links.get(&cell).map_or(0.0, |l| fade(*l, now, LINK_HALF_S));
-        self.servers.values().map(|s| s.late(now, Some(cell))).fold(seen, f64::max)
-    }
-
-    /// The least wait for a first token that a read at a server can count on.
-    fn lightest_wait(&self, from: &Server, now: f64) -> f64 {
-        let link = self.link_delay(from.entry.cell, now);
-        let writes = |s: &&Server| s.role == Role::Writer && s.entry.standing == Standing::Ready;
-        let wait = |s: &Server| {
-            let far = if s.entry.cell == from.entry.cell { 0.0 } else { link };
-            self.write_wait(self.load(s, now)) + s.overdue(now) + s.excess(now) + far
-        };
-        self.servers.values().filter(writes).map(wait).min_by(f64::total_cmp).unwrap_or(0.0)
+    /// Seconds that an answer waits: little until memory runs out, then for the queue's turnover.
+    fn write_wait(&self, s: &Server, now: f64) -> f64 {
+        let load = self.load(s, now);
+        let queued = self.report(s, now).others * self.typical.1 / s.memory / self.capacity(s, now);
+        load * WRITER_LOAD_S + ((load - WRITER_FULL).max(0.0) + queued) * TURNOVER_S
     }
 
     fn best_writer(&self, job: &Job, now: f64) -> Option<ServerId> {
         let from = job.state_at.and_then(|id| self.servers.get(&id)).map(|s| (s.entry.cell, s.entry.zone));
-        let link = from.map_or(0.0, |(cell, _)| self.link_delay(cell, now));
-        let writers = || self.servers.values().filter(|s| s.role == Role::Writer).map(|s| s.entry.weight);
-        let mean = writers().sum::<f64>() / writers().count().max(1) as f64;
+        let scene = self.scene(now);
+        let link = from.and_then(|(cell, _)| scene.cells.get(&cell)).map_or(0.0, |c| c.link);
+        let near = |s: &Server| from.is_some_and(|(cell, _)| cell == s.entry.cell);
         let price = |s: &Server| {
             let apart = match from {
                 Some((cell, _)) if cell == s.entry.cell => 0.0,
-                Some((_, zone)) if zone != s.entry.zone => ZONE_MARGIN + link,
+                Some((_, zone)) if zone != s.entry.zone => 2.0 * CELL_MARGIN + link,
                 _ => CELL_MARGIN + link,
             };
-            let (size, mixed) = if s.role == Role::Mixed { (1.0, 0.3) } else { (s.entry.weight / mean, 0.0) };
-            let tie = (mix(self.seed ^ u64::from(job.ask.id), u64::from(s.entry.id)) % 1000) as f64 * 1e-5;
+            let mixed = if s.role == Role::Mixed { 2.0 * CELL_MARGIN } else { 0.0 };
             let delay = s.overdue(now) + s.excess(now) + self.risk_s(s, job, now);
-            let load = self.load(s, now);
-            let price = load / size + self.write_wait(load) + delay + apart + mixed + tie;
-            (price, s.entry.id)
+            self.load(s, now) + self.write_wait(s, now) + delay + apart + mixed + SPREAD * self.draw(job, s)
         };
-        self.cheapest(job, now, Some(Role::Reader), price)
+        let may = |s: &&Server| {
+            s.role != Role::Reader && self.usable(s, job, now) && self.cold_turn(s, job, &scene, near(s), now)
+        };
+        let priced = self.servers.values().filter(may).map(|s| (price(s), s.entry.id));
+        priced.min_by(|a, b| a.0.total_cmp(&b.0)).map(|best| best.1)
     }
 
     // ---- 8 admission ------------------------------------------------------------------------------
@@ -525,39 +504,76 @@
         ask.prefix_tokens = sane(ask.prefix_tokens).min(ask.prompt_tokens);
         ask.max_output_tokens = sane(ask.max_output_tokens).max(1.0);
         let (id, left) = (ask.id, sane(ask.time_left_s));
-        let class = &self.set.classes[usize::from(ask.class)];
-        let aim = class.ttft_aim_s + class.ttft_aim_per_token_s * ask.prompt_tokens;
+        let aim = self.aim(&ask);
         let over = self.over_share(now, ask.tenant);
-        let job = Job { ask, deadline: now + left, ..Job::default() };
+        let late_s = (aim * if over { REFUSE_AT.1 } else { REFUSE_AT.0 }).min(left);
+        let job = Job { ask, deadline: now + left, late_s, promised: now + aim, ..Job::default() };
         self.retries = (self.retries + RETRIES.0).min(RETRIES.1);
-        let late = if over { aim * REFUSE_OVER_AT } else { aim * REFUSE_AT };
-        let guess = self.best_reader(&job, now);
-        let slip = self.slip(now).min(SLIP_MOST * guess.as_ref().map_or(0.0, |e| e.total_s));
-        let promised = now + guess.as_ref().map_or(0.0, |e| e.total_s);
-        self.jobs.insert(id, Job { promised, ..job });
-        let at = now + (left - 2.0 * self.set.tick_s).max(0.0);
-        out.push(Action::SetTimer { at, label: u64::from(id) });
+        let homes = self.homes(now, &job, &self.scene(now));
+        self.jobs.insert(id, job);
+        wake(id, now + (left - 2.0 * self.set.tick_s).max(0.0), out);
+        let asked = self.probe(now, homes.into_iter(), out);
+        if asked.is_empty() || left < 10.0 * ASK_WAIT_S {
+            return self.place(now, id, out);
+        }
+        let until = now + ASK_WAIT_S;
+        self.jobs.entry(id).and_modify(|j| (j.stage, j.asked) = (Stage::Asking(until), asked));
+        wake(id, until, out);
+    }
+
+    fn place(&mut self, now: f64, id: RequestId, out: &mut Vec<Action>) {
+        self.jobs.entry(id).and_modify(|j| j.stage = Stage::Idle);
+        let Some(job) = self.jobs.get(&id) else { return };
+        let guess = self.best_reader(job, now);
+        let total_s = guess.as_ref().map_or(0.0, |e| e.total_s);
+        let slip = self.slip(now).min(SLIP_MOST * total_s);
+        let late_s = job.late_s;
+        self.jobs.entry(id).and_modify(|j| j.promised = now + total_s);
         match guess {
-            Some(e) if e.total_s + slip <= late.min(left) => self.send_read(now, id, e, out),
-            Some(e) => self.give_up(id, (e.total_s + slip - late).max(0.2), out),
+            Some(e) if e.total_s + slip <= late_s => self.send_read(now, id, e, out),
+            Some(e) => self.give_up(id, (e.total_s + slip - late_s).max(0.2), out),
             None => self.give_up(id, 1.0, out),
         }
     }
 
-    /// Seconds by which first tokens come later than was expected at admission: as seen of late, or the mean
-    /// age past it of those that wait. Corrects the estimate for whatever it does not see (other routers'
-    /// traffic, an unknown trouble). Harm: refuses some that a healthy part of the fleet could have served.
+    /// Probes the first few of which nothing fresh is known; returns those asked. Tied to a choice at hand:
+    /// many routers probing by the clock would load the fleet for nothing.
+    fn probe(&mut self, now: f64, of: impl Iterator<Item = u32>, out: &mut Vec<Action>) -> Vec<ServerId> {
+        let pays = self.set.report_mode != ReportMode::Off && self.set.limits.may_probe;
+        let mut asked = Vec::new();
+        for id in of.take(if pays { PROBES } else { 0 }) {
+            let Some(s) = self.servers.get_mut(&id) else { continue };
+            if now - s.seen_at.max(s.probed_at) > PROBE_EVERY_S {
+                (s.probed_at, s.probe_out) = (now, true);
+                out.push(Action::Probe { server: id });
+                asked.push(id);
+            }
+        }
+        asked
+    }
+
+    /// Probes a few writers that a read's state may go to, its own cell's first, while it is read.
+    fn probe_writers(&mut self, now: f64, id: RequestId, reader: ServerId, out: &mut Vec<Action>) {
+        let (Some(job), Some(from)) = (self.jobs.get(&id), self.servers.get(&reader)) else { return };
+        let writes = |s: &&Server| s.role == Role::Writer && s.ready() && from.role == Role::Reader;
+        let rank = |s: &Server| (s.entry.cell != from.entry.cell, self.draw(job, s), s.entry.id);
+        let mut few: Vec<_> = self.servers.values().filter(writes).map(rank).collect();
+        few.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        self.probe(now, few.into_iter().map(|w| w.2), out);
+    }
+
+    /// How late first tokens come against the estimate at admission, whatever the cause. Harm: over-refusal.
     fn slip(&self, now: f64) -> f64 {
-        let waits = |j: &&Job| !j.over && j.stage != Stage::Streaming;
+        let waits = |j: &&Job| !j.over && matches!(j.stage, Stage::Out | Stage::Held(_));
         let ages = || self.jobs.values().filter(waits).map(|j| (now - j.promised).max(0.0));
-        fade(self.lateness, now, SLIP_HALF_S).max(ages().sum::<f64>() / ages().count().max(1) as f64)
+        fade(self.lateness, now, FADE_HALF_S).max(ages().sum::<f64>() / ages().count().max(1) as f64)
     }
 
     /// Whether a tenant's traffic here runs above this router's part of its share.
     fn over_share(&mut self, now: f64, tenant: u32) -> bool {
         let Some(slot) = self.allowance.get_mut(tenant as usize) else { return false };
         let part = self.set.tenants[tenant as usize].quota_rps / f64::from(self.set.dispatchers);
-        let burst = (2.0 * part).max(1.0);
+        let burst = SHARE_BURST.0 * part + SHARE_BURST.1;
         let left = (slot.0 + (now - slot.1) * part).min(burst);
         *slot = ((left - 1.0).max(0.0), now);
         left < 1.0
@@ -569,15 +585,16 @@
         &self.set.classes[usize::from(job.ask.class)]
     }
 
-    /// Whether the rules let a request go to a server now.
-    fn usable(&self, s: &Server, job: &Job, now: f64) -> bool {
-        s.entry.standing == Standing::Ready
-            && now >= s.full_until
-            && self.cold_room(s, now)
-            && self.may_repeat_at(s, job, now)
+    fn aim(&self, ask: &Request) -> f64 {
+        let class = &self.set.classes[usize::from(ask.class)];
+        class.ttft_aim_s + class.ttft_aim_per_token_s * ask.prompt_tokens
     }
 
-    fn may_repeat_at(&self, s: &Server, job: &Job, now: f64) -> bool {
+    /// Whether the rules let a request go to a server now.
+    fn usable(&self, s: &Server, job: &Job, now: f64) -> bool {
+        if !s.ready() || now < s.full_until {
+            return false;
+        }
         let Some((first, since)) = job.may_have_run else { return true };
         match self.class(job).effect {
             Effect::Safe => true,
@@ -595,41 +612,35 @@
         any || job.may_have_run.is_none() && job.stage != Stage::Out
     }
 
-    /// Trial traffic only: the score is high and a trial was made of late. Unsafe answers are no trials.
-    fn barred(&self, s: &Server, job: &Job, now: f64) -> bool {
-        let once = self.class(job).effect == Effect::Unsafe && s.role != Role::Reader;
-        s.costly() && (once || now - s.last_trial < s.trial_gap)
-    }
-
     fn send_read(&mut self, now: f64, id: RequestId, e: Estimate, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        (job.believed_hit, job.queue_s) = (e.hit, e.queue_s);
-        let expected = e.queue_s + e.read_s;
-        self.launch(now, id, (e.server, e.read_s, expected), out);
+        (job.queue_s, job.read_s) = (e.queue_s, e.read_s);
+        self.probe_writers(now, id, e.server, out);
+        self.launch(now, id, e.server, e.queue_s + e.read_s, out);
     }
 
     fn send_write(&mut self, now: f64, id: RequestId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
         let patience = self.set.pin_limit_s * HOLD_SHARE;
         match self.best_writer(job, now) {
-            Some(w) => {
-                let wait = 0.15 + self.servers.get(&w).map_or(0.0, |s| self.write_wait(self.load(s, now)));
-                self.launch(now, id, (w, 0.02, wait), out);
+            Some(to) => {
+                let expected_s = 0.15 + self.servers.get(&to).map_or(0.0, |s| self.write_wait(s, now));
+                self.launch(now, id, to, expected_s, out);
             }
             // No writer can take the state now: it waits a little within the pin limit.
-            None if matches!(job.stage, Stage::Held { since } if now - since <= patience) => {}
+            None if matches!(job.stage, Stage::Held(since) if now - since <= patience) => {
+                wake(id, now + 2.0 * ASK_WAIT_S, out);
+            }
             None => self.give_up(id, 0.5, out),
         }
     }
 
     /// The one place that sends. Refuses what a rule forbids, whatever the caller chose.
-    fn launch(&mut self, now: f64, id: RequestId, plan: (ServerId, f64, f64), out: &mut Vec<Action>) {
-        let (to, work_s, expected) = plan;
-        let patience = expected * PATIENCE.0 + PATIENCE.1;
+    fn launch(&mut self, now: f64, id: RequestId, to: ServerId, expected_s: f64, out: &mut Vec<Action>) {
         let (Some(job), Some(s)) = (self.jobs.get(&id), self.servers.get(&to)) else { return };
         let tokens = job.ask.prompt_tokens + OUTPUT_SHARE * job.ask.max_output_tokens;
         let allowed = !job.over
-            && matches!(job.stage, Stage::Idle | Stage::Held { .. })
+            && matches!(job.stage, Stage::Idle | Stage::Held(_))
             && job.attempts < self.set.limits.max_attempts
             && now < job.deadline
             && self.usable(s, job, now);
@@ -639,14 +650,14 @@
         let holder = job.state_at.and_then(|id| self.servers.get(&id)).map(|r| r.entry.cell);
         let link = holder.filter(|cell| *cell != s.entry.cell);
         let unsafe_write = self.class(job).effect == Effect::Unsafe && s.role != Role::Reader;
-        let timeout_s = if unsafe_write { 0.0 } else { patience.min(job.deadline - now) };
+        let silence_s = 2.0 * expected_s + SILENCE_SHARE * self.aim(&job.ask);
+        let timeout_s = if unsafe_write || self.set.limits.may_cancel { 0.0 } else { silence_s };
         let (Some(job), Some(s)) = (self.jobs.get_mut(&id), self.servers.get_mut(&to)) else { return };
         (job.stage, job.at, job.sent, job.attempts) = (Stage::Out, to, now, job.attempts + 1);
-        s.pending.insert(id, Pending { work_s, due: now + expected, tokens, link });
-        s.recent.push_back(now);
-        s.recent.retain(|t| now - t <= COLD_MEMORY * self.set.cold.window_s);
-        s.last_trial = now;
+        let work_s = if job.state_at.is_none() { job.read_s } else { 0.0 };
+        s.pending.insert(id, Pending { work_s, due: now + expected_s, tokens, link });
         out.push(Action::Send { request: id, server: to, timeout_s });
+        wake(id, now + silence_s, out);
     }
 
     fn give_up(&mut self, id: RequestId, retry_after_s: f64, out: &mut Vec<Action>) {
@@ -685,7 +696,7 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.stage = Stage::Streaming;
         let slip = (now - job.promised).max(0.0);
-        let before = fade(self.lateness, now, SLIP_HALF_S);
+        let before = fade(self.lateness, now, FADE_HALF_S);
         self.lateness = (before + 0.5 * BLEND * (slip - before), now);
         job.first_after = sane(elapsed);
         job.state_at = None;
@@ -693,12 +704,12 @@
         if let Some(p) = s.pending.remove(&id) {
             let (seen, half) = match p.link {
                 None => (&mut s.excess, EXCESS_HALF_S),
-                Some(cell) => (self.links.entry(cell).or_default(), LINK_HALF_S),
+                Some(cell) => (self.links.entry(cell).or_default(), FADE_HALF_S),
             };
             *seen = (0.5 * fade(*seen, now, half) + 0.5 * (now - p.due).max(0.0), now);
             s.streams.insert(id, p.tokens);
         }
-        s.mark(now, 0.0, elapsed);
+        s.mark(now, false, elapsed);
     }
 
     fn on_end(&mut self, now: f64, end: AttemptEnd, out: &mut Vec<Action>) {
@@ -723,18 +734,14 @@
             Outcome::Full { state_gone: true } => None,
             _ => j.state_at,
         };
-        j.stage = if j.state_at.is_some() { Stage::Held { since: now } } else { Stage::Idle };
+        j.stage = if j.state_at.is_some() { Stage::Held(now) } else { Stage::Idle };
         if end.finished || j.over {
             j.over = true;
             return self.finish(id, None, out);
         }
-        if end.outcome != Outcome::ReadDone {
-            j.failed_at.push(end.server);
-        }
         self.go_on(now, id, end.outcome, out);
     }
 
-    /// The next step after an outcome that did not finish the request.
     fn go_on(&mut self, now: f64, id: RequestId, outcome: Outcome, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
         let spent = self.class(job).effect == Effect::Unsafe && job.may_have_run.is_some();
@@ -756,25 +763,23 @@
         }
     }
 
-    /// Health, speed, prefix table and fits from one outcome.
     fn judge(&mut self, now: f64, end: &AttemptEnd, job: &Job, waited: bool) {
         let cut = now + 2.0 * self.set.tick_s >= job.deadline;
         let mark = match end.outcome {
-            Outcome::Served | Outcome::ReadDone => Some(0.0),
-            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => Some(1.0),
-            Outcome::TimedOut | Outcome::Cancelled if !cut && !job.over && waited => Some(1.0),
+            Outcome::Served | Outcome::ReadDone => Some(false),
+            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => Some(true),
+            Outcome::TimedOut | Outcome::Cancelled if !cut && !job.over && waited => Some(true),
             _ => None,
         };
         let Some(s) = self.servers.get_mut(&end.server) else { return };
         let whole = s.role != Role::Reader && job.state_at.is_none();
         mark.into_iter().for_each(|bad| s.mark(now, bad, end.elapsed_s));
+        if waited && matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled) {
+            s.excess = (s.excess(now).max(sane(end.elapsed_s)), now);
+        }
         if matches!(end.outcome, Outcome::Full { state_gone: false }) {
             s.full_until = now + FULL_PAUSE_S;
         }
-        if end.outcome == Outcome::Served {
-            let ran = (sane(end.elapsed_s) - job.first_after).max(0.1);
-            self.turnover_s += 0.1 * BLEND * (ran - self.turnover_s);
-        }
         match end.outcome {
             Outcome::ReadDone => self.learn_read(now, end, job, sane(end.elapsed_s)),
             Outcome::Served if whole => self.learn_read(now, end, job, job.first_after),
@@ -784,27 +789,23 @@
 
     fn learn_read(&mut self, now: f64, end: &AttemptEnd, job: &Job, took: f64) {
         let hit = sane(end.prefix_hit_tokens).min(job.ask.prompt_tokens);
-        if hit < LOST_SHARE * job.believed_hit {
-            // The reader lost what it kept (flush, silent restart, eviction): believe nothing of it that
-            // has not been read again. Eviction of one text alone costs the others' credit for one read.
-            self.forget(end.server);
-        }
         for (key, tokens) in Self::keys(&job.ask).into_iter().filter(|(key, n)| key.1 != 0 && *n > 0.0) {
             self.prefixes.entry(key).or_default().insert(end.server, (tokens, now));
         }
-        let capacity = self.servers.get(&end.server).map_or(1.0, |s| self.capacity(s, now));
-        let Some(s) = self.servers.get_mut(&end.server) else { return };
-        let fit = &mut self.fits[usize::from(s.entry.kind)];
+        self.prefixes.retain(|_, held| held.values().any(|h| now - h.1 < PREFIX_AGE_S));
         let total = job.ask.prompt_tokens;
-        let alone = fit.predict(total - hit, total);
+        self.typical.0 += 2.0 * BLEND * (total - hit - self.typical.0);
+        self.typical.1 += 2.0 * BLEND * (total - self.typical.1);
+        let Some(s) = self.servers.get(&end.server) else { return };
+        let (alone, capacity) = (self.read_s(s, total - hit, total), self.capacity(s, now));
+        let Some(s) = self.servers.get_mut(&end.server) else { return };
         if job.queue_s < 0.5 * alone {
-            // Only reads that met no queue of ours tell of speed; a queue unseen is the excess's part.
-            fit.learn(total - hit, total, took * capacity / s.pace);
-            let ratio = ((took - job.queue_s) * capacity / alone).clamp(0.3, 8.0);
+            // A queue unseen is the excess's part, so that surprises upwards pull less.
+            let ratio = ((took - job.queue_s) * capacity / alone * s.pace).clamp(0.3, 8.0);
             let step = if ratio > s.pace { 0.5 * BLEND } else { BLEND };
             s.pace = (s.pace + step * (ratio - s.pace)).clamp(0.6, 8.0);
         }
-        let surprise = (took - job.queue_s - alone * s.pace / capacity).max(0.0);
+        let surprise = (took - job.queue_s - alone / capacity).max(0.0);
         s.excess = (0.5 * s.excess(now) + 0.5 * surprise, now);
     }
 
@@ -813,22 +814,34 @@
         let Some(s) = self.servers.get_mut(&id).filter(|_| told) else { return };
         let reads = s.role == Role::Reader;
         let own_held = (s.pending.len() + s.streams.len()) as f64;
-        let mut seen = Seen { at: now, load: 0.0, others: 0.0, own_tokens: s.own_tokens() };
+        let mut told = Report::default();
         for (field, &value) in self.set.report_fields.iter().zip(report) {
             match field {
-                ReportField::SlotShare if !reads => seen.load = seen.load.max(value),
-                ReportField::MemoryShare => seen.load = seen.load.max(value),
-                ReportField::Concurrent if reads => seen.others = (0.5 * (value - own_held)).max(0.0),
-                ReportField::Queue if reads => seen.others = (value - own_held).max(0.0),
+                ReportField::SlotShare if !reads => told.load = told.load.max(value),
+                ReportField::MemoryShare => told.load = told.load.max(value),
+                ReportField::Concurrent if reads => told.others = (0.5 * (value - own_held)).max(0.0),
+                ReportField::Queue => told.others = if reads { (value - own_held).max(0.0) } else { value },
                 _ => {}
             }
         }
-        s.seen = Some(seen);
+        (s.report, s.seen_at, s.seen_tokens) = (told, now, s.own_tokens());
+        let pool = &mut self.pools[usize::from(s.entry.kind)];
+        *pool = (told.blend(pool.0, POOL.1), now);
     }
 
-    fn on_probe(&mut self, now: f64, id: ServerId, outcome: Outcome, elapsed: f64) {
-        let dead = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
-        self.servers.get_mut(&id).filter(|_| dead).into_iter().for_each(|s| s.mark(now, 1.0, elapsed));
+    fn on_probe(&mut self, now: f64, id: ServerId, outcome: Outcome, elapsed: f64, out: &mut Vec<Action>) {
+        if let Some(s) = self.servers.get_mut(&id) {
+            s.probe_out = false;
+            if matches!(outcome, Outcome::ConnectFailed | Outcome::Reset) {
+                s.mark(now, true, elapsed);
+            }
+        }
+        let answered = |(job, j): (&RequestId, &mut Job)| {
+            j.asked.retain(|asked| *asked != id);
+            (j.asked.is_empty() && matches!(j.stage, Stage::Asking(_))).then_some(*job)
+        };
+        let done: Vec<RequestId> = self.jobs.iter_mut().filter_map(answered).collect();
+        done.into_iter().for_each(|job| self.place(now, job, out));
     }
 
     // ---- 11 cold servers --------------------------------------------------------------------------
@@ -843,95 +856,75 @@
         (cold.start_capacity + (1.0 - cold.start_capacity) * age).clamp(0.05, 1.0)
     }
 
-    /// Own-share budget of sends to a cold server: what warm servers of its role get from this router, times
-    /// the told multiple of the capacity that it surely has. Every router doing so keeps the sum, with
-    /// nothing agreed; within the budget its price decides, which counts the capacity it likely has.
-    fn cold_room(&self, s: &Server, now: f64) -> bool {
-        let capacity = self.capacity(s, now);
-        if capacity >= 1.0 {
+    /// Whether it is this request's turn at a cold server: by chance, so that the sum over all routers
+    /// keeps the told multiple, with nothing agreed. Those near it (its keys, its cell) and others
+    /// have parts of their own, split among their choices. Harm: where few prefer it, it takes too little.
+    fn cold_turn(&self, s: &Server, job: &Job, scene: &Scene, near: bool, now: f64) -> bool {
+        if self.capacity(s, now) >= 1.0 {
             return true;
         }
         let cold = &self.set.cold;
-        let ready = |o: &&Server| o.role == s.role && o.entry.standing == Standing::Ready;
-        let warm = || self.servers.values().filter(ready).filter(|o| self.capacity(o, now) >= 1.0);
-        let count = warm().count().max(1) as f64;
-        let usual =
-            |windows: f64| warm().map(|o| o.sends_since(now - windows * cold.window_s)).sum::<f64>() / count;
-        let busy = match s.role {
-            Role::Reader => {
-                usual(1.0) / cold.window_s * self.typical_read(s) * f64::from(self.set.dispatchers)
-            }
-            _ => warm().map(|o| self.load(o, now)).sum::<f64>() / count,
-        };
-        let share = COLD_CARE * cold.overload_factor * cold.start_capacity / busy.clamp(0.5, 2.0);
-        let room = |windows: f64, slack: f64| {
-            let spent = s.sends_since(now - windows * cold.window_s) + 1.0;
-            spent <= (usual(COLD_MEMORY) * share * windows / COLD_MEMORY + slack).max(1.0)
+        let share = COLD_CARE * cold.overload_factor * cold.start_capacity;
+        let cell = scene.cells.get(&s.entry.cell).filter(|_| near).unwrap_or(&scene.all);
+        let rivals = match s.role {
+            Role::Writer => cell.writers,
+            _ if near => scene.homes as f64,
+            _ => scene.readers,
         };
-        room(1.0, 0.9) && room(COLD_MEMORY, 0.0)
+        let part = if near { COLD_NEAR } else { 1.0 - COLD_NEAR };
+        self.draw(job, s) < share * part / f64::max(rivals, 1.0)
     }
 
     // ---- 12 timers --------------------------------------------------------------------------------
 
-    fn keep_ticking(&mut self, now: f64, out: &mut Vec<Action>) {
-        if !self.ticking && (!self.jobs.is_empty() || self.probes_pay()) {
-            self.ticking = true;
-            out.push(Action::SetTimer { at: now + TICK_S, label: TICK_LABEL });
-        }
-    }
-
-    /// Probes pay only where they are the one source of load reports.
-    fn probes_pay(&self) -> bool {
-        self.set.report_mode == ReportMode::OnProbe && self.set.limits.may_probe
-    }
-
     fn on_timer(&mut self, now: f64, label: u64, out: &mut Vec<Action>) {
-        if label == TICK_LABEL {
-            self.ticking = false;
-            return self.on_tick(now, out);
-        }
         let id = label as RequestId;
-        let due = |j: &&Job| now + 3.0 * self.set.tick_s >= j.deadline && j.stage != Stage::Streaming;
-        if self.jobs.get(&id).filter(due).is_some() {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if now + 3.0 * self.set.tick_s >= job.deadline && job.stage != Stage::Streaming {
             self.cancel(id, out);
-            self.finish(id, Some(Action::Fail { request: id }), out);
+            return self.finish(id, Some(Action::Fail { request: id }), out);
+        }
+        match job.stage {
+            Stage::Asking(until) if now >= until => self.place(now, id, out),
+            Stage::Held(_) => self.send_write(now, id, out),
+            Stage::Out => self.call_back_silent(now, id, out),
+            _ => {}
         }
     }
 
-    /// Calls attempts back from servers that have said nothing since: dead but listed, cut off, hung. Other
-    /// answers from it in the meantime mean a queue, where calling back would only waste work. Harm: a
-    /// server with one long read of ours and no other traffic may lose that read.
-    fn call_back_silent(&mut self, now: f64, out: &mut Vec<Action>) {
-        let silent = |(id, j): (&RequestId, &Job)| {
-            let s = self.servers.get(&j.at).filter(|s| j.stage == Stage::Out && s.heard < j.sent)?;
-            let once = self.class(j).effect == Effect::Unsafe && s.role != Role::Reader;
-            let due = s.pending.get(id)?.due;
-            (!once && now - due > SILENCE_S + (due - j.sent)).then_some(*id)
-        };
-        let calls: Vec<RequestId> = self.jobs.iter().filter_map(silent).collect();
-        calls.into_iter().for_each(|id| self.cancel(id, out));
-    }
-
-    fn on_tick(&mut self, now: f64, out: &mut Vec<Action>) {
-        let held = |(id, j): (&RequestId, &Job)| matches!(j.stage, Stage::Held { .. }).then_some(*id);
-        let waiting: Vec<RequestId> = self.jobs.iter().filter_map(held).collect();
-        for id in waiting {
-            self.send_write(now, id, out);
-        }
-        self.call_back_silent(now, out);
-        if self.probes_pay() {
-            let due = |s: &&mut Server| s.entry.standing == Standing::Ready && now >= s.next_probe;
-            for s in self.servers.values_mut().filter(due) {
-                s.next_probe = now + PROBE_EVERY_S;
-                out.push(Action::Probe { server: s.entry.id });
-            }
+    /// Calls an attempt back from a silent server: dead, cut off, hung, or its answer lost. A queue is told
+    /// apart by other answers, or by a probe whose report explains the wait: calling back would add to it.
+    /// Harm: where a report is too rosy a prompt is read twice, within the budget of further attempts.
+    fn call_back_silent(&mut self, now: f64, id: RequestId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let (Some(s), at, sent) = (self.servers.get(&job.at), job.at, job.sent) else { return };
+        let Some(due) = s.pending.get(&id).map(|p| p.due) else { return };
+        if self.class(job).effect == Effect::Unsafe && s.role != Role::Reader || self.retries < 1.0 {
+            return;
         }
-        if now >= self.next_sweep {
-            self.next_sweep = now + 5.0;
-            self.prefixes.retain(|_, held| {
-                held.retain(|_, h| now - h.1 < PREFIX_AGE_S);
-                !held.is_empty()
-            });
+        let silence_s = SILENCE_SHARE * self.aim(&job.ask);
+        let fresh = s.seen_at > due;
+        let queue_s = match s.role {
+            _ if !fresh => 0.0,
+            Role::Reader => self.others_s(s, now),
+            _ => self.write_wait(s, now),
+        };
+        let patient = sent + 2.0 * (queue_s + due - sent) + silence_s;
+        if now < patient || s.heard > sent {
+            wake(id, patient.max(now + silence_s), out);
+        } else if fresh || self.probe(now, [at].into_iter(), out).is_empty() {
+            self.cancel(id, out);
+        } else {
+            wake(id, now + 2.0 * ASK_WAIT_S, out);
         }
     }
 }
+
+impl Scene {
+    /// The least wait for a first token that a read at a server can count on.
+    fn lightest_wait(&self, from: &Server) -> f64 {
+        let Some(cell) = self.cells.get(&from.entry.cell) else { return 0.0 };
+        let far = self.all.wait.map(|wait| wait + cell.link + CELL_MARGIN * WRITER_LOAD_S);
+        [cell.wait, far].into_iter().flatten().min_by(f64::total_cmp).unwrap_or(0.0)
+    }
+}
