Silence proves something only where a server is heard of: called back after 0.3 aims there, 1.5 elsewhere

Guards against lost answers and dead servers as before; harm: a dead server seldom used keeps a read longer.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -75,8 +75,10 @@
 const SHARE_BURST: (f64, f64) = (2.0, 3.0);
 /// Share of the pin limit for which a state may wait for a writer.
 const HOLD_SHARE: f64 = 0.5;
-/// Share of the aim past due after which a silent server's attempt is called back: in time for another.
-const SILENCE_SHARE: f64 = 0.3;
+/// Share of the aim past due after which a silent server's attempt is called back: where it was heard of within
+/// `HEARD_S` before, and elsewhere, as the silence of a server seldom heard of proves little.
+const SILENCE_SHARE: (f64, f64) = (0.3, 1.5);
+const HEARD_S: f64 = 4.0;
 /// Share of the fall-over multiple that is used on the capacity a cold server surely has.
 const COLD_CARE: f64 = 0.8;
 /// Part of it for those that a cold server is first choice for (its keys, its cell); the rest is for others.
@@ -590,7 +592,10 @@
         class.ttft_aim_s + class.ttft_aim_per_token_s * ask.prompt_tokens
     }
 
-    /// Whether the rules let a request go to a server now.
+    fn silence_s(&self, ask: &Request, s: &Server, sent: f64) -> f64 {
+        self.aim(ask) * if sent - s.heard < HEARD_S { SILENCE_SHARE.0 } else { SILENCE_SHARE.1 }
+    }
+
     fn usable(&self, s: &Server, job: &Job, now: f64) -> bool {
         if !s.ready() || now < s.full_until {
             return false;
@@ -650,7 +655,7 @@
         let holder = job.state_at.and_then(|id| self.servers.get(&id)).map(|r| r.entry.cell);
         let link = holder.filter(|cell| *cell != s.entry.cell);
         let unsafe_write = self.class(job).effect == Effect::Unsafe && s.role != Role::Reader;
-        let silence_s = 2.0 * expected_s + SILENCE_SHARE * self.aim(&job.ask);
+        let silence_s = 2.0 * expected_s + self.silence_s(&job.ask, s, now);
         let timeout_s = if unsafe_write || self.set.limits.may_cancel { 0.0 } else { silence_s };
         let (Some(job), Some(s)) = (self.jobs.get_mut(&id), self.servers.get_mut(&to)) else { return };
         (job.stage, job.at, job.sent, job.attempts) = (Stage::Out, to, now, job.attempts + 1);
@@ -902,7 +907,7 @@
         if self.class(job).effect == Effect::Unsafe && s.role != Role::Reader || self.retries < 1.0 {
             return;
         }
-        let silence_s = SILENCE_SHARE * self.aim(&job.ask);
+        let silence_s = self.silence_s(&job.ask, s, sent);
         let fresh = s.seen_at > due;
         let queue_s = match s.role {
             _ if !fresh => 0.0,
@@ -921,7 +926,6 @@
 }
 
 impl Scene {
-    /// The least wait for a first token that a read at a server can count on.
     fn lightest_wait(&self, from: &Server) -> f64 {
         let Some(cell) = self.cells.get(&from.entry.cell) else { return 0.0 };
         let far = self.all.wait.map(|wait| wait + cell.link + CELL_MARGIN * WRITER_LOAD_S);
