--- a/src/choice.rs
+++ b/src/choice.rs
@@ -75,7 +75,7 @@
 const SHARE_BURST: (f64, f64) = (2.0, 3.0);
 /// Share of the pin limit for which a state may wait for a writer.
 const HOLD_SHARE: f64 = 0.5;
-/// Share of the aim past due after which a silent attempt is called back: where the server was heard of within
+/// Share of the aim past due after which a silent attempt is called back: where its server was heard within
 /// `HEARD_S` before, and elsewhere, as the silence of a server seldom heard of proves little.
 const SILENCE_SHARE: (f64, f64) = (0.3, 1.5);
 const HEARD_S: f64 = 4.0;
