Among many routers a session's first home is credited with its earlier turns

Guards against any spreading of sessions over many routers; harm: a first turn waits a little for its home.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -36,6 +36,8 @@
 const UNANSWERED: f64 = 4.0;
 /// Homes of a key: at least two, to halve a hot one; its share of traffic does not shrink with the fleet.
 const HOMES: (usize, f64) = (2, 0.25);
+/// Share of a prompt past its prefix that a session's first home is taken to hold; routers that count as few.
+const SESSION_SHARE: (f64, f64) = (0.6, 4.0);
 /// Multiple of its read time that a read costs those behind it: spilled reads, uncached, feed a jam.
 const READ_CARE: f64 = 1.0;
 /// Weight of a mixed server as home against a reader.
@@ -320,7 +322,6 @@
         let fresh = Server { entry: entry.clone(), role: kind.role, memory, pace: 1.0, ..Server::default() };
         let server = match self.servers.remove(&id) {
             Some(old) if old.entry.booted_at == entry.booted_at => Server { entry, ..old },
-            // A new process: what the old one kept and how it behaved is gone.
             Some(old) => Server { pending: old.pending, streams: old.streams, ..fresh },
             None => fresh,
         };
@@ -394,8 +395,11 @@
         let ask = &job.ask;
         let home = homes.iter().position(|h| *h == s.entry.id);
         let capacity = self.capacity(s, now);
-        let at_home =
-            home.filter(|_| capacity >= 1.0).map_or(0.0, |_| ask.prefix_tokens.max(0.1 * ask.prompt_tokens));
+        // Among many routers a session unknown here has mostly had turns elsewhere; a few know their own.
+        let turns = SESSION_SHARE.0 * (1.0 - SESSION_SHARE.1 / f64::from(self.set.dispatchers)).max(0.0);
+        let past = if home == Some(0) { ask.prompt_tokens - ask.prefix_tokens } else { 0.0 };
+        let believed = (ask.prefix_tokens + turns * past).max(0.1 * ask.prompt_tokens);
+        let at_home = if home.is_some() && capacity >= 1.0 { believed } else { 0.0 };
         let hit = self.known_hit(s, ask).max(at_home).min((ask.prompt_tokens - 1.0).max(0.0));
         let read_s = self.read_s(s, ask.prompt_tokens - hit, ask.prompt_tokens) / capacity;
         let own_s = s.pending.values().map(|p| p.work_s).sum::<f64>();
@@ -435,18 +439,16 @@
             }
         }
         let reads = |s: &&Server| s.role == Role::Reader && s.ready();
-        let in_zone = |s: &&Server| s.entry.zone == self.set.zone;
         scene.readers = self.servers.values().filter(reads).count() as f64;
-        let own = self.servers.values().filter(reads).filter(in_zone).count() as f64;
-        scene.homes = HOMES.0.max((own * HOMES.1).round() as usize);
+        let own = self.servers.values().filter(reads).filter(|s| s.entry.zone == self.set.zone).count();
+        scene.homes = HOMES.0.max((own as f64 * HOMES.1).round() as usize);
         scene
     }
 
     fn risk_s(&self, s: &Server, job: &Job, now: f64) -> f64 {
         let once = self.class(job).effect == Effect::Unsafe && s.role != Role::Reader;
         let again = if job.attempts > 0 && job.at == s.entry.id { FAILURE_COST_S } else { 0.0 };
-        let loss = fade(s.loss, now, FADE_HALF_S);
-        again + loss * if once { UNSAFE_CARE } else { LOSS_CARE }
+        again + fade(s.loss, now, FADE_HALF_S) * if once { UNSAFE_CARE } else { LOSS_CARE }
     }
 
     /// The mechanism: the lowest estimated first-token time among readers and mixed servers.
@@ -699,12 +701,10 @@
 
     fn on_first_token(&mut self, now: f64, id: RequestId, server: ServerId, elapsed: f64) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.stage = Stage::Streaming;
+        (job.stage, job.first_after, job.state_at) = (Stage::Streaming, sane(elapsed), None);
         let slip = (now - job.promised).max(0.0);
         let before = fade(self.lateness, now, FADE_HALF_S);
         self.lateness = (before + 0.5 * BLEND * (slip - before), now);
-        job.first_after = sane(elapsed);
-        job.state_at = None;
         let Some(s) = self.servers.get_mut(&server) else { return };
         if let Some(p) = s.pending.remove(&id) {
             let (seen, half) = match p.link {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -90,3 +90,19 @@
     };
     assert!(late(0.0) && !late(80.0));
 }
+
+#[test]
+fn among_many_routers_a_long_session_stays_at_its_first_home_behind_a_short_queue() {
+    let stays = |dispatchers: u32| {
+        let long = Request { prompt_tokens: 12_000.0, ..ask(1) };
+        let new = || Desk::with_fleet(Settings { dispatchers, ..settings(Effect::Safe) }, fleet());
+        let mut idle = new();
+        let home = idle.serve(long.clone(), 0.0);
+        let mut desk = new();
+        let report = vec![0.1, 3.0, 0.1];
+        let outcome = Outcome::Served;
+        desk.tell(Event::ProbeEnded { server: home, outcome, elapsed_s: 0.001, report });
+        desk.serve(long, 0.0) == home
+    };
+    assert!(stays(100) && !stays(2));
+}
