--- a/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -1,4 +1,4 @@
-//! The decision module. Its types (settings, events, actions, ids) are in `src/interface.rs`.
+//! The decision module. Its types (settings, events, actions, ids) are in `interface.rs`, beside it.
 //!
 //! Sections: 1 tuned values; 2 servers; 3 requests; 4 events; 5 the list; 6 first-token estimates and the
 //! prefix table; 7 writers; 8 admission; 9 the request machine (`launch` alone sends, `finish` alone ends);
--- a/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,8 +4,8 @@
 //! A dispatcher owns one [`choice::Router`], tells it what happens and does what it says:
 //!
 //! ```
-//! use bitternlatch::choice::Router;
-//! use bitternlatch::interface::*;
+//! use bitternlatch_policy::choice::Router;
+//! use bitternlatch_policy::interface::*;
 //!
 //! let class = ClassSettings {
 //!     effect: Effect::Safe,
@@ -48,4 +48,3 @@
 
 pub mod choice;
 pub mod interface;
-pub mod wire;
--- a/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small fleet and short ways to drive a router through its public interface.
 #![allow(dead_code)]
 
-use bitternlatch::choice::Router;
-use bitternlatch::interface::*;
+use bitternlatch_policy::choice::Router;
+use bitternlatch_policy::interface::*;
 
 pub const T0: f64 = 1000.0;
 
--- a/tests/defences.rs
+++ b/crates/policy/tests/defences.rs
@@ -1,6 +1,6 @@
 //! Each defence against a kind of symptom, alone and two together.
 mod common;
-use bitternlatch::interface::*;
+use bitternlatch_policy::interface::*;
 use common::*;
 
 fn plain(id: RequestId) -> Request {
--- a/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -1,6 +1,6 @@
 //! The ordinary path: lowest estimated first-token time, then the lightest writer.
 mod common;
-use bitternlatch::interface::*;
+use bitternlatch_policy::interface::*;
 use common::*;
 
 #[test]
--- a/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -1,6 +1,6 @@
 //! The five rules, each kept by one router alone.
 mod common;
-use bitternlatch::interface::*;
+use bitternlatch_policy::interface::*;
 use common::*;
 
 #[test]
--- a/tests/scale.rs
+++ b/crates/policy/tests/scale.rs
@@ -2,8 +2,8 @@
 mod common;
 use std::collections::BTreeMap;
 
-use bitternlatch::choice::Router;
-use bitternlatch::interface::*;
+use bitternlatch_policy::choice::Router;
+use bitternlatch_policy::interface::*;
 use common::*;
 
 /// Sends of each server when each of many routers takes one request to its writer.
--- /dev/null
+++ b/programs/drill/src/lib.rs
@@ -0,0 +1,3 @@
+//! The operators' simulator met on its wire: the same module as in service, many instances in one process.
+
+pub mod wire;
--- a/src/bin/bitternlatch-drill.rs
+++ b/programs/drill/src/main.rs
@@ -4,7 +4,8 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match bitternlatch::wire::serve(BufReader::with_capacity(1 << 16, stdin().lock()), stdout().lock()) {
+    match bitternlatch_drill::wire::serve(BufReader::with_capacity(1 << 16, stdin().lock()), stdout().lock())
+    {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("bitternlatch-drill: {e}");
--- a/src/wire.rs
+++ b/programs/drill/src/wire.rs
@@ -4,8 +4,8 @@
 use std::fmt;
 use std::io::{self, Read, Write};
 
-use crate::choice::Router;
-use crate::interface::*;
+use bitternlatch_policy::choice::Router;
+use bitternlatch_policy::interface::*;
 
 /// Why a run had to stop: what was wrong and where.
 #[derive(Debug)]
--- a/tests/wire.rs
+++ b/programs/drill/tests/wire.rs
@@ -1,6 +1,6 @@
 //! Frames as the wire page lays them out, and what malformed ones get.
-use bitternlatch::interface::Action;
-use bitternlatch::wire::{encode_reply, parse_settings, serve, Adapter};
+use bitternlatch_drill::wire::{encode_reply, parse_settings, serve, Adapter};
+use bitternlatch_policy::interface::Action;
 
 const FACTS: &str = "balancers=2\nclasses.count=1\nclasses.0.aimS=1.5\nclasses.0.deadlineS=6.0\n\
 classes.0.effect=free\nclasses.0.worth=1.0\ncontract.overloadFactor=2.5\ncontract.startCapacity=0.25\n\
