--- /dev/null
+++ b/crates/core/src/answers.rs
@@ -0,0 +1,191 @@
+//! What clients are told: each listener is given exactly one final event, and nothing after it.
+
+use bitternlatch_policy::interface::{Event, Outcome, RequestId};
+use bitternlatch_protocol::client::{self, IncompleteDetails, Response, ResponseError, Status};
+
+use crate::contexts::Context;
+use crate::machine::{log, Machine};
+use crate::requests::{Purpose, Request, Stage};
+use crate::settings::Effect;
+use crate::types::{Level, Micros, Output, SessionId};
+
+impl Request {
+    /// The events to its listeners, each with its own next sequence number.
+    fn say(
+        &mut self,
+        out: &mut Vec<Output>,
+        only: Option<SessionId>,
+        event: impl Fn(u64, &Request) -> String,
+    ) {
+        for i in 0..self.listeners.len() {
+            let (session, sequence) = (self.listeners[i].session, self.listeners[i].sequence);
+            if only.is_none_or(|o| o == session) {
+                out.push(Output::Say { session, text: event(sequence, self) });
+                self.listeners[i].sequence += 1;
+            }
+        }
+    }
+
+    /// Whether an attempt may have had the effect, the one that is out included.
+    pub(crate) fn may_run(&self) -> bool {
+        let out = |a: &crate::requests::Attempt| a.purpose != Purpose::Read && a.stage != Stage::Queued;
+        self.may_have_run || self.attempt.as_ref().is_some_and(out)
+    }
+
+    fn failed(&self, code: &str, message: &str, safe: bool, retry_after_s: Option<f64>) -> Response {
+        let error = ResponseError {
+            code: code.to_string(),
+            message: message.to_string(),
+            safe_to_repeat: safe,
+            retry_after_ms: retry_after_s.map(|s| (s.max(0.0) * 1000.0).ceil() as u64),
+        };
+        Response { status: Status::Failed, error: Some(error), ..self.response.clone() }
+    }
+}
+
+impl Machine {
+    pub(crate) fn say_created(&mut self, id: RequestId, session: SessionId, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.say(out, Some(session), |n, r| client::created(n, &r.response));
+    }
+
+    pub(crate) fn say_so_far(&mut self, id: RequestId, session: SessionId, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get_mut(&id).filter(|r| !r.text.is_empty()) else { return };
+        request.say(out, Some(session), |n, r| client::delta(n, &r.response.id, &r.item_id, &r.text));
+    }
+
+    /// Passes a piece of the answer on.
+    pub(crate) fn say_delta(&mut self, id: RequestId, piece: &str, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.say(out, None, |n, r| client::delta(n, &r.response.id, &r.item_id, piece));
+    }
+
+    /// Gives the recorded answer to a client that asks again with its key.
+    pub(crate) fn say_again(&self, session: SessionId, answer: &Response, out: &mut Vec<Output>) {
+        let begun = Response {
+            status: Status::InProgress,
+            output: Vec::new(),
+            usage: None,
+            error: None,
+            incomplete_details: None,
+            ..answer.clone()
+        };
+        out.push(Output::Say { session, text: client::created(0, &begun) });
+        out.push(Output::Say { session, text: client::finished(1, answer) });
+    }
+
+    pub(crate) fn refuse(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        retry_after_s: f64,
+        why: &str,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let class = &self.settings.classes[usize::from(request.class)];
+        if class.effect == Effect::Unsafe && request.may_run() {
+            // The module never does this; a refusal here would invite a second effect.
+            log(out, Level::Error, format!("{}: refusal turned into a failure", request.response.id));
+            return self.fail(now, id, "server_error", "it may have run", out);
+        }
+        let answer = request.failed("rate_limit_exceeded", why, true, Some(retry_after_s));
+        self.finish(now, id, answer, out);
+    }
+
+    pub(crate) fn fail(&mut self, now: Micros, id: RequestId, code: &str, why: &str, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let answer = request.failed(code, why, false, None);
+        self.finish(now, id, answer, out);
+    }
+
+    /// The engine has ended the answer.
+    pub(crate) fn serve(&mut self, now: Micros, id: RequestId, reason: &str, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let mut answer = Response { usage: Some(request.usage), ..request.response.clone() };
+        answer.status = if reason == "length" { Status::Incomplete } else { Status::Completed };
+        if answer.status == Status::Incomplete {
+            answer.incomplete_details = Some(IncompleteDetails { reason: "max_output_tokens".to_string() });
+        }
+        let answer = answer.with_text(&request.text);
+        self.finish(now, id, answer, out);
+    }
+
+    /// The one place that gives final answers.
+    fn finish(&mut self, now: Micros, id: RequestId, answer: Response, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
+        request.answered = true;
+        request.say(out, None, |n, _| client::finished(n, &answer));
+        for listener in std::mem::take(&mut request.listeners) {
+            self.sessions.unlisten(listener.session, id);
+        }
+        if matches!(answer.status, Status::Completed | Status::Incomplete) {
+            let context = Context {
+                tenant: request.tenant,
+                conversation: request.conversation,
+                text: format!("{}\nassistant: {}", request.prompt, request.text),
+                at: now,
+            };
+            self.contexts.keep(&answer.id, context);
+        }
+        self.close_key(now, id, answer);
+        self.tidy(id);
+    }
+
+    /// A key keeps the answer that stands; it is let go where asking again is harmless and may end better.
+    fn close_key(&mut self, now: Micros, id: RequestId, answer: Response) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let Some(key) = &request.key else { return };
+        let safe = self.settings.classes[usize::from(request.class)].effect == Effect::Safe;
+        let refused = answer.error.as_ref().is_some_and(|e| e.safe_to_repeat);
+        if refused || answer.status == Status::Failed && (safe || !request.may_run()) {
+            return self.keys.remove(key);
+        }
+        let bytes = request.text.len() + answer.model.len() + 512;
+        self.keys.end(now, key, answer, bytes);
+    }
+
+    /// Nobody waits for the request any more.
+    pub(crate) fn abandon(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
+        request.answered = true;
+        let answer = request.failed("cancelled", "its client left; it may have run", false, None);
+        let streaming = request.streaming();
+        self.close_key(now, id, answer);
+        self.events.push_back(Event::ClientGone { request: id });
+        if streaming {
+            self.tell_cancel(id, out);
+            self.end_attempt(now, id, Outcome::Cancelled, 0, Vec::new(), out);
+        }
+        self.tidy(id);
+    }
+
+    /// One client cancels: it is given its final answer, and the request ends if no other waits for it.
+    pub(crate) fn give_up_by_client(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        session: SessionId,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let safe =
+            self.settings.classes[usize::from(request.class)].effect == Effect::Safe || !request.may_run();
+        let answer = request.failed("cancelled", "cancelled by the client", safe, None);
+        request.say(out, Some(session), |n, _| client::finished(n, &answer));
+        request.listeners.retain(|l| l.session != session);
+        let last = request.listeners.is_empty();
+        self.sessions.unlisten(session, id);
+        if last {
+            self.abandon(now, id, out);
+        }
+    }
+
+    /// Lets go of an entry once it is answered, nothing is out and nothing is held.
+    pub(crate) fn tidy(&mut self, id: RequestId) {
+        let over = |r: &Request| r.answered && r.attempt.is_none() && r.state.is_none();
+        if self.requests.get(&id).is_some_and(over) {
+            self.requests.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/carry.rs
@@ -0,0 +1,196 @@
+//! Carries out what the decision module decides.
+
+use bitternlatch_policy::interface::{Action, AttemptEnd, Event, Outcome, RequestId, Role, ServerId};
+use bitternlatch_protocol::engine::{encode, CompletionRequest, KvTransferParams, ToEngine};
+
+use crate::links::{Given, Queued};
+use crate::machine::{log, Machine, Probe, PROBE_S};
+use crate::requests::{wire_id, Attempt, Purpose, Stage};
+use crate::settings::Effect;
+use crate::timers::Timer;
+use crate::types::{Level, LinkId, Micros, Output, Stale};
+
+impl Machine {
+    pub(crate) fn carry_out(&mut self, now: Micros, action: Action, out: &mut Vec<Output>) {
+        match action {
+            Action::Send { request, server, timeout_s } => self.send(now, request, server, timeout_s, out),
+            Action::Cancel { request, attempt } => self.cancel(now, request, attempt, out),
+            Action::Refuse { request, retry_after_s } => {
+                self.refuse(now, request, retry_after_s, "no place now; asking again is harmless", out);
+            }
+            Action::Fail { request } => {
+                self.fail(now, request, "server_error", "not answered in time; it may have run", out);
+            }
+            Action::Release { request } => self.release(request, out),
+            Action::Probe { server } => self.probe(now, server, out),
+            Action::SetTimer { at, label } => self.timers.set(Micros::at(at), Timer::Router { label }),
+            Action::Log { text } => log(out, Level::Info, text),
+            Action::Fault { text } => log(out, Level::Error, format!("decision module: {text}")),
+            // The list is pushed, places are not held ahead, and peers are not spoken with yet.
+            Action::Subscribe
+            | Action::Unsubscribe
+            | Action::FetchList
+            | Action::HoldPlace { .. }
+            | Action::Migrate { .. }
+            | Action::CloseIdle { .. }
+            | Action::TellPeer { .. } => {}
+        }
+    }
+
+    fn send(&mut self, now: Micros, id: RequestId, host: ServerId, timeout_s: f64, out: &mut Vec<Output>) {
+        let open = self.fleet.get(host).filter(|k| k.takes_work()).map(|k| k.role);
+        let Some(request) = self.requests.get_mut(&id).filter(|r| !r.answered && r.attempt.is_none()) else {
+            return self.not_sent(id, 0, host, Outcome::Moot);
+        };
+        let number = request.attempts;
+        request.attempts += 1;
+        let Some(role) = open else { return self.not_sent(id, number, host, Outcome::ConnectFailed) };
+        let purpose = match (role, &request.state) {
+            (Role::Reader, _) => Purpose::Read,
+            (_, Some(_)) => Purpose::Write,
+            (_, None) => Purpose::Whole,
+        };
+        let text = self.completion(id, number, purpose);
+        let attempt = wire_id(self.instance, id, number);
+        let stale = Stale { after_s: self.settings.rules.drain_grace_s / 2.0, attempt: attempt.clone() };
+        let given = self.links.give(host, Queued { attempt, text: text.clone() });
+        let (link, stage) = match given {
+            Given::Tell(link) => (link, Stage::Out),
+            Given::Queued(link) => (link, Stage::Queued),
+            Given::NoWay => return self.not_sent(id, number, host, Outcome::ConnectFailed),
+        };
+        if stage == Stage::Out {
+            out.push(Output::Tell { link, text, stale: Some(stale) });
+        }
+        self.begin_attempt(now, id, Attempt::new(number, host, link, purpose, stage, now), timeout_s);
+    }
+
+    fn begin_attempt(&mut self, now: Micros, id: RequestId, attempt: Attempt, timeout_s: f64) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let number = attempt.number;
+        request.attempt = Some(attempt);
+        if timeout_s != 0.0 {
+            let at = now.after(timeout_s).min(request.deadline);
+            self.timers.set(at, Timer::Attempt { request: id, attempt: number });
+        }
+    }
+
+    /// The message for an attempt, in vLLM's words.
+    fn completion(&self, id: RequestId, number: u16, purpose: Purpose) -> String {
+        let Some(request) = self.requests.get(&id) else { return String::new() };
+        let wire = wire_id(self.instance, id, number);
+        let kv = match purpose {
+            Purpose::Read => Some(KvTransferParams { do_remote_decode: true, ..Default::default() }),
+            Purpose::Write => request.state.as_ref().map(|s| s.params.clone()),
+            Purpose::Whole => None,
+        };
+        let keyed = self.settings.classes[usize::from(request.class)].effect == Effect::Keyed;
+        let key = request.key.as_ref().filter(|_| keyed && purpose != Purpose::Read);
+        encode(&ToEngine::Completion {
+            id: wire.clone(),
+            body: Box::new(CompletionRequest {
+                request_id: wire,
+                model: request.response.model.clone(),
+                prompt: request.prompt.clone(),
+                max_tokens: if purpose == Purpose::Read { 1 } else { request.max_tokens },
+                stream: true,
+                temperature: request.temperature,
+                top_p: request.top_p,
+                kv_transfer_params: kv,
+                idempotency_key: key.map(|k| format!("{}/{}/{}", k.tenant, k.class, k.text)),
+            }),
+        })
+    }
+
+    fn not_sent(&mut self, id: RequestId, attempt: u16, server: ServerId, outcome: Outcome) {
+        let finished = self.requests.get(&id).is_none_or(|r| r.answered);
+        self.events.push_back(Event::AttemptEnded(AttemptEnd {
+            request: id,
+            attempt,
+            server,
+            outcome,
+            elapsed_s: 0.0,
+            finished,
+            prefix_hit_tokens: 0.0,
+            report: Vec::new(),
+        }));
+    }
+
+    fn cancel(&mut self, now: Micros, id: RequestId, number: u16, out: &mut Vec<Output>) {
+        let current = self.requests.get(&id).and_then(|r| r.attempt.as_ref());
+        let Some(attempt) = current.filter(|a| a.number == number && a.stage != Stage::Streaming) else {
+            return;
+        };
+        let (host, queued) = (attempt.host, attempt.stage == Stage::Queued);
+        if queued {
+            self.links.take_back(host, &wire_id(self.instance, id, number));
+        } else {
+            self.tell_cancel(id, out);
+        }
+        let outcome = if queued { Outcome::ConnectFailed } else { Outcome::Cancelled };
+        self.end_attempt(now, id, outcome, 0, Vec::new(), out);
+    }
+
+    /// Tells the host of the current attempt that its work is not wanted.
+    pub(crate) fn tell_cancel(&mut self, id: RequestId, out: &mut Vec<Output>) {
+        let Some(attempt) = self.requests.get(&id).and_then(|r| r.attempt.as_ref()) else { return };
+        let text = encode(&ToEngine::Cancel { id: wire_id(self.instance, id, attempt.number) });
+        out.push(Output::Tell { link: attempt.link, text, stale: None });
+    }
+
+    /// Lets go of the state held for a request. Without a link there is nothing to do: a host lets go of what a lost
+    /// link's dispatcher held there.
+    pub(crate) fn release(&mut self, id: RequestId, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(state) = request.state.take() else { return };
+        if let Some(link) = self.links.open(state.host) {
+            self.tell_release(link, &state.made_by, out);
+        }
+        self.tidy(id);
+    }
+
+    pub(crate) fn tell_release(&self, link: LinkId, made_by: &str, out: &mut Vec<Output>) {
+        let text = encode(&ToEngine::Release { id: made_by.to_string() });
+        out.push(Output::Tell { link, text, stale: None });
+    }
+
+    fn probe(&mut self, now: Micros, server: ServerId, out: &mut Vec<Output>) {
+        let Some(link) = self.links.open(server) else {
+            let outcome = Outcome::ConnectFailed;
+            return self.events.push_back(Event::ProbeEnded {
+                server,
+                outcome,
+                elapsed_s: 0.0,
+                report: vec![],
+            });
+        };
+        let id = self.next_probe;
+        self.next_probe += 1;
+        self.probes.insert(id, Probe { link, sent: now });
+        self.timers.set(now.after(PROBE_S), Timer::Probe { id });
+        out.push(Output::Tell { link, text: encode(&ToEngine::Probe { id }), stale: None });
+    }
+
+    pub(crate) fn end_probe(&mut self, now: Micros, id: u64, outcome: Outcome, report: Vec<f64>) {
+        let Some(probe) = self.probes.remove(&id) else { return };
+        let (server, elapsed_s) = (probe.link.host, now.since(probe.sent));
+        self.events.push_back(Event::ProbeEnded { server, outcome, elapsed_s, report });
+    }
+}
+
+impl Attempt {
+    fn new(number: u16, host: ServerId, link: LinkId, purpose: Purpose, stage: Stage, now: Micros) -> Self {
+        Attempt {
+            number,
+            host,
+            link,
+            purpose,
+            stage,
+            sent: now,
+            heard: now,
+            finish_reason: None,
+            usage: None,
+            state: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/contexts.rs
@@ -0,0 +1,89 @@
+//! What `previous_response_id` goes on from: the last responses' texts, within a bound of bytes.
+
+use std::collections::BTreeMap;
+
+use crate::types::Micros;
+
+/// A finished response that another may follow.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Context {
+    pub tenant: u32,
+    /// Key of the conversation, the same for all its turns.
+    pub conversation: u64,
+    /// Prompt and answer so far.
+    pub text: String,
+    pub at: Micros,
+}
+
+/// Bounded by bytes and age; at the bound the oldest is let go, and a client that names it is told that it is not
+/// found.
+pub(crate) struct Contexts {
+    most_bytes: usize,
+    bytes: usize,
+    kept: BTreeMap<String, (u64, Context)>,
+    order: BTreeMap<u64, String>,
+    next: u64,
+}
+
+impl Contexts {
+    pub(crate) fn new(most_bytes: usize) -> Self {
+        Contexts { most_bytes, bytes: 0, kept: BTreeMap::new(), order: BTreeMap::new(), next: 0 }
+    }
+
+    pub(crate) fn find(&self, id: &str, tenant: u32) -> Option<&Context> {
+        self.kept.get(id).map(|(_, c)| c).filter(|c| c.tenant == tenant)
+    }
+
+    pub(crate) fn keep(&mut self, id: &str, context: Context) {
+        if context.text.len() > self.most_bytes {
+            return;
+        }
+        self.bytes += context.text.len();
+        self.next += 1;
+        self.order.insert(self.next, id.to_string());
+        if let Some((turn, old)) = self.kept.insert(id.to_string(), (self.next, context)) {
+            self.bytes -= old.text.len();
+            self.order.remove(&turn);
+        }
+        while self.bytes > self.most_bytes && self.drop_oldest() {}
+    }
+
+    /// Lets go of what is older than a time.
+    pub(crate) fn sweep(&mut self, before: Micros) {
+        let old = |c: &Self| {
+            let first = c.order.first_key_value().and_then(|(_, id)| c.kept.get(id));
+            first.is_some_and(|(_, context)| context.at < before)
+        };
+        while old(self) && self.drop_oldest() {}
+    }
+
+    fn drop_oldest(&mut self) -> bool {
+        let Some((_, id)) = self.order.pop_first() else { return false };
+        if let Some((_, old)) = self.kept.remove(&id) {
+            self.bytes -= old.text.len();
+        }
+        true
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn context(text: &str, at: u64) -> Context {
+        Context { tenant: 1, conversation: 7, text: text.to_string(), at: Micros(at) }
+    }
+
+    #[test]
+    fn the_oldest_goes_at_the_bound_and_by_age() {
+        let mut kept = Contexts::new(10);
+        kept.keep("a", context("12345", 1));
+        kept.keep("b", context("12345", 2));
+        assert!(kept.find("a", 1).is_some() && kept.find("a", 2).is_none(), "found by its own tenant alone");
+        kept.keep("c", context("1", 3));
+        assert!(kept.find("a", 1).is_none() && kept.find("b", 1).is_some());
+        kept.sweep(Micros(3));
+        assert!(kept.find("b", 1).is_none() && kept.find("c", 1).is_some());
+        assert_eq!(kept.bytes, 1);
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,217 @@
+//! The hosts: what the list says, what each says of itself, and the entry that the decision module is given.
+
+use std::collections::BTreeMap;
+
+use bitternlatch_inventory::{Host, HostState};
+use bitternlatch_policy::interface::{Role, ServerEntry, ServerId, Standing};
+use bitternlatch_protocol::engine::EngineState;
+
+use crate::settings::Settings;
+use crate::types::Micros;
+
+/// An engine younger than this many seconds more than at its last greeting has been started anew; less is the
+/// clocks' drift.
+const RESTART_SLACK_S: f64 = 1.0;
+
+pub(crate) struct Known {
+    pub host: Host,
+    pub role: Role,
+    kind: u16,
+    cell: u16,
+    zone: u16,
+    said: EngineState,
+    /// Clock seconds of the start that it told; 0 = not told.
+    booted_at: f64,
+}
+
+impl Known {
+    fn standing(&self) -> Standing {
+        match (self.host.state, self.said) {
+            (HostState::Gone, _) => Standing::Gone,
+            (HostState::Draining, _) | (_, EngineState::Draining) => Standing::Draining,
+            (HostState::Ready, EngineState::Ready) => Standing::Ready,
+        }
+    }
+
+    pub(crate) fn takes_work(&self) -> bool {
+        self.standing() == Standing::Ready
+    }
+
+    fn entry(&self, id: ServerId) -> ServerEntry {
+        ServerEntry {
+            id,
+            standing: self.standing(),
+            kind: self.kind,
+            cell: self.cell,
+            zone: self.zone,
+            weight: self.host.weight,
+            booted_at: self.booted_at,
+        }
+    }
+}
+
+/// Small numbers for names, in order of first sight.
+#[derive(Default)]
+struct Names(BTreeMap<String, u16>);
+
+impl Names {
+    fn number(&mut self, name: &str) -> u16 {
+        let next = u16::try_from(self.0.len()).unwrap_or(u16::MAX);
+        *self.0.entry(name.to_string()).or_insert(next)
+    }
+}
+
+/// What a list changed.
+#[derive(Default)]
+pub(crate) struct ListChange {
+    pub entries: Vec<ServerEntry>,
+    /// Hosts whose address is new or other than before.
+    pub dial: Vec<ServerId>,
+    /// Hosts that are gone, or no longer at the address that their link leads to.
+    pub leave: Vec<ServerId>,
+    /// Hosts that take no new work any more.
+    pub closed: Vec<ServerId>,
+    /// Hosts that were passed over, with the cause.
+    pub passed: Vec<String>,
+}
+
+pub(crate) struct Fleet {
+    hosts: BTreeMap<ServerId, Known>,
+    zones: Names,
+    cells: Names,
+}
+
+impl Fleet {
+    /// The dispatcher's own zone is number 0.
+    pub(crate) fn new(zone: &str) -> Self {
+        let mut zones = Names::default();
+        zones.number(zone);
+        Fleet { hosts: BTreeMap::new(), zones, cells: Names::default() }
+    }
+
+    pub(crate) fn get(&self, id: ServerId) -> Option<&Known> {
+        self.hosts.get(&id)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Takes a complete list. A host whose kind the settings do not name is passed over and said so.
+    pub(crate) fn take_list(&mut self, list: Vec<Host>, settings: &Settings) -> ListChange {
+        let mut change = ListChange::default();
+        let mut seen = BTreeMap::new();
+        for host in list {
+            let id = host.id();
+            let kinds = &settings.kinds;
+            let Some(kind) = kinds.iter().position(|k| k.name == host.kind) else {
+                change.passed.push(format!("host '{}' has kind '{}', unknown here", host.name, host.kind));
+                continue;
+            };
+            let (cell, zone) = (self.cells.number(&host.cell), self.zones.number(&host.zone));
+            let role = kinds[kind].role;
+            let old = self.hosts.remove(&id);
+            let was_open = old.as_ref().is_some_and(Known::takes_work);
+            let moved = old.as_ref().is_none_or(|o| o.host.endpoint() != host.endpoint());
+            let (said, booted_at) = match &old {
+                Some(o) if !moved => (o.said, o.booted_at),
+                _ => (EngineState::Ready, 0.0),
+            };
+            let gone = host.state == HostState::Gone;
+            if old.is_some() && (moved || gone) {
+                change.leave.push(id);
+            }
+            if moved && !gone {
+                change.dial.push(id);
+            }
+            let known = Known { host, role, kind: kind as u16, cell, zone, said, booted_at };
+            if was_open && !known.takes_work() {
+                change.closed.push(id);
+            }
+            change.entries.push(known.entry(id));
+            seen.insert(id, known);
+        }
+        for id in self.hosts.keys() {
+            change.leave.push(*id);
+            change.closed.push(*id);
+        }
+        self.hosts = seen;
+        change
+    }
+
+    /// Takes a link's greeting. Gives the changed entry, and whether the host has been started anew since it was last
+    /// heard, so that what was decided for it before no longer holds.
+    pub(crate) fn greeted(
+        &mut self,
+        now: Micros,
+        id: ServerId,
+        uptime_s: f64,
+        said: EngineState,
+        warm_after_s: f64,
+    ) -> Option<(ServerEntry, bool)> {
+        let known = self.hosts.get_mut(&id)?;
+        let warm = !uptime_s.is_finite() || uptime_s >= warm_after_s;
+        let booted_at = if warm { 0.0 } else { now.seconds() - uptime_s.max(0.0) };
+        let same = (booted_at - known.booted_at).abs() <= RESTART_SLACK_S;
+        let anew = booted_at > 0.0 && !same;
+        if !same {
+            known.booted_at = booted_at;
+        }
+        known.said = said;
+        Some((known.entry(id), anew))
+    }
+
+    /// Takes a host's word on its own state.
+    pub(crate) fn said(&mut self, id: ServerId, said: EngineState) -> Option<ServerEntry> {
+        let known = self.hosts.get_mut(&id)?;
+        known.said = said;
+        Some(known.entry(id))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use bitternlatch_inventory::parse;
+
+    fn hosts(text: &str) -> Vec<Host> {
+        parse("hosts.csv", text).expect("a good list").into_values().collect()
+    }
+
+    #[test]
+    fn a_list_tells_what_to_dial_to_leave_and_to_close() {
+        let settings = crate::settings::tests::small();
+        let mut fleet = Fleet::new("z");
+        let first = fleet.take_list(
+            hosts("name,port,kind,address\na,1,reader,127.0.0.1\nb,2,writer,127.0.0.1\nc,3,odd,127.0.0.1\n"),
+            &settings,
+        );
+        assert_eq!((first.entries.len(), first.dial.len(), first.leave.len()), (2, 2, 0));
+        assert!(first.passed[0].contains("'odd'"));
+        let second = fleet.take_list(
+            hosts(
+                "name,port,kind,address,state\na,9,reader,127.0.0.1,ready\nb,2,writer,127.0.0.1,draining\n",
+            ),
+            &settings,
+        );
+        let (a, b) = (bitternlatch_inventory::host_id("a"), bitternlatch_inventory::host_id("b"));
+        assert_eq!((second.dial, second.leave, second.closed), (vec![a], vec![a], vec![b]));
+        let third = fleet.take_list(hosts("name,port,kind,address\na,9,reader,127.0.0.1\n"), &settings);
+        assert_eq!((third.leave, third.closed), (vec![b], vec![b]));
+    }
+
+    #[test]
+    fn a_young_engine_is_cold_from_its_start_and_a_younger_one_has_restarted() {
+        let settings = crate::settings::tests::small();
+        let mut fleet = Fleet::new("z");
+        fleet.take_list(hosts("name,port,kind\na,1,reader\n"), &settings);
+        let a = bitternlatch_inventory::host_id("a");
+        let at = |s: u64| Micros(s * 1_000_000);
+        let (entry, anew) = fleet.greeted(at(100), a, 500.0, EngineState::Ready, 14.0).expect("known");
+        assert_eq!((entry.booted_at, anew), (0.0, false));
+        let (entry, anew) = fleet.greeted(at(200), a, 2.0, EngineState::Ready, 14.0).expect("known");
+        assert_eq!((entry.booted_at, anew), (198.0, true));
+        let (_, anew) = fleet.greeted(at(203), a, 5.1, EngineState::Ready, 14.0).expect("known");
+        assert!(!anew, "the same start seen over another link");
+    }
+}
--- /dev/null
+++ b/crates/core/src/intake.rs
@@ -0,0 +1,320 @@
+//! From a client's message to a request: checks, bounds, keys, and what a returning client is given.
+
+use bitternlatch_policy::interface::{Event, Request as Ask, RequestId};
+use bitternlatch_protocol::client::{self, BadRequest, ClientEvent, Create, Response, Status};
+use bitternlatch_protocol::tokens_of;
+use xxhash_rust::xxh3::{xxh3_64, Xxh3};
+
+use crate::keys::{Key, Known};
+use crate::machine::Machine;
+use crate::requests::{message_id, read_response_id, response_id, Listener, Request, LISTENERS_MOST};
+use crate::settings::Effect;
+use crate::timers::Timer;
+use crate::types::{Micros, Output, SessionId};
+
+/// Seconds after which a client that met one of this machine's own bounds may come back.
+const COME_BACK_S: f64 = 1.0;
+
+/// What of a message has been settled before the request is made.
+struct Wanted {
+    class: u16,
+    tenant: u32,
+    time_left_s: f64,
+    key: Option<Key>,
+    conversation: u64,
+    prompt: String,
+    max_tokens: u32,
+}
+
+fn too_many(message: &str) -> BadRequest {
+    BadRequest { status: 429, code: "too_many_requests", message: message.to_string(), param: None }
+}
+
+impl Machine {
+    pub(crate) fn on_client_text(
+        &mut self,
+        now: Micros,
+        session: SessionId,
+        text: &str,
+        out: &mut Vec<Output>,
+    ) {
+        if !self.sessions.is_open(session) {
+            return;
+        }
+        let say = |out: &mut Vec<Output>, text| out.push(Output::Say { session, text });
+        match client::parse(text) {
+            Ok(ClientEvent::Create(create)) => {
+                if let Err(bad) = self.create(now, session, &create, out) {
+                    let again = (bad.status == 429).then_some((COME_BACK_S * 1000.0) as u64);
+                    say(out, client::error(&bad, again, Some(&create.metadata)));
+                }
+            }
+            Ok(ClientEvent::Cancel { response_id }) => {
+                if let Err(bad) = self.cancel_by_client(now, session, &response_id, out) {
+                    say(out, client::error(&bad, None, None));
+                }
+            }
+            Err(bad) => say(out, client::error(&bad, None, None)),
+        }
+    }
+
+    fn create(
+        &mut self,
+        now: Micros,
+        session: SessionId,
+        create: &Create,
+        out: &mut Vec<Output>,
+    ) -> Result<(), BadRequest> {
+        if self.sessions.in_hand(session) >= self.settings.listen.session_requests {
+            return Err(too_many("this session has as many requests in hand as it may"));
+        }
+        let wanted = self.wanted(create)?;
+        if let Some(key) = &wanted.key {
+            let asked = fingerprint(create);
+            match self.keys.know(key, asked) {
+                Known::New => {}
+                Known::Attach(id) => return self.attach(session, id, out),
+                Known::Answer(answer) => {
+                    self.say_again(session, &answer, out);
+                    return Ok(());
+                }
+                Known::Forgotten => {
+                    let why = "its request has ended and may have run; the answer is no longer kept";
+                    let bad = BadRequest::field("metadata.idempotency_key", why);
+                    return Err(BadRequest { status: 410, code: "answer_not_kept", ..bad });
+                }
+                Known::OtherRequest => {
+                    let why = "this key was used for another request";
+                    let bad = BadRequest::field("metadata.idempotency_key", why);
+                    return Err(BadRequest { status: 409, code: "idempotency_key_reused", ..bad });
+                }
+                Known::NoRoom => return Err(too_many("no room for another idempotency key")),
+            }
+        }
+        if self.requests.len() >= self.settings.requests.in_hand {
+            return Err(too_many("the dispatcher has as many requests in hand as it may"));
+        }
+        self.begin(now, session, create, wanted, out);
+        Ok(())
+    }
+
+    fn wanted(&self, create: &Create) -> Result<Wanted, BadRequest> {
+        let meta = |name: &str| create.metadata.get(name).map(String::as_str);
+        let field = |name: &str, why: String| BadRequest::field(&format!("metadata.{name}"), why);
+        let class = match meta(client::META_CLASS) {
+            None => 0,
+            Some(name) => {
+                let found = self.settings.classes.iter().position(|c| c.name == name);
+                found.ok_or_else(|| field(client::META_CLASS, format!("'{name}' is no class here")))?
+            }
+        };
+        let tenant = match meta(client::META_TENANT) {
+            None => 0,
+            Some(_) if self.settings.tenants.is_empty() => 0,
+            Some(name) => {
+                let found = self.settings.tenants.iter().position(|t| t.name == name);
+                found.ok_or_else(|| field(client::META_TENANT, format!("'{name}' is no tenant here")))?
+            }
+        };
+        let full_s = self.settings.classes[class].deadline_s;
+        let time_left_s = match meta(client::META_DEADLINE_MS).map(str::parse::<f64>) {
+            None => full_s,
+            Some(Ok(ms)) if ms > 0.0 && ms.is_finite() => full_s.min(ms / 1000.0),
+            Some(_) => {
+                let why = "a number of milliseconds above 0 is expected";
+                return Err(field(client::META_DEADLINE_MS, why.to_string()));
+            }
+        };
+        let (class, tenant) = (class as u16, tenant as u32);
+        let text = meta(client::META_KEY).filter(|k| !k.is_empty());
+        let key = text.map(|text| Key { tenant, class, text: text.to_string() });
+        let (conversation, prompt) = self.prompt(create, tenant)?;
+        let max_tokens = create.max_output_tokens.unwrap_or(self.settings.requests.max_output_tokens);
+        Ok(Wanted { class, tenant, time_left_s, key, conversation, prompt, max_tokens })
+    }
+
+    /// The whole prompt and the key of its conversation; 0 where it begins one.
+    fn prompt(&self, create: &Create, tenant: u32) -> Result<(u64, String), BadRequest> {
+        let (conversation, head) = match &create.previous_response_id {
+            None => (0, create.instructions.as_str()),
+            Some(id) => match self.contexts.find(id, tenant) {
+                Some(context) => (context.conversation, context.text.as_str()),
+                None => {
+                    let bad = BadRequest::field("previous_response_id", "is not known here any more");
+                    return Err(BadRequest { code: "previous_response_not_found", ..bad });
+                }
+            },
+        };
+        let bytes = head.len() + 1 + create.input.len();
+        let most = self.settings.requests.prompt_bytes;
+        if bytes > most {
+            return Err(BadRequest::field(
+                "input",
+                format!("makes a prompt of {bytes} bytes, more than {most}"),
+            ));
+        }
+        let separator = if head.is_empty() { "" } else { "\n" };
+        Ok((conversation, format!("{head}{separator}{}", create.input)))
+    }
+
+    fn begin(
+        &mut self,
+        now: Micros,
+        session: SessionId,
+        create: &Create,
+        wanted: Wanted,
+        out: &mut Vec<Output>,
+    ) {
+        let id = self.next_request;
+        // Never reused: a dispatcher that has given out every id has to be started again.
+        self.next_request = id.saturating_add(1);
+        let response = self.new_response(now, id, create, wanted.max_tokens);
+        let left_s = (wanted.time_left_s - self.settings.requests.answer_margin_s).max(0.0);
+        let deadline = now.after(left_s);
+        let conversation = match wanted.conversation {
+            0 => xxh3_64(response.id.as_bytes()),
+            known => known,
+        };
+        let ask = ask(id, create, &wanted, conversation, left_s);
+        if let Some(key) = &wanted.key {
+            self.keys.begin(key.clone(), fingerprint(create), id);
+        }
+        let request = Request {
+            item_id: message_id(&response.id),
+            response,
+            class: wanted.class,
+            tenant: wanted.tenant,
+            key: wanted.key,
+            conversation,
+            prompt: wanted.prompt,
+            max_tokens: wanted.max_tokens,
+            temperature: create.temperature,
+            top_p: create.top_p,
+            deadline,
+            listeners: vec![Listener { session, sequence: 0 }],
+            text: String::new(),
+            usage: Default::default(),
+            attempts: 0,
+            attempt: None,
+            state: None,
+            may_have_run: false,
+            answered: false,
+        };
+        self.requests.insert(id, request);
+        self.sessions.listen(session, id);
+        self.say_created(id, session, out);
+        if self.stopping {
+            return self.refuse(now, id, COME_BACK_S, "this dispatcher is stopping", out);
+        }
+        if id == u32::MAX {
+            return self.refuse(now, id, COME_BACK_S, "this dispatcher has to be started again", out);
+        }
+        self.timers.set(deadline, Timer::Deadline { request: id });
+        self.events.push_back(Event::Arrival(ask));
+    }
+
+    fn new_response(&self, now: Micros, id: RequestId, create: &Create, max_tokens: u32) -> Response {
+        Response {
+            id: response_id(self.instance, id),
+            object: "response".to_string(),
+            created_at: now.0 / 1_000_000,
+            status: Status::InProgress,
+            model: create.model.clone(),
+            previous_response_id: create.previous_response_id.clone(),
+            max_output_tokens: Some(max_tokens),
+            metadata: create.metadata.clone(),
+            output: Vec::new(),
+            usage: None,
+            error: None,
+            incomplete_details: None,
+        }
+    }
+
+    /// A further session listens to a running request: it is given all that has come so far.
+    fn attach(&mut self, session: SessionId, id: RequestId, out: &mut Vec<Output>) -> Result<(), BadRequest> {
+        let Some(request) = self.requests.get_mut(&id) else { return Err(too_many("is ending; ask again")) };
+        if request.listeners.iter().any(|l| l.session == session) {
+            let why = "this session already waits for the request with this key";
+            let bad = BadRequest::field("metadata.idempotency_key", why);
+            return Err(BadRequest { status: 409, code: "already_waiting", ..bad });
+        }
+        if request.listeners.len() >= LISTENERS_MOST {
+            return Err(too_many("too many sessions wait for this request"));
+        }
+        request.listeners.push(Listener { session, sequence: 0 });
+        self.sessions.listen(session, id);
+        self.say_created(id, session, out);
+        self.say_so_far(id, session, out);
+        Ok(())
+    }
+
+    fn cancel_by_client(
+        &mut self,
+        now: Micros,
+        session: SessionId,
+        response: &str,
+        out: &mut Vec<Output>,
+    ) -> Result<(), BadRequest> {
+        let id = read_response_id(self.instance, response);
+        let heard = |id: &RequestId| {
+            self.requests.get(id).is_some_and(|r| r.listeners.iter().any(|l| l.session == session))
+        };
+        match id.filter(heard) {
+            Some(id) => {
+                self.give_up_by_client(now, id, session, out);
+                Ok(())
+            }
+            None => {
+                let bad = BadRequest::field("response_id", "no response of this id runs in this session");
+                Err(BadRequest { status: 404, code: "response_not_found", ..bad })
+            }
+        }
+    }
+
+    pub(crate) fn on_session_closed(&mut self, now: Micros, session: SessionId, out: &mut Vec<Output>) {
+        for id in self.sessions.close(session) {
+            let Some(request) = self.requests.get_mut(&id) else { continue };
+            request.listeners.retain(|l| l.session != session);
+            // A keyed request with an effect goes on: its client may come back for the one answer that it has.
+            let lingers = request.key.is_some()
+                && self.settings.classes[usize::from(request.class)].effect != Effect::Safe;
+            if request.listeners.is_empty() && !lingers {
+                self.abandon(now, id, out);
+            }
+        }
+    }
+}
+
+/// What the decision module is told of a request. The shared prefix goes by the caller's own key where it gives one,
+/// else by the instructions; token counts are the text's bytes over four.
+fn ask(id: RequestId, create: &Create, wanted: &Wanted, conversation: u64, left_s: f64) -> Ask {
+    let prefix = match (&create.prompt_cache_key, create.instructions.is_empty()) {
+        (Some(key), _) => xxh3_64(key.as_bytes()),
+        (None, false) => xxh3_64(create.instructions.as_bytes()),
+        (None, true) => 0,
+    };
+    Ask {
+        id,
+        class: wanted.class,
+        tenant: wanted.tenant,
+        session: conversation,
+        prefix,
+        prompt_tokens: f64::from(tokens_of(wanted.prompt.len())),
+        prefix_tokens: f64::from(tokens_of(create.instructions.len())),
+        max_output_tokens: f64::from(wanted.max_tokens),
+        output_hint_s: None,
+        time_left_s: left_s,
+    }
+}
+
+/// Hash of what is asked, without what may differ between a first try and its repeat.
+fn fingerprint(create: &Create) -> u64 {
+    let mut hash = Xxh3::new();
+    let previous = create.previous_response_id.as_deref().unwrap_or("");
+    for part in [create.model.as_str(), &create.instructions, &create.input, previous] {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part.as_bytes());
+    }
+    hash.update(&create.max_output_tokens.unwrap_or(0).to_le_bytes());
+    hash.digest()
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,1 +1,28 @@
+//! One dispatcher as a pure state machine.
+//!
+//! [`Machine::step`] takes one [`Input`] at a clock time and appends [`Output`]s. It owns the decision module's
+//! `Router`, the request table, the sessions, the links to hosts and the timers. It reads no clock, opens no file,
+//! holds no socket and draws random numbers from its seed alone, so that the same inputs give the same outputs in
+//! every program; [`record`] keeps them in a file.
+//!
+//! The shape is that of sans-I/O libraries such as `quinn-proto` and `rustls`.
 
+mod answers;
+mod attempts;
+mod carry;
+mod contexts;
+mod fleet;
+mod intake;
+mod keys;
+mod links;
+mod machine;
+pub mod record;
+mod requests;
+mod sessions;
+pub mod settings;
+mod timers;
+mod types;
+
+pub use machine::{Counts, Machine, Traced};
+pub use settings::{Settings, SettingsError};
+pub use types::{Input, Level, LinkId, Micros, Output, SessionId, Stale};
--- /dev/null
+++ b/crates/core/src/links.rs
@@ -0,0 +1,231 @@
+//! Links to hosts: one each, kept open, dialled again with growing pauses, with a bounded queue until it greets.
+//!
+//! The table says truthfully what became of a message: still queued (it never left), or told (it may have arrived).
+
+use std::collections::{BTreeMap, VecDeque};
+
+use bitternlatch_policy::interface::ServerId;
+
+use crate::types::{LinkId, Micros};
+
+/// First pause before a link is dialled again, and the longest; each failure doubles it. Starting values of ours.
+const PAUSE_S: (f64, f64) = (0.05, 2.0);
+/// Messages queued for a link that has not greeted; past it a send counts as not connected.
+const QUEUE_MOST: usize = 64;
+
+#[derive(Clone, Debug, PartialEq)]
+enum Stage {
+    /// Dialled; the socket is not up yet.
+    Dialled,
+    /// Up, but the host has not greeted.
+    Silent,
+    Open,
+    /// Waits to be dialled again.
+    Paused,
+}
+
+/// A message that waits for its link.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Queued {
+    pub attempt: String,
+    pub text: String,
+}
+
+struct Link {
+    epoch: u32,
+    stage: Stage,
+    failures: u32,
+    queue: VecDeque<Queued>,
+    /// To be closed once nothing is out over it.
+    leaving: bool,
+}
+
+/// What became of a message given to a link.
+#[derive(Debug, PartialEq)]
+pub(crate) enum Given {
+    /// To be told now over this link.
+    Tell(LinkId),
+    Queued(LinkId),
+    /// There is no way to the host now.
+    NoWay,
+}
+
+#[derive(Default)]
+pub(crate) struct Links {
+    links: BTreeMap<ServerId, Link>,
+    /// Epochs go on over a host's removal and return, so that no two links share an id.
+    epochs: BTreeMap<ServerId, u32>,
+}
+
+impl Links {
+    /// Begins a link, or dials it again; the caller sends the dial.
+    pub(crate) fn dial(&mut self, host: ServerId) -> LinkId {
+        let epoch = self.epochs.entry(host).or_default();
+        *epoch += 1;
+        let epoch = *epoch;
+        let failures = self.links.get(&host).map_or(0, |l| l.failures);
+        let queue = self.links.remove(&host).map(|l| l.queue).unwrap_or_default();
+        self.links.insert(host, Link { epoch, stage: Stage::Dialled, failures, queue, leaving: false });
+        LinkId { host, epoch }
+    }
+
+    fn current(&mut self, link: LinkId) -> Option<&mut Link> {
+        self.links.get_mut(&link.host).filter(|l| l.epoch == link.epoch)
+    }
+
+    /// The socket is up; false for a link that is no longer wanted.
+    pub(crate) fn up(&mut self, link: LinkId) -> bool {
+        self.current(link).map(|l| l.stage = Stage::Silent).is_some()
+    }
+
+    /// The host has greeted: gives what was queued, in order.
+    pub(crate) fn greeted(&mut self, link: LinkId) -> Vec<Queued> {
+        let Some(l) = self.current(link).filter(|l| l.stage == Stage::Silent) else { return Vec::new() };
+        (l.stage, l.failures) = (Stage::Open, 0);
+        l.queue.drain(..).collect()
+    }
+
+    /// The link failed or ended: gives what was still queued and the pause before it may be dialled again, or `None`
+    /// where it was not wanted any more.
+    pub(crate) fn down(&mut self, link: LinkId, jitter: f64) -> Option<(Vec<Queued>, f64)> {
+        let l = self.current(link).filter(|l| l.stage != Stage::Paused)?;
+        let queued = l.queue.drain(..).collect();
+        if l.leaving {
+            self.links.remove(&link.host);
+            return Some((queued, f64::INFINITY));
+        }
+        let pause = (PAUSE_S.0 * f64::from(1u32 << l.failures.min(16))).min(PAUSE_S.1);
+        (l.stage, l.failures) = (Stage::Paused, l.failures.saturating_add(1));
+        Some((queued, pause * (0.5 + 0.5 * jitter)))
+    }
+
+    /// Whether a link in this epoch has not yet greeted.
+    pub(crate) fn is_opening(&self, link: LinkId) -> bool {
+        let opening = |l: &&Link| l.epoch == link.epoch && matches!(l.stage, Stage::Dialled | Stage::Silent);
+        self.links.get(&link.host).filter(opening).is_some()
+    }
+
+    pub(crate) fn is_paused(&self, link: LinkId) -> bool {
+        self.links.get(&link.host).is_some_and(|l| l.epoch == link.epoch && l.stage == Stage::Paused)
+    }
+
+    pub(crate) fn is_current(&self, link: LinkId) -> bool {
+        self.links.get(&link.host).is_some_and(|l| l.epoch == link.epoch)
+    }
+
+    /// The open link to a host.
+    pub(crate) fn open(&self, host: ServerId) -> Option<LinkId> {
+        let l = self.links.get(&host).filter(|l| l.stage == Stage::Open)?;
+        Some(LinkId { host, epoch: l.epoch })
+    }
+
+    pub(crate) fn give(&mut self, host: ServerId, message: Queued) -> Given {
+        let Some(l) = self.links.get_mut(&host) else { return Given::NoWay };
+        let link = LinkId { host, epoch: l.epoch };
+        match l.stage {
+            Stage::Open => Given::Tell(link),
+            Stage::Dialled | Stage::Silent if l.queue.len() < QUEUE_MOST && !l.leaving => {
+                l.queue.push_back(message);
+                Given::Queued(link)
+            }
+            _ => Given::NoWay,
+        }
+    }
+
+    /// Takes one attempt's message out of its queue; false if it is not there.
+    pub(crate) fn take_back(&mut self, host: ServerId, attempt: &str) -> bool {
+        let Some(l) = self.links.get_mut(&host) else { return false };
+        let before = l.queue.len();
+        l.queue.retain(|q| q.attempt != attempt);
+        l.queue.len() < before
+    }
+
+    /// Takes all that is still queued for a host.
+    pub(crate) fn take_queue(&mut self, host: ServerId) -> Vec<Queued> {
+        self.links.get_mut(&host).map(|l| l.queue.drain(..).collect()).unwrap_or_default()
+    }
+
+    /// The link is not wanted any more; gives it where it is to be hung up at once.
+    pub(crate) fn leave(&mut self, host: ServerId, busy: bool) -> Option<LinkId> {
+        let l = self.links.get_mut(&host)?;
+        l.leaving = true;
+        let link = LinkId { host, epoch: l.epoch };
+        match (&l.stage, busy) {
+            (Stage::Open, true) => None,
+            (Stage::Paused, _) => {
+                self.links.remove(&host);
+                None
+            }
+            _ => Some(link),
+        }
+    }
+
+    /// Links that are to be left.
+    pub(crate) fn leaving(&self) -> Vec<ServerId> {
+        self.links.iter().filter(|(_, l)| l.leaving).map(|(id, _)| *id).collect()
+    }
+
+    pub(crate) fn open_count(&self) -> usize {
+        self.links.values().filter(|l| l.stage == Stage::Open).count()
+    }
+}
+
+/// A time at which a paused link is dialled again.
+pub(crate) fn again(now: Micros, pause_s: f64) -> Option<Micros> {
+    pause_s.is_finite().then(|| now.after(pause_s))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn message(attempt: &str) -> Queued {
+        Queued { attempt: attempt.to_string(), text: String::new() }
+    }
+
+    #[test]
+    fn messages_wait_for_the_greeting_and_a_late_word_of_an_old_link_counts_for_nothing() {
+        let mut links = Links::default();
+        assert_eq!(links.give(1, message("a")), Given::NoWay);
+        let first = links.dial(1);
+        assert_eq!(links.give(1, message("a")), Given::Queued(first));
+        assert!(links.greeted(first).is_empty(), "not up yet");
+        assert!(links.up(first));
+        assert_eq!(links.greeted(first), vec![message("a")]);
+        assert_eq!(links.give(1, message("b")), Given::Tell(first));
+        let (queued, pause) = links.down(first, 0.0).expect("current");
+        assert!(queued.is_empty() && pause > 0.0);
+        assert_eq!(links.give(1, message("c")), Given::NoWay);
+        let second = links.dial(1);
+        assert!(links.down(first, 0.0).is_none() && !links.up(first) && links.up(second));
+    }
+
+    #[test]
+    fn pauses_grow_to_their_bound_and_a_queue_has_one() {
+        let mut links = Links::default();
+        let mut last = 0.0;
+        for _ in 0..20 {
+            let link = links.dial(1);
+            let (_, pause) = links.down(link, 1.0).expect("current");
+            assert!(pause >= last && pause <= PAUSE_S.1);
+            last = pause;
+        }
+        assert_eq!(last, PAUSE_S.1);
+        links.dial(1);
+        let taken = (0..100).filter(|_| links.give(1, message("a")) != Given::NoWay).count();
+        assert_eq!(taken, QUEUE_MOST);
+    }
+
+    #[test]
+    fn a_busy_link_is_left_once_it_is_idle() {
+        let mut links = Links::default();
+        let link = links.dial(1);
+        links.up(link);
+        links.greeted(link);
+        assert_eq!(links.leave(1, true), None);
+        assert_eq!(links.leaving(), vec![1]);
+        assert_eq!(links.leave(1, false), Some(link));
+        assert_eq!(links.down(link, 0.0).map(|d| d.1), Some(f64::INFINITY));
+        assert_eq!(links.open(1), None);
+    }
+}
--- /dev/null
+++ b/crates/core/src/machine.rs
@@ -0,0 +1,257 @@
+//! The machine itself: one step an input, the loop around the decision module, and the timers.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use bitternlatch_inventory::Host;
+use bitternlatch_policy::choice::Router;
+use bitternlatch_policy::interface::{Action, Event, ListForm, Outcome, RequestId, ServerId};
+use rand_core::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+use crate::contexts::Contexts;
+use crate::fleet::Fleet;
+use crate::keys::Keys;
+use crate::links::Links;
+use crate::requests::Requests;
+use crate::sessions::Sessions;
+use crate::settings::Settings;
+use crate::timers::{Timer, Timers};
+use crate::types::{Input, Level, LinkId, Micros, Output, SessionId};
+
+/// Shortest time between two steps that the decision module may count on, seconds.
+pub(crate) const TICK_S: f64 = 0.002;
+/// Seconds between two sweeps of the tables.
+const SWEEP_S: f64 = 1.0;
+/// Seconds after which a probe counts as unanswered.
+pub(crate) const PROBE_S: f64 = 1.0;
+
+/// A probe that is out.
+pub(crate) struct Probe {
+    pub link: LinkId,
+    pub sent: Micros,
+}
+
+/// One event that the decision module took and what it answered, for programs that check it elsewhere.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Traced {
+    pub now_s: f64,
+    pub event: Event,
+    pub actions: Vec<Action>,
+}
+
+/// How full the machine is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub sessions: usize,
+    pub requests: usize,
+    pub hosts: usize,
+    pub open_links: usize,
+    pub keys: usize,
+}
+
+/// One dispatcher. See the crate's front page.
+pub struct Machine {
+    pub(crate) settings: Settings,
+    /// Number of this run, part of every id that leaves it.
+    pub(crate) instance: u64,
+    pub(crate) router: Router,
+    pub(crate) requests: Requests,
+    pub(crate) next_request: RequestId,
+    pub(crate) sessions: Sessions,
+    pub(crate) links: Links,
+    pub(crate) fleet: Fleet,
+    pub(crate) keys: Keys,
+    pub(crate) contexts: Contexts,
+    pub(crate) timers: Timers,
+    pub(crate) probes: BTreeMap<u64, Probe>,
+    pub(crate) next_probe: u64,
+    pub(crate) events: VecDeque<Event>,
+    pub(crate) stopping: bool,
+    stopped: bool,
+    sweeping: bool,
+    rng: Xoshiro256PlusPlus,
+    trace: Option<Vec<Traced>>,
+}
+
+impl Machine {
+    /// A dispatcher that knows nothing yet. The seed is the only source of chance, and names the run.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let limits = &settings.requests;
+        Machine {
+            instance: xxhash_rust::xxh3::xxh3_64_with_seed(settings.name.as_bytes(), seed),
+            router: Router::new(settings.policy(), rng.next_u64()),
+            requests: Requests::new(),
+            next_request: 1,
+            sessions: Sessions::default(),
+            links: Links::default(),
+            fleet: Fleet::new(&settings.zone),
+            keys: Keys::new(limits.keys, limits.key_bytes, limits.key_s),
+            contexts: Contexts::new(limits.context_bytes),
+            timers: Timers::default(),
+            probes: BTreeMap::new(),
+            next_probe: 1,
+            events: VecDeque::new(),
+            stopping: false,
+            stopped: false,
+            sweeping: false,
+            rng,
+            trace: None,
+            settings,
+        }
+    }
+
+    /// The seed of the decision module of a machine with this seed.
+    pub fn router_seed(seed: u64) -> u64 {
+        Xoshiro256PlusPlus::seed_from_u64(seed).next_u64()
+    }
+
+    /// Keeps from now on what the decision module is told and answers, for [`Machine::take_trace`].
+    pub fn keep_trace(&mut self) {
+        self.trace = Some(Vec::new());
+    }
+
+    pub fn take_trace(&mut self) -> Vec<Traced> {
+        self.trace.as_mut().map(std::mem::take).unwrap_or_default()
+    }
+
+    pub fn counts(&self) -> Counts {
+        Counts {
+            sessions: self.sessions.len(),
+            requests: self.requests.len(),
+            hosts: self.fleet.len(),
+            open_links: self.links.open_count(),
+            keys: self.keys.len(),
+        }
+    }
+
+    /// When the next [`Input::Tick`] is due at the latest.
+    pub fn next_wake(&self) -> Option<Micros> {
+        self.timers.next()
+    }
+
+    /// Takes one input at clock time `now` and appends what is to be done, in order. Timers that are due act first.
+    pub fn step(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        if !self.sweeping {
+            self.sweeping = true;
+            self.timers.set(now.after(SWEEP_S), Timer::Sweep);
+        }
+        for timer in self.timers.take_due(now) {
+            self.on_timer(now, timer, out);
+            self.pump(now, out);
+        }
+        self.on_input(now, input, out);
+        self.pump(now, out);
+        if self.stopping && !self.stopped && self.requests.values().all(|r| r.answered) {
+            self.stopped = true;
+            out.push(Output::Stopped);
+        }
+    }
+
+    fn on_input(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Hosts(list) => self.on_hosts(now, list, out),
+            Input::SessionOpened { session } => self.on_session(session, out),
+            Input::SessionText { session, text } => self.on_client_text(now, session, &text, out),
+            Input::SessionClosed { session } => self.on_session_closed(now, session, out),
+            Input::LinkUp { link } => self.on_link_up(now, link, out),
+            Input::LinkFailed { link, why } => self.on_link_down(now, link, false, &why, out),
+            Input::LinkClosed { link, why } => self.on_link_down(now, link, true, &why, out),
+            Input::LinkText { link, text } => self.on_engine_text(now, link, &text, out),
+            Input::LinkUnsent { link, attempt } => self.on_unsent(now, link, &attempt, out),
+            Input::Tick => {}
+            Input::Stop => {
+                self.stopping = true;
+                let sessions = self.sessions.ids();
+                log(out, Level::Info, format!("stopping: {} sessions open", sessions.len()));
+            }
+        }
+    }
+
+    /// Gives the decision module each waiting event and carries out what it answers.
+    fn pump(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            let kept = self.trace.is_some().then(|| event.clone());
+            self.router.handle(now.seconds(), event, &mut actions);
+            if let (Some(trace), Some(event)) = (self.trace.as_mut(), kept) {
+                trace.push(Traced { now_s: now.seconds(), event, actions: actions.clone() });
+            }
+            for action in actions.drain(..) {
+                self.carry_out(now, action, out);
+            }
+        }
+    }
+
+    fn on_hosts(&mut self, now: Micros, list: Vec<Host>, out: &mut Vec<Output>) {
+        let change = self.fleet.take_list(list, &self.settings);
+        change.passed.into_iter().for_each(|why| log(out, Level::Error, why));
+        // The module is told first, so that what is handed back does not go to the same host again.
+        self.events.push_back(Event::Servers { form: ListForm::Full, entries: change.entries });
+        for host in change.closed {
+            self.hand_back_queued(now, host, out);
+        }
+        for host in change.leave {
+            self.leave(host, out);
+        }
+        for host in change.dial {
+            self.dial(now, host, out);
+        }
+    }
+
+    pub(crate) fn leave(&mut self, host: ServerId, out: &mut Vec<Output>) {
+        let busy = self.requests.values().any(|r| r.attempt.as_ref().is_some_and(|a| a.host == host));
+        if let Some(link) = self.links.leave(host, busy) {
+            out.push(Output::Hang { link });
+        }
+    }
+
+    pub(crate) fn dial(&mut self, now: Micros, host: ServerId, out: &mut Vec<Output>) {
+        let Some(known) = self.fleet.get(host) else { return };
+        let endpoint = known.host.endpoint();
+        let link = self.links.dial(host);
+        let within_s = self.settings.engines.connect_s + self.settings.engines.greet_s;
+        self.timers.set(now.after(within_s), Timer::Link { host, epoch: link.epoch });
+        out.push(Output::Dial { link, endpoint });
+    }
+
+    fn on_session(&mut self, session: SessionId, out: &mut Vec<Output>) {
+        if self.stopping || self.sessions.len() >= self.settings.listen.sessions {
+            let reason = if self.stopping { "stopping; come back elsewhere" } else { "too many sessions" };
+            let code = if self.stopping { 1001 } else { 1013 };
+            return out.push(Output::CloseSession { session, code, reason: reason.to_string() });
+        }
+        self.sessions.open(session);
+    }
+
+    fn on_timer(&mut self, now: Micros, timer: Timer, out: &mut Vec<Output>) {
+        match timer {
+            Timer::Router { label } => self.events.push_back(Event::Timer { label }),
+            Timer::Attempt { request, attempt } => self.on_attempt_time(now, request, attempt, out),
+            Timer::Deadline { request } => self.on_deadline(now, request, out),
+            Timer::Stall { request } => self.on_stall(now, request, out),
+            Timer::Probe { id } => self.end_probe(now, id, Outcome::TimedOut, Vec::new()),
+            Timer::Link { host, epoch } => self.on_link_time(now, LinkId { host, epoch }, out),
+            Timer::Sweep => self.sweep(now, out),
+        }
+    }
+
+    fn sweep(&mut self, now: Micros, out: &mut Vec<Output>) {
+        self.timers.set(now.after(SWEEP_S), Timer::Sweep);
+        self.keys.sweep(now);
+        let kept_us = (self.settings.requests.context_s * 1e6) as u64;
+        self.contexts.sweep(Micros(now.0.saturating_sub(kept_us)));
+        for host in self.links.leaving() {
+            self.leave(host, out);
+        }
+    }
+
+    /// A number from 0 to 1 for the spread of repeated steps.
+    pub(crate) fn chance(&mut self) -> f64 {
+        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+pub(crate) fn log(out: &mut Vec<Output>, level: Level, text: impl Into<String>) {
+    out.push(Output::Log { level, text: text.into() });
+}
--- /dev/null
+++ b/crates/core/src/record.rs
@@ -0,0 +1,220 @@
+//! The record of a dispatcher: its settings, and each input with the outputs that it gave.
+//!
+//! A file begins with [`MAGIC`] and holds blocks: length and CRC-32 of the bytes that follow (both u32, little-endian),
+//! then zstd over lines of JSON, an [`Entry`] each. A process that is killed leaves at most one torn block at the end;
+//! [`read`] gives all whole ones before it and says what it cut.
+
+use std::io::{self, Read, Write};
+
+use serde::{Deserialize, Serialize};
+
+use crate::machine::{Machine, Traced};
+use crate::settings::{Settings, SettingsError};
+use crate::types::{Input, Micros, Output};
+
+/// Name and version of the format.
+pub const MAGIC: &[u8; 8] = b"BLREC\0\0\x01";
+/// Bytes of entries gathered before a block is written.
+const BLOCK_BYTES: usize = 64 * 1024;
+/// Longest block that is read, compressed and whole.
+const BLOCK_MOST: u32 = 64 << 20;
+const LEVEL: i32 = 1;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Entry {
+    /// The first entry: what the machine was made from.
+    Start {
+        settings: String,
+        seed: u64,
+    },
+    Step {
+        at: Micros,
+        input: Input,
+        outputs: Vec<Output>,
+    },
+}
+
+/// Why a record cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum RecordError {
+    #[error("reading or writing failed: {0}")]
+    Io(#[from] io::Error),
+    #[error("not a record of this version: it begins with {0:02x?}")]
+    Magic(Vec<u8>),
+    #[error("block at byte {at}: {cause}")]
+    Block { at: u64, cause: String },
+    #[error("the record does not begin with its settings")]
+    NoStart,
+    #[error("the record's settings: {0}")]
+    Settings(#[from] SettingsError),
+}
+
+/// Writes entries as blocks.
+pub struct Writer<W: Write> {
+    sink: W,
+    lines: Vec<u8>,
+}
+
+impl<W: Write> Writer<W> {
+    /// Begins a record.
+    ///
+    /// # Errors
+    /// Where the sink fails, as for all that follows.
+    pub fn begin(mut sink: W) -> io::Result<Self> {
+        sink.write_all(MAGIC)?;
+        Ok(Writer { sink, lines: Vec::new() })
+    }
+
+    pub fn put(&mut self, entry: &Entry) -> io::Result<()> {
+        serde_json::to_writer(&mut self.lines, entry)?;
+        self.lines.push(b'\n');
+        if self.lines.len() >= BLOCK_BYTES {
+            self.flush()?;
+        }
+        Ok(())
+    }
+
+    /// Writes what is gathered as a block.
+    pub fn flush(&mut self) -> io::Result<()> {
+        if self.lines.is_empty() {
+            return Ok(());
+        }
+        let packed = zstd::bulk::compress(&self.lines, LEVEL)?;
+        let size = u32::try_from(packed.len()).map_err(io::Error::other)?;
+        let mut block = Vec::with_capacity(packed.len() + 8);
+        block.extend_from_slice(&size.to_le_bytes());
+        block.extend_from_slice(&crc32fast::hash(&packed).to_le_bytes());
+        block.extend_from_slice(&packed);
+        self.lines.clear();
+        self.sink.write_all(&block)?;
+        self.sink.flush()
+    }
+}
+
+/// All entries of a record, and what was cut from its end.
+#[derive(Debug)]
+pub struct Recorded {
+    pub entries: Vec<Entry>,
+    /// Bytes of a torn last block.
+    pub torn_bytes: u64,
+}
+
+/// Reads a whole record.
+///
+/// # Errors
+/// [`RecordError::Magic`] for another format or version; [`RecordError::Block`] where a whole block's checksum or
+/// content is wrong. A last block that ends early is no error.
+pub fn read(mut source: impl Read) -> Result<Recorded, RecordError> {
+    let mut data = Vec::new();
+    source.read_to_end(&mut data)?;
+    let head = &data[..data.len().min(MAGIC.len())];
+    if head != MAGIC {
+        return Err(RecordError::Magic(head.to_vec()));
+    }
+    let mut recorded = Recorded { entries: Vec::new(), torn_bytes: 0 };
+    let mut at = MAGIC.len();
+    while at < data.len() {
+        match block(&data[at..]) {
+            Block::Torn => {
+                recorded.torn_bytes = (data.len() - at) as u64;
+                break;
+            }
+            Block::Bad(cause) => return Err(RecordError::Block { at: at as u64, cause }),
+            Block::Whole(size, entries) => {
+                at += size;
+                recorded.entries.extend(entries);
+            }
+        }
+    }
+    Ok(recorded)
+}
+
+enum Block {
+    Torn,
+    Bad(String),
+    Whole(usize, Vec<Entry>),
+}
+
+fn block(data: &[u8]) -> Block {
+    let word = |i: usize| data.get(i..i + 4).and_then(|b| b.try_into().ok()).map(u32::from_le_bytes);
+    let (Some(size), Some(sum)) = (word(0), word(4)) else { return Block::Torn };
+    if size > BLOCK_MOST {
+        return Block::Bad(format!("its length {size} is more than {BLOCK_MOST}"));
+    }
+    let Some(packed) = data.get(8..8 + size as usize) else { return Block::Torn };
+    if crc32fast::hash(packed) != sum {
+        return Block::Bad("its checksum is wrong".to_string());
+    }
+    let lines = match zstd::bulk::decompress(packed, BLOCK_MOST as usize) {
+        Ok(lines) => lines,
+        Err(e) => return Block::Bad(format!("it does not unpack: {e}")),
+    };
+    let entries =
+        lines.split(|b| *b == b'\n').filter(|l| !l.is_empty()).map(serde_json::from_slice).collect();
+    match entries {
+        Ok(entries) => Block::Whole(8 + size as usize, entries),
+        Err(e) => Block::Bad(format!("an entry is not known: {e}")),
+    }
+}
+
+/// Where a replay left the record.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Difference {
+    /// Number of the step, from 1, and its clock time.
+    pub step: usize,
+    pub at: Micros,
+    pub input: Input,
+    /// Number of the output within the step, from 1.
+    pub output: usize,
+    pub recorded: Option<Output>,
+    pub replayed: Option<Output>,
+}
+
+/// What a replay found.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Replay {
+    pub steps: usize,
+    pub outputs: usize,
+    pub difference: Option<Difference>,
+    /// What the decision module was told and answered, where asked for.
+    pub trace: Vec<Traced>,
+}
+
+/// Steps a new machine through a record and compares each output, up to the first that differs.
+///
+/// # Errors
+/// Where the record does not begin with settings that can be read.
+pub fn replay(recorded: &Recorded, keep_trace: bool) -> Result<Replay, RecordError> {
+    let Some((Entry::Start { settings, seed }, steps)) = recorded.entries.split_first() else {
+        return Err(RecordError::NoStart);
+    };
+    let mut machine = Machine::new(Settings::parse("record", settings)?, *seed);
+    if keep_trace {
+        machine.keep_trace();
+    }
+    let mut found = Replay::default();
+    for entry in steps {
+        let Entry::Step { at, input, outputs } = entry else { return Err(RecordError::NoStart) };
+        let mut replayed = Vec::new();
+        machine.step(*at, input.clone(), &mut replayed);
+        found.steps += 1;
+        found.outputs += replayed.len();
+        found.trace.extend(machine.take_trace());
+        if let Some(i) = first_unlike(outputs, &replayed) {
+            found.difference = Some(Difference {
+                step: found.steps,
+                at: *at,
+                input: input.clone(),
+                output: i + 1,
+                recorded: outputs.get(i).cloned(),
+                replayed: replayed.get(i).cloned(),
+            });
+            break;
+        }
+    }
+    Ok(found)
+}
+
+fn first_unlike(a: &[Output], b: &[Output]) -> Option<usize> {
+    (0..a.len().max(b.len())).find(|i| a.get(*i) != b.get(*i))
+}
--- /dev/null
+++ b/crates/core/src/requests.rs
@@ -0,0 +1,149 @@
+//! The request table: one entry a request that this dispatcher has taken, until nothing of it is out.
+
+use std::collections::BTreeMap;
+
+use bitternlatch_policy::interface::{RequestId, ServerId};
+use bitternlatch_protocol::client::{item_id, Response, Usage};
+use bitternlatch_protocol::engine::{EngineUsage, KvTransferParams};
+
+use crate::keys::Key;
+use crate::types::{LinkId, Micros, SessionId};
+
+/// Sessions that may listen to one request; a further one is told to come back.
+pub(crate) const LISTENERS_MOST: usize = 8;
+
+/// What an attempt asks of its host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    /// Read the prompt and keep the state.
+    Read,
+    /// Fetch the state and write.
+    Write,
+    /// Do both.
+    Whole,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// In the link's queue: it has not left.
+    Queued,
+    /// Told to the host: it may run.
+    Out,
+    /// Its first token has come.
+    Streaming,
+}
+
+/// The attempt that is out; there is never more than one.
+#[derive(Clone, Debug)]
+pub(crate) struct Attempt {
+    pub number: u16,
+    pub host: ServerId,
+    pub link: LinkId,
+    pub purpose: Purpose,
+    pub stage: Stage,
+    pub sent: Micros,
+    pub heard: Micros,
+    /// What the chunks so far say of the end.
+    pub finish_reason: Option<String>,
+    pub usage: Option<EngineUsage>,
+    /// Where the state waits, as a reader said.
+    pub state: Option<KvTransferParams>,
+}
+
+/// A read state that waits at a reader for this request.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldState {
+    pub host: ServerId,
+    /// Wire id of the attempt that made it.
+    pub made_by: String,
+    pub params: KvTransferParams,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Listener {
+    pub session: SessionId,
+    /// Sequence number of its next event.
+    pub sequence: u64,
+}
+
+#[derive(Debug)]
+pub(crate) struct Request {
+    /// The response object without text, as it is in progress.
+    pub response: Response,
+    pub item_id: String,
+    pub class: u16,
+    pub tenant: u32,
+    pub key: Option<Key>,
+    pub conversation: u64,
+    pub prompt: String,
+    pub max_tokens: u32,
+    pub temperature: Option<f64>,
+    pub top_p: Option<f64>,
+    pub deadline: Micros,
+    pub listeners: Vec<Listener>,
+    pub text: String,
+    pub usage: Usage,
+    pub attempts: u16,
+    pub attempt: Option<Attempt>,
+    pub state: Option<HeldState>,
+    /// An attempt that could have had the effect was told to a host and not turned away.
+    pub may_have_run: bool,
+    /// The final answer is given; what is left is to hear the attempt's end.
+    pub answered: bool,
+}
+
+impl Request {
+    pub(crate) fn streaming(&self) -> bool {
+        self.attempt.as_ref().is_some_and(|a| a.stage == Stage::Streaming)
+    }
+}
+
+/// Ids that engines see: the instance, the request and the attempt's number.
+pub(crate) fn wire_id(instance: u64, request: RequestId, attempt: u16) -> String {
+    format!("{instance:016x}{request:08x}-{attempt}")
+}
+
+/// Reads an id made by [`wire_id`] of the same instance.
+pub(crate) fn read_wire_id(instance: u64, id: &str) -> Option<(RequestId, u16)> {
+    let (whole, attempt) = id.split_once('-')?;
+    let (head, tail) = (whole.get(..16)?, whole.get(16..)?);
+    if u64::from_str_radix(head, 16).ok()? != instance || tail.len() != 8 {
+        return None;
+    }
+    Some((u32::from_str_radix(tail, 16).ok()?, attempt.parse().ok()?))
+}
+
+/// Id of a response, as clients see it.
+pub(crate) fn response_id(instance: u64, request: RequestId) -> String {
+    format!("resp_{instance:016x}{request:08x}")
+}
+
+pub(crate) fn read_response_id(instance: u64, id: &str) -> Option<RequestId> {
+    let (head, tail) = id.strip_prefix("resp_").and_then(|r| Some((r.get(..16)?, r.get(16..)?)))?;
+    (u64::from_str_radix(head, 16).ok()? == instance && tail.len() == 8).then_some(())?;
+    u32::from_str_radix(tail, 16).ok()
+}
+
+pub(crate) fn message_id(response: &str) -> String {
+    item_id(response)
+}
+
+/// Requests by id, in order of arrival.
+pub(crate) type Requests = BTreeMap<RequestId, Request>;
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn ids_are_read_back_by_their_own_instance_alone() {
+        let id = wire_id(7, 9, 3);
+        assert_eq!(read_wire_id(7, &id), Some((9, 3)));
+        assert_eq!(read_wire_id(8, &id), None);
+        for bad in ["", "-", "7-1", "00000000000000070000000z-1", "é000000000000007-1", &format!("{id}x")] {
+            assert_eq!(read_wire_id(7, bad), None, "{bad}");
+        }
+        assert_eq!(read_response_id(7, &response_id(7, 9)), Some(9));
+        assert_eq!(read_response_id(7, "resp_é"), None);
+    }
+}
--- /dev/null
+++ b/crates/core/src/timers.rs
@@ -0,0 +1,50 @@
+//! The machine's timers, in order of time and then of setting.
+
+use std::collections::BTreeMap;
+
+use bitternlatch_policy::interface::{RequestId, ServerId};
+
+use crate::types::Micros;
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Timer {
+    /// The decision module's own.
+    Router { label: u64 },
+    /// An attempt's time is up.
+    Attempt { request: RequestId, attempt: u16 },
+    /// The client gives up.
+    Deadline { request: RequestId },
+    /// A stream may have stalled.
+    Stall { request: RequestId },
+    /// A probe is overdue.
+    Probe { id: u64 },
+    /// A link's next step is due: it has not come up, said nothing, or may be dialled again.
+    Link { host: ServerId, epoch: u32 },
+    /// Tables are swept.
+    Sweep,
+}
+
+#[derive(Default)]
+pub(crate) struct Timers {
+    due: BTreeMap<(Micros, u64), Timer>,
+    set: u64,
+}
+
+impl Timers {
+    pub(crate) fn set(&mut self, at: Micros, timer: Timer) {
+        self.set += 1;
+        self.due.insert((at, self.set), timer);
+    }
+
+    /// The earliest time at which something is due.
+    pub(crate) fn next(&self) -> Option<Micros> {
+        self.due.first_key_value().map(|(key, _)| key.0)
+    }
+
+    /// Takes all that is due; timers set meanwhile wait for the next call.
+    pub(crate) fn take_due(&mut self, now: Micros) -> Vec<Timer> {
+        let later = self.due.split_off(&(Micros(now.0.saturating_add(1)), 0));
+        std::mem::replace(&mut self.due, later).into_values().collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/types.rs
@@ -0,0 +1,139 @@
+//! Ids, the clock, and what goes into and comes out of the machine.
+
+use bitternlatch_inventory::Host;
+use bitternlatch_policy::interface::ServerId;
+use serde::{Deserialize, Serialize};
+
+/// Microseconds on a clock that never goes back; the programs start it at the Unix time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Micros(pub u64);
+
+impl Micros {
+    /// As seconds.
+    pub fn seconds(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    /// This time plus a span in seconds; a negative or unreadable span counts as 0.
+    pub fn after(self, seconds: f64) -> Micros {
+        Micros(self.0.saturating_add((seconds.max(0.0) * 1e6) as u64))
+    }
+
+    /// A clock time in seconds; rounded up, so that a timer never fires early.
+    pub fn at(seconds: f64) -> Micros {
+        Micros((seconds.max(0.0) * 1e6).ceil() as u64)
+    }
+
+    /// Seconds since an earlier time; 0 for a later one.
+    pub fn since(self, earlier: Micros) -> f64 {
+        self.0.saturating_sub(earlier.0) as f64 / 1e6
+    }
+}
+
+/// One client connection; never reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct SessionId(pub u64);
+
+/// One connection to a host: a host's links are numbered, so that what an old one still says is told apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct LinkId {
+    pub host: ServerId,
+    pub epoch: u32,
+}
+
+/// What the machine is told.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Input {
+    /// The complete list of hosts that counts from now on.
+    Hosts(Vec<Host>),
+    SessionOpened {
+        session: SessionId,
+    },
+    SessionText {
+        session: SessionId,
+        text: String,
+    },
+    SessionClosed {
+        session: SessionId,
+    },
+    /// A dialled link is up.
+    LinkUp {
+        link: LinkId,
+    },
+    /// A dialled link never came up.
+    LinkFailed {
+        link: LinkId,
+        why: String,
+    },
+    LinkText {
+        link: LinkId,
+        text: String,
+    },
+    /// A link that was up has ended; what was told over it may have arrived.
+    LinkClosed {
+        link: LinkId,
+        why: String,
+    },
+    /// A told message went stale before its first byte was written: it never arrived.
+    LinkUnsent {
+        link: LinkId,
+        attempt: String,
+    },
+    /// The time alone.
+    Tick,
+    /// Take nothing new, answer what is in hand, then say [`Output::Stopped`].
+    Stop,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Level {
+    Info,
+    Warn,
+    Error,
+}
+
+/// What the machine wants done, in order.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Output {
+    /// One text message to a client.
+    Say {
+        session: SessionId,
+        text: String,
+    },
+    /// Close a session with a WebSocket close code once what was said has gone out.
+    CloseSession {
+        session: SessionId,
+        code: u16,
+        reason: String,
+    },
+    /// Connect to a host.
+    Dial {
+        link: LinkId,
+        endpoint: String,
+    },
+    /// One text message to a host.
+    Tell {
+        link: LinkId,
+        text: String,
+        stale: Option<Stale>,
+    },
+    /// Close a link.
+    Hang {
+        link: LinkId,
+    },
+    Log {
+        level: Level,
+        text: String,
+    },
+    /// Everything in hand is answered after [`Input::Stop`].
+    Stopped,
+}
+
+/// When a message must no longer be written: it is handed back as [`Input::LinkUnsent`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Stale {
+    /// Longest wait before its first byte is written, seconds.
+    pub after_s: f64,
+    /// Wire id of the attempt.
+    pub attempt: String,
+}
--- /dev/null
+++ b/crates/net/src/driver.rs
@@ -0,0 +1,354 @@
+//! The loop of one dispatcher: events in from all threads, one step of the core each, outputs carried out.
+
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bitternlatch_core::record::{Entry, Writer};
+use bitternlatch_core::settings::Engines;
+use bitternlatch_core::{Input, Level, LinkId, Machine, Output, SessionId, Settings};
+use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender, TrySendError};
+
+use crate::accept::Handler;
+use crate::clock::Clock;
+use crate::dial::dial;
+use crate::socket::{writers, Heard, Limits, Outbox, READER_STACK};
+
+/// Events that may wait for the loop; a thread that has more waits itself, and its socket with it.
+const EVENTS: usize = 16 * 1024;
+/// Entries that may wait to be recorded; past it the record ends, and says so in the log.
+const RECORD_ENTRIES: usize = 64 * 1024;
+/// Longest wait for closing words to go out at the end.
+const LAST_WORDS: Duration = Duration::from_secs(2);
+/// Longest time between two writes of a record.
+const RECORD_EVERY: Duration = Duration::from_millis(100);
+
+/// What threads tell the loop.
+pub enum Event {
+    Input(Input),
+    Session(SessionId, Outbox),
+    Link(LinkId, Outbox),
+}
+
+/// The queue to the loop.
+pub fn events() -> (Sender<Event>, Receiver<Event>) {
+    bounded(EVENTS)
+}
+
+/// The clients' side of the loop, for an acceptor.
+pub struct Front {
+    pub events: Sender<Event>,
+    pub ready: Arc<AtomicBool>,
+}
+
+impl Front {
+    fn tell(&self, event: Event) {
+        // Without a loop the process is ending.
+        let _ = self.events.send(event);
+    }
+}
+
+impl Handler for Front {
+    fn opened(&self, connection: u64, outbox: Outbox) {
+        self.tell(Event::Session(SessionId(connection), outbox));
+    }
+
+    fn text(&self, connection: u64, text: String) {
+        self.tell(Event::Input(Input::SessionText { session: SessionId(connection), text }));
+    }
+
+    fn closed(&self, connection: u64, why: String) {
+        tracing::debug!(session = connection, why, "session closed");
+        self.tell(Event::Input(Input::SessionClosed { session: SessionId(connection) }));
+    }
+
+    fn plain(&self, path: &str) -> (u16, String) {
+        match (path, self.ready.load(Ordering::Relaxed)) {
+            ("/ready", true) => (200, "ready\n".to_string()),
+            ("/ready", false) => (503, "not ready\n".to_string()),
+            _ => (
+                404,
+                "sessions are opened with a WebSocket upgrade; /ready tells whether to come\n".to_string(),
+            ),
+        }
+    }
+}
+
+/// One dispatcher's loop.
+pub struct Driver {
+    machine: Machine,
+    clock: Clock,
+    engines: Engines,
+    events: Receiver<Event>,
+    back: Sender<Event>,
+    sessions: HashMap<SessionId, Outbox>,
+    links: HashMap<LinkId, Outbox>,
+    /// Inputs that carrying out gave, ahead of the queue.
+    own: VecDeque<Input>,
+    ready: Arc<AtomicBool>,
+    recorder: Option<Recorder>,
+    stopping: bool,
+}
+
+impl Driver {
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        (back, events): (Sender<Event>, Receiver<Event>),
+        ready: Arc<AtomicBool>,
+    ) -> Self {
+        Driver {
+            engines: settings.engines.clone(),
+            machine: Machine::new(settings, seed),
+            clock: Clock::start(),
+            events,
+            back,
+            sessions: HashMap::new(),
+            links: HashMap::new(),
+            own: VecDeque::new(),
+            ready,
+            recorder: None,
+            stopping: false,
+        }
+    }
+
+    /// Records every step from now on.
+    pub fn record(&mut self, recorder: Recorder) {
+        self.recorder = Some(recorder);
+    }
+
+    /// Runs until all is answered after a stop, or the time after the stop is over.
+    pub fn run(mut self, stop_within: Duration) {
+        let mut stop_by = None;
+        while let Some(input) = self.next_input(stop_by) {
+            if input == Input::Stop {
+                stop_by = Some(Instant::now() + stop_within);
+                self.stopping = true;
+            }
+            if self.step(input) {
+                break;
+            }
+        }
+        self.end();
+    }
+
+    /// The next input, or `None` when the stop's time is over or nobody is left to give one.
+    fn next_input(&mut self, stop_by: Option<Instant>) -> Option<Input> {
+        if let Some(input) = self.own.pop_front() {
+            return Some(input);
+        }
+        if stop_by.is_some_and(|by| Instant::now() >= by) {
+            tracing::error!("the time to stop is over with requests in hand");
+            return None;
+        }
+        let wait = self.machine.next_wake().map_or(Duration::from_secs(1), |at| self.clock.until(at));
+        let wait = stop_by.map_or(wait, |by| wait.min(by.saturating_duration_since(Instant::now())));
+        match self.events.recv_timeout(wait) {
+            Ok(Event::Input(input)) => Some(input),
+            Ok(Event::Session(session, outbox)) => {
+                self.sessions.insert(session, outbox);
+                Some(Input::SessionOpened { session })
+            }
+            Ok(Event::Link(link, outbox)) => {
+                self.links.insert(link, outbox);
+                Some(Input::LinkUp { link })
+            }
+            Err(RecvTimeoutError::Timeout) => Some(Input::Tick),
+            Err(RecvTimeoutError::Disconnected) => None,
+        }
+    }
+
+    /// One step; true when all is answered after a stop.
+    fn step(&mut self, input: Input) -> bool {
+        match &input {
+            Input::SessionClosed { session } => drop(self.sessions.remove(session)),
+            Input::LinkClosed { link, .. } => drop(self.links.remove(link)),
+            _ => {}
+        }
+        let at = self.clock.now();
+        let kept = self.recorder.is_some().then(|| input.clone());
+        let mut outputs = Vec::new();
+        self.machine.step(at, input, &mut outputs);
+        if let (Some(recorder), Some(input)) = (&self.recorder, kept) {
+            if !recorder.put(Entry::Step { at, input, outputs: outputs.clone() }) {
+                tracing::error!("the record ends here: it cannot be written as fast as it grows");
+                self.recorder = None;
+            }
+        }
+        self.ready.store(!self.stopping && self.machine.counts().open_links > 0, Ordering::Relaxed);
+        let mut stopped = false;
+        for output in outputs {
+            stopped |= self.carry(output);
+        }
+        stopped
+    }
+
+    /// Carries one output out; true for the last one.
+    fn carry(&mut self, output: Output) -> bool {
+        match output {
+            Output::Say { session, text } => {
+                if let Some(outbox) = self.sessions.get(&session) {
+                    if outbox.text(text).is_err() {
+                        tracing::warn!(session = session.0, "closed: it does not read what it is sent");
+                        outbox.cut();
+                    }
+                }
+            }
+            Output::CloseSession { session, code, reason } => {
+                if let Some(outbox) = self.sessions.remove(&session) {
+                    outbox.close(code, &reason);
+                }
+            }
+            Output::Dial { link, endpoint } => self.dial(link, endpoint),
+            Output::Tell { link, text, stale } => self.tell(link, text, stale),
+            Output::Hang { link } => {
+                if let Some(outbox) = self.links.get(&link) {
+                    outbox.cut();
+                }
+            }
+            Output::Log { level, text } => match level {
+                Level::Info => tracing::info!("{text}"),
+                Level::Warn => tracing::warn!("{text}"),
+                Level::Error => tracing::error!("{text}"),
+            },
+            Output::Stopped => return true,
+        }
+        false
+    }
+
+    fn tell(&mut self, link: LinkId, text: String, stale: Option<bitternlatch_core::Stale>) {
+        let Some(outbox) = self.links.get(&link) else { return };
+        match stale {
+            None => {
+                if outbox.text(text).is_err() {
+                    outbox.cut();
+                }
+            }
+            Some(stale) => {
+                let within = Duration::from_secs_f64(stale.after_s);
+                if outbox.text_within(text, within, stale.attempt.clone()).is_err() {
+                    self.own.push_back(Input::LinkUnsent { link, attempt: stale.attempt });
+                }
+            }
+        }
+    }
+
+    /// Dials from a thread of the link's own, which then reads it.
+    fn dial(&mut self, link: LinkId, endpoint: String) {
+        let (back, engines) = (self.back.clone(), self.engines.clone());
+        let thread = std::thread::Builder::new().stack_size(READER_STACK).name("link".into());
+        if let Err(e) = thread.spawn(move || run_link(link, &endpoint, &engines, &back)) {
+            self.own.push_back(Input::LinkFailed { link, why: format!("no thread: {e}") });
+        }
+    }
+
+    fn end(self) {
+        for outbox in self.sessions.values() {
+            outbox.close(1001, "the dispatcher stops");
+        }
+        for outbox in self.links.values() {
+            outbox.close(1001, "the dispatcher stops");
+        }
+        let by = Instant::now() + LAST_WORDS;
+        while writers() > 0 && Instant::now() < by {
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        if let Some(recorder) = self.recorder {
+            recorder.end();
+        }
+    }
+}
+
+fn run_link(link: LinkId, endpoint: &str, engines: &Engines, back: &Sender<Event>) {
+    let limits = Limits {
+        message_bytes: engines.message_bytes,
+        queue: engines.queue_messages,
+        ping: Duration::from_secs_f64(engines.ping_s),
+        idle: None,
+    };
+    let tell = |input| back.send(Event::Input(input)).is_ok();
+    let unsent_to = back.clone();
+    let unsent = Box::new(move |attempt| {
+        let _ = unsent_to.send(Event::Input(Input::LinkUnsent { link, attempt }));
+    });
+    let within = Duration::from_secs_f64(engines.connect_s);
+    let mut reader = match dial(endpoint, "/v1/engine", within, limits, Some(unsent)) {
+        Ok((reader, outbox)) => {
+            if back.send(Event::Link(link, outbox)).is_err() {
+                return;
+            }
+            reader
+        }
+        Err(e) => {
+            tell(Input::LinkFailed { link, why: e.to_string() });
+            return;
+        }
+    };
+    loop {
+        match reader.hear() {
+            Heard::Text(text) => {
+                if !tell(Input::LinkText { link, text }) {
+                    return;
+                }
+            }
+            Heard::Ended(why) => {
+                tell(Input::LinkClosed { link, why });
+                return;
+            }
+        }
+    }
+}
+
+/// Writes the record from a thread of its own.
+pub struct Recorder {
+    queue: Sender<Entry>,
+    thread: std::thread::JoinHandle<()>,
+}
+
+impl Recorder {
+    /// Begins a record file.
+    ///
+    /// # Errors
+    /// Where the file cannot be made or the system gives no thread.
+    pub fn begin(path: &PathBuf, settings: String, seed: u64) -> io::Result<Recorder> {
+        let file = std::fs::File::create(path)?;
+        let mut writer = Writer::begin(file)?;
+        writer.put(&Entry::Start { settings, seed })?;
+        writer.flush()?;
+        let (queue, entries) = bounded::<Entry>(RECORD_ENTRIES);
+        let write = move || loop {
+            let done = match entries.recv_timeout(RECORD_EVERY) {
+                Ok(entry) => writer.put(&entry),
+                Err(RecvTimeoutError::Timeout) => writer.flush(),
+                Err(RecvTimeoutError::Disconnected) => {
+                    if let Err(e) = writer.flush() {
+                        tracing::error!(error = %e, "the record's end cannot be written");
+                    }
+                    return;
+                }
+            };
+            if let Err(e) = done {
+                tracing::error!(error = %e, "the record ends here");
+                return;
+            }
+        };
+        let thread = std::thread::Builder::new().name("record".into()).spawn(write)?;
+        Ok(Recorder { queue, thread })
+    }
+
+    /// False once the record has ended.
+    fn put(&self, entry: Entry) -> bool {
+        match self.queue.try_send(entry) {
+            Ok(()) => true,
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => false,
+        }
+    }
+
+    fn end(self) {
+        drop(self.queue);
+        let _ = self.thread.join();
+    }
+}
--- /dev/null
+++ b/crates/net/src/http.rs
@@ -0,0 +1,173 @@
+//! The little HTTP that stands beside the sessions: heads read within a bound of bytes and time, and short answers.
+
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use tungstenite::handshake::derive_accept_key;
+
+/// Longest head, bytes.
+const HEAD_BYTES: usize = 8 * 1024;
+const HEADERS: usize = 64;
+
+/// A request's head, as far as it is used.
+pub(crate) struct Head {
+    pub method: String,
+    pub path: String,
+    headers: Vec<(String, String)>,
+    /// Bytes read beyond it.
+    pub left: Vec<u8>,
+}
+
+impl Head {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+
+    fn lists(&self, name: &str, word: &str) -> bool {
+        self.header(name).is_some_and(|v| v.split(',').any(|w| w.trim().eq_ignore_ascii_case(word)))
+    }
+
+    /// The answer to a WebSocket upgrade (RFC 6455, 4.2), or what is wrong with it as status and text; `None` where
+    /// the request is no upgrade at all.
+    pub(crate) fn upgrade(&self) -> Option<Result<String, (u16, &'static str)>> {
+        if !self.lists("upgrade", "websocket") {
+            return None;
+        }
+        if self.method != "GET" {
+            return Some(Err((405, "an upgrade is asked for with GET")));
+        }
+        if !self.lists("connection", "upgrade") {
+            return Some(Err((400, "the header Connection: Upgrade is missing")));
+        }
+        if self.header("sec-websocket-version") != Some("13") {
+            return Some(Err((426, "only WebSocket version 13 is spoken here")));
+        }
+        let key = self.header("sec-websocket-key").filter(|k| k.len() == 24);
+        let Some(key) = key else {
+            return Some(Err((400, "the header Sec-WebSocket-Key is missing or not 16 bytes in base64")));
+        };
+        let accept = derive_accept_key(key.as_bytes());
+        Some(Ok(format!(
+            "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n\
+             Sec-WebSocket-Accept: {accept}\r\n\r\n"
+        )))
+    }
+}
+
+fn fault(text: impl Into<String>) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, text.into())
+}
+
+/// Reads until `parse` has found the head's end, within the bounds.
+fn read_head<T>(
+    stream: &mut TcpStream,
+    deadline: Instant,
+    parse: impl Fn(&[u8]) -> Result<Option<(T, usize)>, httparse::Error>,
+) -> io::Result<(T, Vec<u8>)> {
+    let mut data = Vec::new();
+    loop {
+        if let Some((head, used)) = parse(&data).map_err(|e| fault(format!("broken HTTP head: {e}")))? {
+            return Ok((head, data.split_off(used)));
+        }
+        if data.len() >= HEAD_BYTES {
+            return Err(fault(format!("HTTP head longer than {HEAD_BYTES} bytes")));
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(io::Error::new(io::ErrorKind::TimedOut, "no whole HTTP head in time"));
+        }
+        stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
+        let mut chunk = [0; 1024];
+        match stream.read(&mut chunk)? {
+            0 => return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "closed before a whole HTTP head")),
+            n => data.extend_from_slice(&chunk[..n]),
+        }
+    }
+}
+
+fn headers(list: &[httparse::Header<'_>]) -> Vec<(String, String)> {
+    list.iter().map(|h| (h.name.to_string(), String::from_utf8_lossy(h.value).trim().to_string())).collect()
+}
+
+/// Reads a request's head.
+///
+/// # Errors
+/// Broken, too long or too late heads, and streams that end.
+pub(crate) fn read_request(stream: &mut TcpStream, deadline: Instant) -> io::Result<Head> {
+    let (mut head, left) = read_head(stream, deadline, |data| {
+        let mut slots = [httparse::EMPTY_HEADER; HEADERS];
+        let mut request = httparse::Request::new(&mut slots);
+        Ok(match request.parse(data)? {
+            httparse::Status::Partial => None,
+            httparse::Status::Complete(used) => {
+                let word = |w: Option<&str>| w.unwrap_or_default().to_string();
+                let (method, path) = (word(request.method), word(request.path));
+                Some((Head { method, path, headers: headers(request.headers), left: Vec::new() }, used))
+            }
+        })
+    })?;
+    head.left = left;
+    Ok(head)
+}
+
+/// Asks for an upgrade as a client and reads the answer; gives the bytes read beyond it.
+///
+/// # Errors
+/// An answer other than a right 101, and all that [`read_request`] may meet.
+pub(crate) fn ask_upgrade(
+    stream: &mut TcpStream,
+    host: &str,
+    path: &str,
+    deadline: Instant,
+) -> io::Result<Vec<u8>> {
+    let key = tungstenite::handshake::client::generate_key();
+    let left = deadline.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+    stream.set_write_timeout(Some(left))?;
+    write!(
+        stream,
+        "GET {path} HTTP/1.1\r\nHost: {host}\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n\
+         Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: {key}\r\n\r\n"
+    )?;
+    let ((code, accept), left) = read_head(stream, deadline, |data| {
+        let mut slots = [httparse::EMPTY_HEADER; HEADERS];
+        let mut response = httparse::Response::new(&mut slots);
+        Ok(match response.parse(data)? {
+            httparse::Status::Partial => None,
+            httparse::Status::Complete(used) => {
+                let accept = headers(response.headers);
+                let accept = accept.into_iter().find(|(n, _)| n.eq_ignore_ascii_case("sec-websocket-accept"));
+                Some(((response.code.unwrap_or(0), accept.map(|a| a.1)), used))
+            }
+        })
+    })?;
+    if code != 101 || accept.as_deref() != Some(derive_accept_key(key.as_bytes()).as_str()) {
+        return Err(fault(format!("the upgrade was answered with status {code}")));
+    }
+    Ok(left)
+}
+
+/// Writes a short answer and gives the peer a moment to read it.
+pub(crate) fn answer(stream: &mut TcpStream, status: u16, body: &str) {
+    let reason = match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        426 => "Upgrade Required",
+        503 => "Service Unavailable",
+        _ => "Error",
+    };
+    let extra = match status {
+        503 => "Retry-After: 1\r\n",
+        426 => "Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n",
+        _ => "",
+    };
+    let _ = stream.set_write_timeout(Some(Duration::from_secs(1)));
+    // A peer that has gone needs no answer.
+    let _ = write!(
+        stream,
+        "HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n{extra}Connection: close\r\n\r\n{body}",
+        body.len()
+    );
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,1 +1,13 @@
+//! Sockets and threads: WebSocket sessions, links to hosts, the list watched, and the loop that carries the core's
+//! outputs out. Nothing here decides on requests.
+//!
+//! Two threads with small stacks serve one socket: one reads, one writes from a bounded queue, so that a peer that
+//! does not read holds up nobody else.
 
+pub mod accept;
+pub mod clock;
+pub mod dial;
+pub mod driver;
+mod http;
+pub mod socket;
+pub mod watch;
--- a/crates/protocol/src/engine.rs
+++ b/crates/protocol/src/engine.rs
@@ -49,7 +49,7 @@
 pub enum ToEngine {
     Completion {
         id: String,
-        body: CompletionRequest,
+        body: Box<CompletionRequest>,
     },
     /// Stop the work of one request.
     Cancel {
@@ -63,6 +63,10 @@
     Probe {
         id: u64,
     },
+    /// A message of the engine's could not be used; says why.
+    Fault {
+        message: String,
+    },
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
--- /dev/null
+++ b/programs/audit/src/answers.rs
@@ -0,0 +1,220 @@
+//! What the clients' captures show: one final answer for each try, in time, and nothing after it.
+
+use std::collections::BTreeMap;
+
+use bitternlatch_protocol::client::{parse, ClientEvent, Create, ServerEvent};
+use bitternlatch_protocol::tokens_of;
+use bitternlatch_standin::capture::Line;
+
+use crate::hosts::{effects, Seen};
+use crate::{mark, us, Breach, ClassFacts, Facts, Rule, Verdict, SLACK_S};
+
+/// One `response.create` on one connection.
+struct Try {
+    conn: (String, String),
+    t: u64,
+    class: String,
+    mark: String,
+    tokens: u32,
+    first: Option<u64>,
+    finals: Vec<(u64, Final)>,
+    /// Events that came after the final one.
+    after: usize,
+    ended: Option<(u64, bool)>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Final {
+    Served,
+    Refused,
+    Failed,
+}
+
+fn final_of(event: &ServerEvent) -> Final {
+    let error = event.response.as_ref().and_then(|r| r.error.as_ref());
+    match event.kind.as_str() {
+        "response.completed" | "response.incomplete" => Final::Served,
+        "response.failed" if error.is_some_and(|e| e.safe_to_repeat) => Final::Refused,
+        "error" => {
+            let status = event.error.as_ref().and_then(|e| e.get("retry_after_ms"));
+            if status.is_some() {
+                Final::Refused
+            } else {
+                Final::Failed
+            }
+        }
+        _ => Final::Failed,
+    }
+}
+
+fn tries(lines: &[Line]) -> Vec<Try> {
+    let mut all: Vec<Try> = Vec::new();
+    // Open tries of a connection by the client's own name for them, and by response.
+    let mut named: BTreeMap<(String, String, String), usize> = BTreeMap::new();
+    let mut by_response: BTreeMap<(String, String, String), usize> = BTreeMap::new();
+    for line in lines {
+        let conn = (line.who.clone(), line.peer.clone());
+        let key = |name: &str| (conn.0.clone(), conn.1.clone(), name.to_string());
+        match line.dir.as_str() {
+            "out" => {
+                if let Ok(ClientEvent::Create(create)) = parse(&line.text) {
+                    named.insert(key(name_of(&create)), all.len());
+                    all.push(try_of(conn.clone(), line.t, &create));
+                }
+            }
+            "in" => {
+                let Ok(event) = serde_json::from_str::<ServerEvent>(&line.text) else { continue };
+                let response = event.response.as_ref();
+                let name =
+                    response.and_then(|r| r.metadata.get("try")).cloned().or_else(|| name_in_error(&event));
+                let id = response.map(|r| r.id.clone()).or(event.response_id.clone()).unwrap_or_default();
+                let known =
+                    name.and_then(|n| named.get(&key(&n))).or_else(|| by_response.get(&key(&id))).copied();
+                let Some(i) = known else { continue };
+                if !id.is_empty() {
+                    by_response.insert(key(&id), i);
+                }
+                hear(&mut all[i], line.t, &event);
+            }
+            "close" | "drop" => {
+                let own = line.dir == "drop";
+                let here = |t: &&mut Try| t.conn == conn && t.ended.is_none();
+                all.iter_mut().filter(here).for_each(|t| t.ended = Some((line.t, own)));
+            }
+            _ => {}
+        }
+    }
+    all
+}
+
+fn name_of(create: &Create) -> &str {
+    create.metadata.get("try").map_or("", String::as_str)
+}
+
+fn name_in_error(event: &ServerEvent) -> Option<String> {
+    event.error.as_ref()?.get("metadata")?.get("try")?.as_str().map(str::to_string)
+}
+
+fn try_of(conn: (String, String), t: u64, create: &Create) -> Try {
+    let text = format!("{}\n{}", create.instructions, create.input);
+    Try {
+        conn,
+        t,
+        class: create.metadata.get("class").cloned().unwrap_or_default(),
+        mark: mark(&text).unwrap_or_default().to_string(),
+        tokens: tokens_of(text.len()),
+        first: None,
+        finals: Vec::new(),
+        after: 0,
+        ended: None,
+    }
+}
+
+fn hear(one: &mut Try, t: u64, event: &ServerEvent) {
+    if !one.finals.is_empty() && !event.is_final() {
+        one.after += 1;
+    }
+    if event.delta.is_some() {
+        one.first.get_or_insert(t);
+    }
+    if event.is_final() {
+        one.finals.push((t, final_of(event)));
+    }
+}
+
+pub(crate) fn judge(facts: &Facts, lines: &[Line], seen: &Seen, verdict: &mut Verdict) {
+    let all = tries(lines);
+    let end = lines.last().map_or(0, |l| l.t);
+    let classes: BTreeMap<&str, &ClassFacts> = facts.classes.iter().map(|c| (c.name.as_str(), c)).collect();
+    for one in &all {
+        if let Some(class) = classes.get(one.class.as_str()) {
+            lost(facts, class, one, end, verdict);
+        }
+    }
+    let class_of: BTreeMap<&str, &str> = all.iter().map(|t| (t.mark.as_str(), t.class.as_str())).collect();
+    let is_unsafe = |mark: &str| {
+        let class = class_of.get(mark).and_then(|c| classes.get(c));
+        class.is_some_and(|c| c.effect == "unsafe")
+    };
+    effects(seen, is_unsafe, verdict);
+    refused_though_run(&all, seen, is_unsafe, verdict);
+    service(&all, &classes, verdict);
+}
+
+/// The first rule, for one try.
+fn lost(facts: &Facts, class: &ClassFacts, one: &Try, end: u64, verdict: &mut Verdict) {
+    let mut breach = |t: u64, what: String| {
+        let what = format!("request {} on {} {}: {what}", one.mark, one.conn.0, one.conn.1);
+        verdict.breaches.push(Breach { rule: Rule::NoRequestLost, t, what });
+    };
+    if one.finals.len() > 1 {
+        breach(one.finals[1].0, format!("{} final answers", one.finals.len()));
+    }
+    if one.after > 0 {
+        breach(one.finals[0].0, format!("{} events after the final answer", one.after));
+    }
+    let due = one.t + us(class.deadline_s + SLACK_S);
+    let until = one.ended.map_or(end, |e| e.0);
+    let first = one.first.into_iter().chain(one.finals.first().map(|f| f.0)).min();
+    if first.is_none_or(|t| t > due) && until > due {
+        breach(due, "no answer begun within the client's time".to_string());
+    } else if one.finals.is_empty() {
+        let dispatcher = one.conn.1.split('#').next().unwrap_or_default();
+        let killed = |at: u64| {
+            facts
+                .kills
+                .iter()
+                .any(|(t, name)| name == dispatcher && *t <= at + 1_000_000 && at < t + 10_000_000)
+        };
+        match one.ended {
+            Some((_, true)) => {}
+            Some((t, false)) if killed(t) => {}
+            Some((t, false)) => breach(t, "its session ended without a final answer".to_string()),
+            None => breach(end, "no final answer by the end".to_string()),
+        }
+    }
+}
+
+/// A refusal says that asking again is harmless: it is none where an unsafe request may have run.
+fn refused_though_run(all: &[Try], seen: &Seen, is_unsafe: impl Fn(&str) -> bool, verdict: &mut Verdict) {
+    let by_mark = seen.by_mark();
+    for one in all.iter().filter(|t| is_unsafe(&t.mark)) {
+        let Some((t, _)) = one.finals.iter().find(|f| f.1 == Final::Refused) else { continue };
+        let runs = by_mark.get(one.mark.as_str()).into_iter().flatten();
+        if runs.filter(|a| a.runs() && a.told < *t).count() > 0 {
+            let what = format!("request {} was refused though it may have run", one.mark);
+            verdict.breaches.push(Breach { rule: Rule::NoEffectTwice, t: *t, what });
+        }
+    }
+}
+
+/// Worth answered in time over worth asked for; a client's repeats count with its first try.
+fn service(all: &[Try], classes: &BTreeMap<&str, &ClassFacts>, verdict: &mut Verdict) {
+    let mut by_mark: BTreeMap<&str, Vec<&Try>> = BTreeMap::new();
+    all.iter().for_each(|t| by_mark.entry(&t.mark).or_default().push(t));
+    let (mut got, mut asked) = (0.0, 0.0);
+    let s = &mut verdict.service;
+    for (_, tries) in by_mark {
+        let Some(class) = classes.get(tries[0].class.as_str()) else { continue };
+        s.asked += 1;
+        asked += class.worth;
+        let served = tries.iter().find(|t| t.finals.first().is_some_and(|f| f.1 == Final::Served));
+        if let Some(first) = served.and_then(|t| t.first) {
+            let took = (first.saturating_sub(tries[0].t)) as f64 / 1e6;
+            let aim = class.ttft_aim_s + class.ttft_aim_ms_per_1000_tokens * f64::from(tries[0].tokens) / 1e6;
+            got += class.worth * if took <= aim { 1.0 } else { class.late_worth };
+            verdict.ttft_s.push(took);
+        }
+    }
+    for one in all {
+        s.tries += 1;
+        match one.finals.first() {
+            Some((_, Final::Served)) => s.served += 1,
+            Some((_, Final::Refused)) => s.refused += 1,
+            Some((_, Final::Failed)) => s.failed += 1,
+            None => s.cut_off += 1,
+        }
+    }
+    s.worth = if asked > 0.0 { got / asked } else { 0.0 };
+    verdict.ttft_s.sort_by(f64::total_cmp);
+}
--- /dev/null
+++ b/programs/audit/src/lib.rs
@@ -0,0 +1,164 @@
+//! Judges the five rules from frames captured at the clients' and the hosts' own sockets.
+//!
+//! Nothing that a dispatcher says of itself is believed: requests are followed by marks in their prompts
+//! (`[req=NAME]`), which hosts receive as clients wrote them.
+
+mod answers;
+mod hosts;
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::Path;
+
+use bitternlatch_standin::capture::Line;
+use serde::{Deserialize, Serialize};
+
+/// What is allowed for times on a loaded machine beyond each rule's own figure, seconds.
+pub const SLACK_S: f64 = 0.25;
+
+/// What the day was made of: facts of the script, known before any dispatcher ran.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Facts {
+    pub classes: Vec<ClassFacts>,
+    pub hosts: Vec<HostFacts>,
+    pub drain_grace_s: f64,
+    pub pin_limit_s: f64,
+    /// Longest time from a change of the list file to its being taken, seconds.
+    pub list_s: f64,
+    pub cold: ColdFacts,
+    /// Dispatchers killed by the script: when (Unix µs), and which.
+    pub kills: Vec<(u64, String)>,
+    /// Hosts told to drain by the list: when the file was written, and which.
+    pub list_drains: Vec<(u64, String)>,
+    /// Hosts taken down by the script: when, and which.
+    pub downs: Vec<(u64, String)>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ClassFacts {
+    pub name: String,
+    /// `safe`, `keyed` or `unsafe`.
+    pub effect: String,
+    pub deadline_s: f64,
+    pub worth: f64,
+    pub late_worth: f64,
+    pub ttft_aim_s: f64,
+    pub ttft_aim_ms_per_1000_tokens: f64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HostFacts {
+    pub name: String,
+    pub read_tokens_per_s: f64,
+    pub token_gap_s: f64,
+    pub slots: usize,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct ColdFacts {
+    pub start_capacity: f64,
+    pub warm_after_s: f64,
+    pub overload_factor: f64,
+    pub window_s: f64,
+}
+
+/// One of the five rules.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rule {
+    NoRequestLost,
+    NoEffectTwice,
+    DrainsKept,
+    NoColdHostPushedOver,
+    NothingLeftPinned,
+}
+
+/// One breach, with what it is about and when.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Breach {
+    pub rule: Rule,
+    pub t: u64,
+    pub what: String,
+}
+
+/// What clients got.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Service {
+    pub asked: usize,
+    pub tries: usize,
+    pub served: usize,
+    pub refused: usize,
+    pub failed: usize,
+    /// Tries whose session or dispatcher ended first.
+    pub cut_off: usize,
+    /// Worth answered in time over worth asked for, a client's repeats counted as its first try.
+    pub worth: f64,
+}
+
+/// The verdict on one day.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Verdict {
+    pub breaches: Vec<Breach>,
+    pub service: Service,
+    /// Times to first token of served requests, seconds from the first try, sorted.
+    pub ttft_s: Vec<f64>,
+    pub frames: usize,
+}
+
+impl Verdict {
+    /// Number of breaches by rule, all rules named.
+    pub fn by_rule(&self) -> BTreeMap<Rule, usize> {
+        use Rule::*;
+        let rules = [NoRequestLost, NoEffectTwice, DrainsKept, NoColdHostPushedOver, NothingLeftPinned];
+        rules.into_iter().map(|r| (r, self.breaches.iter().filter(|b| b.rule == r).count())).collect()
+    }
+}
+
+/// Judges captures; lines may come in any order.
+pub fn judge(facts: &Facts, mut clients: Vec<Line>, mut hosts: Vec<Line>) -> Verdict {
+    clients.sort_by_key(|l| l.t);
+    hosts.sort_by_key(|l| l.t);
+    let mut verdict = Verdict { frames: clients.len() + hosts.len(), ..Verdict::default() };
+    let seen = hosts::Seen::of(&hosts);
+    answers::judge(facts, &clients, &seen, &mut verdict);
+    hosts::judge(facts, &hosts, &seen, &mut verdict);
+    verdict.breaches.sort_by_key(|b| b.t);
+    verdict
+}
+
+/// Reads a capture file.
+///
+/// # Errors
+/// Where a line cannot be read, with its number.
+pub fn read_lines(path: &Path) -> Result<Vec<Line>, String> {
+    let shown = path.display();
+    let file = File::open(path).map_err(|e| format!("{shown}: {e}"))?;
+    let parse = |(i, line): (usize, std::io::Result<String>)| {
+        let line = line.map_err(|e| format!("{shown}:{}: {e}", i + 1))?;
+        serde_json::from_str(&line).map_err(|e| format!("{shown}:{}: {e}", i + 1))
+    };
+    BufReader::new(file).lines().enumerate().map(parse).collect()
+}
+
+/// Judges a day's folder: `facts.json`, `clients.jsonl` and `hosts.jsonl`.
+///
+/// # Errors
+/// A file that is missing or broken.
+pub fn judge_dir(dir: &Path) -> Result<Verdict, String> {
+    let path = dir.join("facts.json");
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let facts: Facts = serde_json::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+    let clients = read_lines(&dir.join("clients.jsonl"))?;
+    Ok(judge(&facts, clients, read_lines(&dir.join("hosts.jsonl"))?))
+}
+
+/// The mark of the request that a prompt ends with.
+pub(crate) fn mark(prompt: &str) -> Option<&str> {
+    let rest = &prompt[prompt.rfind("[req=")? + 5..];
+    rest.split(']').next()
+}
+
+pub(crate) fn us(seconds: f64) -> u64 {
+    (seconds * 1e6) as u64
+}
--- /dev/null
+++ b/programs/badday/src/client.rs
@@ -0,0 +1,88 @@
+//! One client connection: what it says and hears is captured at its own socket.
+
+use std::io;
+use std::time::Duration;
+
+use bitternlatch_net::dial::dial;
+use bitternlatch_net::socket::{Heard, Limits, Outbox};
+use bitternlatch_protocol::client::ServerEvent;
+use bitternlatch_standin::capture::Capture;
+use crossbeam_channel::{unbounded, Receiver};
+
+/// What came.
+#[derive(Debug)]
+pub enum Came {
+    Event(Box<ServerEvent>),
+    Closed(String),
+    /// Nothing within the time.
+    Silence,
+}
+
+pub struct Client {
+    outbox: Outbox,
+    heard: Receiver<Option<String>>,
+    who: String,
+    peer: String,
+    capture: Capture,
+}
+
+impl Client {
+    /// Opens a session. `peer` names the other end in the capture: `dispatcher#connection`.
+    ///
+    /// # Errors
+    /// As dialling.
+    pub fn connect(endpoint: &str, who: &str, peer: &str, capture: Capture) -> io::Result<Client> {
+        let limits =
+            Limits { message_bytes: 8 << 20, queue: 4096, ping: Duration::from_secs(10), idle: None };
+        let (mut reader, outbox) = dial(endpoint, "/v1/responses", Duration::from_secs(2), limits, None)?;
+        let (to, heard) = unbounded();
+        capture.put(who, peer, "open", "");
+        let (name, other, lines) = (who.to_string(), peer.to_string(), capture.clone());
+        let read = move || loop {
+            match reader.hear() {
+                Heard::Text(text) => {
+                    lines.put(&name, &other, "in", &text);
+                    let _ = to.send(Some(text));
+                }
+                Heard::Ended(_) => {
+                    lines.put(&name, &other, "close", "");
+                    let _ = to.send(None);
+                    return;
+                }
+            }
+        };
+        std::thread::Builder::new().stack_size(128 * 1024).spawn(read)?;
+        Ok(Client { outbox, heard, who: who.to_string(), peer: peer.to_string(), capture })
+    }
+
+    /// Says one message; a session that has ended is heard of by [`Client::next`].
+    pub fn say(&self, text: &str) {
+        self.capture.put(&self.who, &self.peer, "out", text);
+        let _ = self.outbox.text(text.to_string());
+    }
+
+    /// Waits for the next event.
+    pub fn next(&self, within: Duration) -> Came {
+        match self.heard.recv_timeout(within) {
+            Ok(Some(text)) => match serde_json::from_str(&text) {
+                Ok(event) => Came::Event(Box::new(event)),
+                Err(e) => Came::Closed(format!("an event that cannot be read: {e}")),
+            },
+            Ok(None) => Came::Closed("closed".to_string()),
+            Err(crossbeam_channel::RecvTimeoutError::Timeout) => Came::Silence,
+            Err(crossbeam_channel::RecvTimeoutError::Disconnected) => Came::Closed("closed".to_string()),
+        }
+    }
+
+    /// Drops the socket without a word.
+    pub fn cut(&self) {
+        self.capture.put(&self.who, &self.peer, "drop", "");
+        self.outbox.cut();
+    }
+
+    /// Closes the session in order.
+    pub fn close(&self) {
+        self.capture.put(&self.who, &self.peer, "drop", "");
+        self.outbox.close(1000, "");
+    }
+}
--- /dev/null
+++ b/programs/badday/src/day.rs
@@ -0,0 +1,190 @@
+//! What a day is made of.
+
+use std::path::Path;
+
+use bitternlatch_standin::config::{Cold, Fault, HostConfig, Trouble};
+use serde::Deserialize;
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Day {
+    #[serde(default)]
+    pub seed: u64,
+    pub for_s: f64,
+    /// Requests a second over all clients.
+    pub rate_rps: f64,
+    pub dispatchers: Dispatchers,
+    /// Further tries of a client.
+    #[serde(default = "two")]
+    pub retries: u32,
+    /// Share of unsafe requests whose client drops its socket while they run, and comes back with its key.
+    #[serde(default)]
+    pub drop_share: f64,
+    pub mix: Vec<Mix>,
+    #[serde(rename = "hosts")]
+    raw_hosts: Vec<toml::Table>,
+    #[serde(default)]
+    pub faults: Vec<Fault>,
+    /// Hosts that the list's file tells to drain.
+    #[serde(default)]
+    pub drains: Vec<Drain>,
+    #[serde(skip)]
+    pub hosts: Vec<DayHost>,
+}
+
+fn two() -> u32 {
+    2
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Dispatchers {
+    pub count: usize,
+    /// Their settings, but for name, address, list and record; relative to the day's file.
+    pub settings: String,
+    #[serde(default)]
+    pub restarts: Vec<Restart>,
+}
+
+/// A dispatcher is killed outright and started again.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Restart {
+    pub at_s: f64,
+    /// From 1.
+    pub dispatcher: usize,
+    pub down_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Drain {
+    pub at_s: f64,
+    pub for_s: f64,
+    pub hosts: Vec<String>,
+}
+
+/// One class of traffic; token counts are ranges.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Mix {
+    pub class: String,
+    pub share: f64,
+    pub turns: [u32; 2],
+    pub turn_tokens: [u32; 2],
+    pub answer_tokens: [u32; 2],
+    /// Shared opening texts: how many, how long, and the share of sessions that begin with one.
+    pub prefixes: u32,
+    pub prefix_tokens: u32,
+    pub prefix_share: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct DayHost {
+    pub kind: String,
+    pub cell: String,
+    pub config: HostConfig,
+}
+
+impl Day {
+    /// Reads a day's file.
+    ///
+    /// # Errors
+    /// The first fault, with the file's name and its place where it has one.
+    pub fn read(path: &Path) -> Result<Day, String> {
+        let shown = path.display();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: {e}"))?;
+        Day::parse(&text).map_err(|e| format!("{shown}: {e}"))
+    }
+
+    /// As [`Day::read`], from a text.
+    ///
+    /// # Errors
+    /// The first fault.
+    pub fn parse(text: &str) -> Result<Day, String> {
+        let mut day: Day = toml::from_str(text).map_err(|e| e.to_string())?;
+        for raw in std::mem::take(&mut day.raw_hosts) {
+            day.hosts.extend(hosts(raw)?);
+        }
+        let known = |name: &String| day.hosts.iter().any(|h| h.config.name == *name);
+        let named = day.faults.iter().flat_map(|f| &f.hosts).chain(day.drains.iter().flat_map(|d| &d.hosts));
+        if let Some(unknown) = named.into_iter().find(|n| !known(n)) {
+            return Err(format!("host '{unknown}' is not there"));
+        }
+        let bounds = [("for_s", day.for_s, 600.0), ("rate_rps", day.rate_rps, 1000.0)];
+        for (name, value, most) in bounds {
+            if !(0.1..=most).contains(&value) {
+                return Err(format!("{name}: {value} is not between 0.1 and {most}"));
+            }
+        }
+        match day.dispatchers.count {
+            1..=64 => Ok(day),
+            n => Err(format!("dispatchers.count: {n} is not between 1 and 64")),
+        }
+    }
+
+    /// The same day without trouble.
+    pub fn calm(&self) -> Day {
+        let mut calm = self.clone();
+        (calm.faults, calm.drains, calm.drop_share) = (Vec::new(), Vec::new(), 0.0);
+        calm.dispatchers.restarts.clear();
+        calm
+    }
+
+    /// Names of the troubles that it holds.
+    pub fn troubles(&self) -> Vec<String> {
+        let mut all: Vec<String> = self.faults.iter().map(|f| format!("{:?}", f.trouble)).collect();
+        all.extend(self.dispatchers.restarts.iter().map(|_| "DispatcherKilled".to_string()));
+        all.extend(self.drains.iter().map(|_| "ListDrain".to_string()));
+        all.extend((self.drop_share > 0.0).then(|| "ClientsDrop".to_string()));
+        all.sort();
+        all.dedup();
+        all
+    }
+
+    /// When the script takes hosts down: seconds after the hosts' start, and which.
+    pub fn downs(&self) -> Vec<(f64, String)> {
+        let at = |f: &Fault| match f.trouble {
+            Trouble::Crash => Some(f.at_s),
+            Trouble::Deploy => Some(f.at_s + f.for_s),
+            _ => None,
+        };
+        let each = self.faults.iter().filter_map(|f| at(f).map(|t| (t, &f.hosts)));
+        each.flat_map(|(t, hosts)| hosts.iter().map(move |h| (t, h.clone()))).collect()
+    }
+
+    pub fn standins(&self) -> bitternlatch_standin::Config {
+        bitternlatch_standin::Config {
+            hosts: self.hosts.iter().map(|h| h.config.clone()).collect(),
+            cold: Cold::default(),
+            faults: self.faults.clone(),
+            seed: self.seed,
+        }
+    }
+}
+
+/// The hosts of one entry: a range of names, spread over its cells.
+fn hosts(mut raw: toml::Table) -> Result<Vec<DayHost>, String> {
+    let text = |v: Option<toml::Value>, key: &str| {
+        v.and_then(|v| v.as_str().map(str::to_string)).ok_or_else(|| format!("a host needs {key}, a text"))
+    };
+    let kind = text(raw.remove("kind"), "kind")?;
+    let pattern = text(raw.remove("name"), "name")?;
+    let cells = match raw.remove("cells") {
+        None => vec!["default".to_string()],
+        Some(v) => v.try_into::<Vec<String>>().map_err(|e| format!("host '{pattern}': cells: {e}"))?,
+    };
+    let names = expand(&pattern)?;
+    let one = |(i, name): (usize, String)| {
+        let mut table = raw.clone();
+        table.insert("name".into(), name.clone().into());
+        table.insert("listen".into(), "127.0.0.1:0".into());
+        let config = table.try_into::<HostConfig>().map_err(|e| format!("host '{name}': {e}"))?;
+        Ok(DayHost { kind: kind.clone(), cell: cells[i % cells.len().max(1)].clone(), config })
+    };
+    names.into_iter().enumerate().map(one).collect()
+}
+
+fn expand(pattern: &str) -> Result<Vec<String>, String> {
+    bitternlatch_inventory::expand(pattern, 1000)
+}
--- /dev/null
+++ b/programs/badday/src/lib.rs
@@ -0,0 +1,7 @@
+//! A scripted bad day: stand-in hosts, dispatchers as processes, clients and troubles, judged from the sockets.
+
+pub mod client;
+pub mod clients;
+pub mod day;
+pub mod process;
+pub mod run;
--- /dev/null
+++ b/programs/badday/src/process.rs
@@ -0,0 +1,154 @@
+//! Dispatchers as processes: made from this program's own image, killed and started again.
+
+use std::fs::File;
+use std::io::{self, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// The word that turns this program into a dispatcher.
+pub const AS_DISPATCHER: &str = "--as-dispatcher";
+
+/// One dispatcher's place: it may be started several times.
+pub struct Dispatcher {
+    pub name: String,
+    pub address: String,
+    dir: PathBuf,
+    settings: toml::Table,
+    /// Number of the next start.
+    starts: u32,
+    child: Option<Child>,
+}
+
+/// An address that is free now.
+///
+/// # Errors
+/// Where the system has none.
+pub fn free_address() -> io::Result<String> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.to_string())
+}
+
+impl Dispatcher {
+    /// A place for a dispatcher; `settings` are taken but for its name, address, list and record.
+    ///
+    /// # Errors
+    /// Where no address is free.
+    pub fn new(dir: &Path, number: usize, count: usize, settings: &toml::Table) -> io::Result<Dispatcher> {
+        let mut settings = settings.clone();
+        let name = format!("dispatch-{number}");
+        let address = free_address()?;
+        settings.insert("name".into(), name.clone().into());
+        settings.insert("dispatchers".into(), (count as i64).into());
+        let listen = settings.entry("listen").or_insert_with(|| toml::Table::new().into());
+        if let Some(listen) = listen.as_table_mut() {
+            listen.insert("address".into(), address.clone().into());
+        }
+        let inventory = toml::Table::from_iter([("file".to_string(), "hosts.csv".into())]);
+        settings.insert("inventory".into(), inventory.into());
+        Ok(Dispatcher { name, address, dir: dir.to_path_buf(), settings, starts: 0, child: None })
+    }
+
+    /// Starts it from `image`, this program or another that takes [`AS_DISPATCHER`].
+    ///
+    /// # Errors
+    /// Where files or the process cannot be made.
+    pub fn start(&mut self, image: &Path) -> io::Result<()> {
+        self.starts += 1;
+        let run = format!("{}.{}", self.name, self.starts);
+        let record = toml::Table::from_iter([("file".to_string(), format!("{run}.rec").into())]);
+        self.settings.insert("record".into(), record.into());
+        let config = self.dir.join(format!("{run}.toml"));
+        std::fs::write(&config, self.settings.to_string())?;
+        let log = File::create(self.dir.join(format!("{run}.log")))?;
+        let child = Command::new(image)
+            .arg(AS_DISPATCHER)
+            .arg("--config")
+            .arg(&config)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Waits until it says that it is ready.
+    pub fn ready(&self, within: Duration) -> bool {
+        let by = Instant::now() + within;
+        while Instant::now() < by {
+            if ask(&self.address, "/ready").is_ok_and(|answer| answer.starts_with("HTTP/1.1 200")) {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        false
+    }
+
+    /// SIGKILL: the restart that the rules know.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// SIGTERM.
+    pub fn terminate(&self) {
+        if let Some(child) = &self.child {
+            let pid = rustix::process::Pid::from_child(child);
+            let _ = rustix::process::kill_process(pid, rustix::process::Signal::TERM);
+        }
+    }
+
+    /// Waits for the end after [`Dispatcher::terminate`]; true for an orderly one.
+    pub fn ended(&mut self, within: Duration) -> bool {
+        let by = Instant::now() + within;
+        while let Some(child) = &mut self.child {
+            match child.try_wait() {
+                Ok(Some(status)) => {
+                    self.child = None;
+                    return status.success();
+                }
+                Ok(None) if Instant::now() < by => std::thread::sleep(Duration::from_millis(10)),
+                _ => {
+                    self.kill();
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    /// Records of all its runs.
+    pub fn records(&self) -> Vec<PathBuf> {
+        (1..=self.starts).map(|n| self.dir.join(format!("{}.{n}.rec", self.name))).collect()
+    }
+
+    /// Resident memory of its process, KiB; as the system tells it.
+    pub fn resident_kib(&self) -> Option<u64> {
+        let pid = self.child.as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let line = status.lines().find(|l| l.starts_with("VmRSS:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+}
+
+impl Drop for Dispatcher {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A plain GET; gives the whole answer.
+///
+/// # Errors
+/// As the socket's.
+pub fn ask(address: &str, path: &str) -> io::Result<String> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(Duration::from_secs(2)))?;
+    write!(stream, "GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n")?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    Ok(answer)
+}
--- /dev/null
+++ b/programs/badday/src/run.rs
@@ -0,0 +1,262 @@
+//! One day from start to verdict.
+
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bitternlatch_audit::{judge_dir, ClassFacts, ColdFacts, Facts, HostFacts, Verdict};
+use bitternlatch_core::record::{read, replay};
+use bitternlatch_core::settings::{Effect, Settings};
+use bitternlatch_standin::capture::{unix_us, Capture};
+use bitternlatch_standin::Standins;
+
+use crate::clients::{plan, play, Service};
+use crate::day::Day;
+use crate::process::Dispatcher;
+
+/// What a day came to.
+pub struct Outcome {
+    pub verdict: Verdict,
+    /// Steps of the dispatchers' records, and records of which each output was given again alike.
+    pub replayed_steps: usize,
+    pub records: usize,
+    pub records_alike: usize,
+    /// Dispatchers that ended in order when told to.
+    pub orderly: usize,
+}
+
+/// What a script's thread writes down.
+#[derive(Default)]
+struct Noted {
+    kills: Vec<(u64, String)>,
+    drains: Vec<(u64, String)>,
+}
+
+type Shared = Arc<Mutex<Vec<Dispatcher>>>;
+
+/// Plays a day in a folder of its own and judges it. `image` is the program that dispatchers are made from.
+///
+/// # Errors
+/// Where something of it cannot be started or written; a broken rule is no error but a verdict.
+pub fn run(day: &Day, base: &Path, dir: &Path, image: &Path) -> Result<Outcome, String> {
+    let fail = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
+    std::fs::create_dir_all(dir).map_err(fail("the day's folder"))?;
+    let settings_path = base.join(&day.dispatchers.settings);
+    let shown = settings_path.display().to_string();
+    let text = std::fs::read_to_string(&settings_path).map_err(|e| format!("{shown}: {e}"))?;
+    let settings = Settings::parse(&shown, &text).map_err(|e| e.to_string())?;
+    let table: toml::Table = toml::from_str(&text).map_err(|e| e.to_string())?;
+
+    let host_lines = Capture::file(&dir.join("hosts.jsonl")).map_err(fail("hosts.jsonl"))?;
+    let client_lines = Capture::file(&dir.join("clients.jsonl")).map_err(fail("clients.jsonl"))?;
+    let began = unix_us();
+    let hosts = Standins::start(day.standins(), host_lines.clone()).map_err(fail("the stand-ins"))?;
+    write_list(dir, day, &hosts, &settings.zone, &[]).map_err(fail("hosts.csv"))?;
+    let mut dispatchers = Vec::new();
+    for number in 1..=day.dispatchers.count {
+        let mut one =
+            Dispatcher::new(dir, number, day.dispatchers.count, &table).map_err(fail("a dispatcher"))?;
+        one.start(image).map_err(fail("a dispatcher"))?;
+        dispatchers.push(one);
+    }
+    if let Some(late) = dispatchers.iter().find(|d| !d.ready(Duration::from_secs(20))) {
+        return Err(format!("{} is not ready; see its log in {}", late.name, dir.display()));
+    }
+    let service = service(day, &settings, &dispatchers, client_lines.clone());
+    let dispatchers: Shared = Arc::new(Mutex::new(dispatchers));
+    let noted = Arc::new(Mutex::new(Noted::default()));
+    let scripts = scripts(day, dir, image, &settings, &hosts, &dispatchers, &noted);
+    clients(day, service);
+    for script in scripts {
+        let _ = script.join();
+    }
+    let (orderly, records) = stop(&dispatchers);
+    hosts.stop();
+    host_lines.settle();
+    client_lines.settle();
+    let facts = facts(day, &settings, began, &noted);
+    let file = File::create(dir.join("facts.json")).map_err(fail("facts.json"))?;
+    serde_json::to_writer_pretty(file, &facts).map_err(|e| format!("facts.json: {e}"))?;
+    let verdict = judge_dir(dir)?;
+    let (mut replayed_steps, mut records_alike) = (0, 0);
+    for path in &records {
+        let recorded =
+            File::open(path).map_err(|e| e.to_string()).and_then(|f| read(f).map_err(|e| e.to_string()));
+        let found = recorded.and_then(|r| replay(&r, false).map_err(|e| e.to_string()));
+        if let Ok(found) = found {
+            replayed_steps += found.steps;
+            records_alike += usize::from(found.difference.is_none());
+        }
+    }
+    Ok(Outcome { verdict, replayed_steps, records: records.len(), records_alike, orderly })
+}
+
+fn lock<T>(shared: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// Writes the hosts' list as the operators' tools would: whole, beside, and moved into place.
+fn write_list(
+    dir: &Path,
+    day: &Day,
+    hosts: &Standins,
+    zone: &str,
+    draining: &[String],
+) -> std::io::Result<()> {
+    let mut text = String::from("name,address,port,kind,cell,zone,state,note\n");
+    for host in &day.hosts {
+        let name = &host.config.name;
+        let Some(address) = hosts.addresses().get(name) else { continue };
+        let state = if draining.contains(name) { "draining" } else { "ready" };
+        let (ip, port) = (address.ip(), address.port());
+        text.push_str(&format!(
+            "{name},{ip},{port},{},{},{zone},{state},\"stand-in, {name}\"\n",
+            host.kind, host.cell
+        ));
+    }
+    let beside = dir.join("hosts.csv.new");
+    std::fs::write(&beside, text)?;
+    std::fs::rename(beside, dir.join("hosts.csv"))
+}
+
+fn service(day: &Day, settings: &Settings, dispatchers: &[Dispatcher], capture: Capture) -> Service {
+    let class =
+        |c: &bitternlatch_core::settings::Class| (c.name.clone(), (c.effect == Effect::Safe, c.deadline_s));
+    Service {
+        dispatchers: dispatchers.iter().map(|d| (d.name.clone(), d.address.clone())).collect(),
+        capture,
+        classes: settings.classes.iter().map(class).collect(),
+        retries: day.retries,
+        killed: day.dispatchers.restarts.iter().map(|r| r.dispatcher.saturating_sub(1)).collect(),
+    }
+}
+
+/// Starts each conversation at its time and waits for all to end.
+fn clients(day: &Day, service: Service) {
+    let service = Arc::new(service);
+    let start = Instant::now();
+    let mut talks = Vec::new();
+    for plan in plan(day) {
+        let wait = Duration::from_secs_f64(plan.at_s).saturating_sub(start.elapsed());
+        std::thread::sleep(wait);
+        let (service, day) = (Arc::clone(&service), day.clone());
+        let thread = std::thread::Builder::new().stack_size(256 * 1024);
+        if let Ok(talk) = thread.spawn(move || play(&service, &day, &plan)) {
+            talks.push(talk);
+        }
+    }
+    for talk in talks {
+        let _ = talk.join();
+    }
+}
+
+/// Threads that kill dispatchers and rewrite the list at their times.
+fn scripts(
+    day: &Day,
+    dir: &Path,
+    image: &Path,
+    settings: &Settings,
+    hosts: &Standins,
+    dispatchers: &Shared,
+    noted: &Arc<Mutex<Noted>>,
+) -> Vec<std::thread::JoinHandle<()>> {
+    let start = Instant::now();
+    let wait_until = move |at_s: f64| {
+        std::thread::sleep(Duration::from_secs_f64(at_s).saturating_sub(start.elapsed()));
+    };
+    let mut threads = Vec::new();
+    for restart in day.dispatchers.restarts.clone() {
+        let (all, noted, image) = (Arc::clone(dispatchers), Arc::clone(noted), image.to_path_buf());
+        threads.push(std::thread::spawn(move || {
+            wait_until(restart.at_s);
+            let i = restart.dispatcher.saturating_sub(1);
+            if let Some(one) = lock(&all).get_mut(i) {
+                lock(&noted).kills.push((unix_us(), one.name.clone()));
+                one.kill();
+            }
+            wait_until(restart.at_s + restart.down_s);
+            if let Some(one) = lock(&all).get_mut(i) {
+                // Should it not start again, its clients find the others.
+                let _ = one.start(&image);
+            }
+        }));
+    }
+    let mut lists: Vec<(f64, Vec<String>, String)> = Vec::new();
+    for drain in &day.drains {
+        let texts = [(drain.at_s, drain.hosts.clone()), (drain.at_s + drain.for_s, Vec::new())];
+        for (at_s, names) in texts {
+            // The text is made now, as the hosts' addresses stay.
+            let made = write_list(dir, day, hosts, &settings.zone, &names)
+                .and_then(|()| std::fs::read_to_string(dir.join("hosts.csv")));
+            lists.push((at_s, names, made.unwrap_or_default()));
+        }
+    }
+    let _ = write_list(dir, day, hosts, &settings.zone, &[]);
+    lists.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let (noted, dir) = (Arc::clone(noted), dir.to_path_buf());
+    threads.push(std::thread::spawn(move || {
+        for (at_s, names, text) in lists {
+            wait_until(at_s);
+            // In two pieces and not moved into place, as a careless editor writes.
+            let (head, _) = text.split_at(text.len() / 2);
+            let path = dir.join("hosts.csv");
+            let _ = std::fs::write(&path, head);
+            std::thread::sleep(Duration::from_millis(30));
+            let _ = std::fs::write(&path, &text);
+            let t = unix_us();
+            lock(&noted).drains.extend(names.into_iter().map(|n| (t, n)));
+        }
+    }));
+    threads
+}
+
+/// Tells all dispatchers to stop; gives how many did in order, and their records.
+fn stop(dispatchers: &Shared) -> (usize, Vec<PathBuf>) {
+    let mut all = lock(dispatchers);
+    all.iter().for_each(Dispatcher::terminate);
+    let orderly = all.iter_mut().map(|d| d.ended(Duration::from_secs(20))).filter(|ended| *ended).count();
+    (orderly, all.iter().flat_map(Dispatcher::records).collect())
+}
+
+fn facts(day: &Day, settings: &Settings, began: u64, noted: &Mutex<Noted>) -> Facts {
+    let effect = |e: Effect| match e {
+        Effect::Safe => "safe",
+        Effect::Keyed => "keyed",
+        Effect::Unsafe => "unsafe",
+    };
+    let class = |c: &bitternlatch_core::settings::Class| ClassFacts {
+        name: c.name.clone(),
+        effect: effect(c.effect).to_string(),
+        deadline_s: c.deadline_s,
+        worth: c.worth,
+        late_worth: c.late_worth,
+        ttft_aim_s: c.ttft_aim_s,
+        ttft_aim_ms_per_1000_tokens: c.ttft_aim_ms_per_1000_tokens,
+    };
+    let host = |h: &crate::day::DayHost| HostFacts {
+        name: h.config.name.clone(),
+        read_tokens_per_s: h.config.read_tokens_per_s,
+        token_gap_s: h.config.token_gap_s,
+        slots: h.config.slots,
+    };
+    let cold = day.standins().cold;
+    let noted = lock(noted);
+    Facts {
+        classes: settings.classes.iter().map(class).collect(),
+        hosts: day.hosts.iter().map(host).collect(),
+        drain_grace_s: settings.rules.drain_grace_s,
+        pin_limit_s: settings.rules.pin_limit_s,
+        // Read alike twice, so at most three looks.
+        list_s: 3.0 * settings.inventory.reread_s,
+        cold: ColdFacts {
+            start_capacity: cold.start_capacity,
+            warm_after_s: cold.warm_after_s,
+            overload_factor: cold.overload_factor,
+            window_s: cold.window_s,
+        },
+        kills: noted.kills.clone(),
+        list_drains: noted.drains.clone(),
+        downs: day.downs().into_iter().map(|(s, h)| (began + (s * 1e6) as u64, h)).collect(),
+    }
+}
--- /dev/null
+++ b/programs/dispatch/src/lib.rs
@@ -0,0 +1,141 @@
+//! The dispatcher: reads its settings, listens, and runs the loop until it is told to stop.
+//!
+//! A library, so that other programs may start dispatchers as processes of their own image.
+
+use std::ffi::OsString;
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bitternlatch_core::{Input, Settings};
+use bitternlatch_inventory::{LastGood, Offer};
+use bitternlatch_net::accept::{Acceptor, Door};
+use bitternlatch_net::driver::{events, Driver, Event, Front, Recorder};
+use bitternlatch_net::socket::Limits;
+use bitternlatch_net::watch;
+use clap::Parser;
+use crossbeam_channel::Sender;
+use signal_hook::consts::{SIGINT, SIGTERM};
+
+/// Routes requests of WebSocket sessions to model hosts.
+#[derive(Parser)]
+#[command(
+    version,
+    after_help = "Example:\n  bitternlatch-dispatch --config deploy/dispatch.toml --check\n  \
+    bitternlatch-dispatch --config deploy/dispatch.toml\n\nExit codes: 0 stopped as told, 2 could not run.\n\
+    SIGTERM takes nothing new, answers what is in hand, then ends."
+)]
+struct Args {
+    /// The settings file (TOML).
+    #[arg(long)]
+    config: PathBuf,
+    /// Check settings and host list, say what would run, and end.
+    #[arg(long)]
+    check: bool,
+    /// Seed of all chance; by default the time.
+    #[arg(long)]
+    seed: Option<u64>,
+}
+
+/// Runs a dispatcher from command-line words, the program's name first; ends the process on words that are wrong.
+pub fn main_from(words: impl Iterator<Item = OsString>) -> ExitCode {
+    let args = Args::parse_from(words);
+    let filter = tracing_subscriber::EnvFilter::try_from_env("BITTERNLATCH_LOG")
+        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
+    tracing_subscriber::fmt().json().with_env_filter(filter).with_writer(std::io::stderr).init();
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("bitternlatch-dispatch: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// A path of the settings, relative to their file.
+fn beside(config: &Path, file: &str) -> PathBuf {
+    config.parent().unwrap_or(Path::new("")).join(file)
+}
+
+fn run(args: &Args) -> Result<(), String> {
+    let shown = args.config.display().to_string();
+    let text = std::fs::read_to_string(&args.config).map_err(|e| format!("{shown}: {e}"))?;
+    let settings = Settings::parse(&shown, &text).map_err(|e| e.to_string())?;
+    let list = beside(&args.config, &settings.inventory.file);
+    let mut good = LastGood::default();
+    match good.offer(&list.display().to_string(), &watch::read_list(&list)?) {
+        Offer::Broken(e) => return Err(e.to_string()),
+        Offer::Taken(_) | Offer::Nothing => {}
+    }
+    if args.check {
+        println!("{shown}: good; {} hosts in {}", good.hosts().len(), list.display());
+        return Ok(());
+    }
+    serve(args, settings, text, list, good)
+}
+
+fn serve(args: &Args, settings: Settings, text: String, list: PathBuf, good: LastGood) -> Result<(), String> {
+    let unix = || std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    let seed = args.seed.unwrap_or_else(|| unix().as_nanos() as u64);
+    let ready = Arc::new(AtomicBool::new(false));
+    let (to, from) = events();
+    let address = settings.listen.address.clone();
+    let listener = TcpListener::bind(&address).map_err(|e| format!("cannot listen on {address}: {e}"))?;
+    let front = Arc::new(Front { events: to.clone(), ready: Arc::clone(&ready) });
+    let hosts = good.hosts().values().cloned().collect();
+    to.send(Event::Input(Input::Hosts(hosts))).map_err(|e| e.to_string())?;
+    let every = Duration::from_secs_f64(settings.inventory.reread_s);
+    watch::watch(list, every, good, to.clone()).map_err(|e| format!("no thread for the list: {e}"))?;
+    let acceptor =
+        Acceptor::start(listener, door(&settings), front).map_err(|e| format!("cannot accept: {e}"))?;
+    let within = Duration::from_secs_f64(settings.stop.within_s);
+    let record = settings.record.as_ref().map(|r| beside(&args.config, &r.file));
+    tracing::info!(name = settings.name, address = %acceptor.address(), seed, "listening");
+    on_signal(to.clone(), acceptor)?;
+    let mut driver = Driver::new(settings, seed, (to, from), ready);
+    if let Some(path) = record {
+        let recorder = Recorder::begin(&path, text, seed);
+        driver.record(recorder.map_err(|e| format!("cannot record to {}: {e}", path.display()))?);
+    }
+    driver.run(within);
+    tracing::info!("stopped");
+    Ok(())
+}
+
+fn door(settings: &Settings) -> Door {
+    let listen = &settings.listen;
+    Door {
+        // The core closes what is past the sessions' bound with a reason; a few more may be told so.
+        connections: listen.sessions + 64,
+        handshake: Duration::from_secs_f64(listen.handshake_s),
+        socket: Limits {
+            message_bytes: listen.message_bytes,
+            queue: listen.queue_messages,
+            ping: Duration::from_secs_f64(listen.ping_s),
+            idle: Some(Duration::from_secs_f64(listen.idle_s)),
+        },
+    }
+}
+
+/// The first signal stops in order; a second one ends the process at once.
+fn on_signal(to: Sender<Event>, acceptor: Acceptor) -> Result<(), String> {
+    let again = Arc::new(AtomicBool::new(false));
+    for signal in [SIGTERM, SIGINT] {
+        signal_hook::flag::register_conditional_shutdown(signal, 1, Arc::clone(&again))
+            .map_err(|e| format!("cannot wait for signals: {e}"))?;
+    }
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])
+        .map_err(|e| format!("cannot wait for signals: {e}"))?;
+    let wait = move || {
+        if signals.forever().next().is_some() {
+            again.store(true, Ordering::SeqCst);
+            acceptor.stop();
+            let _ = to.send(Event::Input(Input::Stop));
+        }
+    };
+    let thread = std::thread::Builder::new().name("signals".into()).spawn(wait);
+    thread.map(|_| ()).map_err(|e| format!("no thread for signals: {e}"))
+}
--- /dev/null
+++ b/programs/dispatch/src/main.rs
@@ -0,0 +1,5 @@
+//! See the library of the same name.
+
+fn main() -> std::process::ExitCode {
+    bitternlatch_dispatch::main_from(std::env::args_os())
+}
