--- a/crates/core/src/answers.rs
+++ b/crates/core/src/answers.rs
@@ -1,11 +1,11 @@
 //! What clients are told: each listener is given exactly one final event, and nothing after it.
 
 use bitternlatch_policy::interface::{Event, Outcome, RequestId};
-use bitternlatch_protocol::client::{self, IncompleteDetails, Response, ResponseError, Status};
+use bitternlatch_protocol::client::{self, Create, IncompleteDetails, Response, ResponseError, Status};
 
 use crate::contexts::Context;
 use crate::machine::{log, Machine};
-use crate::requests::{Purpose, Request, Stage};
+use crate::requests::{Listener, Purpose, Request, Stage};
 use crate::settings::Effect;
 use crate::types::{Level, Micros, Output, SessionId};
 
@@ -15,15 +15,14 @@
         &mut self,
         out: &mut Vec<Output>,
         only: Option<SessionId>,
-        event: impl Fn(u64, &Request) -> String,
+        event: impl Fn(&Listener, &Request) -> String,
     ) {
-        for i in 0..self.listeners.len() {
-            let (session, sequence) = (self.listeners[i].session, self.listeners[i].sequence);
-            if only.is_none_or(|o| o == session) {
-                out.push(Output::Say { session, text: event(sequence, self) });
-                self.listeners[i].sequence += 1;
-            }
+        let mut listeners = std::mem::take(&mut self.listeners);
+        for listener in listeners.iter_mut().filter(|l| only.is_none_or(|o| o == l.session)) {
+            out.push(Output::Say { session: listener.session, text: event(listener, self) });
+            listener.sequence += 1;
         }
+        self.listeners = listeners;
     }
 
     /// Whether an attempt may have had the effect, the one that is out included.
@@ -46,22 +45,30 @@
 impl Machine {
     pub(crate) fn say_created(&mut self, id: RequestId, session: SessionId, out: &mut Vec<Output>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        request.say(out, Some(session), |n, r| client::created(n, &r.response));
+        request.say(out, Some(session), |l, r| client::created(l.sequence, &l.view(&r.response)));
     }
 
     pub(crate) fn say_so_far(&mut self, id: RequestId, session: SessionId, out: &mut Vec<Output>) {
         let Some(request) = self.requests.get_mut(&id).filter(|r| !r.text.is_empty()) else { return };
-        request.say(out, Some(session), |n, r| client::delta(n, &r.response.id, &r.item_id, &r.text));
+        request
+            .say(out, Some(session), |l, r| client::delta(l.sequence, &r.response.id, &r.item_id, &r.text));
     }
 
     /// Passes a piece of the answer on.
     pub(crate) fn say_delta(&mut self, id: RequestId, piece: &str, out: &mut Vec<Output>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        request.say(out, None, |n, r| client::delta(n, &r.response.id, &r.item_id, piece));
+        request.say(out, None, |l, r| client::delta(l.sequence, &r.response.id, &r.item_id, piece));
     }
 
     /// Gives the recorded answer to a client that asks again with its key.
-    pub(crate) fn say_again(&self, session: SessionId, answer: &Response, out: &mut Vec<Output>) {
+    pub(crate) fn say_again(
+        &self,
+        session: SessionId,
+        answer: &Response,
+        create: &Create,
+        out: &mut Vec<Output>,
+    ) {
+        let answer = &Response { metadata: create.metadata.clone(), ..answer.clone() };
         let begun = Response {
             status: Status::InProgress,
             output: Vec::new(),
@@ -115,7 +122,7 @@
     fn finish(&mut self, now: Micros, id: RequestId, answer: Response, out: &mut Vec<Output>) {
         let Some(request) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
         request.answered = true;
-        request.say(out, None, |n, _| client::finished(n, &answer));
+        request.say(out, None, |l, _| client::finished(l.sequence, &l.view(&answer)));
         for listener in std::mem::take(&mut request.listeners) {
             self.sessions.unlisten(listener.session, id);
         }
@@ -172,7 +179,7 @@
         let safe =
             self.settings.classes[usize::from(request.class)].effect == Effect::Safe || !request.may_run();
         let answer = request.failed("cancelled", "cancelled by the client", safe, None);
-        request.say(out, Some(session), |n, _| client::finished(n, &answer));
+        request.say(out, Some(session), |l, _| client::finished(l.sequence, &l.view(&answer)));
         request.listeners.retain(|l| l.session != session);
         let last = request.listeners.is_empty();
         self.sessions.unlisten(session, id);
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -73,9 +73,9 @@
             let asked = fingerprint(create);
             match self.keys.know(key, asked) {
                 Known::New => {}
-                Known::Attach(id) => return self.attach(session, id, out),
+                Known::Attach(id) => return self.attach(session, id, create, out),
                 Known::Answer(answer) => {
-                    self.say_again(session, &answer, out);
+                    self.say_again(session, &answer, create, out);
                     return Ok(());
                 }
                 Known::Forgotten => {
@@ -191,7 +191,7 @@
             temperature: create.temperature,
             top_p: create.top_p,
             deadline,
-            listeners: vec![Listener { session, sequence: 0 }],
+            listeners: vec![Listener { session, sequence: 0, metadata: None }],
             text: String::new(),
             usage: Default::default(),
             attempts: 0,
@@ -231,7 +231,13 @@
     }
 
     /// A further session listens to a running request: it is given all that has come so far.
-    fn attach(&mut self, session: SessionId, id: RequestId, out: &mut Vec<Output>) -> Result<(), BadRequest> {
+    fn attach(
+        &mut self,
+        session: SessionId,
+        id: RequestId,
+        create: &Create,
+        out: &mut Vec<Output>,
+    ) -> Result<(), BadRequest> {
         let Some(request) = self.requests.get_mut(&id) else { return Err(too_many("is ending; ask again")) };
         if request.listeners.iter().any(|l| l.session == session) {
             let why = "this session already waits for the request with this key";
@@ -241,7 +247,7 @@
         if request.listeners.len() >= LISTENERS_MOST {
             return Err(too_many("too many sessions wait for this request"));
         }
-        request.listeners.push(Listener { session, sequence: 0 });
+        request.listeners.push(Listener { session, sequence: 0, metadata: Some(create.metadata.clone()) });
         self.sessions.listen(session, id);
         self.say_created(id, session, out);
         self.say_so_far(id, session, out);
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -192,16 +192,18 @@
             self.hand_back_queued(now, host, out);
         }
         for host in change.leave {
-            self.leave(host, out);
+            let moved = change.dial.contains(&host);
+            self.leave(host, moved, out);
         }
         for host in change.dial {
             self.dial(now, host, out);
         }
     }
 
-    pub(crate) fn leave(&mut self, host: ServerId, out: &mut Vec<Output>) {
+    /// Closes a link once nothing is out over it, or at once where its host has moved.
+    fn leave(&mut self, host: ServerId, at_once: bool, out: &mut Vec<Output>) {
         let busy = self.requests.values().any(|r| r.attempt.as_ref().is_some_and(|a| a.host == host));
-        if let Some(link) = self.links.leave(host, busy) {
+        if let Some(link) = self.links.leave(host, busy && !at_once) {
             out.push(Output::Hang { link });
         }
     }
@@ -242,7 +244,7 @@
         let kept_us = (self.settings.requests.context_s * 1e6) as u64;
         self.contexts.sweep(Micros(now.0.saturating_sub(kept_us)));
         for host in self.links.leaving() {
-            self.leave(host, out);
+            self.leave(host, false, out);
         }
     }
 
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -1,5 +1,6 @@
 //! The request table: one entry a request that this dispatcher has taken, until nothing of it is out.
 
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 
 use bitternlatch_policy::interface::{RequestId, ServerId};
@@ -64,6 +65,18 @@
     pub session: SessionId,
     /// Sequence number of its next event.
     pub sequence: u64,
+    /// What its own request carried, where that was a repeat of the first; echoed to it.
+    pub metadata: Option<BTreeMap<String, String>>,
+}
+
+impl Listener {
+    /// The response as this listener is to see it.
+    pub(crate) fn view<'a>(&self, response: &'a Response) -> Cow<'a, Response> {
+        match &self.metadata {
+            None => Cow::Borrowed(response),
+            Some(own) => Cow::Owned(Response { metadata: own.clone(), ..response.clone() }),
+        }
+    }
 }
 
 #[derive(Debug)]
--- /dev/null
+++ b/crates/core/tests/path.rs
@@ -0,0 +1,214 @@
+//! The ordinary path, and what returning clients are given.
+mod common;
+
+use bitternlatch_core::{Input, Output};
+use bitternlatch_protocol::client::Status;
+use common::Bench;
+
+#[test]
+fn a_prompt_is_read_then_written_and_the_answer_streams_to_its_one_end() {
+    let mut b = Bench::ready(1);
+    let s = b.open(1);
+    let write = b.to_write(s, "query", "", "a free Thursday hall?");
+    assert!(Bench::name_of(write.link).starts_with('w'));
+    assert_eq!(write.body.prompt, "a free Thursday hall?");
+    assert!(write.body.kv_transfer_params.as_ref().is_some_and(|k| k.do_remote_prefill));
+    b.piece(&write, "the small", None);
+    b.piece(&write, " one", None);
+    b.piece(&write, "", Some("stop"));
+    b.done(&write);
+    let heard = b.heard(s);
+    let kinds: Vec<&str> = heard.iter().map(|e| e.kind.as_str()).collect();
+    let delta = "response.output_text.delta";
+    assert_eq!(kinds, ["response.created", delta, delta, "response.completed"]);
+    let last = heard[3].response.as_ref().expect("a response");
+    assert_eq!(last.status, Status::Completed);
+    assert_eq!(last.output[0].content[0].text, "the small one");
+    assert_eq!(last.usage.expect("usage").total_tokens, 11);
+    b.pass(20.0);
+    assert!(b.heard(s).is_empty(), "nothing after the final answer");
+    assert_eq!(b.machine.counts().requests, 0, "nothing is left of it");
+}
+
+#[test]
+fn a_follow_up_goes_on_from_the_first_answer_and_an_unknown_one_is_an_error() {
+    let mut b = Bench::ready(1);
+    let s = b.open(1);
+    let write = b.to_write(s, "query", "", "first");
+    b.piece(&write, "yes", Some("length"));
+    b.done(&write);
+    let heard = b.heard(s);
+    let last = heard.last().and_then(|e| e.response.clone()).expect("a response");
+    assert_eq!(last.status, Status::Incomplete);
+    let follow = |id: &str| {
+        let create = serde_json::json!({ "type": "response.create", "model": "m", "input": "and then?",
+            "previous_response_id": id });
+        create.to_string()
+    };
+    b.step(Input::SessionText { session: s, text: follow(&last.id) });
+    assert_eq!(b.take().body.prompt, "first\nassistant: yes\nand then?");
+    b.heard(s);
+    b.step(Input::SessionText { session: s, text: follow("resp_00") });
+    let heard = b.heard(s);
+    let error = heard[0].error.as_ref().expect("an error");
+    assert_eq!(error["code"], "previous_response_not_found");
+    assert_eq!(error["param"], "previous_response_id");
+}
+
+#[test]
+fn a_dropped_client_is_attached_to_its_running_booking_which_runs_once() {
+    let mut b = Bench::ready(1);
+    let first = b.open(1);
+    let write = b.to_write(first, "booking", "k1", "the season");
+    b.piece(&write, "book", None);
+    b.step(Input::SessionClosed { session: first });
+    b.pass(0.5);
+    assert!(b.cancels.is_empty(), "a keyed booking goes on without its client");
+    let second = b.open(2);
+    b.ask(second, "booking", "k1", "the season");
+    let heard = b.heard(second);
+    assert_eq!(heard[0].kind, "response.created");
+    assert_eq!(heard[1].delta.as_deref(), Some("book"), "what came before is given at once");
+    b.piece(&write, "ed", Some("stop"));
+    b.done(&write);
+    let heard = b.heard(second);
+    assert_eq!(heard.iter().filter(|e| e.is_final()).count(), 1);
+    assert_eq!(
+        heard.last().and_then(|e| e.response.clone()).expect("it").output[0].content[0].text,
+        "booked"
+    );
+    assert!(b.told.is_empty(), "nothing was sent again");
+    let third = b.open(3);
+    b.ask(third, "booking", "k1", "the season");
+    let heard = b.heard(third);
+    assert_eq!(
+        heard.iter().map(|e| e.kind.as_str()).collect::<Vec<_>>(),
+        ["response.created", "response.completed"]
+    );
+    assert!(b.told.is_empty(), "the recorded answer is given");
+    b.ask(third, "booking", "k1", "another season");
+    assert_eq!(b.heard(third)[0].error.as_ref().expect("an error")["code"], "idempotency_key_reused");
+}
+
+#[test]
+fn a_booking_that_broke_is_a_failure_however_often_it_is_asked_for() {
+    let mut b = Bench::ready(1);
+    let s = b.open(1);
+    let write = b.to_write(s, "booking", "k1", "the season");
+    b.step(Input::LinkClosed { link: write.link, why: "reset".into() });
+    for round in 0..2 {
+        let heard = b.heard(s);
+        let last = heard.last().and_then(|e| e.response.clone()).expect("a final answer");
+        assert_eq!(last.status, Status::Failed, "round {round}");
+        assert!(!last.error.expect("an error").safe_to_repeat);
+        assert!(b.told.is_empty());
+        b.ask(s, "booking", "k1", "the season");
+    }
+}
+
+#[test]
+fn a_query_whose_client_left_is_cancelled_and_forgotten() {
+    let mut b = Bench::ready(1);
+    let s = b.open(1);
+    b.ask(s, "query", "k1", "a hall?");
+    let read = b.take();
+    b.step(Input::SessionClosed { session: s });
+    assert_eq!(b.cancels, [(read.link, read.id.clone())]);
+    b.read_done(&read);
+    assert_eq!(b.releases, [(read.link, read.id.clone())], "a late read state is let go of");
+    assert_eq!((b.machine.counts().requests, b.machine.counts().keys), (0, 0));
+}
+
+#[test]
+fn bad_messages_cost_one_error_each_and_nothing_else() {
+    let mut b = Bench::ready(1);
+    let s = b.open(1);
+    let write = b.to_write(s, "query", "", "good");
+    b.heard(s);
+    let meta = |pairs: &str| {
+        format!(r#"{{"type":"response.create","model":"m","input":"x","metadata":{{{pairs}}}}}"#)
+    };
+    let cases = [
+        ("{", "invalid_json", None),
+        (r#"{"type":"response.sing"}"#, "invalid_value", Some("type")),
+        (r#"{"type":"response.create","input":"x"}"#, "invalid_value", Some("model")),
+        (r#"{"type":"response.create","model":"m"}"#, "invalid_value", Some("input")),
+        (
+            r#"{"type":"response.create","model":"m","input":"x","max_output_tokens":0}"#,
+            "invalid_value",
+            Some("max_output_tokens"),
+        ),
+        (
+            r#"{"type":"response.create","model":"m","input":[{"role":"user"}]}"#,
+            "invalid_value",
+            Some("input[0].content"),
+        ),
+        (&meta(r#""class":"odd""#), "invalid_value", Some("metadata.class")),
+        (&meta(r#""deadline_ms":"soon""#), "invalid_value", Some("metadata.deadline_ms")),
+        (r#"{"type":"response.cancel","response_id":"resp_é"}"#, "response_not_found", Some("response_id")),
+    ];
+    for (text, code, param) in cases {
+        b.step(Input::SessionText { session: s, text: text.to_string() });
+        let heard = b.heard(s);
+        assert_eq!(heard.len(), 1, "{text}");
+        let error = heard[0].error.as_ref().expect("an error");
+        assert_eq!((error["code"].as_str(), error["param"].as_str()), (Some(code), param), "{text}");
+    }
+    b.piece(&write, "still here", Some("stop"));
+    b.done(&write);
+    assert!(b.kinds(s).contains(&"response.completed".to_string()));
+}
+
+#[test]
+fn bounds_on_requests_a_session_and_on_sessions() {
+    let mut b = Bench::ready(1);
+    let s = b.open(1);
+    for i in 0..5 {
+        b.ask(s, "query", "", &format!("q{i}"));
+    }
+    let heard = b.heard(s);
+    let error = heard.last().and_then(|e| e.error.clone()).expect("the fifth is over the bound");
+    assert_eq!(
+        (error["code"].as_str(), error["metadata"]["try"].as_str()),
+        (Some("too_many_requests"), Some("q4"))
+    );
+    assert!(error["retry_after_ms"].as_u64().is_some_and(|ms| ms > 0));
+    (2..=100).for_each(|i| drop(b.open(i)));
+    b.out.clear();
+    b.open(101);
+    assert!(matches!(b.out[0], Output::CloseSession { code: 1013, .. }));
+}
+
+#[test]
+fn a_client_may_cancel_its_own_response_alone() {
+    let mut b = Bench::ready(1);
+    let (s, other) = (b.open(1), b.open(2));
+    b.ask(s, "query", "", "q");
+    let read = b.take();
+    let id = b.heard(s)[0].response.as_ref().expect("created").id.clone();
+    let cancel = serde_json::json!({ "type": "response.cancel", "response_id": id }).to_string();
+    b.step(Input::SessionText { session: other, text: cancel.clone() });
+    assert_eq!(b.heard(other)[0].error.as_ref().expect("an error")["code"], "response_not_found");
+    b.step(Input::SessionText { session: s, text: cancel });
+    assert_eq!(b.kinds(s), ["response.failed"]);
+    assert_eq!(b.cancels, [(read.link, read.id)]);
+}
+
+#[test]
+fn a_stop_refuses_what_is_new_answers_what_is_in_hand_and_then_ends() {
+    let mut b = Bench::ready(1);
+    let s = b.open(1);
+    let write = b.to_write(s, "query", "", "in hand");
+    b.step(Input::Stop);
+    assert!(!b.stopped);
+    b.heard(s);
+    b.ask(s, "query", "", "new");
+    let heard = b.heard(s);
+    let error = heard.last().and_then(|e| e.response.clone()).and_then(|r| r.error).expect("refused");
+    assert!(error.safe_to_repeat && error.retry_after_ms.is_some());
+    b.open(9);
+    assert!(b.out.iter().any(|o| matches!(o, Output::CloseSession { code: 1001, .. })));
+    b.piece(&write, "done", Some("stop"));
+    b.done(&write);
+    assert!(b.kinds(s).contains(&"response.completed".to_string()) && b.stopped);
+}
--- /dev/null
+++ b/crates/core/tests/trouble.rs
@@ -0,0 +1,279 @@
+//! Hosts and links in trouble: what may have run is never told as not run, and each request ends once.
+mod common;
+
+use bitternlatch_core::Input;
+use bitternlatch_policy::interface::{Event, Outcome};
+use bitternlatch_protocol::client::Status;
+use bitternlatch_protocol::engine::{Chunk, FromEngine, CODE_FULL, CODE_STATE_GONE};
+use common::{four, hosts, Bench};
+
+/// Outcomes that the decision module was told since the trace began.
+fn outcomes(b: &mut Bench) -> Vec<Outcome> {
+    let ended = |e: Event| match e {
+        Event::AttemptEnded(end) => Some(end.outcome),
+        _ => None,
+    };
+    b.machine.take_trace().into_iter().filter_map(|t| ended(t.event)).collect()
+}
+
+fn final_status(b: &mut Bench, s: bitternlatch_core::SessionId) -> (Status, Option<bool>) {
+    let heard = b.heard(s);
+    let finals: Vec<_> = heard.iter().filter(|e| e.is_final()).collect();
+    assert_eq!(finals.len(), 1, "one final answer");
+    let response = finals[0].response.clone().expect("a response");
+    (response.status, response.error.map(|e| e.safe_to_repeat))
+}
+
+#[test]
+fn a_reset_after_the_engine_said_its_end_is_served_and_before_it_is_a_failure() {
+    for (finish, status) in [(Some("stop"), Status::Completed), (None, Status::Failed)] {
+        let mut b = Bench::ready(1);
+        let s = b.open(1);
+        let write = b.to_write(s, "booking", "k", "q");
+        b.piece(&write, "last token", finish);
+        b.step(Input::LinkClosed { link: write.link, why: "reset".into() });
+        assert_eq!(final_status(&mut b, s).0, status);
+    }
+}
+
+#[test]
+fn a_query_goes_on_after_a_reset_an_error_and_a_full_host() {
+    let mut b = Bench::ready(1);
+    b.machine.keep_trace();
+    let s = b.open(1);
+    let write = b.to_write(s, "query", "", "q");
+    b.step(Input::LinkClosed { link: write.link, why: "reset".into() });
+    let second = b.take();
+    assert!(second.link.host != write.link.host, "not to the host whose link is down");
+    b.error(&second, 503, Some(CODE_FULL));
+    b.pass(0.5);
+    let told = outcomes(&mut b);
+    assert_eq!(told[..3], [Outcome::ReadDone, Outcome::Reset, Outcome::Full { state_gone: false }]);
+}
+
+#[test]
+fn a_state_that_is_gone_is_read_anew_even_for_a_booking() {
+    let mut b = Bench::ready(1);
+    let s = b.open(1);
+    let write = b.to_write(s, "booking", "k", "q");
+    b.error(&write, 409, Some(CODE_STATE_GONE));
+    let again = b.take();
+    assert!(again.is_read(), "it never ran, so that it may be read again");
+    b.read_done(&again);
+    let write = b.take();
+    b.piece(&write, "ok", Some("stop"));
+    b.done(&write);
+    assert_eq!(final_status(&mut b, s).0, Status::Completed);
+}
+
+#[test]
+fn a_message_that_never_left_is_told_as_not_run() {
+    let mut b = Bench::ready(1);
+    b.machine.keep_trace();
+    let s = b.open(1);
+    let write = b.to_write(s, "booking", "k", "q");
+    b.step(Input::LinkUnsent { link: write.link, attempt: write.id.clone() });
+    assert_eq!(outcomes(&mut b), [Outcome::ReadDone, Outcome::ConnectFailed]);
+    let second = b.take();
+    assert!(!second.is_read(), "a booking that never left is sent again with the same state");
+}
+
+#[test]
+fn a_send_that_waits_for_its_link_is_handed_back_when_the_host_is_told_to_drain() {
+    let mut b = Bench::new(1);
+    b.step(Input::Hosts(four()));
+    let (reader, rest): (Vec<_>, Vec<_>) =
+        b.dials.drain(..).partition(|l| Bench::name_of(*l).starts_with('r'));
+    b.dials = rest;
+    b.open_all(1000.0);
+    for link in &reader {
+        b.step(Input::LinkUp { link: *link });
+    }
+    let s = b.open(1);
+    b.ask(s, "query", "", "q");
+    assert!(b.told.is_empty(), "both readers have not greeted yet");
+    let rows = "r1,127.0.0.1,1,reader,draining\nr2,127.0.0.1,2,reader,draining\nw1,127.0.0.1,3,writer,\nw2,127.0.0.1,4,writer,\n";
+    b.step(Input::Hosts(hosts(rows)));
+    let readers_greet = |b: &mut Bench| reader.iter().for_each(|l| b.greet(*l, 1000.0));
+    readers_greet(&mut b);
+    b.pass(1.0);
+    assert!(b.told.is_empty(), "nothing reaches a host that drains");
+    assert_eq!(final_status(&mut b, s), (Status::Failed, Some(true)), "refused: asking again is harmless");
+}
+
+#[test]
+fn a_host_that_says_it_drains_gets_nothing_new() {
+    let mut b = Bench::ready(1);
+    let s = b.open(1);
+    let first = b.to_write(s, "query", "", "q0");
+    let state = bitternlatch_protocol::engine::EngineState::Draining;
+    b.says(first.link, &FromEngine::State { state });
+    for i in 1..4 {
+        let write = b.to_write(s, "query", "", &format!("q{i}"));
+        assert_ne!(write.link.host, first.link.host);
+        b.piece(&write, "x", Some("stop"));
+        b.done(&write);
+    }
+    b.piece(&first, "running work goes on", Some("stop"));
+    b.done(&first);
+    assert!(b.heard(s).iter().filter(|e| e.is_final()).count() == 4);
+}
+
+#[test]
+fn what_was_queued_for_a_host_that_proves_cold_is_handed_back() {
+    let mut b = Bench::new(1);
+    b.machine.keep_trace();
+    b.step(Input::Hosts(hosts("r1,127.0.0.1,1,reader,\nw1,127.0.0.1,3,writer,\n")));
+    let s = b.open(1);
+    b.ask(s, "query", "", "q");
+    let links = std::mem::take(&mut b.dials);
+    let reader = links.iter().find(|l| Bench::name_of(**l) == "r1").copied().expect("dialled");
+    b.step(Input::LinkUp { link: reader });
+    b.greet(reader, 0.5);
+    assert!(outcomes(&mut b).contains(&Outcome::ConnectFailed));
+}
+
+#[test]
+fn a_host_that_accepts_and_says_nothing_is_left_and_dialled_again() {
+    let mut b = Bench::new(1);
+    b.step(Input::Hosts(four()));
+    let links = std::mem::take(&mut b.dials);
+    links.iter().for_each(|link| b.step(Input::LinkUp { link: *link }));
+    let s = b.open(1);
+    b.ask(s, "query", "", "q");
+    b.pass(2.5);
+    assert!(b.told.is_empty());
+    assert!(b.dials.len() >= 4, "all four are dialled again");
+    assert!(b.logs.iter().any(|l| l.contains("did not greet in time")));
+    b.pass(6.0);
+    assert!(matches!(final_status(&mut b, s), (Status::Failed, Some(true))));
+}
+
+#[test]
+fn silence_ends_in_one_answer_before_the_client_gives_up() {
+    for class in ["query", "booking"] {
+        let mut b = Bench::ready(1);
+        let s = b.open(1);
+        let start = b.now;
+        b.ask(s, class, "k", "q");
+        let deadline_s = if class == "query" { 6.0 } else { 12.0 };
+        let mut answered = None;
+        while b.now.since(start) < deadline_s + 1.0 {
+            b.pass(0.01);
+            if answered.is_none() && b.heard(s).iter().any(|e| e.is_final()) {
+                answered = Some(b.now.since(start));
+            }
+        }
+        let after = answered.expect("an answer");
+        assert!(after < deadline_s, "{class}: after {after} s");
+        assert_eq!(b.machine.counts().requests, 0, "{class}");
+        assert!(!b.cancels.is_empty(), "the hosts are told to stop");
+    }
+}
+
+#[test]
+fn a_stream_that_stalls_ends_in_a_failure() {
+    let mut b = Bench::ready(1);
+    let s = b.open(1);
+    let write = b.to_write(s, "query", "", "q");
+    b.piece(&write, "one", None);
+    b.pass(5.0);
+    b.piece(&write, "two", None);
+    b.pass(5.0);
+    assert!(b.heard(s).iter().all(|e| !e.is_final()), "it has not been silent for its deadline");
+    b.pass(1.5);
+    assert_eq!(final_status(&mut b, s), (Status::Failed, Some(false)));
+    assert_eq!(b.cancels, [(write.link, write.id)]);
+}
+
+#[test]
+fn nonsense_from_a_host_is_told_to_it_and_costs_the_request_nothing() {
+    let mut b = Bench::ready(1);
+    let s = b.open(1);
+    let write = b.to_write(s, "query", "", "q");
+    for text in ["{\"op\":\"chunk\",", "{\"op\":\"sing\"}", "", "{\"op\":\"done\",\"id\":\"no-such\"}"] {
+        b.step(Input::LinkText { link: write.link, text: text.to_string() });
+    }
+    assert_eq!(b.faults.len(), 4);
+    let other = b.out.iter().find_map(|o| match o {
+        bitternlatch_core::Output::Dial { link, .. } if link.host != write.link.host => Some(*link),
+        _ => None,
+    });
+    let foreign = FromEngine::Done { id: write.id.clone(), load: None };
+    b.says(other.expect("another host"), &foreign);
+    b.says(write.link, &FromEngine::Done { id: write.id.replace('-', "-9"), load: None });
+    assert!(b.heard(s).iter().all(|e| !e.is_final()), "neither word counts");
+    b.piece(&write, "fine", Some("stop"));
+    b.done(&write);
+    assert_eq!(final_status(&mut b, s).0, Status::Completed);
+}
+
+#[test]
+fn an_engine_that_sends_more_than_it_may_is_stopped() {
+    let mut b = Bench::ready(1);
+    let s = b.open(1);
+    let write = b.to_write(s, "query", "", "q");
+    b.piece(&write, "x", None);
+    let much = "x".repeat(40_000);
+    b.piece(&write, &much, None);
+    assert_eq!(final_status(&mut b, s), (Status::Failed, Some(false)));
+    assert_eq!(b.cancels, [(write.link, write.id)]);
+}
+
+#[test]
+fn a_read_that_leaves_no_state_and_a_write_without_an_end_are_errors() {
+    let mut b = Bench::ready(1);
+    b.machine.keep_trace();
+    let s = b.open(1);
+    b.ask(s, "query", "", "q");
+    let read = b.take();
+    b.says(read.link, &FromEngine::Chunk { id: read.id.clone(), body: Chunk::default() });
+    b.done(&read);
+    assert_eq!(outcomes(&mut b), [Outcome::Error]);
+    let again = b.take();
+    b.read_done(&again);
+    let write = b.take();
+    b.done(&write);
+    assert_eq!(outcomes(&mut b), [Outcome::ReadDone, Outcome::Error]);
+}
+
+#[test]
+fn loads_that_are_absent_negative_or_no_number_are_no_report() {
+    let mut b = Bench::ready(1);
+    b.machine.keep_trace();
+    let s = b.open(1);
+    let loads =
+        [r#"{}"#, r#"{"kv_cache_usage_perc":-0.5}"#, r#"{"other":1}"#, r#"{"kv_cache_usage_perc":0.5}"#];
+    let mut reports = Vec::new();
+    for (i, load) in loads.iter().enumerate() {
+        let write = b.to_write(s, "query", "", &format!("q{i}"));
+        b.piece(&write, "x", Some("stop"));
+        let text = format!(r#"{{"op":"done","id":"{}","load":{load}}}"#, write.id);
+        b.step(Input::LinkText { link: write.link, text });
+        for t in b.machine.take_trace() {
+            if let Event::AttemptEnded(end) = t.event {
+                if end.outcome == Outcome::Served {
+                    reports.push(end.report);
+                }
+            }
+        }
+    }
+    assert_eq!(reports, [vec![], vec![], vec![], vec![0.5]]);
+}
+
+#[test]
+fn a_host_that_moves_is_left_at_its_old_address() {
+    let mut b = Bench::ready(1);
+    let s = b.open(1);
+    let write = b.to_write(s, "query", "", "q");
+    let rows =
+        "r1,127.0.0.1,1,reader,\nr2,127.0.0.1,2,reader,\nw1,127.0.0.1,33,writer,\nw2,127.0.0.1,44,writer,\n";
+    b.out.clear();
+    b.step(Input::Hosts(hosts(rows)));
+    let hung = b.out.iter().any(|o| *o == bitternlatch_core::Output::Hang { link: write.link });
+    assert!(hung && b.dials.len() == 2);
+    b.step(Input::LinkClosed { link: write.link, why: "hung up".into() });
+    b.open_all(1000.0);
+    b.pass(8.0);
+    final_status(&mut b, s);
+}
--- a/programs/audit/src/answers.rs
+++ b/programs/audit/src/answers.rs
@@ -1,6 +1,6 @@
 //! What the clients' captures show: one final answer for each try, in time, and nothing after it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bitternlatch_protocol::client::{parse, ClientEvent, Create, ServerEvent};
 use bitternlatch_protocol::tokens_of;
@@ -52,6 +52,7 @@
     // Open tries of a connection by the client's own name for them, and by response.
     let mut named: BTreeMap<(String, String, String), usize> = BTreeMap::new();
     let mut by_response: BTreeMap<(String, String, String), usize> = BTreeMap::new();
+    let mut over: BTreeSet<(String, String)> = BTreeSet::new();
     for line in lines {
         let conn = (line.who.clone(), line.peer.clone());
         let key = |name: &str| (conn.0.clone(), conn.1.clone(), name.to_string());
@@ -59,7 +60,10 @@
             "out" => {
                 if let Ok(ClientEvent::Create(create)) = parse(&line.text) {
                     named.insert(key(name_of(&create)), all.len());
-                    all.push(try_of(conn.clone(), line.t, &create));
+                    let mut one = try_of(conn.clone(), line.t, &create);
+                    // Said after its socket had ended: nothing of it was sent.
+                    one.ended = over.contains(&conn).then_some((line.t, true));
+                    all.push(one);
                 }
             }
             "in" => {
@@ -77,6 +81,7 @@
                 hear(&mut all[i], line.t, &event);
             }
             "close" | "drop" => {
+                over.insert(conn.clone());
                 let own = line.dir == "drop";
                 let here = |t: &&mut Try| t.conn == conn && t.ended.is_none();
                 all.iter_mut().filter(here).for_each(|t| t.ended = Some((line.t, own)));
--- a/programs/audit/src/hosts.rs
+++ b/programs/audit/src/hosts.rs
@@ -177,10 +177,14 @@
     let mut listed: BTreeMap<&str, u64> = BTreeMap::new();
     let grace = us(facts.drain_grace_s + SLACK_S);
     let mut drains = facts.list_drains.iter().peekable();
+    let mut readies = facts.list_ready.iter().peekable();
     for line in lines {
         while let Some((t, host)) = drains.next_if(|d| d.0 <= line.t) {
             listed.insert(host, t + us(facts.list_s) + grace);
         }
+        while let Some((_, host)) = readies.next_if(|d| d.0 <= line.t) {
+            listed.remove(host.as_str());
+        }
         let key = (line.who.as_str(), line.peer.as_str());
         let drains = FromEngine::State { state: EngineState::Draining };
         match line.dir.as_str() {
--- a/programs/audit/src/lib.rs
+++ b/programs/audit/src/lib.rs
@@ -31,6 +31,8 @@
     pub kills: Vec<(u64, String)>,
     /// Hosts told to drain by the list: when the file was written, and which.
     pub list_drains: Vec<(u64, String)>,
+    /// Hosts that the list no longer tells to drain: when the file was written, and which.
+    pub list_ready: Vec<(u64, String)>,
     /// Hosts taken down by the script: when, and which.
     pub downs: Vec<(u64, String)>,
 }
--- a/programs/badday/src/run.rs
+++ b/programs/badday/src/run.rs
@@ -31,6 +31,7 @@
 struct Noted {
     kills: Vec<(u64, String)>,
     drains: Vec<(u64, String)>,
+    readies: Vec<(u64, String)>,
 }
 
 type Shared = Arc<Mutex<Vec<Dispatcher>>>;
@@ -196,6 +197,7 @@
     lists.sort_by(|a, b| a.0.total_cmp(&b.0));
     let (noted, dir) = (Arc::clone(noted), dir.to_path_buf());
     threads.push(std::thread::spawn(move || {
+        let mut before: Vec<String> = Vec::new();
         for (at_s, names, text) in lists {
             wait_until(at_s);
             // In two pieces and not moved into place, as a careless editor writes.
@@ -205,7 +207,10 @@
             std::thread::sleep(Duration::from_millis(30));
             let _ = std::fs::write(&path, &text);
             let t = unix_us();
-            lock(&noted).drains.extend(names.into_iter().map(|n| (t, n)));
+            let mut noted = lock(&noted);
+            noted.readies.extend(before.drain(..).filter(|n| !names.contains(n)).map(|n| (t, n)));
+            noted.drains.extend(names.iter().map(|n| (t, n.clone())));
+            before = names;
         }
     }));
     threads
@@ -257,6 +262,7 @@
         },
         kills: noted.kills.clone(),
         list_drains: noted.drains.clone(),
+        list_ready: noted.readies.clone(),
         downs: day.downs().into_iter().map(|(s, h)| (began + (s * 1e6) as u64, h)).collect(),
     }
 }
