--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -244,7 +244,7 @@
     }
 
     /// Asks, reads, and gives the write that follows.
-    pub fn to_write(&mut self, session: SessionId, class: &str, key: &str, input: &str) -> Told {
+    pub fn begin_write(&mut self, session: SessionId, class: &str, key: &str, input: &str) -> Told {
         self.ask(session, class, key, input);
         let read = self.take();
         assert!(read.is_read(), "the first attempt reads");
--- a/crates/core/tests/path.rs
+++ b/crates/core/tests/path.rs
@@ -9,7 +9,7 @@
 fn a_prompt_is_read_then_written_and_the_answer_streams_to_its_one_end() {
     let mut b = Bench::ready(1);
     let s = b.open(1);
-    let write = b.to_write(s, "query", "", "a free Thursday hall?");
+    let write = b.begin_write(s, "query", "", "a free Thursday hall?");
     assert!(Bench::name_of(write.link).starts_with('w'));
     assert_eq!(write.body.prompt, "a free Thursday hall?");
     assert!(write.body.kv_transfer_params.as_ref().is_some_and(|k| k.do_remote_prefill));
@@ -34,7 +34,7 @@
 fn a_follow_up_goes_on_from_the_first_answer_and_an_unknown_one_is_an_error() {
     let mut b = Bench::ready(1);
     let s = b.open(1);
-    let write = b.to_write(s, "query", "", "first");
+    let write = b.begin_write(s, "query", "", "first");
     b.piece(&write, "yes", Some("length"));
     b.done(&write);
     let heard = b.heard(s);
@@ -59,7 +59,7 @@
 fn a_dropped_client_is_attached_to_its_running_booking_which_runs_once() {
     let mut b = Bench::ready(1);
     let first = b.open(1);
-    let write = b.to_write(first, "booking", "k1", "the season");
+    let write = b.begin_write(first, "booking", "k1", "the season");
     b.piece(&write, "book", None);
     b.step(Input::SessionClosed { session: first });
     b.pass(0.5);
@@ -94,7 +94,7 @@
 fn a_booking_that_broke_is_a_failure_however_often_it_is_asked_for() {
     let mut b = Bench::ready(1);
     let s = b.open(1);
-    let write = b.to_write(s, "booking", "k1", "the season");
+    let write = b.begin_write(s, "booking", "k1", "the season");
     b.step(Input::LinkClosed { link: write.link, why: "reset".into() });
     for round in 0..2 {
         let heard = b.heard(s);
@@ -123,7 +123,7 @@
 fn bad_messages_cost_one_error_each_and_nothing_else() {
     let mut b = Bench::ready(1);
     let s = b.open(1);
-    let write = b.to_write(s, "query", "", "good");
+    let write = b.begin_write(s, "query", "", "good");
     b.heard(s);
     let meta = |pairs: &str| {
         format!(r#"{{"type":"response.create","model":"m","input":"x","metadata":{{{pairs}}}}}"#)
@@ -173,7 +173,9 @@
         (Some("too_many_requests"), Some("q4"))
     );
     assert!(error["retry_after_ms"].as_u64().is_some_and(|ms| ms > 0));
-    (2..=100).for_each(|i| drop(b.open(i)));
+    for i in 2..=100 {
+        b.open(i);
+    }
     b.out.clear();
     b.open(101);
     assert!(matches!(b.out[0], Output::CloseSession { code: 1013, .. }));
@@ -198,7 +200,7 @@
 fn a_stop_refuses_what_is_new_answers_what_is_in_hand_and_then_ends() {
     let mut b = Bench::ready(1);
     let s = b.open(1);
-    let write = b.to_write(s, "query", "", "in hand");
+    let write = b.begin_write(s, "query", "", "in hand");
     b.step(Input::Stop);
     assert!(!b.stopped);
     b.heard(s);
--- a/crates/core/tests/trouble.rs
+++ b/crates/core/tests/trouble.rs
@@ -29,7 +29,7 @@
     for (finish, status) in [(Some("stop"), Status::Completed), (None, Status::Failed)] {
         let mut b = Bench::ready(1);
         let s = b.open(1);
-        let write = b.to_write(s, "booking", "k", "q");
+        let write = b.begin_write(s, "booking", "k", "q");
         b.piece(&write, "last token", finish);
         b.step(Input::LinkClosed { link: write.link, why: "reset".into() });
         assert_eq!(final_status(&mut b, s).0, status);
@@ -41,7 +41,7 @@
     let mut b = Bench::ready(1);
     b.machine.keep_trace();
     let s = b.open(1);
-    let write = b.to_write(s, "query", "", "q");
+    let write = b.begin_write(s, "query", "", "q");
     b.step(Input::LinkClosed { link: write.link, why: "reset".into() });
     let second = b.take();
     assert!(second.link.host != write.link.host, "not to the host whose link is down");
@@ -55,7 +55,7 @@
 fn a_state_that_is_gone_is_read_anew_even_for_a_booking() {
     let mut b = Bench::ready(1);
     let s = b.open(1);
-    let write = b.to_write(s, "booking", "k", "q");
+    let write = b.begin_write(s, "booking", "k", "q");
     b.error(&write, 409, Some(CODE_STATE_GONE));
     let again = b.take();
     assert!(again.is_read(), "it never ran, so that it may be read again");
@@ -71,7 +71,7 @@
     let mut b = Bench::ready(1);
     b.machine.keep_trace();
     let s = b.open(1);
-    let write = b.to_write(s, "booking", "k", "q");
+    let write = b.begin_write(s, "booking", "k", "q");
     b.step(Input::LinkUnsent { link: write.link, attempt: write.id.clone() });
     assert_eq!(outcomes(&mut b), [Outcome::ReadDone, Outcome::ConnectFailed]);
     let second = b.take();
@@ -105,11 +105,11 @@
 fn a_host_that_says_it_drains_gets_nothing_new() {
     let mut b = Bench::ready(1);
     let s = b.open(1);
-    let first = b.to_write(s, "query", "", "q0");
+    let first = b.begin_write(s, "query", "", "q0");
     let state = bitternlatch_protocol::engine::EngineState::Draining;
     b.says(first.link, &FromEngine::State { state });
     for i in 1..4 {
-        let write = b.to_write(s, "query", "", &format!("q{i}"));
+        let write = b.begin_write(s, "query", "", &format!("q{i}"));
         assert_ne!(write.link.host, first.link.host);
         b.piece(&write, "x", Some("stop"));
         b.done(&write);
@@ -175,7 +175,7 @@
 fn a_stream_that_stalls_ends_in_a_failure() {
     let mut b = Bench::ready(1);
     let s = b.open(1);
-    let write = b.to_write(s, "query", "", "q");
+    let write = b.begin_write(s, "query", "", "q");
     b.piece(&write, "one", None);
     b.pass(5.0);
     b.piece(&write, "two", None);
@@ -190,7 +190,7 @@
 fn nonsense_from_a_host_is_told_to_it_and_costs_the_request_nothing() {
     let mut b = Bench::ready(1);
     let s = b.open(1);
-    let write = b.to_write(s, "query", "", "q");
+    let write = b.begin_write(s, "query", "", "q");
     for text in ["{\"op\":\"chunk\",", "{\"op\":\"sing\"}", "", "{\"op\":\"done\",\"id\":\"no-such\"}"] {
         b.step(Input::LinkText { link: write.link, text: text.to_string() });
     }
@@ -212,7 +212,7 @@
 fn an_engine_that_sends_more_than_it_may_is_stopped() {
     let mut b = Bench::ready(1);
     let s = b.open(1);
-    let write = b.to_write(s, "query", "", "q");
+    let write = b.begin_write(s, "query", "", "q");
     b.piece(&write, "x", None);
     let much = "x".repeat(40_000);
     b.piece(&write, &much, None);
@@ -246,7 +246,7 @@
         [r#"{}"#, r#"{"kv_cache_usage_perc":-0.5}"#, r#"{"other":1}"#, r#"{"kv_cache_usage_perc":0.5}"#];
     let mut reports = Vec::new();
     for (i, load) in loads.iter().enumerate() {
-        let write = b.to_write(s, "query", "", &format!("q{i}"));
+        let write = b.begin_write(s, "query", "", &format!("q{i}"));
         b.piece(&write, "x", Some("stop"));
         let text = format!(r#"{{"op":"done","id":"{}","load":{load}}}"#, write.id);
         b.step(Input::LinkText { link: write.link, text });
@@ -265,12 +265,12 @@
 fn a_host_that_moves_is_left_at_its_old_address() {
     let mut b = Bench::ready(1);
     let s = b.open(1);
-    let write = b.to_write(s, "query", "", "q");
+    let write = b.begin_write(s, "query", "", "q");
     let rows =
         "r1,127.0.0.1,1,reader,\nr2,127.0.0.1,2,reader,\nw1,127.0.0.1,33,writer,\nw2,127.0.0.1,44,writer,\n";
     b.out.clear();
     b.step(Input::Hosts(hosts(rows)));
-    let hung = b.out.iter().any(|o| *o == bitternlatch_core::Output::Hang { link: write.link });
+    let hung = b.out.contains(&bitternlatch_core::Output::Hang { link: write.link });
     assert!(hung && b.dials.len() == 2);
     b.step(Input::LinkClosed { link: write.link, why: "hung up".into() });
     b.open_all(1000.0);
--- /dev/null
+++ b/programs/badday/tests/common/mod.rs
@@ -0,0 +1,159 @@
+//! Stand-ins in this process, a dispatcher as a process of its own, and clients.
+#![allow(dead_code)]
+
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use bitternlatch_badday::client::{Came, Client};
+use bitternlatch_badday::day::Day;
+use bitternlatch_badday::process::Dispatcher;
+use bitternlatch_protocol::client::ServerEvent;
+use bitternlatch_standin::capture::{Capture, Line};
+use bitternlatch_standin::Standins;
+use crossbeam_channel::Receiver;
+
+pub const SETTINGS: &str = include_str!("../../../../deploy/dispatch.toml");
+
+pub fn image() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_bitternlatch-badday"))
+}
+
+/// A folder of this test's own, empty.
+pub fn folder(name: &str) -> PathBuf {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&dir);
+    std::fs::create_dir_all(&dir).expect("a folder");
+    dir
+}
+
+pub struct Rig {
+    pub hosts: Option<Standins>,
+    pub lines: Receiver<Line>,
+    pub dispatchers: Vec<Dispatcher>,
+    pub dir: PathBuf,
+    day: Day,
+    connections: std::sync::atomic::AtomicU64,
+}
+
+/// Hosts of a day's text and some dispatchers, ready. `edit` may change the dispatchers' settings.
+pub fn rig(name: &str, hosts: &str, dispatchers: usize, edit: impl Fn(&mut toml::Table)) -> Rig {
+    let text =
+        format!("for_s = 1\nrate_rps = 1\nmix = []\ndispatchers = {{ count = 1, settings = \"\" }}\n{hosts}");
+    let day = Day::parse(&text).expect("a day");
+    let dir = folder(name);
+    let (capture, lines) = Capture::channel();
+    let standins = Standins::start(day.standins(), capture).expect("stand-ins");
+    let mut rig = Rig { hosts: Some(standins), lines, dispatchers: vec![], dir, day, connections: 0.into() };
+    rig.write_list(&[]);
+    let mut settings: toml::Table = toml::from_str(SETTINGS).expect("settings");
+    edit(&mut settings);
+    for number in 1..=dispatchers {
+        let mut one = Dispatcher::new(&rig.dir, number, dispatchers, &settings).expect("an address");
+        one.start(&image()).expect("a process");
+        rig.dispatchers.push(one);
+    }
+    for one in &rig.dispatchers {
+        assert!(one.ready(Duration::from_secs(20)), "{} is ready", one.name);
+    }
+    rig
+}
+
+pub const FOUR: &str = r#"
+[[hosts]]
+name = "reader-[1:2]"
+kind = "reader"
+role = "reader"
+[[hosts]]
+name = "writer-[1:2]"
+kind = "writer"
+role = "writer"
+"#;
+
+impl Rig {
+    pub fn standins(&self) -> &Standins {
+        self.hosts.as_ref().expect("running")
+    }
+
+    /// Writes the list in place; the hosts named are told to drain.
+    pub fn write_list(&self, draining: &[&str]) {
+        let mut text = String::from("name,address,port,kind,cell,zone,state\n");
+        for host in &self.day.hosts {
+            let (name, address) = (&host.config.name, self.standins().addresses()[&host.config.name]);
+            let state = if draining.contains(&name.as_str()) { "draining" } else { "ready" };
+            text.push_str(&format!(
+                "{name},{},{},{},{},pos-site,{state}\n",
+                address.ip(),
+                address.port(),
+                host.kind,
+                host.cell
+            ));
+        }
+        std::fs::write(self.dir.join("hosts.csv"), text).expect("the list");
+    }
+
+    pub fn client(&self, dispatcher: usize) -> Client {
+        let n = self.connections.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+        let address = &self.dispatchers[dispatcher].address;
+        Client::connect(address, &format!("t{n}"), "d", Capture::none()).expect("a session")
+    }
+
+    /// Completions that hosts got, as (host, text).
+    pub fn completions(&self, of: &[Line]) -> Vec<(String, String)> {
+        let told = of.iter().filter(|l| l.dir == "in" && l.text.contains("\"op\":\"completion\""));
+        told.map(|l| (l.who.clone(), l.text.clone())).collect()
+    }
+
+    /// Lines until one that fits has come.
+    pub fn until(&self, what: &str, fits: impl Fn(&Line) -> bool) -> Vec<Line> {
+        let by = Instant::now() + Duration::from_secs(20);
+        let mut seen = Vec::new();
+        while let Ok(line) = self.lines.recv_deadline(by) {
+            let found = fits(&line);
+            seen.push(line);
+            if found {
+                return seen;
+            }
+        }
+        panic!("{what} has not come");
+    }
+
+    /// Ends dispatchers in order.
+    pub fn end(mut self) {
+        self.dispatchers.iter().for_each(Dispatcher::terminate);
+        for one in &mut self.dispatchers {
+            assert!(one.ended(Duration::from_secs(20)), "{} ends in order", one.name);
+        }
+        if let Some(hosts) = self.hosts.take() {
+            hosts.stop();
+        }
+    }
+}
+
+pub fn create(class: &str, key: &str, text: &str) -> String {
+    serde_json::json!({
+        "type": "response.create", "model": "m", "input": text, "max_output_tokens": 200,
+        "metadata": { "class": class, "idempotency_key": key, "try": key },
+    })
+    .to_string()
+}
+
+/// Listens until the final event, or panics after a time that no answer may take.
+pub fn to_the_end(client: &Client) -> Vec<ServerEvent> {
+    let mut events = Vec::new();
+    loop {
+        match client.next(Duration::from_secs(30)) {
+            Came::Event(event) => {
+                let last = event.is_final();
+                events.push(*event);
+                if last {
+                    return events;
+                }
+            }
+            other => panic!("{other:?} after {} events", events.len()),
+        }
+    }
+}
+
+pub fn final_kind(client: &Client) -> String {
+    to_the_end(client).last().map(|e| e.kind.clone()).unwrap_or_default()
+}
