--- a/programs/audit/src/answers.rs
+++ b/programs/audit/src/answers.rs
@@ -20,7 +20,18 @@
     finals: Vec<(u64, Final)>,
     /// Events that came after the final one.
     after: usize,
-    ended: Option<(u64, bool)>,
+    ended: Option<(u64, End)>,
+}
+
+/// How a try's session ended before its final answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum End {
+    /// The client dropped its socket by script, or had lost it before it spoke.
+    Dropped,
+    /// The other end.
+    Closed,
+    /// The client closed or gave up though it had no answer.
+    Unanswered,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -62,7 +73,7 @@
                     named.insert(key(name_of(&create)), all.len());
                     let mut one = try_of(conn.clone(), line.t, &create);
                     // Said after its socket had ended: nothing of it was sent.
-                    one.ended = over.contains(&conn).then_some((line.t, true));
+                    one.ended = over.contains(&conn).then_some((line.t, End::Dropped));
                     all.push(one);
                 }
             }
@@ -80,11 +91,15 @@
                 }
                 hear(&mut all[i], line.t, &event);
             }
-            "close" | "drop" => {
+            "close" | "drop" | "bye" | "gave_up" => {
                 over.insert(conn.clone());
-                let own = line.dir == "drop";
+                let end = match line.dir.as_str() {
+                    "drop" => End::Dropped,
+                    "close" => End::Closed,
+                    _ => End::Unanswered,
+                };
                 let here = |t: &&mut Try| t.conn == conn && t.ended.is_none();
-                all.iter_mut().filter(here).for_each(|t| t.ended = Some((line.t, own)));
+                all.iter_mut().filter(here).for_each(|t| t.ended = Some((line.t, end)));
             }
             _ => {}
         }
@@ -172,9 +187,12 @@
                 .any(|(t, name)| name == dispatcher && *t <= at + 1_000_000 && at < t + 10_000_000)
         };
         match one.ended {
-            Some((_, true)) => {}
-            Some((t, false)) if killed(t) => {}
-            Some((t, false)) => breach(t, "its session ended without a final answer".to_string()),
+            Some((_, End::Dropped)) => {}
+            Some((t, End::Closed)) if killed(t) => {}
+            Some((t, End::Closed)) => breach(t, "its session ended without a final answer".to_string()),
+            Some((t, End::Unanswered)) => {
+                breach(t, "its client waited for a final answer in vain".to_string())
+            }
             None => breach(end, "no final answer by the end".to_string()),
         }
     }
--- a/programs/badday/src/client.rs
+++ b/programs/badday/src/client.rs
@@ -80,9 +80,15 @@
         self.outbox.cut();
     }
 
-    /// Closes the session in order.
+    /// Gives up on an answer that does not come.
+    pub fn give_up(&self) {
+        self.capture.put(&self.who, &self.peer, "gave_up", "");
+        self.outbox.cut();
+    }
+
+    /// Closes the session in order, with nothing in hand.
     pub fn close(&self) {
-        self.capture.put(&self.who, &self.peer, "drop", "");
+        self.capture.put(&self.who, &self.peer, "bye", "");
         self.outbox.close(1000, "");
     }
 }
--- a/programs/badday/src/clients.rs
+++ b/programs/badday/src/clients.rs
@@ -221,7 +221,7 @@
             match client.next(wait) {
                 Came::Silence if drop_at.is_some() => {}
                 Came::Silence => {
-                    client.cut();
+                    client.give_up();
                     return End::GaveUp;
                 }
                 Came::Closed(_) => return End::Cut,
