One record, three programs, the same decisions; sockets' bounds tested

The dispatcher's own record is stepped by the replay program and, event by event over the simulator's wire, by the drill; every reply must be the same bytes. Load values are kept at the wire's precision for that.

--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -378,11 +378,13 @@
         self.end_attempt(now, id, Outcome::TimedOut, 0, Vec::new(), out);
     }
 
-    /// A load report in the order of the settings; empty where a value is missing, negative or no number.
+    /// A load report in the order of the settings; empty where a value is missing, negative or no number. Values are
+    /// kept at the precision of the simulator's wire, so that the module is told the same over both.
     fn report(&self, load: Option<&Load>) -> Vec<f64> {
         let Some(load) = load else { return Vec::new() };
         let value = |f: &crate::settings::ReportField| {
-            load.get(&f.name).copied().filter(|v| v.is_finite() && *v >= 0.0)
+            let value = load.get(&f.name).copied().map(|v| f64::from(v as f32));
+            value.filter(|v| v.is_finite() && *v >= 0.0)
         };
         self.settings.reports.fields.iter().map(value).collect::<Option<Vec<f64>>>().unwrap_or_default()
     }
--- /dev/null
+++ b/crates/net/tests/sockets.rs
@@ -0,0 +1,80 @@
+//! Sockets whose other end does not do what it should.
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bitternlatch_net::dial::dial;
+use bitternlatch_net::socket::{start, Heard, Limits, NotTaken};
+use tungstenite::protocol::Role;
+
+fn limits(queue: usize) -> Limits {
+    Limits { message_bytes: 1 << 20, queue, ping: Duration::from_millis(200), idle: None }
+}
+
+fn pair() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let one = TcpStream::connect(listener.local_addr().expect("its address")).expect("a connection");
+    (one, listener.accept().expect("the other end").0)
+}
+
+#[test]
+fn a_message_that_waited_too_long_behind_a_stuck_peer_is_handed_back_unwritten() {
+    let (near, mut far) = pair();
+    let unsent = Arc::new(Mutex::new(Vec::new()));
+    let told = Arc::clone(&unsent);
+    let note = Box::new(move |name| told.lock().expect("not poisoned").push(name));
+    let long = Limits { ping: Duration::from_secs(60), ..limits(100_000) };
+    let (_reader, outbox) = start(near, Vec::new(), Role::Client, long, Some(note)).expect("threads");
+    // Far more than the system's buffers hold: the writing thread is stuck in the middle of these.
+    for _ in 0..1000 {
+        outbox.text("x".repeat(64 * 1024)).expect("room");
+    }
+    outbox.text_within("STALE".into(), Duration::from_millis(100), "a-1".into()).expect("room");
+    outbox.text("fresh".into()).expect("room");
+    std::thread::sleep(Duration::from_millis(400));
+    let mut got = 0usize;
+    let frame = 64 * 1024 + 14;
+    let mut buffer = vec![0; 1 << 20];
+    far.set_read_timeout(Some(Duration::from_secs(20))).expect("an option");
+    while got < 1000 * frame + 11 {
+        got += far.read(&mut buffer).expect("bytes");
+    }
+    assert_eq!(got, 1000 * frame + 11, "the long messages and the fresh one, nothing else");
+    assert_eq!(*unsent.lock().expect("not poisoned"), ["a-1"]);
+}
+
+#[test]
+fn a_full_queue_takes_nothing_more_and_a_silent_peer_is_ended() {
+    let (near, _far) = pair();
+    let (mut reader, outbox) = start(near, Vec::new(), Role::Server, limits(8), None).expect("threads");
+    let text = "x".repeat(1 << 20);
+    let refused = (0..100).any(|_| outbox.text(text.clone()) == Err(NotTaken));
+    assert!(refused);
+    let start = Instant::now();
+    assert!(matches!(reader.hear(), Heard::Ended(_)), "it neither answers pings nor drains");
+    assert!(start.elapsed() < Duration::from_secs(10));
+}
+
+#[test]
+fn dialling_is_bounded_by_time_and_refusals_are_told() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("its address").to_string();
+    let start = Instant::now();
+    let mute = dial(&address, "/", Duration::from_millis(200), limits(8), None);
+    assert!(
+        mute.is_err() && start.elapsed() < Duration::from_secs(5),
+        "accepted by the system, never answered"
+    );
+    let answer = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().and_then(|_| listener.accept()).expect("a connection");
+        let _ = stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\n\r\n");
+        std::thread::sleep(Duration::from_millis(100));
+    });
+    let refused = dial(&address, "/", Duration::from_secs(5), limits(8), None).err().expect("refused");
+    assert!(refused.to_string().contains("503"), "{refused}");
+    answer.join().expect("the server ends");
+    assert!(dial("no such host:1", "/", Duration::from_secs(1), limits(8), None).is_err());
+    assert!(dial("127.0.0.1:1", "/", Duration::from_secs(1), limits(8), None).is_err());
+}
--- /dev/null
+++ b/programs/badday/tests/alike.rs
@@ -0,0 +1,230 @@
+//! One record of a dispatcher that served: every program that decides gives the same outputs for its inputs.
+mod common;
+
+use std::fs::File;
+use std::path::PathBuf;
+
+use bitternlatch_core::record::{read, replay, Entry, Recorded};
+use bitternlatch_core::Machine;
+use bitternlatch_drill::wire::{encode_reply, Adapter};
+use bitternlatch_policy::interface::*;
+use common::{create, final_kind, rig, FOUR};
+
+const INSTANCE: u16 = 3;
+
+/// The record of a dispatcher that has served, failed and drained.
+fn recorded() -> (PathBuf, Recorded) {
+    let rig = rig("alike", FOUR, 1, |_| {});
+    for i in 0..30 {
+        let client = rig.client(0);
+        let class = ["slot-query", "season-booking"][i % 2];
+        client.say(&create(
+            class,
+            &format!("k{i}"),
+            &format!("{} [len=3]", "words ".repeat(40 * (1 + i % 3))),
+        ));
+        final_kind(&client);
+        match i {
+            10 => rig.standins().trouble("writer-1", bitternlatch_standin::config::Trouble::Crash, 1.0, 0.3),
+            15 => rig.write_list(&["reader-1"]),
+            _ => {}
+        }
+    }
+    let path = rig.dir.join("dispatch-1.1.rec");
+    rig.end();
+    let recorded = read(File::open(&path).expect("a record")).expect("a good record");
+    (path, recorded)
+}
+
+#[test]
+fn the_dispatcher_the_replay_and_the_drill_decide_alike() {
+    let (path, recorded) = recorded();
+    assert_eq!(recorded.torn_bytes, 0);
+    assert_eq!(bitternlatch_replay::one(&path, false), 0, "the replay program finds no difference");
+    let found = replay(&recorded, true).expect("replays");
+    assert!(found.difference.is_none() && found.trace.len() > 100, "{} events", found.trace.len());
+
+    let Entry::Start { settings, seed } = &recorded.entries[0] else { panic!("a start") };
+    let settings = bitternlatch_core::Settings::parse("record", settings).expect("settings").policy();
+    let mut adapter = Adapter::default();
+    let start = start_record(Machine::router_seed(*seed), &facts(&settings));
+    adapter.answer(&frame(1.0, &[at(), start])).expect("a start");
+    let mut actions = 0;
+    for (i, one) in found.trace.iter().enumerate() {
+        let (list, event) = event_records(&one.event);
+        let records: Vec<Vec<u8>> = list.into_iter().chain([at(), event]).collect();
+        let reply = adapter.answer(&frame(one.now_s, &records)).expect("an answer");
+        assert_eq!(reply, encode_reply(INSTANCE, &one.actions), "event {i}: {:?}", one.event);
+        actions += one.actions.len();
+    }
+    assert!(actions > 100, "{actions} actions compared");
+
+    // The comparison can fail: another seed decides otherwise somewhere.
+    let mut other = recorded;
+    if let Entry::Start { seed, .. } = &mut other.entries[0] {
+        *seed ^= 1;
+    }
+    assert!(replay(&other, false).expect("replays").difference.is_some());
+}
+
+/// The settings in the words of the simulator's wire.
+fn facts(s: &Settings) -> String {
+    let mut lines = vec![
+        format!("balancers={}", s.dispatchers),
+        format!("locality={}", s.zone),
+        format!("classes.count={}", s.classes.len()),
+        "report.how=inline".to_string(),
+        "report.fields=load_share,depth,x0".to_string(),
+        "extra.reportX0=share of its memory held".to_string(),
+        format!("contract.startCapacity={}", s.cold.start_capacity),
+        format!("contract.overloadFactor={}", s.cold.overload_factor),
+        format!("contract.fallS={}", s.cold.window_s),
+        format!("contract.warmAfterS={}", s.cold.warm_after_s),
+        format!("limits.maxAttempts={}", s.limits.max_attempts),
+        format!("limits.cancel={}", s.limits.may_cancel),
+        format!("limits.probing={}", s.limits.may_probe),
+        format!("limits.maxRetryAfterS={}", s.limits.max_retry_after_s),
+        format!("extra.pinLimitS={}", s.pin_limit_s),
+        format!("tickS={}", s.tick_s),
+        "membershipMode=push".to_string(),
+        "extra.kindRole=read,write".to_string(),
+    ];
+    let memory: Vec<String> = s.kinds.iter().map(|k| k.memory_tokens.to_string()).collect();
+    lines.push(format!("extra.kindMemoryTokens={}", memory.join(",")));
+    let per_k: Vec<String> =
+        s.classes.iter().map(|c| (c.ttft_aim_per_token_s * 1e9).round().to_string()).collect();
+    let gaps: Vec<String> = s.classes.iter().map(|c| c.token_gap_aim_s.to_string()).collect();
+    lines.push(format!("extra.aimUsPer1000PromptTokens={}", per_k.join(",")));
+    lines.push(format!("extra.tokenAimS={}", gaps.join(",")));
+    for (i, c) in s.classes.iter().enumerate() {
+        let effect = if c.effect == Effect::Safe { "free" } else { "single_shot" };
+        lines.push(format!("classes.{i}.effect={effect}"));
+        lines.push(format!("classes.{i}.aimS={}", c.ttft_aim_s));
+        lines.push(format!("classes.{i}.deadlineS={}", c.deadline_s));
+        lines.push(format!("classes.{i}.worth={}", c.worth));
+        lines.push(format!("classes.{i}.lateWorth={}", c.late_worth));
+    }
+    lines.join("\n")
+}
+
+fn frame(now: f64, records: &[Vec<u8>]) -> Vec<u8> {
+    let body: Vec<u8> = records.concat();
+    let mut out = (records.len() as u32).to_le_bytes().to_vec();
+    out.extend((16 + body.len() as u32).to_le_bytes());
+    out.extend(now.to_le_bytes());
+    out.extend(body);
+    out
+}
+
+fn at() -> Vec<u8> {
+    [&[13][..], &INSTANCE.to_le_bytes()].concat()
+}
+
+fn start_record(seed: u64, facts: &str) -> Vec<u8> {
+    let mut out = vec![1];
+    out.extend(seed.to_le_bytes());
+    out.extend((facts.len() as u32).to_le_bytes());
+    out.extend(facts.as_bytes());
+    out
+}
+
+fn report(out: &mut Vec<u8>, values: &[f64]) {
+    out.push(values.len() as u8);
+    values.iter().for_each(|v| out.extend((*v as f32).to_le_bytes()));
+}
+
+fn outcome(o: Outcome) -> u8 {
+    match o {
+        Outcome::Served => 0,
+        Outcome::ReadDone => 202,
+        Outcome::Error => 255,
+        Outcome::Full { .. } => 254,
+        Outcome::TimedOut => 253,
+        Outcome::ConnectFailed => 252,
+        Outcome::Reset => 251,
+        Outcome::Cancelled => 250,
+        Outcome::Moot => 249,
+    }
+}
+
+fn entry(out: &mut Vec<u8>, e: &ServerEntry) {
+    out.extend((e.weight as f32).to_le_bytes());
+    out.extend(e.cell.to_le_bytes());
+    out.extend(e.zone.to_le_bytes());
+    out.push(match e.standing {
+        Standing::Draining => 0,
+        Standing::Gone => 1,
+        Standing::Ready => 2,
+    });
+    out.extend(e.id.to_le_bytes());
+    out.extend(e.kind.to_le_bytes());
+    out.extend(e.booted_at.to_le_bytes());
+}
+
+/// The record of a list, where the event refers to one, and the event's own.
+fn event_records(event: &Event) -> (Option<Vec<u8>>, Vec<u8>) {
+    let mut out = Vec::new();
+    let mut list = None;
+    match event {
+        Event::Servers { form, entries } => {
+            let mut lines = vec![12];
+            lines.extend(0u32.to_le_bytes());
+            lines.extend((entries.len() as u32).to_le_bytes());
+            entries.iter().for_each(|e| entry(&mut lines, e));
+            list = Some(lines);
+            out.extend([2, if *form == ListForm::Delta { 0 } else { 1 }]);
+            out.extend(0u32.to_le_bytes());
+            out.extend(0u32.to_le_bytes());
+        }
+        Event::Arrival(r) => {
+            out.push(3);
+            out.extend(r.id.to_le_bytes());
+            out.extend((r.max_output_tokens as f32).to_le_bytes());
+            out.extend(r.tenant.to_le_bytes());
+            out.extend(0u16.to_le_bytes());
+            out.extend(r.session.to_le_bytes());
+            out.extend(0f64.to_le_bytes());
+            out.extend(r.class.to_le_bytes());
+            out.extend(r.time_left_s.to_le_bytes());
+            out.extend(r.prefix.to_le_bytes());
+            out.extend((r.prompt_tokens as f32).to_le_bytes());
+            out.extend((r.prefix_tokens as f32).to_le_bytes());
+        }
+        Event::FirstToken { request, attempt, server, elapsed_s } => {
+            out.push(4);
+            out.extend(request.to_le_bytes());
+            out.extend(attempt.to_le_bytes());
+            out.extend(server.to_le_bytes());
+            out.extend(elapsed_s.to_le_bytes());
+        }
+        Event::AttemptEnded(e) => {
+            out.push(5);
+            out.extend(e.request.to_le_bytes());
+            out.extend(e.attempt.to_le_bytes());
+            out.extend(e.server.to_le_bytes());
+            out.push(outcome(e.outcome));
+            out.extend(e.elapsed_s.to_le_bytes());
+            out.push(u8::from(e.finished));
+            let gone = e.outcome == (Outcome::Full { state_gone: true });
+            out.extend((if gone { 1 } else { e.prefix_hit_tokens as u32 }).to_le_bytes());
+            report(&mut out, &e.report);
+        }
+        Event::ClientGone { request } => {
+            out.push(6);
+            out.extend(request.to_le_bytes());
+        }
+        Event::Timer { label } => {
+            out.push(7);
+            out.extend(label.to_le_bytes());
+        }
+        Event::ProbeEnded { server, outcome: o, elapsed_s, report: values } => {
+            out.push(8);
+            out.extend(server.to_le_bytes());
+            out.push(outcome(*o));
+            out.extend(elapsed_s.to_le_bytes());
+            report(&mut out, values);
+        }
+        Event::PlaceAnswer { .. } | Event::PeerMessage { .. } => unreachable!("not told by the core"),
+    }
+    (list, out)
+}
