--- /dev/null
+++ b/crates/inventory/tests/lists.rs
@@ -0,0 +1,114 @@
+//! The same hosts from both forms, and lists that are broken in every way that was thought of.
+
+use bitternlatch_inventory::{expand, parse, Difference, Form, HostState, LastGood, Offer};
+
+const CSV: &str = "host,ansible_host,port,kind,rack,site,weight,state,note\n\
+    box-7.example.org,127.0.0.1,9001,reader,a,pos,,,\"Hall side, \"\"north\"\"\"\n\
+    box-8.example.org,127.0.0.1,9002,writer,b,pos,2,draining,\n";
+
+const YAML: &str = "
+all:
+  vars: { site: pos, ansible_host: 127.0.0.1, rack: a }
+  children:
+    reading:
+      hosts:
+        box-7.example.org: { ansible_port: 9001 }
+      vars: { kind: reader }
+    writing:
+      vars: { kind: writer, rack: c }
+      children:
+        north:
+          vars: { rack: b }
+          hosts:
+            box-8.example.org: { ansible_port: 9002, weight: 2, state: draining, tags: [x, y] }
+";
+
+#[test]
+fn both_forms_give_the_same_hosts() {
+    let (csv, yaml) = (parse("h.csv", CSV).expect("CSV"), parse("h.yml", YAML).expect("YAML"));
+    assert_eq!(csv, yaml);
+    let eight = &csv["box-8.example.org"];
+    assert_eq!((eight.cell.as_str(), eight.weight, eight.state), ("b", 2.0, HostState::Draining));
+    assert_eq!(csv["box-7.example.org"].endpoint(), "127.0.0.1:9001");
+}
+
+#[test]
+fn the_form_is_told_by_suffix_or_content() {
+    assert_eq!(Form::of("x", CSV), Form::Csv);
+    assert_eq!(Form::of("x", YAML), Form::Yaml);
+    assert_eq!(Form::of("x.yaml", CSV), Form::Yaml);
+    assert_eq!(Form::of("hosts.inventory", "# all of them\n\nname,port\n"), Form::Csv);
+}
+
+#[test]
+fn ranges_keep_their_width_step_and_order() {
+    let names = |p: &str| expand(p, 100).expect(p);
+    assert_eq!(names("box-[1:3]"), ["box-1", "box-2", "box-3"]);
+    assert_eq!(names("box-[08:12:2].org"), ["box-08.org", "box-10.org", "box-12.org"]);
+    assert_eq!(names("[a:b][1:2]"), ["a1", "a2", "b1", "b2"]);
+    for bad in [
+        "box-[1:",
+        "box-[3:1]",
+        "box-[1:2:0]",
+        "box-[1]",
+        "box-[a:3]",
+        "box-[01:100]",
+        "box-[1:101]",
+        "x[1:50][1:50]",
+    ] {
+        assert!(expand(bad, 100).is_err(), "{bad}");
+    }
+    assert!(expand("box-[0:18446744073709551615]", 100).is_err());
+}
+
+#[test]
+fn what_is_wrong_is_named_with_file_and_line() {
+    let fault = |file: &str, text: &str| parse(file, text).expect_err(text).to_string();
+    let row =
+        |row: &str| fault("h.csv", &format!("name,port,kind,weight,state\nok,1,reader,1,ready\n{row}\n"));
+    assert_eq!(row("a,0,reader,1,ready"), "h.csv:3: host 'a': port '0' is not between 1 and 65535");
+    assert!(row("a,7,,1,ready").contains("h.csv:3: host 'a' has no kind"));
+    assert!(row("a,7,reader,-1,ready").contains("h.csv:3: host 'a': weight '-1'"));
+    assert!(row("a,7,reader,1,resting").contains("none of ready, draining, gone"));
+    assert!(row("ok,7,reader,1,ready").contains("h.csv:3: host 'ok' is listed twice"));
+    assert!(row("a,7,reader").contains("h.csv:3: this row has 3 fields, the header 5"));
+    assert!(row("a b,7,reader,1,ready").contains("is no host name"));
+    assert!(fault("h.csv", "port,kind\n1,reader\n").starts_with("h.csv:1: the header row has no column"));
+    assert!(fault("h.csv", "name,port,port\n").contains("names column 'port' twice"));
+    assert!(fault("h.csv", "name,port,kind\n").contains("names no host"));
+    assert!(fault("h.yml", "").contains("h.yml"));
+    assert!(fault("h.yml", "all:\n  hosts:\n    a: [1\n").starts_with("h.yml:"));
+    assert!(fault("h.yml", "all:\n  hots:\n    a: {}\n").contains("hots"));
+    let deep = "all:\n  vars: {kind: reader}\n  hosts:\n    box-[1:3]: { ansible_port: none }\n";
+    assert!(fault("h.yml", deep).starts_with("h.yml:4: host 'box-1': port 'none'"));
+    assert!(fault("h.yml", "all:\n  hosts:\n    box-[1:99999]: {}\n").starts_with("h.yml:3: host range"));
+}
+
+#[test]
+fn a_list_counts_when_it_is_whole_and_has_settled() {
+    let mut good = LastGood::default();
+    assert!(matches!(good.offer("h.csv", CSV), Offer::Taken(d) if d.added.len() == 2));
+    let second = CSV.replace("9001", "9009") + "box-9,127.0.0.1,9003,reader,a,pos,1,ready,\n";
+    // Every half of the new file: valid or not, none counts, as none is read alike twice.
+    for cut in 1..second.len() {
+        if second.is_char_boundary(cut) {
+            assert_eq!(good.offer("h.csv", &second[..cut]), Offer::Nothing, "cut at {cut}");
+        }
+    }
+    assert_eq!(good.hosts().len(), 2);
+    assert_eq!(good.offer("h.csv", &second), Offer::Nothing, "seen once");
+    let Offer::Taken(change) = good.offer("h.csv", &second) else { panic!("seen twice alike") };
+    let want = Difference {
+        added: vec!["box-9".into()],
+        removed: vec![],
+        changed: vec!["box-7.example.org".into()],
+    };
+    assert_eq!(change, want);
+    assert_eq!(good.offer("h.csv", "name\n"), Offer::Nothing);
+    assert!(matches!(good.offer("h.csv", "name\n"), Offer::Broken(_)));
+    assert_eq!(good.offer("h.csv", "name\n"), Offer::Nothing, "told once");
+    assert_eq!(good.hosts().len(), 3, "the last good list stays");
+    assert_eq!(good.offer("h.csv", &second), Offer::Nothing, "back to what counts");
+    good.offer("h.csv", "name\n");
+    assert!(matches!(good.offer("h.csv", "name\n"), Offer::Broken(_)), "told again after a good one");
+}
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crossbeam_channel::{bounded, Receiver, Sender, TrySendError};
+use crossbeam_channel::{unbounded, Receiver, Sender};
 use rand_core::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use tungstenite::protocol::frame::coding::{Data, OpCode};
@@ -61,10 +61,29 @@
     Close(u16, String),
 }
 
+/// A queue with a bound that takes memory for what is in it alone: a ready array of slots for each of thousands of
+/// sessions would be most of their memory.
+#[derive(Clone)]
+struct Queue {
+    letters: Sender<Letter>,
+    waiting: Arc<AtomicUsize>,
+    most: usize,
+}
+
+impl Queue {
+    fn put(&self, letter: Letter) -> Result<(), NotTaken> {
+        if self.waiting.fetch_add(1, Ordering::AcqRel) < self.most && self.letters.send(letter).is_ok() {
+            return Ok(());
+        }
+        self.waiting.fetch_sub(1, Ordering::AcqRel);
+        Err(NotTaken)
+    }
+}
+
 /// The queue to a socket's writing thread.
 #[derive(Clone)]
 pub struct Outbox {
-    queue: Sender<Letter>,
+    queue: Queue,
     stream: Arc<TcpStream>,
     started: Instant,
     last_ms: Arc<AtomicU64>,
@@ -93,10 +112,7 @@
 
     fn put(&self, body: Body, stale: Option<(Instant, Duration, String)>) -> Result<(), NotTaken> {
         self.last_ms.store(self.started.elapsed().as_millis() as u64, Ordering::Relaxed);
-        match self.queue.try_send(Letter { body, stale }) {
-            Ok(()) => Ok(()),
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => Err(NotTaken),
-        }
+        self.queue.put(Letter { body, stale })
     }
 
     /// Closes the socket once all that is queued has been written.
@@ -124,7 +140,7 @@
 /// The stream that `tungstenite` is given.
 struct Duplex {
     stream: Arc<TcpStream>,
-    queue: Sender<Letter>,
+    queue: Queue,
     pending: Vec<u8>,
 }
 
@@ -146,7 +162,7 @@
         }
         let body = Body::Raw(std::mem::take(&mut self.pending));
         let full = || io::Error::new(io::ErrorKind::BrokenPipe, "the peer does not drain its queue");
-        self.queue.try_send(Letter { body, stale: None }).map_err(|_| full())
+        self.queue.put(Letter { body, stale: None }).map_err(|NotTaken| full())
     }
 }
 
@@ -174,7 +190,9 @@
     stream.set_read_timeout(Some(limits.ping))?;
     stream.set_write_timeout(None)?;
     let stream = Arc::new(stream);
-    let (queue, letters) = bounded(limits.queue);
+    let (letters_to, letters) = unbounded();
+    let waiting = Arc::new(AtomicUsize::new(0));
+    let queue = Queue { letters: letters_to, waiting: Arc::clone(&waiting), most: limits.queue };
     let outbox = Outbox {
         queue: queue.clone(),
         stream: Arc::clone(&stream),
@@ -184,6 +202,7 @@
     let writer = Writer {
         stream: Arc::clone(&stream),
         letters,
+        waiting,
         mask: (role == Role::Client).then(mask_source),
         unsent,
     };
@@ -254,7 +273,7 @@
             return Some(self.end(1001, "idle for longer than it may be"));
         }
         let ping = Letter { body: Body::Ping, stale: None };
-        if self.outbox.queue.try_send(ping).is_err() {
+        if self.outbox.queue.put(ping).is_err() {
             self.outbox.cut();
             return Some(Heard::Ended("the peer does not drain its queue".to_string()));
         }
@@ -286,6 +305,7 @@
 struct Writer {
     stream: Arc<TcpStream>,
     letters: Receiver<Letter>,
+    waiting: Arc<AtomicUsize>,
     mask: Option<Xoshiro256PlusPlus>,
     unsent: Option<Unsent>,
 }
@@ -313,6 +333,7 @@
 
     /// Appends a letter's bytes; true when it is the last.
     fn encode(&mut self, letter: Letter, buffer: &mut Vec<u8>) -> bool {
+        self.waiting.fetch_sub(1, Ordering::AcqRel);
         if let Some((queued, within, name)) = letter.stale {
             if queued.elapsed() > within {
                 if let Some(unsent) = &self.unsent {
--- a/programs/badday/src/process.rs
+++ b/programs/badday/src/process.rs
@@ -18,6 +18,7 @@
     settings: toml::Table,
     /// Number of the next start.
     starts: u32,
+    recorded: bool,
     child: Option<Child>,
 }
 
@@ -46,7 +47,20 @@
         }
         let inventory = toml::Table::from_iter([("file".to_string(), "hosts.csv".into())]);
         settings.insert("inventory".into(), inventory.into());
-        Ok(Dispatcher { name, address, dir: dir.to_path_buf(), settings, starts: 0, child: None })
+        Ok(Dispatcher {
+            name,
+            address,
+            dir: dir.to_path_buf(),
+            settings,
+            starts: 0,
+            recorded: true,
+            child: None,
+        })
+    }
+
+    /// Leaves the record out, for measurements.
+    pub fn without_record(&mut self) {
+        self.recorded = false;
     }
 
     /// Starts it from `image`, this program or another that takes [`AS_DISPATCHER`].
@@ -57,7 +71,9 @@
         self.starts += 1;
         let run = format!("{}.{}", self.name, self.starts);
         let record = toml::Table::from_iter([("file".to_string(), format!("{run}.rec").into())]);
-        self.settings.insert("record".into(), record.into());
+        if self.recorded {
+            self.settings.insert("record".into(), record.into());
+        }
         let config = self.dir.join(format!("{run}.toml"));
         std::fs::write(&config, self.settings.to_string())?;
         let log = File::create(self.dir.join(format!("{run}.log")))?;
--- /dev/null
+++ b/programs/measure/src/decision.rs
@@ -0,0 +1,126 @@
+//! Time of one decision of the module: an arrival, its read's end and its first token, over fleets of some sizes.
+
+use std::time::Instant;
+
+use bitternlatch_policy::choice::Router;
+use bitternlatch_policy::interface::*;
+
+use crate::rig::quantile;
+
+const REQUESTS: u32 = 20_000;
+
+fn settings() -> Settings {
+    let class = ClassSettings {
+        effect: Effect::Safe,
+        ttft_aim_s: 1.5,
+        ttft_aim_per_token_s: 4e-5,
+        token_gap_aim_s: 0.07,
+        deadline_s: 6.0,
+        worth: 1.0,
+        late_worth: 0.3,
+    };
+    let kind = |role| KindSettings { role, memory_tokens: 200_000.0 };
+    Settings {
+        dispatchers: 60,
+        zone: 0,
+        classes: vec![class],
+        tenants: vec![],
+        kinds: vec![kind(Role::Reader), kind(Role::Writer)],
+        report_fields: vec![],
+        report_mode: ReportMode::Off,
+        cold: ColdStart { start_capacity: 0.25, overload_factor: 2.5, window_s: 3.0, warm_after_s: 14.0 },
+        limits: Limits { max_attempts: 4, may_cancel: true, may_probe: false, max_retry_after_s: 1.0 },
+        pin_limit_s: 1.0,
+        over_share_worth: 1.0,
+        must_subscribe: false,
+        writers_read: false,
+        tick_s: 0.002,
+    }
+}
+
+/// Prints microseconds for fleets of 25, 57 and 110 hosts.
+pub fn measure() {
+    println!("{REQUESTS} requests; microseconds of one event handled, by the clock of one thread");
+    println!("{:>6} {:>16} {:>16} {:>16}", "hosts", "arrival p50/p99", "read end p50/p99", "request mean");
+    for hosts in [25, 57, 110] {
+        one(hosts);
+    }
+}
+
+fn one(hosts: u32) {
+    let mut router = Router::new(settings(), 7);
+    let mut out = Vec::new();
+    let entry = |id: u32| ServerEntry {
+        id,
+        standing: Standing::Ready,
+        kind: (id % 2) as u16,
+        cell: (id / 6) as u16,
+        zone: 0,
+        weight: 1.0,
+        booted_at: 0.0,
+    };
+    let entries = (0..hosts).map(entry).collect();
+    router.handle(1.0, Event::Servers { form: ListForm::Full, entries }, &mut out);
+    let (mut arrival, mut read_end, mut total) = (Vec::new(), Vec::new(), 0.0);
+    for id in 1..=REQUESTS {
+        let now = 1.0 + f64::from(id) * 0.05;
+        let mut timed = |event: Event, out: &mut Vec<Action>| {
+            out.clear();
+            let start = Instant::now();
+            router.handle(now, event, out);
+            start.elapsed().as_secs_f64() * 1e6
+        };
+        let ask = Request {
+            id,
+            session: u64::from(id / 3 + 1),
+            prefix: u64::from(id % 40 + 1),
+            prompt_tokens: 1800.0,
+            prefix_tokens: 1200.0,
+            max_output_tokens: 300.0,
+            time_left_s: 6.0,
+            ..Request::default()
+        };
+        let took = timed(Event::Arrival(ask), &mut out);
+        arrival.push(took);
+        total += took;
+        let Some(reader) = sent_to(&out) else { continue };
+        let end = |server, outcome, attempt| {
+            Event::AttemptEnded(AttemptEnd {
+                request: id,
+                attempt,
+                server,
+                outcome,
+                elapsed_s: 0.1,
+                finished: outcome == Outcome::Served,
+                prefix_hit_tokens: 1000.0,
+                report: vec![],
+            })
+        };
+        let took = timed(end(reader, Outcome::ReadDone, 0), &mut out);
+        read_end.push(took);
+        total += took;
+        if let Some(writer) = sent_to(&out) {
+            total += timed(
+                Event::FirstToken { request: id, attempt: 1, server: writer, elapsed_s: 0.1 },
+                &mut out,
+            );
+            total += timed(end(writer, Outcome::Served, 1), &mut out);
+        }
+    }
+    arrival.sort_by(f64::total_cmp);
+    read_end.sort_by(f64::total_cmp);
+    let pair = |v: &[f64]| format!("{:.1}/{:.1}", quantile(v, 0.5), quantile(v, 0.99));
+    println!(
+        "{hosts:>6} {:>16} {:>16} {:>16.1}",
+        pair(&arrival),
+        pair(&read_end),
+        total / f64::from(REQUESTS)
+    );
+}
+
+fn sent_to(actions: &[Action]) -> Option<ServerId> {
+    actions.iter().find_map(|a| match a {
+        Action::Send { server, .. } => Some(*server),
+        _ => None,
+    })
+}
--- /dev/null
+++ b/programs/measure/src/main.rs
@@ -0,0 +1,80 @@
+//! Measures the dispatcher in one run on one machine, each figure beside the plainest thing that could do the work.
+
+mod decision;
+mod latency;
+mod relay;
+mod rig;
+mod sessions;
+
+use std::process::ExitCode;
+
+use bitternlatch_badday::process::AS_DISPATCHER;
+use clap::{Parser, Subcommand};
+
+/// The word that turns this program into a bare relay.
+const AS_RELAY: &str = "--as-relay";
+
+/// Measures what the dispatcher adds.
+#[derive(Parser)]
+#[command(
+    version,
+    after_help = "Example:\n  cargo run --release --bin bitternlatch-measure -- latency\n\n\
+    Exit codes: 0 measured, 2 could not run."
+)]
+struct Args {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Time to first token and between tokens, against a client that talks to the hosts itself.
+    Latency {
+        #[arg(long, default_value_t = 200)]
+        requests: usize,
+    },
+    /// Tokens relayed a second, against a bare two-thread relay of the same WebSocket library.
+    Relay {
+        #[arg(long, default_value_t = 200_000)]
+        tokens: usize,
+        /// Answers side by side, each in a session of its own.
+        #[arg(long, default_value_t = 1)]
+        streams: usize,
+        #[arg(long, default_value_t = 5)]
+        rounds: usize,
+    },
+    /// Sessions held open, and memory for each.
+    Sessions {
+        #[arg(long, default_value_t = 5000)]
+        count: usize,
+    },
+    /// CPU time of one decision.
+    Decision,
+}
+
+fn main() -> ExitCode {
+    let words: Vec<_> = std::env::args_os().collect();
+    if words.get(1).is_some_and(|w| w == AS_DISPATCHER) {
+        let rest = words.iter().take(1).chain(words.iter().skip(2)).cloned();
+        return bitternlatch_dispatch::main_from(rest);
+    }
+    let done = match words.get(1).is_some_and(|w| w == AS_RELAY) {
+        true => relay::bare(words.get(2).and_then(|w| w.to_str()).unwrap_or_default()),
+        false => match Args::parse().what {
+            What::Latency { requests } => latency::measure(requests),
+            What::Relay { tokens, streams, rounds } => relay::measure(tokens, streams, rounds),
+            What::Sessions { count } => sessions::measure(count),
+            What::Decision => {
+                decision::measure();
+                Ok(())
+            }
+        },
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("bitternlatch-measure: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/programs/measure/src/rig.rs
@@ -0,0 +1,37 @@
+//! A dispatcher in a process of its own before given hosts.
+
+use std::time::Duration;
+
+use bitternlatch_badday::process::Dispatcher;
+
+const SETTINGS: &str = include_str!("../../../deploy/dispatch.toml");
+
+/// Hosts as (name, address, kind).
+pub type Hosts = Vec<(String, String, &'static str)>;
+
+/// Starts a dispatcher before hosts and waits until it is ready.
+pub fn dispatcher(hosts: &Hosts, edit: impl Fn(&mut toml::Table)) -> Result<Dispatcher, String> {
+    let dir = std::env::temp_dir().join(format!("bitternlatch-measure-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
+    let mut list = String::from("name,address,port,kind,cell,zone\n");
+    for (name, address, kind) in hosts {
+        let (ip, port) = address.rsplit_once(':').ok_or("an address without a port")?;
+        list.push_str(&format!("{name},{ip},{port},{kind},rack-a,pos-site\n"));
+    }
+    std::fs::write(dir.join("hosts.csv"), list).map_err(|e| e.to_string())?;
+    let mut settings: toml::Table = toml::from_str(SETTINGS).map_err(|e| e.to_string())?;
+    edit(&mut settings);
+    let mut one = Dispatcher::new(&dir, 1, 1, &settings).map_err(|e| e.to_string())?;
+    one.without_record();
+    one.start(&std::env::current_exe().map_err(|e| e.to_string())?).map_err(|e| e.to_string())?;
+    match one.ready(Duration::from_secs(20)) {
+        true => Ok(one),
+        false => Err(format!("the dispatcher is not ready; see its log in {}", dir.display())),
+    }
+}
+
+/// A value of a sorted list.
+pub fn quantile(sorted: &[f64], q: f64) -> f64 {
+    let last = sorted.len().saturating_sub(1);
+    sorted.get((q * last as f64).round() as usize).copied().unwrap_or(0.0)
+}
