--- a/crates/core/src/answers.rs
+++ b/crates/core/src/answers.rs
@@ -192,7 +192,8 @@
     pub(crate) fn tidy(&mut self, id: RequestId) {
         let over = |r: &Request| r.answered && r.attempt.is_none() && r.state.is_none();
         if self.requests.get(&id).is_some_and(over) {
-            self.requests.remove(&id);
+            let gone = self.requests.remove(&id);
+            self.prompt_bytes -= gone.map_or(0, |r| r.prompt.len());
         }
     }
 }
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -94,6 +94,9 @@
         if self.requests.len() >= self.settings.requests.in_hand {
             return Err(too_many("the dispatcher has as many requests in hand as it may"));
         }
+        if self.prompt_bytes + wanted.prompt.len() > self.settings.requests.prompt_bytes_in_hand {
+            return Err(too_many("the prompts in hand take as much memory as they may"));
+        }
         self.begin(now, session, create, wanted, out);
         Ok(())
     }
@@ -200,6 +203,7 @@
             may_have_run: false,
             answered: false,
         };
+        self.prompt_bytes += request.prompt.len();
         self.requests.insert(id, request);
         self.sessions.listen(session, id);
         self.say_created(id, session, out);
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -57,6 +57,8 @@
     pub(crate) router: Router,
     pub(crate) requests: Requests,
     pub(crate) next_request: RequestId,
+    /// Bytes of the prompts of all requests in the table.
+    pub(crate) prompt_bytes: usize,
     pub(crate) sessions: Sessions,
     pub(crate) links: Links,
     pub(crate) fleet: Fleet,
@@ -83,6 +85,7 @@
             router: Router::new(settings.policy(), rng.next_u64()),
             requests: Requests::new(),
             next_request: 1,
+            prompt_bytes: 0,
             sessions: Sessions::default(),
             links: Links::default(),
             fleet: Fleet::new(&settings.zone),
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -137,6 +137,8 @@
     pub in_hand: usize,
     /// Longest prompt, with all that it goes on from.
     pub prompt_bytes: usize,
+    /// Prompts of all requests in hand together.
+    pub prompt_bytes_in_hand: usize,
     /// Texts kept for `previous_response_id`: bytes over all, and seconds.
     pub context_bytes: usize,
     pub context_s: f64,
@@ -155,6 +157,7 @@
         RequestLimits {
             in_hand: 20_000,
             prompt_bytes: 1 << 20,
+            prompt_bytes_in_hand: 256 << 20,
             context_bytes: 64 << 20,
             context_s: 3600.0,
             keys: 100_000,
@@ -396,6 +399,7 @@
         c.within("stop.within_s", self.stop.within_s, 0.1, 3600.0);
         c.within("requests.in_hand", r.in_hand as f64, 1.0, 1e7);
         c.within("requests.prompt_bytes", r.prompt_bytes as f64, 1024.0, 1e9);
+        c.within("requests.prompt_bytes_in_hand", r.prompt_bytes_in_hand as f64, 1024.0, 1e12);
         c.within("requests.context_bytes", r.context_bytes as f64, 0.0, 1e12);
         c.within("requests.context_s", r.context_s, 0.0, 1e7);
         c.within("requests.keys", r.keys as f64, 1.0, 1e8);
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -102,8 +102,12 @@
 
 impl Bench {
     pub fn new(seed: u64) -> Bench {
+        Bench::with(settings(), seed)
+    }
+
+    pub fn with(settings: Settings, seed: u64) -> Bench {
         Bench {
-            machine: Machine::new(settings(), seed),
+            machine: Machine::new(settings, seed),
             now: Micros(START_US),
             out: Vec::new(),
             told: Vec::new(),
--- a/crates/core/tests/path.rs
+++ b/crates/core/tests/path.rs
@@ -181,6 +181,27 @@
     assert!(matches!(b.out[0], Output::CloseSession { code: 1013, .. }));
 }
 
+#[test]
+fn prompts_in_hand_are_bounded_together_and_the_bound_is_given_back() {
+    let mut settings = common::settings();
+    settings.requests.prompt_bytes_in_hand = 1024;
+    let mut b = Bench::with(settings, 1);
+    b.step(Input::Hosts(common::four()));
+    b.open_all(1000.0);
+    let s = b.open(1);
+    let long = "x".repeat(1000);
+    b.ask(s, "query", "", &long);
+    b.ask(s, "query", "", "y".repeat(100).as_str());
+    let heard = b.heard(s);
+    assert!(heard.last().and_then(|e| e.error.clone()).expect("an error")["message"]
+        .to_string()
+        .contains("memory"));
+    b.pass(7.0);
+    b.heard(s);
+    b.ask(s, "query", "", &long);
+    assert_eq!(b.heard(s)[0].kind, "response.created", "the first has ended and given its part back");
+}
+
 #[test]
 fn a_client_may_cancel_its_own_response_alone() {
     let mut b = Bench::ready(1);
--- a/programs/measure/src/latency.rs
+++ b/programs/measure/src/latency.rs
@@ -64,9 +64,10 @@
     let mut direct = Direct::connect(&address("reader-1"), &address("writer-1"))?;
     let (mut through, mut straight) = (Times::new()?, Times::new()?);
     for i in 0..requests {
-        let text = format!("{i} {} [len={TOKENS}]", "words of a prompt ".repeat(60));
-        through.take(&ask(&client, &text)?);
-        straight.take(&direct.ask(i, &text)?);
+        // Texts of their own, so that neither finds what the other's read has left.
+        let text = |way: &str| format!("{way} {i} {} [len={TOKENS}]", "words of a prompt ".repeat(60));
+        through.take(&ask(&client, &text("through"))?);
+        straight.take(&direct.ask(i, &text("straight"))?);
     }
     println!("{requests} requests each by turns, {TOKENS} tokens, one every 5 ms; microseconds");
     println!("{:<24} {:>9} {:>9} {:>9} {:>9}", "", "p50", "p99", "p50", "p99");
