--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -195,7 +195,7 @@
     pub fn ask(&mut self, session: SessionId, class: &str, key: &str, input: &str) {
         let text = serde_json::json!({
             "type": "response.create", "model": "m", "input": input,
-            "metadata": { "class": class, "idempotency_key": key, "try": input },
+            "metadata": { "class": class, "idempotency_key": key, "try": &input[..input.len().min(100)] },
         });
         self.step(Input::SessionText { session, text: text.to_string() });
     }
