--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod dial;
 pub mod driver;
 mod http;
+pub mod logs;
 pub mod socket;
 pub mod watch;
--- a/crates/net/tests/sockets.rs
+++ b/crates/net/tests/sockets.rs
@@ -78,3 +78,16 @@
     assert!(dial("no such host:1", "/", Duration::from_secs(1), limits(8), None).is_err());
     assert!(dial("127.0.0.1:1", "/", Duration::from_secs(1), limits(8), None).is_err());
 }
+
+#[test]
+fn a_message_over_the_bound_ends_its_socket_with_the_cause() {
+    let (near, far) = pair();
+    let small = Limits { message_bytes: 1024, ..limits(8) };
+    let (mut reader, _) = start(near, Vec::new(), Role::Client, small, None).expect("threads");
+    let (mut other, to) = start(far, Vec::new(), Role::Server, limits(8), None).expect("threads");
+    to.text("short".into()).expect("room");
+    to.text("x".repeat(1025)).expect("room");
+    assert!(matches!(reader.hear(), Heard::Text(t) if t == "short"));
+    assert!(matches!(reader.hear(), Heard::Ended(why) if why.contains("too long")));
+    assert!(matches!(other.hear(), Heard::Ended(why) if why.contains("1009")), "the sender is told");
+}
--- a/programs/badday/src/main.rs
+++ b/programs/badday/src/main.rs
@@ -32,7 +32,9 @@
         let program = words.next().into_iter();
         return bitternlatch_dispatch::main_from(program.chain(words.skip(1)));
     }
-    match play(&Args::parse()) {
+    let args = Args::parse();
+    bitternlatch_net::logs::start();
+    match play(&args) {
         Ok(held) => ExitCode::from(u8::from(!held)),
         Err(why) => {
             eprintln!("bitternlatch-badday: {why}");
--- a/programs/dispatch/src/lib.rs
+++ b/programs/dispatch/src/lib.rs
@@ -15,7 +15,7 @@
 use bitternlatch_net::accept::{Acceptor, Door};
 use bitternlatch_net::driver::{events, Driver, Event, Front, Recorder};
 use bitternlatch_net::socket::Limits;
-use bitternlatch_net::watch;
+use bitternlatch_net::{logs, watch};
 use clap::Parser;
 use crossbeam_channel::Sender;
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -43,9 +43,7 @@
 /// Runs a dispatcher from command-line words, the program's name first; ends the process on words that are wrong.
 pub fn main_from(words: impl Iterator<Item = OsString>) -> ExitCode {
     let args = Args::parse_from(words);
-    let filter = tracing_subscriber::EnvFilter::try_from_env("BITTERNLATCH_LOG")
-        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
-    tracing_subscriber::fmt().json().with_env_filter(filter).with_writer(std::io::stderr).init();
+    logs::start();
     match run(&args) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
--- a/programs/standin/src/main.rs
+++ b/programs/standin/src/main.rs
@@ -24,7 +24,9 @@
 }
 
 fn main() -> ExitCode {
-    match run(&Args::parse()) {
+    let args = Args::parse();
+    bitternlatch_net::logs::start();
+    match run(&args) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
             eprintln!("bitternlatch-standin: {why}");
