--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -68,7 +68,7 @@
         if self.sessions.in_hand(session) >= self.settings.listen.session_requests {
             return Err(too_many("this session has as many requests in hand as it may"));
         }
-        let wanted = self.wanted(create)?;
+        let wanted = self.wanted(now, session, create)?;
         if let Some(key) = &wanted.key {
             let asked = fingerprint(create);
             match self.keys.know(key, asked) {
@@ -101,7 +101,7 @@
         Ok(())
     }
 
-    fn wanted(&self, create: &Create) -> Result<Wanted, BadRequest> {
+    fn wanted(&self, now: Micros, session: SessionId, create: &Create) -> Result<Wanted, BadRequest> {
         let meta = |name: &str| create.metadata.get(name).map(String::as_str);
         let field = |name: &str, why: String| BadRequest::field(&format!("metadata.{name}"), why);
         let class = match meta(client::META_CLASS) {
@@ -111,7 +111,9 @@
                 found.ok_or_else(|| field(client::META_CLASS, format!("'{name}' is no class here")))?
             }
         };
-        let tenant = match meta(client::META_TENANT) {
+        let grant = self.granted(now, session, create, &self.settings.classes[class].name)?;
+        // With callers known the tenant is the caller's; what the request claims has been held against it.
+        let tenant = match grant.as_ref().map(|g| g.tenant.as_str()).or(meta(client::META_TENANT)) {
             None => 0,
             Some(_) if self.settings.tenants.is_empty() => 0,
             Some(name) => {
@@ -132,7 +134,9 @@
         let text = meta(client::META_KEY).filter(|k| !k.is_empty());
         let key = text.map(|text| Key { tenant, class, text: text.to_string() });
         let (conversation, prompt) = self.prompt(create, tenant)?;
-        let max_tokens = create.max_output_tokens.unwrap_or(self.settings.requests.max_output_tokens);
+        let most = self.settings.requests.max_output_tokens;
+        let allowed = grant.map_or(most, |g| most.min(g.max_output_tokens));
+        let max_tokens = create.max_output_tokens.unwrap_or(allowed);
         Ok(Wanted { class, tenant, time_left_s, key, conversation, prompt, max_tokens })
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod answers;
 mod attempts;
+mod callers;
 mod carry;
 mod contexts;
 mod fleet;
@@ -23,6 +24,7 @@
 mod timers;
 mod types;
 
+pub use callers::CLOSE_UNPROVEN;
 pub use machine::{Counts, Machine, Traced};
 pub use settings::{Settings, SettingsError};
 pub use types::{Input, Level, LinkId, Micros, Output, SessionId, Stale};
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use bitternlatch_identity::rights::Rights;
+use bitternlatch_identity::Caller;
 use bitternlatch_inventory::Host;
 use bitternlatch_policy::choice::Router;
 use bitternlatch_policy::interface::{Action, Event, ListForm, Outcome, RequestId, ServerId};
@@ -60,6 +62,7 @@
     /// Bytes of the prompts of all requests in the table.
     pub(crate) prompt_bytes: usize,
     pub(crate) sessions: Sessions,
+    pub(crate) rights: Option<Rights>,
     pub(crate) links: Links,
     pub(crate) fleet: Fleet,
     pub(crate) keys: Keys,
@@ -87,6 +90,7 @@
             next_request: 1,
             prompt_bytes: 0,
             sessions: Sessions::default(),
+            rights: None,
             links: Links::default(),
             fleet: Fleet::new(&settings.zone),
             keys: Keys::new(limits.keys, limits.key_bytes, limits.key_s),
@@ -145,6 +149,7 @@
         }
         self.on_input(now, input, out);
         self.pump(now, out);
+        self.close_ended(out);
         if self.stopping && !self.stopped && self.requests.values().all(|r| r.answered) {
             self.stopped = true;
             out.push(Output::Stopped);
@@ -154,7 +159,11 @@
     fn on_input(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
         match input {
             Input::Hosts(list) => self.on_hosts(now, list, out),
-            Input::SessionOpened { session } => self.on_session(session, out),
+            Input::SessionOpened { session, caller } => self.on_session(session, caller, out),
+            Input::SessionRenewed { session, caller } => self.on_renewed(session, caller, out),
+            Input::RenewalRefused { session, code } => self.on_renewal_refused(session, &code, out),
+            Input::KeysWithdrawn(ids) => self.on_keys_withdrawn(&ids, out),
+            Input::Rights(text) => self.on_rights(&text, out),
             Input::SessionText { session, text } => self.on_client_text(now, session, &text, out),
             Input::SessionClosed { session } => self.on_session_closed(now, session, out),
             Input::LinkUp { link } => self.on_link_up(now, link, out),
@@ -165,8 +174,7 @@
             Input::Tick => {}
             Input::Stop => {
                 self.stopping = true;
-                let sessions = self.sessions.ids();
-                log(out, Level::Info, format!("stopping: {} sessions open", sessions.len()));
+                log(out, Level::Info, format!("stopping: {} sessions open", self.sessions.len()));
             }
         }
     }
@@ -220,13 +228,16 @@
         out.push(Output::Dial { link, endpoint });
     }
 
-    fn on_session(&mut self, session: SessionId, out: &mut Vec<Output>) {
+    fn on_session(&mut self, session: SessionId, caller: Option<Caller>, out: &mut Vec<Output>) {
         if self.stopping || self.sessions.len() >= self.settings.listen.sessions {
             let reason = if self.stopping { "stopping; come back elsewhere" } else { "too many sessions" };
             let code = if self.stopping { 1001 } else { 1013 };
             return out.push(Output::CloseSession { session, code, reason: reason.to_string() });
         }
         self.sessions.open(session);
+        if let Some(caller) = caller {
+            self.set_caller(session, caller);
+        }
     }
 
     fn on_timer(&mut self, now: Micros, timer: Timer, out: &mut Vec<Output>) {
@@ -237,6 +248,7 @@
             Timer::Stall { request } => self.on_stall(now, request, out),
             Timer::Probe { id } => self.end_probe(now, id, Outcome::TimedOut, Vec::new()),
             Timer::Link { host, epoch } => self.on_link_time(now, LinkId { host, epoch }, out),
+            Timer::Caller { session } => self.on_caller_time(now, session),
             Timer::Sweep => self.sweep(now, out),
         }
     }
--- a/crates/core/src/sessions.rs
+++ b/crates/core/src/sessions.rs
@@ -1,14 +1,24 @@
-//! Client sessions: which are open and which requests each listens to.
+//! Client sessions: which are open, whose they are, and which requests each listens to.
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use bitternlatch_identity::Caller;
 use bitternlatch_policy::interface::RequestId;
 
+use crate::callers::Ending;
 use crate::types::SessionId;
 
+#[derive(Default)]
+struct Open {
+    requests: BTreeSet<RequestId>,
+    caller: Option<Caller>,
+}
+
 #[derive(Default)]
 pub(crate) struct Sessions {
-    open: BTreeMap<SessionId, BTreeSet<RequestId>>,
+    open: BTreeMap<SessionId, Open>,
+    /// Sessions that take nothing new and are closed once they are idle.
+    ending: BTreeMap<SessionId, Ending>,
 }
 
 impl Sessions {
@@ -18,35 +28,63 @@
 
     /// Ends a session and gives the requests that it still listened to.
     pub(crate) fn close(&mut self, session: SessionId) -> BTreeSet<RequestId> {
-        self.open.remove(&session).unwrap_or_default()
+        self.ending.remove(&session);
+        self.open.remove(&session).map(|o| o.requests).unwrap_or_default()
     }
 
     pub(crate) fn is_open(&self, session: SessionId) -> bool {
         self.open.contains_key(&session)
     }
 
+    pub(crate) fn caller(&self, session: SessionId) -> Option<&Caller> {
+        self.open.get(&session)?.caller.as_ref()
+    }
+
+    /// Sets whose a session is; a proof that counts again takes back its ending.
+    pub(crate) fn set_caller(&mut self, session: SessionId, caller: Caller) {
+        if let Some(open) = self.open.get_mut(&session) {
+            open.caller = Some(caller);
+            self.ending.remove(&session);
+        }
+    }
+
+    pub(crate) fn proven_by(&self, keys: &[String]) -> Vec<SessionId> {
+        let by = |o: &Open| o.caller.as_ref().is_some_and(|c| keys.contains(&c.key_id));
+        self.open.iter().filter(|(_, o)| by(o)).map(|(id, _)| *id).collect()
+    }
+
+    pub(crate) fn end(&mut self, session: SessionId, why: Ending) {
+        if self.open.contains_key(&session) {
+            self.ending.entry(session).or_insert(why);
+        }
+    }
+
+    pub(crate) fn ending(&self, session: SessionId) -> Option<Ending> {
+        self.ending.get(&session).copied()
+    }
+
+    pub(crate) fn ended_and_idle(&self) -> Vec<(SessionId, Ending)> {
+        self.ending.iter().filter(|(s, _)| self.in_hand(**s) == 0).map(|(s, e)| (*s, *e)).collect()
+    }
+
     /// Requests in hand for a session.
     pub(crate) fn in_hand(&self, session: SessionId) -> usize {
-        self.open.get(&session).map_or(0, BTreeSet::len)
+        self.open.get(&session).map_or(0, |o| o.requests.len())
     }
 
     pub(crate) fn listen(&mut self, session: SessionId, request: RequestId) {
-        if let Some(set) = self.open.get_mut(&session) {
-            set.insert(request);
+        if let Some(open) = self.open.get_mut(&session) {
+            open.requests.insert(request);
         }
     }
 
     pub(crate) fn unlisten(&mut self, session: SessionId, request: RequestId) {
-        if let Some(set) = self.open.get_mut(&session) {
-            set.remove(&request);
+        if let Some(open) = self.open.get_mut(&session) {
+            open.requests.remove(&request);
         }
     }
 
     pub(crate) fn len(&self) -> usize {
         self.open.len()
     }
-
-    pub(crate) fn ids(&self) -> Vec<SessionId> {
-        self.open.keys().copied().collect()
-    }
 }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -42,6 +42,8 @@
     pub engines: Engines,
     pub inventory: Inventory,
     pub record: Option<Record>,
+    /// Without it any caller may do anything.
+    pub identity: Option<Identity>,
     #[serde(default)]
     pub stop: Stop,
     #[serde(default)]
@@ -109,6 +111,27 @@
     pub reread_s: f64,
 }
 
+/// Who may call: tokens, the keys that sign them, and rights. Files are relative to the settings file.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Identity {
+    pub issuer: String,
+    pub audience: String,
+    /// Seconds between clocks that are allowed.
+    #[serde(default = "d::skew_s")]
+    pub skew_s: u64,
+    /// A JWKS document: a file, or an `http://` address.
+    pub keys: String,
+    /// Where the last good document is kept for a restart.
+    pub kept: Option<String>,
+    pub rights: String,
+    /// Seconds between two fetches, and for how long the last good document counts.
+    #[serde(default = "d::refresh_s")]
+    pub refresh_s: f64,
+    #[serde(default = "d::keep_s")]
+    pub keep_s: f64,
+}
+
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Record {
@@ -346,6 +369,15 @@
     pub(super) fn reread_s() -> f64 {
         0.1
     }
+    pub(super) fn skew_s() -> u64 {
+        30
+    }
+    pub(super) fn refresh_s() -> f64 {
+        60.0
+    }
+    pub(super) fn keep_s() -> f64 {
+        86_400.0
+    }
     pub(super) fn yes() -> bool {
         true
     }
@@ -396,6 +428,11 @@
         c.within("engines.queue_messages", e.queue_messages as f64, 8.0, 1e6);
         c.within("engines.ping_s", e.ping_s, 0.05, 3600.0);
         c.within("inventory.reread_s", self.inventory.reread_s, 0.01, 3600.0);
+        if let Some(identity) = &self.identity {
+            c.within("identity.skew_s", identity.skew_s as f64, 0.0, 600.0);
+            c.within("identity.refresh_s", identity.refresh_s, 0.05, 86_400.0);
+            c.within("identity.keep_s", identity.keep_s, 1.0, 1e7);
+        }
         c.within("stop.within_s", self.stop.within_s, 0.1, 3600.0);
         c.within("requests.in_hand", r.in_hand as f64, 1.0, 1e7);
         c.within("requests.prompt_bytes", r.prompt_bytes as f64, 1024.0, 1e9);
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -4,7 +4,7 @@
 
 use bitternlatch_policy::interface::{RequestId, ServerId};
 
-use crate::types::Micros;
+use crate::types::{Micros, SessionId};
 
 /// What a timer is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,6 +21,8 @@
     Probe { id: u64 },
     /// A link's next step is due: it has not come up, said nothing, or may be dialled again.
     Link { host: ServerId, epoch: u32 },
+    /// A caller's proof ends.
+    Caller { session: SessionId },
     /// Tables are swept.
     Sweep,
 }
--- a/crates/core/src/types.rs
+++ b/crates/core/src/types.rs
@@ -1,5 +1,6 @@
 //! Ids, the clock, and what goes into and comes out of the machine.
 
+use bitternlatch_identity::Caller;
 use bitternlatch_inventory::Host;
 use bitternlatch_policy::interface::ServerId;
 use serde::{Deserialize, Serialize};
@@ -48,7 +49,24 @@
     Hosts(Vec<Host>),
     SessionOpened {
         session: SessionId,
+        /// Whose it is, where callers are known.
+        #[serde(default)]
+        caller: Option<Caller>,
     },
+    /// A session's caller has given a new proof, which was checked.
+    SessionRenewed {
+        session: SessionId,
+        caller: Caller,
+    },
+    /// A new proof did not count; the word for why.
+    RenewalRefused {
+        session: SessionId,
+        code: String,
+    },
+    /// Keys that counted and do so no more.
+    KeysWithdrawn(Vec<String>),
+    /// The rights that count from now on (TOML).
+    Rights(String),
     SessionText {
         session: SessionId,
         text: String,
--- a/crates/core/tests/any_order.rs
+++ b/crates/core/tests/any_order.rs
@@ -165,7 +165,7 @@
         self.next += 1;
         let session = SessionId(self.next % 7);
         if self.sessions.insert(session) {
-            self.step(Input::SessionOpened { session });
+            self.step(Input::SessionOpened { session, caller: None });
         }
         let class = ["query", "booking"][self.below(2)];
         let number = if self.below(3) == 0 { self.next.saturating_sub(20) } else { self.next };
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -188,7 +188,7 @@
 
     pub fn open(&mut self, session: u64) -> SessionId {
         let session = SessionId(session);
-        self.step(Input::SessionOpened { session });
+        self.step(Input::SessionOpened { session, caller: None });
         session
     }
 
--- a/crates/identity/tests/keeper.rs
+++ b/crates/identity/tests/keeper.rs
@@ -152,7 +152,7 @@
     let denial = rights.may(&member, &other).expect_err("another tenant");
     assert_eq!(denial, Denial::Tenant { claimed: "bands".into() });
     assert_eq!(denial.param(), Some("metadata.tenant"));
-    assert_eq!(may(&member, Wish { tenant: Some("choirs"), ..wish("slot-query", "small") }).is_ok(), true);
+    assert!(may(&member, Wish { tenant: Some("choirs"), ..wish("slot-query", "small") }).is_ok());
 }
 
 #[test]
--- a/crates/net/src/accept.rs
+++ b/crates/net/src/accept.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bitternlatch_identity::Caller;
 use tungstenite::protocol::Role;
 
 use crate::http;
@@ -13,7 +14,14 @@
 
 /// What is done with connections. Called from each connection's own thread.
 pub trait Handler: Send + Sync + 'static {
-    fn opened(&self, connection: u64, outbox: Outbox);
+    /// Whose a connection is, by its `Authorization` header; called before the upgrade is answered.
+    ///
+    /// # Errors
+    /// Status and text of the answer to one that is not let in.
+    fn admit(&self, _authorization: Option<&str>) -> Result<Option<Caller>, (u16, String)> {
+        Ok(None)
+    }
+    fn opened(&self, connection: u64, outbox: Outbox, caller: Option<Caller>);
     fn text(&self, connection: u64, text: String);
     fn closed(&self, connection: u64, why: String);
     /// Status and body for a plain GET.
@@ -119,6 +127,10 @@
         }
         None => return http::answer(&mut stream, 405, "only GET is served here\n"),
     };
+    let caller = match handler.admit(head.header("authorization")) {
+        Ok(caller) => caller,
+        Err((status, why)) => return http::answer(&mut stream, status, &format!("{why}\n")),
+    };
     let _ = stream.set_write_timeout(Some(door.handshake));
     if io::Write::write_all(&mut stream, reply.as_bytes()).is_err() {
         return;
@@ -128,7 +140,7 @@
         return tracing::warn!("no thread to write to a connection");
     };
     let connection = next.fetch_add(1, Ordering::SeqCst);
-    handler.opened(connection, outbox);
+    handler.opened(connection, outbox, caller);
     loop {
         match reader.hear() {
             Heard::Text(text) => handler.text(connection, text),
--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -19,12 +19,27 @@
     within: Duration,
     limits: Limits,
     unsent: Option<Unsent>,
+) -> io::Result<(Reader, Outbox)> {
+    dial_as(endpoint, path, None, within, limits, unsent)
+}
+
+/// As [`dial`], with a bearer token in the upgrade.
+///
+/// # Errors
+/// As [`dial`]; a token that does not fit in a header.
+pub fn dial_as(
+    endpoint: &str,
+    path: &str,
+    token: Option<&str>,
+    within: Duration,
+    limits: Limits,
+    unsent: Option<Unsent>,
 ) -> io::Result<(Reader, Outbox)> {
     let deadline = Instant::now() + within;
     let unknown = || io::Error::new(io::ErrorKind::NotFound, format!("'{endpoint}' has no address"));
     let address = endpoint.to_socket_addrs()?.next().ok_or_else(unknown)?;
     let mut stream = TcpStream::connect_timeout(&address, within)?;
     stream.set_nodelay(true)?;
-    let left = http::ask_upgrade(&mut stream, endpoint, path, deadline)?;
+    let left = http::ask_upgrade(&mut stream, endpoint, path, token, deadline)?;
     socket::start(stream, left, Role::Client, limits, unsent)
 }
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -10,11 +10,14 @@
 use bitternlatch_core::record::{Entry, Writer};
 use bitternlatch_core::settings::Engines;
 use bitternlatch_core::{Input, Level, LinkId, Machine, Output, SessionId, Settings};
+use bitternlatch_identity::Caller;
+use bitternlatch_protocol::client::{renewal, Renewal};
 use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender, TrySendError};
 
 use crate::accept::Handler;
 use crate::clock::Clock;
 use crate::dial::dial;
+use crate::guard::Guard;
 use crate::socket::{writers, Heard, Limits, Outbox, READER_STACK};
 
 /// Events that may wait for the loop; a thread that has more waits itself, and its socket with it.
@@ -29,7 +32,7 @@
 /// What threads tell the loop.
 pub enum Event {
     Input(Input),
-    Session(SessionId, Outbox),
+    Session(SessionId, Outbox, Option<Caller>),
     Link(LinkId, Outbox),
 }
 
@@ -42,6 +45,8 @@
 pub struct Front {
     pub events: Sender<Event>,
     pub ready: Arc<AtomicBool>,
+    /// Where callers have to prove who they are.
+    pub guard: Option<Arc<Guard>>,
 }
 
 impl Front {
@@ -52,12 +57,41 @@
 }
 
 impl Handler for Front {
-    fn opened(&self, connection: u64, outbox: Outbox) {
-        self.tell(Event::Session(SessionId(connection), outbox));
+    fn admit(&self, authorization: Option<&str>) -> Result<Option<Caller>, (u16, String)> {
+        let Some(guard) = &self.guard else { return Ok(None) };
+        let bearer = |a: &str| {
+            a.get(..7).filter(|s| s.eq_ignore_ascii_case("bearer ")).map(|_| a[7..].trim().to_string())
+        };
+        let Some(token) = authorization.and_then(bearer) else {
+            return Err((401, "token_missing: a bearer token is expected".to_string()));
+        };
+        guard.check(&token).map(Some).map_err(|refusal| {
+            tracing::info!(code = refusal.code(), why = %refusal, "a caller is not let in");
+            (401, format!("{}: {refusal}", refusal.code()))
+        })
+    }
+
+    fn opened(&self, connection: u64, outbox: Outbox, caller: Option<Caller>) {
+        self.tell(Event::Session(SessionId(connection), outbox, caller));
     }
 
     fn text(&self, connection: u64, text: String) {
-        self.tell(Event::Input(Input::SessionText { session: SessionId(connection), text }));
+        let session = SessionId(connection);
+        // A token goes no further than here: what the loop is told may be recorded.
+        let input = match (renewal(&text), &self.guard) {
+            (Renewal::None, _) | (_, None) => Input::SessionText { session, text },
+            (Renewal::Broken, Some(_)) => {
+                Input::RenewalRefused { session, code: "token_malformed".to_string() }
+            }
+            (Renewal::Token(token), Some(guard)) => match guard.check(&token) {
+                Ok(caller) => Input::SessionRenewed { session, caller },
+                Err(refusal) => {
+                    tracing::info!(session = connection, code = refusal.code(), "a renewal is refused");
+                    Input::RenewalRefused { session, code: refusal.code().to_string() }
+                }
+            },
+        };
+        self.tell(Event::Input(input));
     }
 
     fn closed(&self, connection: u64, why: String) {
@@ -148,9 +182,9 @@
         let wait = stop_by.map_or(wait, |by| wait.min(by.saturating_duration_since(Instant::now())));
         match self.events.recv_timeout(wait) {
             Ok(Event::Input(input)) => Some(input),
-            Ok(Event::Session(session, outbox)) => {
+            Ok(Event::Session(session, outbox, caller)) => {
                 self.sessions.insert(session, outbox);
-                Some(Input::SessionOpened { session })
+                Some(Input::SessionOpened { session, caller })
             }
             Ok(Event::Link(link, outbox)) => {
                 self.links.insert(link, outbox);
--- /dev/null
+++ b/crates/net/src/guard.rs
@@ -0,0 +1,229 @@
+//! Keeps the keys and the rights fresh, and checks tokens for the threads that accept.
+
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bitternlatch_core::settings::Identity;
+use bitternlatch_core::Input;
+use bitternlatch_identity::keeper::{Keeper, KeeperRules, Taken};
+use bitternlatch_identity::keys::DOCUMENT_BYTES;
+use bitternlatch_identity::rights::Rights;
+use bitternlatch_identity::token::{check, key_id, Refusal, TokenRules};
+use bitternlatch_identity::Caller;
+use crossbeam_channel::Sender;
+
+use crate::driver::Event;
+use crate::http;
+
+/// Longest time for one fetch of keys.
+const FETCH: Duration = Duration::from_secs(2);
+/// Time between two looks at what is due, and so the longest until a withdrawn key ends its sessions.
+const LOOK: Duration = Duration::from_millis(200);
+/// Longest rights file, bytes.
+const RIGHTS_BYTES: u64 = 1 << 20;
+
+fn unix() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64()
+}
+
+/// Checks tokens against the keys in force.
+pub struct Guard {
+    rules: TokenRules,
+    keeper: Mutex<Keeper>,
+}
+
+impl Guard {
+    fn keeper(&self) -> MutexGuard<'_, Keeper> {
+        self.keeper.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whose a token is.
+    ///
+    /// # Errors
+    /// The [`Refusal`]; without any key in force all keys are unknown.
+    pub fn check(&self, token: &str) -> Result<Caller, Refusal> {
+        let now = unix();
+        // The lock is held for a copy of the set alone, not for the signature.
+        let set = self.keeper().set(now).cloned();
+        let checked = match &set {
+            Some(set) => check(token, set, &self.rules, now as u64),
+            None => Err(Refusal::UnknownKey(key_id(token).unwrap_or_default())),
+        };
+        if let Err(Refusal::UnknownKey(id)) = &checked {
+            self.keeper().unknown_key(now, id);
+        }
+        checked
+    }
+}
+
+/// Reads the rights, starts the thread that keeps keys and rights, and tells the loop the first rights. The last good
+/// keys are taken from disk; a first fetch is made before this returns, so that callers meet keys where there are any.
+///
+/// # Errors
+/// Rights that cannot be read or are wrong, with file and cause; a thread that the system does not give.
+pub fn start(identity: &Identity, base: &Path, to: Sender<Event>) -> Result<Arc<Guard>, String> {
+    let beside = |file: &str| base.join(file);
+    let rights_file = beside(&identity.rights);
+    let rights = read_rights(&rights_file)?;
+    to.send(Event::Input(Input::Rights(rights.clone()))).map_err(|e| e.to_string())?;
+    let rules =
+        KeeperRules { refresh_s: identity.refresh_s, keep_s: identity.keep_s, ..KeeperRules::default() };
+    let mut keeper = Keeper::new(rules, unix());
+    let kept = identity.kept.as_deref().map(beside);
+    if let Some(path) = &kept {
+        restore(&mut keeper, path);
+    }
+    let guard = Arc::new(Guard {
+        rules: TokenRules {
+            issuer: identity.issuer.clone(),
+            audience: identity.audience.clone(),
+            skew_s: identity.skew_s,
+        },
+        keeper: Mutex::new(keeper),
+    });
+    let source = match identity.keys.strip_prefix("http://") {
+        Some(rest) => Source::Address(rest.to_string()),
+        None => Source::File(beside(&identity.keys)),
+    };
+    let mut watch =
+        Watch { guard: Arc::clone(&guard), source, kept, rights_file, rights, counted: Vec::new(), to };
+    watch.look();
+    let run = move || loop {
+        std::thread::sleep(LOOK);
+        watch.look();
+    };
+    std::thread::Builder::new()
+        .name("keys".into())
+        .spawn(run)
+        .map_err(|e| format!("no thread for keys: {e}"))?;
+    Ok(guard)
+}
+
+fn read_rights(path: &Path) -> Result<String, String> {
+    let shown = path.display();
+    let size = std::fs::metadata(path).map_err(|e| format!("{shown}: {e}"))?.len();
+    if size > RIGHTS_BYTES {
+        return Err(format!("{shown}: {size} bytes, more than {RIGHTS_BYTES}"));
+    }
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: {e}"))?;
+    Rights::parse(&text).map_err(|e| format!("{shown}: {e}"))?;
+    Ok(text)
+}
+
+/// The kept document counts by its file's age.
+fn restore(keeper: &mut Keeper, path: &Path) {
+    let age = |m: std::fs::Metadata| m.modified().ok().and_then(|t| t.elapsed().ok());
+    let age_s = std::fs::metadata(path).ok().and_then(age).map_or(0.0, |a| a.as_secs_f64());
+    let Ok(document) = std::fs::read(path) else { return };
+    match keeper.restore(unix(), &document, age_s) {
+        Ok(()) => tracing::info!(age_s, "the last good keys are taken from disk"),
+        Err(e) => tracing::error!(error = %e, file = %path.display(), "the kept keys cannot be used"),
+    }
+}
+
+enum Source {
+    File(PathBuf),
+    /// Host, port and path.
+    Address(String),
+}
+
+impl Source {
+    fn fetch(&self) -> io::Result<Vec<u8>> {
+        match self {
+            Source::File(path) => std::fs::read(path),
+            Source::Address(rest) => {
+                let (endpoint, path) = rest.split_once('/').unwrap_or((rest, ""));
+                http::get(endpoint, &format!("/{path}"), FETCH, DOCUMENT_BYTES)
+            }
+        }
+    }
+}
+
+struct Watch {
+    guard: Arc<Guard>,
+    source: Source,
+    kept: Option<PathBuf>,
+    rights_file: PathBuf,
+    /// The text in force.
+    rights: String,
+    /// Keys that counted at the last look.
+    counted: Vec<String>,
+    to: Sender<Event>,
+}
+
+impl Watch {
+    fn look(&mut self) {
+        let now = unix();
+        if self.guard.keeper().fetch_due(now) {
+            self.fetch();
+        }
+        self.look_at_keys();
+        self.look_at_rights();
+    }
+
+    fn fetch(&mut self) {
+        let came = self.source.fetch();
+        let (now, chance) = (unix(), chance());
+        match came {
+            Err(e) => {
+                let pause_s = self.guard.keeper().failed(now, chance);
+                tracing::warn!(error = %e, pause_s, "keys cannot be fetched; the last good ones stay");
+            }
+            Ok(document) => match self.guard.keeper().fetched(now, &document, chance) {
+                Taken::Same => self.keep(&document),
+                Taken::New { dropped } => {
+                    tracing::info!(?dropped, "a new key set counts");
+                    self.keep(&document);
+                }
+                Taken::Refused(e) => {
+                    tracing::warn!(error = %e, "keys are not taken; the last good ones stay")
+                }
+            },
+        }
+    }
+
+    /// Whole, beside, and moved into place, so that a restart never finds half a document.
+    fn keep(&self, document: &[u8]) {
+        let Some(path) = &self.kept else { return };
+        let beside = path.with_extension("new");
+        let done = std::fs::write(&beside, document).and_then(|()| std::fs::rename(&beside, path));
+        if let Err(e) = done {
+            tracing::warn!(error = %e, file = %path.display(), "the keys cannot be kept for a restart");
+        }
+    }
+
+    /// Tells the loop of keys that counted at the last look and do not now, whatever the cause.
+    fn look_at_keys(&mut self) {
+        let now = unix();
+        let skew_s = self.guard.rules.skew_s;
+        let counts = |set: &bitternlatch_identity::keys::KeySet| -> Vec<String> {
+            set.ids().filter(|id| set.counts(id, now as u64, skew_s)).map(str::to_string).collect()
+        };
+        let counting = self.guard.keeper().set(now).map(counts).unwrap_or_default();
+        let gone: Vec<String> = self.counted.iter().filter(|id| !counting.contains(id)).cloned().collect();
+        self.counted = counting;
+        if !gone.is_empty() {
+            tracing::warn!(keys = ?gone, "keys count no more");
+            let _ = self.to.send(Event::Input(Input::KeysWithdrawn(gone)));
+        }
+    }
+
+    fn look_at_rights(&mut self) {
+        match read_rights(&self.rights_file) {
+            Ok(text) if text != self.rights => {
+                self.rights.clone_from(&text);
+                let _ = self.to.send(Event::Input(Input::Rights(text)));
+            }
+            Ok(_) => {}
+            Err(e) => tracing::error!(error = %e, "the rights are wrong; the last good ones stay"),
+        }
+    }
+}
+
+/// From 0 to 1, for the spread of fetches over dispatchers.
+fn chance() -> f64 {
+    use std::hash::{BuildHasher, RandomState};
+    (RandomState::new().hash_one(0u8) >> 11) as f64 / (1u64 << 53) as f64
+}
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -7,7 +7,7 @@
 use tungstenite::handshake::derive_accept_key;
 
 /// Longest head, bytes.
-const HEAD_BYTES: usize = 8 * 1024;
+const HEAD_BYTES: usize = 16 * 1024;
 const HEADERS: usize = 64;
 
 /// A request's head, as far as it is used.
@@ -119,16 +119,21 @@
     stream: &mut TcpStream,
     host: &str,
     path: &str,
+    token: Option<&str>,
     deadline: Instant,
 ) -> io::Result<Vec<u8>> {
+    if token.is_some_and(|t| !t.bytes().all(|b| b.is_ascii_graphic())) {
+        return Err(fault("a token of printable ASCII is expected"));
+    }
+    let proof = token.map(|t| format!("Authorization: Bearer {t}\r\n")).unwrap_or_default();
     let key = tungstenite::handshake::client::generate_key();
     let left = deadline.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
     stream.set_write_timeout(Some(left))?;
-    write!(
-        stream,
+    let ask = format!(
         "GET {path} HTTP/1.1\r\nHost: {host}\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n\
-         Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: {key}\r\n\r\n"
-    )?;
+         Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: {key}\r\n{proof}\r\n"
+    );
+    stream.write_all(ask.as_bytes())?;
     let ((code, accept), left) = read_head(stream, deadline, |data| {
         let mut slots = [httparse::EMPTY_HEADER; HEADERS];
         let mut response = httparse::Response::new(&mut slots);
@@ -152,6 +157,7 @@
     let reason = match status {
         200 => "OK",
         400 => "Bad Request",
+        401 => "Unauthorized",
         404 => "Not Found",
         405 => "Method Not Allowed",
         426 => "Upgrade Required",
@@ -160,6 +166,7 @@
     };
     let extra = match status {
         503 => "Retry-After: 1\r\n",
+        401 => "WWW-Authenticate: Bearer\r\n",
         426 => "Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n",
         _ => "",
     };
@@ -171,3 +178,52 @@
         body.len()
     );
 }
+
+/// A plain GET within a time and a bound of bytes; gives the body.
+///
+/// # Errors
+/// As the socket's; an answer other than 200; a body that is too long or ends early.
+pub(crate) fn get(endpoint: &str, path: &str, within: Duration, most: usize) -> io::Result<Vec<u8>> {
+    let deadline = Instant::now() + within;
+    let unknown = || io::Error::new(io::ErrorKind::NotFound, format!("'{endpoint}' has no address"));
+    let address = std::net::ToSocketAddrs::to_socket_addrs(endpoint)?.next().ok_or_else(unknown)?;
+    let mut stream = TcpStream::connect_timeout(&address, within)?;
+    stream.set_write_timeout(Some(within))?;
+    // In one write: a server that answers what it has read so far and hangs up would break a second one.
+    stream.write_all(
+        format!("GET {path} HTTP/1.1\r\nHost: {endpoint}\r\nConnection: close\r\n\r\n").as_bytes(),
+    )?;
+    let ((code, length), mut body) = read_head(&mut stream, deadline, |data| {
+        let mut slots = [httparse::EMPTY_HEADER; HEADERS];
+        let mut response = httparse::Response::new(&mut slots);
+        Ok(match response.parse(data)? {
+            httparse::Status::Partial => None,
+            httparse::Status::Complete(used) => {
+                let all = headers(response.headers);
+                let length = all.iter().find(|(n, _)| n.eq_ignore_ascii_case("content-length"));
+                let length = length.and_then(|(_, v)| v.parse::<usize>().ok());
+                Some(((response.code.unwrap_or(0), length), used))
+            }
+        })
+    })?;
+    if code != 200 {
+        return Err(fault(format!("answered with status {code}")));
+    }
+    let mut chunk = [0; 4096];
+    while length.is_none_or(|n| body.len() < n) {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(io::Error::new(io::ErrorKind::TimedOut, "no whole body in time"));
+        }
+        stream.set_read_timeout(Some(left))?;
+        match stream.read(&mut chunk)? {
+            0 if length.is_some() => return Err(fault("the body ends early")),
+            0 => break,
+            n => body.extend_from_slice(&chunk[..n]),
+        }
+        if body.len() > most {
+            return Err(fault(format!("a body of more than {most} bytes")));
+        }
+    }
+    Ok(body)
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod dial;
 pub mod driver;
+pub mod guard;
 mod http;
 pub mod logs;
 pub mod socket;
--- a/crates/protocol/src/client.rs
+++ b/crates/protocol/src/client.rs
@@ -412,6 +412,47 @@
     text(&ErrorEvent { kind: "error", status: bad.status, error })
 }
 
+#[derive(Serialize)]
+struct RenewedEvent<'a> {
+    #[serde(rename = "type")]
+    kind: &'a str,
+    ends_at: u64,
+}
+
+/// `session.renewed` (ours): the session's proof now ends at this Unix time, seconds.
+pub fn renewed(ends_at: u64) -> String {
+    text(&RenewedEvent { kind: "session.renewed", ends_at })
+}
+
+#[derive(Deserialize)]
+struct RawRenewal {
+    #[serde(rename = "type")]
+    kind: String,
+    token: String,
+}
+
+/// Whether a message is a `session.renew` (ours).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Renewal {
+    /// Another message.
+    None,
+    Token(String),
+    /// It may be one, and cannot be read; it may hold a token all the same.
+    Broken,
+}
+
+/// Looks for a renewal; called before a message goes anywhere that is recorded.
+pub fn renewal(message: &str) -> Renewal {
+    if !message.contains("session.renew") {
+        return Renewal::None;
+    }
+    match (serde_json::from_str::<RawRenewal>(message), serde_json::from_str::<RawEvent>(message)) {
+        (Ok(raw), _) if raw.kind == "session.renew" => Renewal::Token(raw.token),
+        (_, Ok(event)) if event.kind != "session.renew" => Renewal::None,
+        _ => Renewal::Broken,
+    }
+}
+
 /// What a client reads back, for stand-in clients and tests.
 #[derive(Clone, Debug, Deserialize)]
 pub struct ServerEvent {
--- a/programs/badday/src/client.rs
+++ b/programs/badday/src/client.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::time::Duration;
 
-use bitternlatch_net::dial::dial;
+use bitternlatch_net::dial::dial_as;
 use bitternlatch_net::socket::{Heard, Limits, Outbox};
 use bitternlatch_protocol::client::ServerEvent;
 use bitternlatch_standin::capture::Capture;
@@ -20,7 +20,7 @@
 
 pub struct Client {
     outbox: Outbox,
-    heard: Receiver<Option<String>>,
+    heard: Receiver<Result<String, String>>,
     who: String,
     peer: String,
     capture: Capture,
@@ -32,9 +32,24 @@
     /// # Errors
     /// As dialling.
     pub fn connect(endpoint: &str, who: &str, peer: &str, capture: Capture) -> io::Result<Client> {
+        Client::connect_as(endpoint, who, peer, capture, None)
+    }
+
+    /// As [`Client::connect`], with a bearer token.
+    ///
+    /// # Errors
+    /// As dialling.
+    pub fn connect_as(
+        endpoint: &str,
+        who: &str,
+        peer: &str,
+        capture: Capture,
+        token: Option<&str>,
+    ) -> io::Result<Client> {
         let limits =
             Limits { message_bytes: 8 << 20, queue: 4096, ping: Duration::from_secs(10), idle: None };
-        let (mut reader, outbox) = dial(endpoint, "/v1/responses", Duration::from_secs(2), limits, None)?;
+        let (mut reader, outbox) =
+            dial_as(endpoint, "/v1/responses", token, Duration::from_secs(2), limits, None)?;
         let (to, heard) = unbounded();
         capture.put(who, peer, "open", "");
         let (name, other, lines) = (who.to_string(), peer.to_string(), capture.clone());
@@ -42,11 +57,11 @@
             match reader.hear() {
                 Heard::Text(text) => {
                     lines.put(&name, &other, "in", &text);
-                    let _ = to.send(Some(text));
+                    let _ = to.send(Ok(text));
                 }
-                Heard::Ended(_) => {
+                Heard::Ended(why) => {
                     lines.put(&name, &other, "close", "");
-                    let _ = to.send(None);
+                    let _ = to.send(Err(why));
                     return;
                 }
             }
@@ -64,11 +79,11 @@
     /// Waits for the next event.
     pub fn next(&self, within: Duration) -> Came {
         match self.heard.recv_timeout(within) {
-            Ok(Some(text)) => match serde_json::from_str(&text) {
+            Ok(Ok(text)) => match serde_json::from_str(&text) {
                 Ok(event) => Came::Event(Box::new(event)),
                 Err(e) => Came::Closed(format!("an event that cannot be read: {e}")),
             },
-            Ok(None) => Came::Closed("closed".to_string()),
+            Ok(Err(why)) => Came::Closed(why),
             Err(crossbeam_channel::RecvTimeoutError::Timeout) => Came::Silence,
             Err(crossbeam_channel::RecvTimeoutError::Disconnected) => Came::Closed("closed".to_string()),
         }
--- /dev/null
+++ b/programs/badday/tests/callers.rs
@@ -0,0 +1,310 @@
+//! Callers over real sockets: who is let in, what each may do, keys that change and are withdrawn in service.
+mod common;
+
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::path::Path;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use bitternlatch_badday::client::{Came, Client};
+use bitternlatch_keys::Ring;
+use bitternlatch_standin::capture::Capture;
+use common::{create, rig, to_the_end, Rig, FOUR};
+use serde_json::{json, Value};
+
+const RIGHTS: &str = include_str!("../../../deploy/rights.toml");
+
+fn now() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_secs()
+}
+
+fn claims(subject: &str, group: &str, for_s: u64) -> Value {
+    json!({ "iss": "https://issuer", "aud": "bitternlatch", "sub": subject, "groups": [group], "exp": now() + for_s })
+}
+
+/// Files of keys and rights beside the settings of a rig that asks callers who they are.
+fn guarded(name: &str, dispatchers: usize, ring: &Ring, keys: &str) -> Rig {
+    let dir = common::folder(name);
+    ring.write(&dir.join("ring.json"), &dir.join("jwks.json")).expect("the keys");
+    std::fs::write(dir.join("rights.toml"), RIGHTS).expect("the rights");
+    let kept = dir.join("kept.json").display().to_string();
+    let place = |file: &str| dir.join(file).display().to_string();
+    let (rights, keys) =
+        (place("rights.toml"), if keys.is_empty() { place("jwks.json") } else { keys.to_string() });
+    rig(&format!("{name}-run"), FOUR, dispatchers, |settings| {
+        let identity = json!({ "issuer": "https://issuer", "audience": "bitternlatch", "skew_s": 0,
+            "keys": keys, "kept": kept, "rights": rights, "refresh_s": 0.2 });
+        let table: toml::Table = serde_json::from_value(identity).expect("a table");
+        settings.insert("identity".into(), table.into());
+        let tenants = json!([{ "name": "association", "quota_rps": 1000.0 }]);
+        let tenants: toml::Value = serde_json::from_value(tenants).expect("a list");
+        settings.insert("tenants".into(), tenants);
+    })
+}
+
+fn open(rig: &Rig, at: usize, token: &str) -> Result<Client, String> {
+    Client::connect_as(&rig.dispatchers[at].address, "t", "d", Capture::none(), Some(token))
+        .map_err(|e| e.to_string())
+}
+
+fn error_code(client: &Client) -> String {
+    let last = to_the_end(client).pop().expect("an event");
+    last.error.map_or(last.kind, |e| e["code"].as_str().unwrap_or_default().to_string())
+}
+
+fn served(client: &Client, class: &str, key: &str) {
+    client.say(&create(class, key, "words [len=3]"));
+    assert_eq!(to_the_end(client).last().map(|e| e.kind.clone()).as_deref(), Some("response.completed"));
+}
+
+fn closed(client: &Client) -> String {
+    loop {
+        match client.next(Duration::from_secs(20)) {
+            Came::Closed(why) => return why,
+            Came::Silence => panic!("it is not closed"),
+            Came::Event(_) => {}
+        }
+    }
+}
+
+fn log_of(rig: &Rig) -> String {
+    std::fs::read_to_string(rig.dir.join("dispatch-1.1.log")).expect("the log")
+}
+
+fn wait_for(what: &str, fits: impl Fn() -> bool) {
+    let by = Instant::now() + Duration::from_secs(20);
+    while !fits() {
+        assert!(Instant::now() < by, "{what} has not come");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn only_proven_callers_are_let_in_and_each_does_what_it_may() {
+    let mut ring = Ring::default();
+    ring.announce(now() - 10).expect("a key");
+    let rig = guarded("rights", 1, &ring, "");
+    let token = |c: &Value| ring.sign(now(), c).expect("a token");
+    let good = token(&claims("ann", "members", 600));
+    for (bad, code) in [
+        ("nonsense".to_string(), "token_malformed"),
+        (
+            token(&json!({ "iss": "https://issuer", "aud": "other", "sub": "ann", "exp": now() + 9 })),
+            "token_audience",
+        ),
+        (token(&claims("ann", "members", 0)), "token_expired"),
+        (format!("{}x", good), "token_signature"),
+    ] {
+        let refused = open(&rig, 0, &bad).err().expect(code);
+        assert!(refused.contains("401"), "{refused}");
+        assert!(log_of(&rig).contains(code), "{code} is in the log");
+    }
+    assert!(Client::connect(&rig.dispatchers[0].address, "t", "d", Capture::none()).is_err(), "no token");
+    let member = open(&rig, 0, &good).expect("let in");
+    served(&member, "slot-query", "k1");
+    rig.lines.try_iter().for_each(drop);
+    member.say(&create("season-booking", "k2", "the season [len=3]"));
+    assert_eq!(error_code(&member), "class_not_allowed");
+    let claimed = create("slot-query", "k3", "x").replace("\"class\"", "\"tenant\":\"bands\",\"class\"");
+    member.say(&claimed);
+    assert_eq!(error_code(&member), "tenant_mismatch");
+    let lines: Vec<_> = rig.lines.try_iter().collect();
+    assert!(rig.completions(&lines).is_empty(), "a refusal reaches no host");
+    let director = open(&rig, 0, &token(&claims("dee", "directors", 600))).expect("let in");
+    served(&director, "season-booking", "k4");
+
+    // Rights that are taken between two requests; a broken file changes nothing.
+    let rights = rig.dir.parent().expect("a folder").join("rights").join("rights.toml");
+    std::fs::write(&rights, "[[rule]]\nname = \"half").expect("half a file");
+    std::thread::sleep(Duration::from_millis(500));
+    served(&director, "season-booking", "k5");
+    std::fs::write(&rights, RIGHTS.replace("[\"slot-query\", \"season-booking\"]", "[\"slot-query\"]"))
+        .expect("rights");
+    wait_for("the new rights", || {
+        log_of(&rig).contains("new rights are in force\"") && {
+            director.say(&create("season-booking", &format!("k6{}", now()), "the season [len=3]"));
+            error_code(&director) == "class_not_allowed"
+        }
+    });
+    no_secret(&rig, &[&good]);
+    rig.end();
+}
+
+/// Neither logs nor records hold a token.
+fn no_secret(rig: &Rig, tokens: &[&str]) {
+    for entry in std::fs::read_dir(&rig.dir).expect("the folder") {
+        let path = entry.expect("a file").path();
+        let data = match path.extension().and_then(|e| e.to_str()) {
+            Some("rec") => {
+                let recorded = bitternlatch_core::record::read(std::fs::File::open(&path).expect("a record"));
+                serde_json::to_vec(&recorded.expect("a good record").entries).expect("JSON")
+            }
+            _ => std::fs::read(&path).expect("a file"),
+        };
+        let text = String::from_utf8_lossy(&data);
+        for token in tokens {
+            let signature = token.rsplit('.').next().expect("a signature");
+            assert!(!text.contains(signature), "{} holds a token", path.display());
+        }
+    }
+}
+
+#[test]
+fn a_session_renews_its_token_and_ends_with_it_after_its_last_answer() {
+    let mut ring = Ring::default();
+    ring.announce(now() - 10).expect("a key");
+    let rig = guarded("renewal", 1, &ring, "");
+    let token =
+        |subject: &str, for_s| ring.sign(now(), &claims(subject, "directors", for_s)).expect("a token");
+    let short = open(&rig, 0, &token("dee", 2)).expect("let in");
+    let renewed = open(&rig, 0, &token("dee", 2)).expect("let in");
+    // Both run a booking of three seconds when their tokens end.
+    let booking = create("season-booking", "k", "the season [len=150]");
+    short.say(&booking);
+    renewed.say(&booking.replace("\"k\"", "\"k2\""));
+    let secret = token("dee", 600);
+    let renew = |token: &str| json!({ "type": "session.renew", "token": token }).to_string();
+    renewed.say(&renew(&token("eve", 600)));
+    renewed.say(&renew("nonsense"));
+    renewed.say("{\"type\":\"session.renew\",");
+    renewed.say(&renew(&secret));
+    let (mut codes, mut ends, mut last) = (Vec::new(), 0, String::new());
+    while last.is_empty() {
+        match renewed.next(Duration::from_secs(20)) {
+            Came::Event(e) if e.kind == "error" => {
+                codes.push(
+                    e.error.map(|e| e["code"].as_str().unwrap_or_default().to_string()).unwrap_or_default(),
+                );
+            }
+            Came::Event(e) if e.kind == "session.renewed" => ends += 1,
+            Came::Event(e) if e.is_final() => last = e.kind,
+            Came::Event(_) => {}
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(
+        (codes, ends, last.as_str()),
+        (
+            vec!["subject_mismatch".to_string(), "token_refused".into(), "token_refused".into()],
+            1,
+            "response.completed"
+        )
+    );
+    served(&renewed, "slot-query", "after");
+    let kinds: Vec<String> = to_the_end(&short).into_iter().map(|e| e.kind).collect();
+    assert_eq!(
+        kinds.last().map(String::as_str),
+        Some("response.completed"),
+        "what runs gets its final answer"
+    );
+    assert!(closed(&short).contains("4401"), "and then the session is closed");
+    renewed.close();
+    no_secret(&rig, &[&secret]);
+    rig.end();
+}
+
+#[test]
+fn keys_rotate_three_times_under_load_and_no_session_is_dropped() {
+    let mut ring = Ring::default();
+    ring.announce(now() - 10).expect("a key");
+    let rig = guarded("rotation", 3, &ring, "");
+    let (path, public) = (
+        rig.dir.parent().expect("it").join("rotation/ring.json"),
+        rig.dir.parent().expect("it").join("rotation/jwks.json"),
+    );
+    let first = ring.keys[0].clone();
+    let sessions: Vec<Client> = (0..3)
+        .map(|at| {
+            open(&rig, at, &ring.sign(now(), &claims("dee", "directors", 600)).expect("a token"))
+                .expect("let in")
+        })
+        .collect();
+    for round in 0..3 {
+        // Two seconds of notice are at least one whole one, several times the dispatchers' refresh.
+        ring.rotate(now(), 2, 3).expect("a key");
+        ring.write(&path, &public).expect("the keys");
+        let until = Instant::now() + Duration::from_millis(2600);
+        let mut n = 0;
+        while Instant::now() < until {
+            for (at, session) in sessions.iter().enumerate() {
+                served(session, "slot-query", &format!("r{round}-{at}-{n}"));
+                let token = ring.sign(now(), &claims("ann", "members", 600)).expect("a token");
+                let fresh = open(&rig, at, &token).unwrap_or_else(|e| panic!("round {round}: {e}"));
+                served(&fresh, "slot-query", &format!("f{round}-{at}-{n}"));
+                fresh.close();
+                // Sessions outlive their first key by renewing.
+                session.say(&json!({ "type": "session.renew", "token": ring.sign(now(), &claims("dee", "directors", 600)).expect("one") }).to_string());
+                assert!(
+                    matches!(session.next(Duration::from_secs(20)), Came::Event(e) if e.kind == "session.renewed")
+                );
+                n += 1;
+            }
+        }
+    }
+    wait_for("the first key's end", || now() >= first.ends.unwrap_or(ring.keys[0].ends.expect("an end")));
+    let old = Ring::sign_with(&first, &claims("ann", "members", 600)).expect("a token");
+    assert!(open(&rig, 0, &old).err().expect("refused").contains("401"), "the old key counts no more");
+    for (at, session) in sessions.iter().enumerate() {
+        served(session, "slot-query", &format!("last-{at}"));
+    }
+    // One is withdrawn early: its sessions end within the stated time.
+    let signing = ring.signing(now()).expect("a key").id.clone();
+    ring.rotate(now(), 0, 600).expect("a key");
+    ring.withdraw(&signing, now()).expect("withdrawn");
+    ring.write(&path, &public).expect("the keys");
+    let start = Instant::now();
+    for session in &sessions {
+        assert!(closed(session).contains("4401"));
+    }
+    assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
+    rig.end();
+}
+
+/// An issuer on loopback that answers each request by its script, then hangs up.
+fn issuer(script: impl Fn(usize) -> Option<String> + Send + 'static) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("its address");
+    std::thread::spawn(move || {
+        for (n, stream) in listener.incoming().enumerate() {
+            let Ok(mut stream) = stream else { return };
+            let (mut head, mut byte) = (Vec::new(), [0; 1]);
+            while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).is_ok_and(|n| n == 1) {
+                head.push(byte[0]);
+            }
+            match script(n) {
+                Some(body) => {
+                    let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+                }
+                // Says nothing until the other end gives up.
+                None => std::thread::sleep(Duration::from_secs(3)),
+            }
+        }
+    });
+    format!("http://{address}/jwks.json")
+}
+
+#[test]
+fn an_issuer_that_lies_or_is_slow_keeps_the_last_good_keys_and_a_restart_has_them() {
+    let mut ring = Ring::default();
+    ring.announce(now() - 10).expect("a key");
+    let document = ring.document().expect("a document");
+    let keys = issuer(move |n| match n {
+        0 => Some(document.clone()),
+        1 => Some("<html>busy</html>".into()),
+        2 => None,
+        _ => Some("{\"keys\":[]}".into()),
+    });
+    let mut rig = guarded("issuer", 1, &ring, &keys);
+    let token = ring.sign(now(), &claims("ann", "members", 600)).expect("a token");
+    let session = open(&rig, 0, &token).expect("let in");
+    wait_for("three bad answers", || log_of(&rig).matches("the last good ones stay").count() >= 3);
+    served(&session, "slot-query", "k1");
+    open(&rig, 0, &token).expect("still let in");
+    rig.dispatchers[0].kill();
+    rig.dispatchers[0].start(&common::image()).expect("started again");
+    assert!(rig.dispatchers[0].ready(Duration::from_secs(20)));
+    open(&rig, 0, &token).expect("let in by the keys kept on disk");
+    let kept: &Path = &rig.dir.parent().expect("it").join("issuer/kept.json");
+    assert!(kept.exists());
+    rig.end();
+}
--- a/programs/dispatch/src/lib.rs
+++ b/programs/dispatch/src/lib.rs
@@ -11,11 +11,12 @@
 use std::time::Duration;
 
 use bitternlatch_core::{Input, Settings};
+use bitternlatch_identity::rights::Rights;
 use bitternlatch_inventory::{LastGood, Offer};
 use bitternlatch_net::accept::{Acceptor, Door};
 use bitternlatch_net::driver::{events, Driver, Event, Front, Recorder};
 use bitternlatch_net::socket::Limits;
-use bitternlatch_net::{logs, watch};
+use bitternlatch_net::{guard, logs, watch};
 use clap::Parser;
 use crossbeam_channel::Sender;
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -68,6 +69,7 @@
         Offer::Broken(e) => return Err(e.to_string()),
         Offer::Taken(_) | Offer::Nothing => {}
     }
+    check_rights(&args.config, &settings)?;
     if args.check {
         println!("{shown}: good; {} hosts in {}", good.hosts().len(), list.display());
         return Ok(());
@@ -75,6 +77,21 @@
     serve(args, settings, text, list, good)
 }
 
+/// Rights must speak of classes and tenants that there are.
+fn check_rights(config: &Path, settings: &Settings) -> Result<(), String> {
+    let Some(identity) = &settings.identity else { return Ok(()) };
+    let path = beside(config, &identity.rights);
+    let shown = path.display();
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{shown}: {e}"))?;
+    let rights = Rights::parse(&text).map_err(|e| format!("{shown}: {e}"))?;
+    if let Some(class) = rights.classes().find(|c| settings.classes.iter().all(|known| known.name != **c)) {
+        return Err(format!("{shown}: class '{class}' is not in the settings"));
+    }
+    let unknown = |t: &&str| settings.tenants.iter().all(|known| known.name != **t);
+    let stray = rights.tenants().find(unknown).filter(|_| !settings.tenants.is_empty());
+    stray.map_or(Ok(()), |tenant| Err(format!("{shown}: tenant '{tenant}' is not in the settings")))
+}
+
 fn serve(args: &Args, settings: Settings, text: String, list: PathBuf, good: LastGood) -> Result<(), String> {
     let unix = || std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
     let seed = args.seed.unwrap_or_else(|| unix().as_nanos() as u64);
@@ -82,7 +99,12 @@
     let (to, from) = events();
     let address = settings.listen.address.clone();
     let listener = TcpListener::bind(&address).map_err(|e| format!("cannot listen on {address}: {e}"))?;
-    let front = Arc::new(Front { events: to.clone(), ready: Arc::clone(&ready) });
+    let base = args.config.parent().unwrap_or(Path::new(""));
+    let guard = match &settings.identity {
+        Some(identity) => Some(guard::start(identity, base, to.clone())?),
+        None => None,
+    };
+    let front = Arc::new(Front { events: to.clone(), ready: Arc::clone(&ready), guard });
     let hosts = good.hosts().values().cloned().collect();
     to.send(Event::Input(Input::Hosts(hosts))).map_err(|e| e.to_string())?;
     let every = Duration::from_secs_f64(settings.inventory.reread_s);
--- a/programs/measure/src/relay.rs
+++ b/programs/measure/src/relay.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bitternlatch_badday::process::free_address;
+use bitternlatch_identity::Caller;
 use bitternlatch_net::accept::{Acceptor, Door, Handler};
 use bitternlatch_net::dial::dial;
 use bitternlatch_net::socket::{Heard, Limits, Outbox};
@@ -67,7 +68,7 @@
 struct HoseDoor(Arc<Hose>);
 
 impl Handler for HoseDoor {
-    fn opened(&self, connection: u64, outbox: Outbox) {
+    fn opened(&self, connection: u64, outbox: Outbox, _caller: Option<Caller>) {
         let hello = FromEngine::Hello { engine_id: "hose".into(), uptime_s: 1e6, state: EngineState::Ready };
         let _ = outbox.text(encode(&hello));
         if let Ok(mut conns) = self.0.conns.lock() {
--- a/programs/standin/src/world.rs
+++ b/programs/standin/src/world.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bitternlatch_identity::Caller;
 use bitternlatch_net::accept::{Acceptor, Door, Handler};
 use bitternlatch_net::socket::{Limits, Outbox};
 use bitternlatch_protocol::engine::{
@@ -92,7 +93,7 @@
 }
 
 impl Handler for HostDoor {
-    fn opened(&self, connection: u64, outbox: Outbox) {
+    fn opened(&self, connection: u64, outbox: Outbox, _caller: Option<Caller>) {
         self.capture.put(&self.name, connection, "open", "");
         let _ = self.to.send(Message::Open(self.host, connection, outbox));
     }
