--- a/programs/badday/tests/callers.rs
+++ b/programs/badday/tests/callers.rs
@@ -156,10 +156,10 @@
     let rig = guarded("renewal", 1, &ring, "");
     let token =
         |subject: &str, for_s| ring.sign(now(), &claims(subject, "directors", for_s)).expect("a token");
-    let short = open(&rig, 0, &token("dee", 2)).expect("let in");
-    let renewed = open(&rig, 0, &token("dee", 2)).expect("let in");
-    // Both run a booking of three seconds when their tokens end.
-    let booking = create("season-booking", "k", "the season [len=150]");
+    let short = open(&rig, 0, &token("dee", 3)).expect("let in");
+    let renewed = open(&rig, 0, &token("dee", 3)).expect("let in");
+    // Both run a booking of four seconds when their tokens end.
+    let booking = create("season-booking", "k", "the season [len=200]");
     short.say(&booking);
     renewed.say(&booking.replace("\"k\"", "\"k2\""));
     let secret = token("dee", 600);
