Sends and key sets are not copied where they can be handed on; measured hosts set up once

Read once more as a whole: each send copied its prompt for a queue that it mostly did not enter, and the staleness of an attempt's message was worked out in two places; each token check copied the key set; two measurements set up the same hosts; one function only renamed another. A link now hands a message back to be told, one function tells it, the set is shared. Behaviour is as before; one test compares the handed-back message as well.

--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -10,13 +10,13 @@
 use crate::machine::{log, Machine};
 use crate::requests::{read_wire_id, wire_id, Attempt, HeldState, Purpose, Stage};
 use crate::timers::Timer;
-use crate::types::{Level, LinkId, Micros, Output, Stale};
+use crate::types::{Level, LinkId, Micros, Output};
 
 /// Bytes of answer that an engine may send for each token of the ceiling, and beyond; more is a fault of the engine.
 const ANSWER_BYTES: (usize, usize) = (32, 4096);
 
 impl Machine {
-    pub(crate) fn on_link_up(&mut self, _now: Micros, link: LinkId, out: &mut Vec<Output>) {
+    pub(crate) fn on_link_up(&mut self, link: LinkId, out: &mut Vec<Output>) {
         if !self.links.up(link) {
             out.push(Output::Hang { link });
         }
@@ -162,10 +162,9 @@
             // What was decided for the host before its restart was known does not hold: a cold host takes less.
             return self.hand_back(now, queued, out);
         }
-        for Queued { attempt, text } in queued {
-            self.told_late(now, link, &attempt);
-            let stale = Stale { after_s: self.settings.rules.drain_grace_s / 2.0, attempt };
-            out.push(Output::Tell { link, text, stale: Some(stale) });
+        for message in queued {
+            self.told_late(now, link, &message.attempt);
+            out.push(self.tell_attempt(link, message));
         }
     }
 
--- a/crates/core/src/carry.rs
+++ b/crates/core/src/carry.rs
@@ -52,19 +52,24 @@
         };
         let text = self.completion(id, number, purpose);
         let attempt = wire_id(self.instance, id, number);
-        let stale = Stale { after_s: self.settings.rules.drain_grace_s / 2.0, attempt: attempt.clone() };
-        let given = self.links.give(host, Queued { attempt, text: text.clone() });
-        let (link, stage) = match given {
-            Given::Tell(link) => (link, Stage::Out),
+        let (link, stage) = match self.links.give(host, Queued { attempt, text }) {
+            Given::Tell(link, message) => {
+                out.push(self.tell_attempt(link, message));
+                (link, Stage::Out)
+            }
             Given::Queued(link) => (link, Stage::Queued),
             Given::NoWay => return self.not_sent(id, number, host, Outcome::ConnectFailed),
         };
-        if stage == Stage::Out {
-            out.push(Output::Tell { link, text, stale: Some(stale) });
-        }
         self.begin_attempt(now, id, Attempt::new(number, host, link, purpose, stage, now), timeout_s);
     }
 
+    /// An attempt's message on its way: it must not reach a host long after a drain was told.
+    pub(crate) fn tell_attempt(&self, link: LinkId, message: Queued) -> Output {
+        let Queued { attempt, text } = message;
+        let stale = Stale { after_s: self.settings.rules.drain_grace_s / 2.0, attempt };
+        Output::Tell { link, text, stale: Some(stale) }
+    }
+
     fn begin_attempt(&mut self, now: Micros, id: RequestId, attempt: Attempt, timeout_s: f64) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let number = attempt.number;
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -7,7 +7,7 @@
 
 use crate::keys::{Key, Known};
 use crate::machine::Machine;
-use crate::requests::{message_id, read_response_id, response_id, Listener, Request, LISTENERS_MOST};
+use crate::requests::{read_response_id, response_id, Listener, Request, LISTENERS_MOST};
 use crate::settings::Effect;
 use crate::timers::Timer;
 use crate::types::{Micros, Output, SessionId};
@@ -187,7 +187,7 @@
             self.keys.begin(key.clone(), fingerprint(create), id);
         }
         let request = Request {
-            item_id: message_id(&response.id),
+            item_id: client::item_id(&response.id),
             response,
             class: wanted.class,
             tenant: wanted.tenant,
--- a/crates/core/src/links.rs
+++ b/crates/core/src/links.rs
@@ -44,7 +44,7 @@
 #[derive(Debug, PartialEq)]
 pub(crate) enum Given {
     /// To be told now over this link.
-    Tell(LinkId),
+    Tell(LinkId, Queued),
     Queued(LinkId),
     /// There is no way to the host now.
     NoWay,
@@ -123,7 +123,7 @@
         let Some(l) = self.links.get_mut(&host) else { return Given::NoWay };
         let link = LinkId { host, epoch: l.epoch };
         match l.stage {
-            Stage::Open => Given::Tell(link),
+            Stage::Open => Given::Tell(link, message),
             Stage::Dialled | Stage::Silent if l.queue.len() < QUEUE_MOST && !l.leaving => {
                 l.queue.push_back(message);
                 Given::Queued(link)
@@ -192,7 +192,7 @@
         assert!(links.greeted(first).is_empty(), "not up yet");
         assert!(links.up(first));
         assert_eq!(links.greeted(first), vec![message("a")]);
-        assert_eq!(links.give(1, message("b")), Given::Tell(first));
+        assert_eq!(links.give(1, message("b")), Given::Tell(first, message("b")));
         let (queued, pause) = links.down(first, 0.0).expect("current");
         assert!(queued.is_empty() && pause > 0.0);
         assert_eq!(links.give(1, message("c")), Given::NoWay);
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -166,7 +166,7 @@
             Input::Rights(text) => self.on_rights(&text, out),
             Input::SessionText { session, text } => self.on_client_text(now, session, &text, out),
             Input::SessionClosed { session } => self.on_session_closed(now, session, out),
-            Input::LinkUp { link } => self.on_link_up(now, link, out),
+            Input::LinkUp { link } => self.on_link_up(link, out),
             Input::LinkFailed { link, why } => self.on_link_down(now, link, false, &why, out),
             Input::LinkClosed { link, why } => self.on_link_down(now, link, true, &why, out),
             Input::LinkText { link, text } => self.on_engine_text(now, link, &text, out),
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use bitternlatch_policy::interface::{RequestId, ServerId};
-use bitternlatch_protocol::client::{item_id, Response, Usage};
+use bitternlatch_protocol::client::{Response, Usage};
 use bitternlatch_protocol::engine::{EngineUsage, KvTransferParams};
 
 use crate::keys::Key;
@@ -137,10 +137,6 @@
     u32::from_str_radix(tail, 16).ok()
 }
 
-pub(crate) fn message_id(response: &str) -> String {
-    item_id(response)
-}
-
 /// Requests by id, in order of arrival.
 pub(crate) type Requests = BTreeMap<RequestId, Request>;
 
--- a/crates/identity/src/keeper.rs
+++ b/crates/identity/src/keeper.rs
@@ -3,6 +3,7 @@
 //! A pure state machine on a given clock: the program fetches when told and tells what came.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use crate::keys::{BadKeySet, KeySet};
 
@@ -43,7 +44,7 @@
 /// The key set in force and what is to be done about it.
 pub struct Keeper {
     rules: KeeperRules,
-    set: Option<KeySet>,
+    set: Option<Arc<KeySet>>,
     document: Vec<u8>,
     fetched_at: f64,
     next_at: f64,
@@ -76,12 +77,13 @@
     /// As [`KeySet::parse`]; then there is no set until a fetch brings one.
     pub fn restore(&mut self, now: f64, document: &[u8], age_s: f64) -> Result<(), BadKeySet> {
         let set = KeySet::parse(document)?;
-        (self.set, self.document, self.fetched_at) = (Some(set), document.to_vec(), now - age_s.max(0.0));
+        (self.set, self.document, self.fetched_at) =
+            (Some(Arc::new(set)), document.to_vec(), now - age_s.max(0.0));
         Ok(())
     }
 
     /// The set in force; `None` before the first and once the last good one is too old.
-    pub fn set(&self, now: f64) -> Option<&KeySet> {
+    pub fn set(&self, now: f64) -> Option<&Arc<KeySet>> {
         self.set.as_ref().filter(|_| now - self.fetched_at < self.rules.keep_s)
     }
 
@@ -128,10 +130,11 @@
             }
         };
         let same = self.set.is_some() && self.document == document;
-        let gone = |old: &KeySet| old.ids().filter(|id| set.get(id).is_none()).map(str::to_string).collect();
+        let gone =
+            |old: &Arc<KeySet>| old.ids().filter(|id| set.get(id).is_none()).map(str::to_string).collect();
         let dropped = self.set.as_ref().map(gone).unwrap_or_default();
         self.unknown.retain(|id, _| set.get(id).is_none());
-        (self.set, self.document, self.fetched_at) = (Some(set), document.to_vec(), now);
+        (self.set, self.document, self.fetched_at) = (Some(Arc::new(set)), document.to_vec(), now);
         (self.fetching, self.failures) = (false, 0);
         self.next_at = now + self.rules.refresh_s * (0.9 + 0.2 * chance);
         if same {
--- a/crates/net/src/guard.rs
+++ b/crates/net/src/guard.rs
@@ -8,7 +8,7 @@
 use bitternlatch_core::settings::Identity;
 use bitternlatch_core::Input;
 use bitternlatch_identity::keeper::{Keeper, KeeperRules, Taken};
-use bitternlatch_identity::keys::DOCUMENT_BYTES;
+use bitternlatch_identity::keys::{KeySet, DOCUMENT_BYTES};
 use bitternlatch_identity::rights::Rights;
 use bitternlatch_identity::token::{check, key_id, Refusal, TokenRules};
 use bitternlatch_identity::Caller;
@@ -45,7 +45,7 @@
     /// The [`Refusal`]; without any key in force all keys are unknown.
     pub fn check(&self, token: &str) -> Result<Caller, Refusal> {
         let now = unix();
-        // The lock is held for a copy of the set alone, not for the signature.
+        // The lock is held to share the set alone, not for the signature.
         let set = self.keeper().set(now).cloned();
         let checked = match &set {
             Some(set) => check(token, set, &self.rules, now as u64),
@@ -198,7 +198,7 @@
     fn look_at_keys(&mut self) {
         let now = unix();
         let skew_s = self.guard.rules.skew_s;
-        let counts = |set: &bitternlatch_identity::keys::KeySet| -> Vec<String> {
+        let counts = |set: &Arc<KeySet>| -> Vec<String> {
             set.ids().filter(|id| set.counts(id, now as u64, skew_s)).map(str::to_string).collect()
         };
         let counting = self.guard.keeper().set(now).map(counts).unwrap_or_default();
--- a/programs/measure/src/latency.rs
+++ b/programs/measure/src/latency.rs
@@ -9,22 +9,9 @@
     decode, encode, CompletionRequest, FromEngine, KvTransferParams, ToEngine,
 };
 use bitternlatch_standin::capture::Capture;
-use bitternlatch_standin::{Config, Standins};
 use hdrhistogram::Histogram;
 
-use crate::rig::dispatcher;
-
-const HOSTS: &str = r#"
-[[hosts]]
-name = "reader-1"
-listen = "127.0.0.1:0"
-role = "reader"
-[[hosts]]
-name = "writer-1"
-listen = "127.0.0.1:0"
-role = "writer"
-token_gap_s = 0.005
-"#;
+use crate::rig::{dispatcher, stand_ins};
 
 const TOKENS: u32 = 40;
 
@@ -52,12 +39,8 @@
 
 /// Asks by turns through the dispatcher and of the hosts directly, so that both meet the same machine.
 pub fn measure(requests: usize) -> Result<(), String> {
-    let hosts = Standins::start(Config::parse(HOSTS)?, Capture::none()).map_err(|e| e.to_string())?;
+    let (hosts, list) = stand_ins()?;
     let address = |name: &str| hosts.addresses().get(name).map(ToString::to_string).unwrap_or_default();
-    let list = vec![
-        ("reader-1".to_string(), address("reader-1"), "reader"),
-        ("writer-1".to_string(), address("writer-1"), "writer"),
-    ];
     let dispatcher = dispatcher(&list, |_| {})?;
     let client =
         Client::connect(&dispatcher.address, "m", "d", Capture::none()).map_err(|e| e.to_string())?;
--- a/programs/measure/src/rig.rs
+++ b/programs/measure/src/rig.rs
@@ -3,12 +3,37 @@
 use std::time::Duration;
 
 use bitternlatch_badday::process::Dispatcher;
+use bitternlatch_standin::capture::Capture;
+use bitternlatch_standin::{Config, Standins};
 
 const SETTINGS: &str = include_str!("../../../deploy/dispatch.toml");
 
 /// Hosts as (name, address, kind).
 pub type Hosts = Vec<(String, String, &'static str)>;
 
+const HOSTS: &str = r#"
+[[hosts]]
+name = "reader-1"
+listen = "127.0.0.1:0"
+role = "reader"
+[[hosts]]
+name = "writer-1"
+listen = "127.0.0.1:0"
+role = "writer"
+token_gap_s = 0.005
+"#;
+
+/// One stand-in that reads and one that writes.
+pub fn stand_ins() -> Result<(Standins, Hosts), String> {
+    let running = Standins::start(Config::parse(HOSTS)?, Capture::none()).map_err(|e| e.to_string())?;
+    let list = running.addresses().iter().map(|(name, at)| {
+        let kind = if name.starts_with("reader") { "reader" } else { "writer" };
+        (name.clone(), at.to_string(), kind)
+    });
+    let list = list.collect();
+    Ok((running, list))
+}
+
 /// Starts a dispatcher before hosts and waits until it is ready.
 pub fn dispatcher(hosts: &Hosts, edit: impl Fn(&mut toml::Table)) -> Result<Dispatcher, String> {
     let dir = std::env::temp_dir().join(format!("bitternlatch-measure-{}", std::process::id()));
--- a/programs/measure/src/sessions.rs
+++ b/programs/measure/src/sessions.rs
@@ -6,29 +6,13 @@
 
 use bitternlatch_badday::client::{Came, Client};
 use bitternlatch_standin::capture::Capture;
-use bitternlatch_standin::{Config, Standins};
 
-use crate::rig::dispatcher;
-
-const HOSTS: &str = r#"
-[[hosts]]
-name = "reader-1"
-listen = "127.0.0.1:0"
-role = "reader"
-[[hosts]]
-name = "writer-1"
-listen = "127.0.0.1:0"
-role = "writer"
-"#;
+use crate::rig::{dispatcher, stand_ins};
 
 /// Opens sessions that say nothing, then asks once over a further one.
 pub fn measure(count: usize) -> Result<(), String> {
-    let hosts = Standins::start(Config::parse(HOSTS)?, Capture::none()).map_err(|e| e.to_string())?;
-    let list = hosts.addresses().iter().map(|(name, at)| {
-        let kind = if name.starts_with("reader") { "reader" } else { "writer" };
-        (name.clone(), at.to_string(), kind)
-    });
-    let dispatcher = dispatcher(&list.collect(), |settings| {
+    let (_hosts, list) = stand_ins()?;
+    let dispatcher = dispatcher(&list, |settings| {
         if let Some(listen) = settings["listen"].as_table_mut() {
             listen.insert("sessions".into(), (count as i64 + 10).into());
         }
