Keys and conversations belong to their caller; waiting reads are reported

Trials from outside found that another caller of a tenant was attached to a running answer by its idempotency key, that response ids count up, that a record with only a torn block of steps was called alike, and that stand-ins reported no waiting reads.

Keys and contexts now carry their owner as the grant says: the caller, or the rule with shared = true. Ids end in 128 bits of BLAKE3 keyed by the run's seed, which is the system's randomness and no longer logged. A replay that compared no step exits 2. A stand-in counts reads that have not begun as waiting, and the one under way as running.

--- a/crates/core/src/answers.rs
+++ b/crates/core/src/answers.rs
@@ -129,6 +129,7 @@
         if matches!(answer.status, Status::Completed | Status::Incomplete) {
             let context = Context {
                 tenant: request.tenant,
+                owner: request.owner.clone(),
                 conversation: request.conversation,
                 text: format!("{}\nassistant: {}", request.prompt, request.text),
                 at: now,
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -7,7 +7,7 @@
 
 use crate::keys::{Key, Known};
 use crate::machine::Machine;
-use crate::requests::{read_response_id, response_id, Listener, Request, LISTENERS_MOST};
+use crate::requests::{Listener, Request, LISTENERS_MOST};
 use crate::settings::Effect;
 use crate::timers::Timer;
 use crate::types::{Micros, Output, SessionId};
@@ -19,6 +19,7 @@
 struct Wanted {
     class: u16,
     tenant: u32,
+    owner: String,
     time_left_s: f64,
     key: Option<Key>,
     conversation: u64,
@@ -132,19 +133,20 @@
         };
         let (class, tenant) = (class as u16, tenant as u32);
         let text = meta(client::META_KEY).filter(|k| !k.is_empty());
-        let key = text.map(|text| Key { tenant, class, text: text.to_string() });
-        let (conversation, prompt) = self.prompt(create, tenant)?;
+        let owner = grant.as_ref().map(|g| g.owner.clone()).unwrap_or_default();
+        let key = text.map(|text| Key { tenant, class, owner: owner.clone(), text: text.to_string() });
+        let (conversation, prompt) = self.prompt(create, tenant, &owner)?;
         let most = self.settings.requests.max_output_tokens;
         let allowed = grant.map_or(most, |g| most.min(g.max_output_tokens));
         let max_tokens = create.max_output_tokens.unwrap_or(allowed);
-        Ok(Wanted { class, tenant, time_left_s, key, conversation, prompt, max_tokens })
+        Ok(Wanted { class, tenant, owner, time_left_s, key, conversation, prompt, max_tokens })
     }
 
     /// The whole prompt and the key of its conversation; 0 where it begins one.
-    fn prompt(&self, create: &Create, tenant: u32) -> Result<(u64, String), BadRequest> {
+    fn prompt(&self, create: &Create, tenant: u32, owner: &str) -> Result<(u64, String), BadRequest> {
         let (conversation, head) = match &create.previous_response_id {
             None => (0, create.instructions.as_str()),
-            Some(id) => match self.contexts.find(id, tenant) {
+            Some(id) => match self.contexts.find(id, tenant, owner) {
                 Some(context) => (context.conversation, context.text.as_str()),
                 None => {
                     let bad = BadRequest::field("previous_response_id", "is not known here any more");
@@ -191,6 +193,7 @@
             response,
             class: wanted.class,
             tenant: wanted.tenant,
+            owner: wanted.owner,
             key: wanted.key,
             conversation,
             prompt: wanted.prompt,
@@ -223,7 +226,7 @@
 
     fn new_response(&self, now: Micros, id: RequestId, create: &Create, max_tokens: u32) -> Response {
         Response {
-            id: response_id(self.instance, id),
+            id: self.names.response(id),
             object: "response".to_string(),
             created_at: now.0 / 1_000_000,
             status: Status::InProgress,
@@ -269,7 +272,7 @@
         response: &str,
         out: &mut Vec<Output>,
     ) -> Result<(), BadRequest> {
-        let id = read_response_id(self.instance, response);
+        let id = self.names.read_response(response);
         let heard = |id: &RequestId| {
             self.requests.get(id).is_some_and(|r| r.listeners.iter().any(|l| l.session == session))
         };
--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -11,11 +11,13 @@
 
 use crate::types::Micros;
 
-/// A key belongs to a tenant and a class.
+/// A key belongs to a tenant and a class, and to its caller where callers are known.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Key {
     pub tenant: u32,
     pub class: u16,
+    /// Whose it is, as the caller's grant says; empty where callers are not known.
+    pub owner: String,
     pub text: String,
 }
 
@@ -151,7 +153,7 @@
     use bitternlatch_protocol::client::Status;
 
     fn key(text: &str) -> Key {
-        Key { tenant: 0, class: 1, text: text.to_string() }
+        Key { tenant: 0, class: 1, owner: String::new(), text: text.to_string() }
     }
 
     fn answer() -> Response {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 mod keys;
 mod links;
 mod machine;
+mod names;
 pub mod record;
 mod requests;
 mod sessions;
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -14,6 +14,7 @@
 use crate::fleet::Fleet;
 use crate::keys::Keys;
 use crate::links::Links;
+use crate::names::Names;
 use crate::requests::Requests;
 use crate::sessions::Sessions;
 use crate::settings::Settings;
@@ -56,6 +57,7 @@
     pub(crate) settings: Settings,
     /// Number of this run, part of every id that leaves it.
     pub(crate) instance: u64,
+    pub(crate) names: Names,
     pub(crate) router: Router,
     pub(crate) requests: Requests,
     pub(crate) next_request: RequestId,
@@ -83,8 +85,10 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
         let limits = &settings.requests;
+        let names = Names::new(&settings.name, seed);
         Machine {
-            instance: xxhash_rust::xxh3::xxh3_64_with_seed(settings.name.as_bytes(), seed),
+            instance: names.instance(),
+            names,
             router: Router::new(settings.policy(), rng.next_u64()),
             requests: Requests::new(),
             next_request: 1,
--- /dev/null
+++ b/crates/core/src/names.rs
@@ -0,0 +1,65 @@
+//! Ids that clients see: they tell their run and request to this dispatcher, and cannot be made by anybody else.
+
+use bitternlatch_policy::interface::RequestId;
+
+/// Bytes of the tag that makes an id's guess hopeless.
+const TAG_BYTES: usize = 16;
+
+/// Makes and reads the ids of one run. Its secret comes of the run's seed, which is no part of any id: the run's
+/// number and the tags are both keyed hashes (BLAKE3) of it.
+pub(crate) struct Names {
+    secret: [u8; 32],
+    instance: u64,
+}
+
+impl Names {
+    pub(crate) fn new(name: &str, seed: u64) -> Names {
+        let derive = |context| {
+            let mut hash = blake3::Hasher::new_derive_key(context);
+            hash.update(&seed.to_le_bytes()).update(name.as_bytes());
+            *hash.finalize().as_bytes()
+        };
+        let number = derive("bitternlatch 2026 number of a run");
+        let instance = u64::from_le_bytes(std::array::from_fn(|i| number[i]));
+        Names { secret: derive("bitternlatch 2026 ids of responses"), instance }
+    }
+
+    /// Number of the run.
+    pub(crate) fn instance(&self) -> u64 {
+        self.instance
+    }
+
+    /// Id of a response, as clients see it.
+    pub(crate) fn response(&self, request: RequestId) -> String {
+        let tag = blake3::keyed_hash(&self.secret, &request.to_le_bytes()).to_hex();
+        format!("resp_{:016x}{request:08x}{}", self.instance, &tag[..2 * TAG_BYTES])
+    }
+
+    /// The request of an id that this run made; `None` for any other text.
+    pub(crate) fn read_response(&self, id: &str) -> Option<RequestId> {
+        let number = id.strip_prefix("resp_")?.get(16..24)?;
+        let request = u32::from_str_radix(number, 16).ok()?;
+        (self.response(request) == id).then_some(request)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_id_is_read_back_by_its_own_run_alone_and_its_neighbour_cannot_be_guessed() {
+        let names = Names::new("d1", 7);
+        let id = names.response(9);
+        assert_eq!(names.read_response(&id), Some(9));
+        assert_eq!(Names::new("d1", 8).read_response(&id), None);
+        assert_eq!(Names::new("d2", 7).read_response(&id), None);
+        let tag = |n| names.response(n)[29..].to_string();
+        assert_eq!(tag(9).len(), 32);
+        let counted = id.replace("00000009", "0000000a");
+        assert_ne!(counted, id);
+        for bad in ["resp_", "resp_\u{e9}", &counted, &id[..29], &id.to_uppercase(), &format!("{id}0")] {
+            assert_eq!(names.read_response(bad), None, "{bad}");
+        }
+    }
+}
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -74,6 +74,11 @@
         Ok(())
     }
 
+    /// The sink, with what has been flushed to it.
+    pub fn into_inner(self) -> W {
+        self.sink
+    }
+
     /// Writes what is gathered as a block.
     pub fn flush(&mut self) -> io::Result<()> {
         if self.lines.is_empty() {
--- /dev/null
+++ b/crates/core/tests/callers.rs
@@ -0,0 +1,119 @@
+//! Callers in the machine: whose keys and conversations are, proofs that end or are withdrawn, rights that change.
+mod common;
+
+use bitternlatch_core::{Input, Output, SessionId, Settings};
+use bitternlatch_identity::Caller;
+use common::{four, Bench, SETTINGS, START_US};
+use serde_json::json;
+
+const RIGHTS: &str = r#"
+[[rule]]
+name = "desk"
+groups = ["desk"]
+tenant = "bands"
+shared = true
+classes = ["query", "booking"]
+models = ["*"]
+max_output_tokens = 100
+[[rule]]
+name = "members"
+groups = ["members"]
+tenant = "bands"
+classes = ["query", "booking"]
+models = ["*"]
+max_output_tokens = 100
+"#;
+
+const IDENTITY: &str =
+    "[identity]\nissuer = \"i\"\naudience = \"a\"\nkeys = \"k\"\nrights = \"r\"\n[inventory]";
+const NOW_S: u64 = START_US / 1_000_000;
+
+fn guarded() -> Bench {
+    let text = SETTINGS.replace("[inventory]", IDENTITY);
+    let mut bench = Bench::with(Settings::parse("test", &text).expect("settings"), 5);
+    bench.step(Input::Rights(RIGHTS.into()));
+    bench.step(Input::Hosts(four()));
+    bench.open_all(1000.0);
+    bench
+}
+
+fn caller(subject: &str, group: &str, key_id: &str, ends: u64) -> Caller {
+    let (subject, key_id) = (subject.to_string(), key_id.to_string());
+    Caller { subject, groups: vec![group.to_string()], key_id, token_id: None, ends }
+}
+
+fn open(bench: &mut Bench, session: u64, subject: &str, group: &str) -> SessionId {
+    let caller = Some(caller(subject, group, "k1", NOW_S + 600));
+    bench.step(Input::SessionOpened { session: SessionId(session), caller });
+    SessionId(session)
+}
+
+fn codes(bench: &mut Bench, session: SessionId) -> Vec<String> {
+    let code = |e: serde_json::Value| e["code"].as_str().unwrap_or_default().to_string();
+    bench.heard(session).into_iter().map(|e| e.error.map_or(e.kind, code)).collect()
+}
+
+#[test]
+fn a_key_is_its_callers_own_and_a_groups_where_the_rights_say_so() {
+    let mut bench = guarded();
+    let ann = open(&mut bench, 1, "ann", "members");
+    let eve = open(&mut bench, 2, "eve", "members");
+    let again = open(&mut bench, 3, "ann", "members");
+    for session in [ann, eve, again] {
+        bench.ask(session, "booking", "one", "the season");
+        bench.pass(0.02);
+    }
+    assert_eq!(bench.told.len(), 2, "eve's runs for itself; ann's second session is attached to its first");
+    let id = |bench: &mut Bench, session| {
+        bench.heard(session)[0].response.as_ref().expect("a response").id.clone()
+    };
+    let (a, e, b) = (id(&mut bench, ann), id(&mut bench, eve), id(&mut bench, again));
+    assert!(a == b && a != e, "{a} {b} {e}");
+
+    let (one, two) = (open(&mut bench, 4, "dee", "desk"), open(&mut bench, 5, "dan", "desk"));
+    bench.ask(one, "booking", "one", "the desk's season");
+    bench.ask(two, "booking", "one", "the desk's season");
+    assert_eq!(id(&mut bench, one), id(&mut bench, two), "the desk shares its keys");
+}
+
+#[test]
+fn a_conversation_goes_on_for_its_caller_alone() {
+    let mut bench = guarded();
+    let ann = open(&mut bench, 1, "ann", "members");
+    let eve = open(&mut bench, 2, "eve", "members");
+    let write = bench.begin_write(ann, "query", "k", "a secret hall");
+    bench.piece(&write, "it is free", Some("stop"));
+    bench.done(&write);
+    let last = bench.heard(ann).pop().expect("an answer");
+    let id = last.response.expect("a response").id;
+    let follow = json!({ "type": "response.create", "model": "m", "input": "and then?",
+        "previous_response_id": id, "metadata": { "class": "query" } });
+    for (session, code) in [(eve, "previous_response_not_found"), (ann, "response.created")] {
+        bench.step(Input::SessionText { session, text: follow.to_string() });
+        assert_eq!(codes(&mut bench, session), [code]);
+    }
+    assert!(bench.take().body.prompt.contains("a secret hall"), "its own caller goes on from it");
+    // Counting on from an id that was seen finds nothing, running or ended.
+    let running = id.replacen("00000001", "00000002", 1);
+    assert_ne!(running, id);
+    let cancel = json!({ "type": "response.cancel", "response_id": running });
+    bench.step(Input::SessionText { session: ann, text: cancel.to_string() });
+    assert_eq!(codes(&mut bench, ann), ["response_not_found"]);
+}
+
+#[test]
+fn a_withdrawn_proof_takes_nothing_new_and_ends_its_session_after_the_answer() {
+    let mut bench = guarded();
+    let ann = open(&mut bench, 1, "ann", "members");
+    let write = bench.begin_write(ann, "booking", "k", "the season");
+    bench.step(Input::KeysWithdrawn(vec!["k1".into()]));
+    bench.ask(ann, "query", "k2", "another");
+    assert_eq!(codes(&mut bench, ann), ["response.created", "token_key_withdrawn"]);
+    assert!(!bench.out.iter().any(|o| matches!(o, Output::CloseSession { .. })), "the booking still runs");
+    bench.piece(&write, "booked", Some("stop"));
+    bench.done(&write);
+    assert_eq!(codes(&mut bench, ann).last().map(String::as_str), Some("response.completed"));
+    let closes =
+        |o: &Output| matches!(o, Output::CloseSession { session, code: 4401, .. } if *session == ann);
+    assert!(bench.out.iter().any(closes));
+}
--- a/crates/identity/src/rights.rs
+++ b/crates/identity/src/rights.rs
@@ -30,6 +30,9 @@
     models: BTreeSet<String>,
     /// Highest output ceiling; a request without one is given this.
     max_output_tokens: u32,
+    /// Idempotency keys and conversations are the rule's, not each caller's own.
+    #[serde(default)]
+    shared: bool,
 }
 
 /// What a caller wants.
@@ -50,6 +53,8 @@
     pub max_output_tokens: u32,
     /// The rule that allows it.
     pub rule: String,
+    /// Whose its idempotency keys and conversations are: the caller's own, or all whom a rule with `shared` names.
+    pub owner: String,
 }
 
 /// Why not.
@@ -156,6 +161,10 @@
             tenant: rule.tenant.clone(),
             max_output_tokens: wish.max_output_tokens.unwrap_or(rule.max_output_tokens),
             rule: name(),
+            owner: match rule.shared {
+                true => format!("rule:{}", rule.name),
+                false => format!("caller:{}", caller.subject),
+            },
         })
     }
 }
--- a/programs/dispatch/src/lib.rs
+++ b/programs/dispatch/src/lib.rs
@@ -36,7 +36,7 @@
     /// Check settings and host list, say what would run, and end.
     #[arg(long)]
     check: bool,
-    /// Seed of all chance; by default the time.
+    /// Seed of all chance and of the secret behind ids; by default the system's randomness.
     #[arg(long)]
     seed: Option<u64>,
 }
@@ -93,8 +93,11 @@
 }
 
 fn serve(args: &Args, settings: Settings, text: String, list: PathBuf, good: LastGood) -> Result<(), String> {
-    let unix = || std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-    let seed = args.seed.unwrap_or_else(|| unix().as_nanos() as u64);
+    // Ids must not be guessed: the seed is the system's, and no log holds it.
+    let seed = match args.seed {
+        Some(seed) => seed,
+        None => getrandom::u64().map_err(|e| format!("no randomness: {e}"))?,
+    };
     let ready = Arc::new(AtomicBool::new(false));
     let (to, from) = events();
     let address = settings.listen.address.clone();
@@ -113,7 +116,7 @@
         Acceptor::start(listener, door(&settings), front).map_err(|e| format!("cannot accept: {e}"))?;
     let within = Duration::from_secs_f64(settings.stop.within_s);
     let record = settings.record.as_ref().map(|r| beside(&args.config, &r.file));
-    tracing::info!(name = settings.name, address = %acceptor.address(), seed, "listening");
+    tracing::info!(name = settings.name, address = %acceptor.address(), "listening");
     on_signal(to.clone(), acceptor)?;
     let mut driver = Driver::new(settings, seed, (to, from), ready);
     if let Some(path) = record {
--- a/programs/replay/src/lib.rs
+++ b/programs/replay/src/lib.rs
@@ -59,6 +59,10 @@
     if recorded.torn_bytes > 0 {
         println!("{shown}: the last {} bytes were torn and are left out", recorded.torn_bytes);
     }
+    if found.steps == 0 {
+        eprintln!("bitternlatch-replay: {shown}: holds no whole step; nothing was compared");
+        return 2;
+    }
     match &found.difference {
         None => {
             println!("{shown}: {} steps, {} outputs, all alike", found.steps, found.outputs);
--- a/programs/standin/src/host.rs
+++ b/programs/standin/src/host.rs
@@ -24,6 +24,8 @@
     pub out: u32,
     pub produced: u32,
     pub running: bool,
+    /// When a read begins; a request that is written here waits in `waiting`.
+    pub begins: Option<f64>,
 }
 
 /// A read state that waits to be fetched.
@@ -131,7 +133,18 @@
         self.works.values().filter(|w| w.running).count()
     }
 
-    pub(crate) fn load(&self) -> Option<Load> {
+    /// Requests that wait: reads that have not begun, and answers without a slot.
+    pub(crate) fn waits(&self, now: f64) -> usize {
+        let reads = self.works.values().filter(|w| w.begins.is_some_and(|at| at > now)).count();
+        reads + self.waiting.len()
+    }
+
+    /// Requests at work: the read under way, and answers that run.
+    fn at_work(&self, now: f64) -> usize {
+        self.running() + self.works.values().filter(|w| w.begins.is_some_and(|at| at <= now)).count()
+    }
+
+    pub(crate) fn load(&self, now: f64) -> Option<Load> {
         let sign = match self.trouble(Trouble::BadLoad) {
             Some(s) if s > 0.5 => return None,
             Some(_) => -1.0,
@@ -139,8 +152,8 @@
         };
         let share = |a: f64, b: f64| sign * (a / b.max(1.0)).min(1.0);
         Some(Load::from([
-            ("num_requests_running".to_string(), sign * self.running() as f64),
-            ("num_requests_waiting".to_string(), sign * self.waiting.len() as f64),
+            ("num_requests_running".to_string(), sign * self.at_work(now) as f64),
+            ("num_requests_waiting".to_string(), sign * self.waits(now) as f64),
             ("slots_used_perc".to_string(), share(self.running() as f64, self.config.slots as f64)),
             (
                 "kv_cache_usage_perc".to_string(),
--- a/programs/standin/src/world.rs
+++ b/programs/standin/src/world.rs
@@ -340,7 +340,7 @@
             }
             Ok(ToEngine::Release { id }) => drop(self.hosts[i].states.remove(&id)),
             Ok(ToEngine::Probe { id }) => {
-                let load = self.hosts[i].load().unwrap_or_default();
+                let load = self.hosts[i].load(self.now()).unwrap_or_default();
                 self.say(i, conn, &FromEngine::Load { id, load });
             }
             Ok(ToEngine::Fault { .. }) | Err(_) => {}
@@ -349,7 +349,7 @@
 
     fn error(&self, i: usize, conn: u64, id: &str, status: u16, code: Option<&str>) {
         let error = EngineError { message: "not served".to_string(), code: code.map(str::to_string) };
-        let load = self.hosts[i].load();
+        let load = self.hosts[i].load(self.now());
         self.say(i, conn, &FromEngine::Error { id: id.to_string(), status, error, load });
     }
 
@@ -380,7 +380,7 @@
             0.0
         };
         let write_s = f64::from(out) * host.config.token_gap_s / host.config.slots as f64;
-        let work = Work { conn, id, body, tokens, cached, out, produced: 0, running: false };
+        let work = Work { conn, id, body, tokens, cached, out, produced: 0, running: false, begins: None };
         if host.pushed_over(&self.config.cold, now, read_s + write_s) {
             return self.down(i);
         }
@@ -389,7 +389,11 @@
         let host = &mut self.hosts[i];
         host.works.insert(serial, work);
         if kv.do_remote_decode {
-            host.busy_until = host.busy_until.max(now) + read_s * host.slowness(&self.config.cold, now);
+            let begins = host.busy_until.max(now);
+            if let Some(work) = host.works.get_mut(&serial) {
+                work.begins = Some(begins);
+            }
+            host.busy_until = begins + read_s * host.slowness(&self.config.cold, now);
             let wait = host.busy_until - now;
             return self.after(wait, Due::ReadDone(i, serial));
         }
@@ -426,7 +430,7 @@
         let body =
             Chunk { choices: vec![choice], usage: Some(usage(&work)), kv_transfer_params: Some(params) };
         self.say(i, work.conn, &FromEngine::Chunk { id: work.id.clone(), body });
-        self.say(i, work.conn, &FromEngine::Done { id: work.id, load: self.hosts[i].load() });
+        self.say(i, work.conn, &FromEngine::Done { id: work.id, load: self.hosts[i].load(self.now()) });
     }
 
     /// Lets waiting requests run as far as slots and memory go.
@@ -503,7 +507,7 @@
         let body = Chunk { choices: vec![choice], usage: Some(usage), kv_transfer_params: None };
         self.say(i, conn, &FromEngine::Chunk { id: id.clone(), body });
         self.hosts[i].works.remove(&serial);
-        self.say(i, conn, &FromEngine::Done { id, load: self.hosts[i].load() });
+        self.say(i, conn, &FromEngine::Done { id, load: self.hosts[i].load(self.now()) });
         self.admit(i);
     }
 }
--- /dev/null
+++ b/programs/standin/tests/reports.rs
@@ -0,0 +1,127 @@
+//! What a stand-in reports of its load moves with what it does.
+
+use std::time::Duration;
+
+use bitternlatch_net::dial::dial;
+use bitternlatch_net::socket::{Heard, Limits, Outbox, Reader};
+use bitternlatch_protocol::engine::{
+    decode, encode, CompletionRequest, FromEngine, KvTransferParams, Load, ToEngine,
+};
+use bitternlatch_standin::capture::Capture;
+use bitternlatch_standin::{Config, Standins};
+
+/// A reader that takes half a second for a read, and a mixed host with one slot.
+const HOSTS: &str = r#"
+[[hosts]]
+name = "reader"
+listen = "127.0.0.1:0"
+role = "reader"
+read_tokens_per_s = 200
+memory_tokens = 1000
+[[hosts]]
+name = "mixed"
+listen = "127.0.0.1:0"
+role = "mixed"
+slots = 1
+"#;
+
+struct Link {
+    reader: Reader,
+    outbox: Outbox,
+}
+
+impl Link {
+    fn to(hosts: &Standins, name: &str) -> Link {
+        let limits = Limits { message_bytes: 1 << 20, queue: 64, ping: Duration::from_secs(10), idle: None };
+        let address = hosts.addresses()[name].to_string();
+        let (reader, outbox) =
+            dial(&address, "/v1/engine", Duration::from_secs(5), limits, None).expect("a link");
+        Link { reader, outbox }
+    }
+
+    fn say(&self, message: &ToEngine) {
+        self.outbox.text(encode(message)).expect("room");
+    }
+
+    /// A completion of 400 bytes (100 tokens) that begins with its own name.
+    fn ask(&self, id: &str, kv: KvTransferParams) {
+        let prompt = format!("{id}{} [len=20]", "x".repeat(400 - id.len() - 9));
+        let body = CompletionRequest {
+            request_id: id.into(),
+            prompt,
+            max_tokens: 100,
+            stream: true,
+            kv_transfer_params: Some(kv),
+            ..CompletionRequest::default()
+        };
+        self.say(&ToEngine::Completion { id: id.into(), body: Box::new(body) });
+    }
+
+    fn until<T>(&mut self, fits: impl Fn(FromEngine) -> Option<T>) -> T {
+        loop {
+            let Heard::Text(text) = self.reader.hear() else { panic!("the link ended") };
+            let message = decode(&text).expect("a message");
+            assert!(!matches!(message, FromEngine::Error { .. }), "{text}");
+            if let Some(found) = fits(message) {
+                return found;
+            }
+        }
+    }
+
+    fn load(&mut self) -> Load {
+        self.say(&ToEngine::Probe { id: 1 });
+        self.until(|m| match m {
+            FromEngine::Load { load, .. } => Some(load),
+            _ => None,
+        })
+    }
+
+    fn done(&mut self) -> Load {
+        self.until(|m| match m {
+            FromEngine::Done { load, .. } => load,
+            _ => None,
+        })
+    }
+}
+
+fn counts(load: &Load) -> (f64, f64) {
+    (load["num_requests_running"], load["num_requests_waiting"])
+}
+
+#[test]
+fn reads_that_have_not_begun_are_reported_as_waiting_and_states_as_memory() {
+    let hosts = Standins::start(Config::parse(HOSTS).expect("hosts"), Capture::none()).expect("stand-ins");
+    let mut link = Link::to(&hosts, "reader");
+    assert_eq!(counts(&link.load()), (0.0, 0.0));
+    let read = KvTransferParams { do_remote_decode: true, ..KvTransferParams::default() };
+    for id in ["a", "b", "c"] {
+        link.ask(id, read.clone());
+    }
+    let busy = link.load();
+    assert_eq!(counts(&busy), (1.0, 2.0), "one is read, two wait: {busy:?}");
+    assert_eq!(busy["kv_cache_usage_perc"], 0.0);
+    assert_eq!(counts(&link.done()), (1.0, 1.0), "the report beside an answer says the same");
+    assert_eq!(link.load()["kv_cache_usage_perc"], 0.1, "a state waits in its memory");
+    link.done();
+    link.done();
+    let after = link.load();
+    assert_eq!(counts(&after), (0.0, 0.0));
+    link.say(&ToEngine::Release { id: "a".into() });
+    assert!(link.load()["kv_cache_usage_perc"] < after["kv_cache_usage_perc"], "the state is let go");
+    hosts.stop();
+}
+
+#[test]
+fn a_host_that_writes_reports_its_slots_and_those_that_wait_for_one() {
+    let hosts = Standins::start(Config::parse(HOSTS).expect("hosts"), Capture::none()).expect("stand-ins");
+    let mut link = Link::to(&hosts, "mixed");
+    link.ask("a", KvTransferParams::default());
+    link.ask("b", KvTransferParams::default());
+    let busy = link.load();
+    assert_eq!((counts(&busy), busy["slots_used_perc"]), ((1.0, 1.0), 1.0));
+    link.done();
+    link.done();
+    let idle = link.load();
+    assert_eq!((counts(&idle), idle["slots_used_perc"]), ((0.0, 0.0), 0.0));
+    hosts.stop();
+}
