--- a/crates/core/src/callers.rs
+++ b/crates/core/src/callers.rs
@@ -5,7 +5,7 @@
 //! was checked, so that a record holds no token.
 
 use bitternlatch_identity::rights::{Grant, Rights, Wish};
-use bitternlatch_identity::Caller;
+use bitternlatch_identity::{Caller, Proof};
 use bitternlatch_protocol::client::{self, BadRequest, Create};
 
 use crate::machine::{log, Machine};
@@ -20,6 +20,8 @@
 pub(crate) enum Ending {
     TokenEnded,
     KeyWithdrawn,
+    CertificateEnded,
+    CertificateRevoked,
 }
 
 impl Ending {
@@ -27,6 +29,8 @@
         match self {
             Ending::TokenEnded => "token_expired",
             Ending::KeyWithdrawn => "token_key_withdrawn",
+            Ending::CertificateEnded => "certificate_expired",
+            Ending::CertificateRevoked => "certificate_revoked",
         }
     }
 }
@@ -48,12 +52,13 @@
             return Ok(None);
         }
         let caller = self.sessions.caller(session);
-        let Some(caller) = caller.filter(|c| now.0 / 1_000_000 < c.ends) else {
-            return Err(refused(401, "token_expired", "the proof of the caller has ended".into(), None));
-        };
         if let Some(ending) = self.sessions.ending(session) {
             return Err(refused(401, ending.code(), "the proof of the caller no longer counts".into(), None));
         }
+        let proofs_s = self.proofs_s(now);
+        let Some(caller) = caller.filter(|c| proofs_s < c.ends) else {
+            return Err(refused(401, "token_expired", "the proof of the caller has ended".into(), None));
+        };
         let wish = Wish {
             class,
             model: &create.model,
@@ -83,11 +88,32 @@
 
     /// A session's caller is known, or has renewed its proof.
     pub(crate) fn set_caller(&mut self, session: SessionId, caller: Caller) {
-        let ends = Micros(caller.ends.saturating_mul(1_000_000));
+        let ends = self.clock_at(caller.ends);
         self.sessions.set_caller(session, caller);
         self.timers.set(ends, Timer::Caller { session });
     }
 
+    /// Unix seconds by which proofs are judged.
+    fn proofs_s(&self, now: Micros) -> u64 {
+        now.0.saturating_add_signed(self.proofs_ahead_us) / 1_000_000
+    }
+
+    /// When the clock will show a time at which a proof ends.
+    fn clock_at(&self, ends_s: u64) -> Micros {
+        Micros(ends_s.saturating_mul(1_000_000).saturating_sub_signed(self.proofs_ahead_us))
+    }
+
+    /// The judged time has moved against the clock: ends of proofs come sooner or later than they were to.
+    pub(crate) fn on_proof_time(&mut self, now: Micros, ahead_us: i64, out: &mut Vec<Output>) {
+        let by_s = ahead_us.saturating_sub(self.proofs_ahead_us) as f64 / 1e6;
+        log(out, Level::Warn, format!("the time of proofs moves by {by_s:.1} s"));
+        self.proofs_ahead_us = ahead_us;
+        for (session, ends_s) in self.sessions.ends() {
+            self.timers.set(self.clock_at(ends_s), Timer::Caller { session });
+            self.on_caller_time(now, session);
+        }
+    }
+
     pub(crate) fn on_renewed(&mut self, session: SessionId, caller: Caller, out: &mut Vec<Output>) {
         let Some(before) = self.sessions.caller(session) else { return };
         if before.subject != caller.subject {
@@ -111,15 +137,23 @@
     pub(crate) fn on_keys_withdrawn(&mut self, ids: &[String], out: &mut Vec<Output>) {
         let hit = self.sessions.proven_by(ids);
         if !hit.is_empty() {
-            log(out, Level::Warn, format!("{} sessions end: their key is withdrawn", hit.len()));
+            log(out, Level::Warn, format!("{} sessions end: their proof is withdrawn", hit.len()));
+        }
+        for session in hit {
+            let by_certificate = self.sessions.caller(session).is_some_and(|c| c.proof == Proof::Certificate);
+            let why = if by_certificate { Ending::CertificateRevoked } else { Ending::KeyWithdrawn };
+            self.sessions.end(session, why);
         }
-        hit.into_iter().for_each(|session| self.sessions.end(session, Ending::KeyWithdrawn));
     }
 
     pub(crate) fn on_caller_time(&mut self, now: Micros, session: SessionId) {
-        if self.sessions.caller(session).is_some_and(|c| c.ends <= now.0 / 1_000_000) {
-            self.sessions.end(session, Ending::TokenEnded);
-        }
+        let proofs_s = self.proofs_s(now);
+        let why = match self.sessions.caller(session) {
+            Some(c) if c.ends <= proofs_s && c.proof == Proof::Certificate => Ending::CertificateEnded,
+            Some(c) if c.ends <= proofs_s => Ending::TokenEnded,
+            _ => return,
+        };
+        self.sessions.end(session, why);
     }
 
     /// Closes ending sessions that have nothing in hand any more.
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -65,6 +65,8 @@
     pub(crate) prompt_bytes: usize,
     pub(crate) sessions: Sessions,
     pub(crate) rights: Option<Rights>,
+    /// How far the time by which proofs are judged is ahead of the clock.
+    pub(crate) proofs_ahead_us: i64,
     pub(crate) links: Links,
     pub(crate) fleet: Fleet,
     pub(crate) keys: Keys,
@@ -95,6 +97,7 @@
             prompt_bytes: 0,
             sessions: Sessions::default(),
             rights: None,
+            proofs_ahead_us: 0,
             links: Links::default(),
             fleet: Fleet::new(&settings.zone),
             keys: Keys::new(limits.keys, limits.key_bytes, limits.key_s),
@@ -167,6 +170,7 @@
             Input::SessionRenewed { session, caller } => self.on_renewed(session, caller, out),
             Input::RenewalRefused { session, code } => self.on_renewal_refused(session, &code, out),
             Input::KeysWithdrawn(ids) => self.on_keys_withdrawn(&ids, out),
+            Input::ProofTime { ahead_us } => self.on_proof_time(now, ahead_us, out),
             Input::Rights(text) => self.on_rights(&text, out),
             Input::SessionText { session, text } => self.on_client_text(now, session, &text, out),
             Input::SessionClosed { session } => self.on_session_closed(now, session, out),
@@ -225,11 +229,11 @@
 
     pub(crate) fn dial(&mut self, now: Micros, host: ServerId, out: &mut Vec<Output>) {
         let Some(known) = self.fleet.get(host) else { return };
-        let endpoint = known.host.endpoint();
+        let (endpoint, name) = (known.host.endpoint(), known.host.name.clone());
         let link = self.links.dial(host);
         let within_s = self.settings.engines.connect_s + self.settings.engines.greet_s;
         self.timers.set(now.after(within_s), Timer::Link { host, epoch: link.epoch });
-        out.push(Output::Dial { link, endpoint });
+        out.push(Output::Dial { link, endpoint, name });
     }
 
     fn on_session(&mut self, session: SessionId, caller: Option<Caller>, out: &mut Vec<Output>) {
--- a/crates/core/src/sessions.rs
+++ b/crates/core/src/sessions.rs
@@ -49,10 +49,16 @@
     }
 
     pub(crate) fn proven_by(&self, keys: &[String]) -> Vec<SessionId> {
-        let by = |o: &Open| o.caller.as_ref().is_some_and(|c| keys.contains(&c.key_id));
+        let keys: BTreeSet<&str> = keys.iter().map(String::as_str).collect();
+        let by = |o: &Open| o.caller.as_ref().is_some_and(|c| keys.contains(c.key_id.as_str()));
         self.open.iter().filter(|(_, o)| by(o)).map(|(id, _)| *id).collect()
     }
 
+    /// When the proof of each session's caller ends, Unix seconds.
+    pub(crate) fn ends(&self) -> Vec<(SessionId, u64)> {
+        self.open.iter().filter_map(|(id, o)| Some((*id, o.caller.as_ref()?.ends))).collect()
+    }
+
     pub(crate) fn end(&mut self, session: SessionId, why: Ending) {
         if self.open.contains_key(&session) {
             self.ending.entry(session).or_insert(why);
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -79,6 +79,38 @@
     /// Messages that may wait to be written to one client; past it the session is closed.
     #[serde(default = "d::client_queue")]
     pub queue_messages: usize,
+    /// Connections whose handshake is not done; past it the oldest of the most crowded address goes.
+    #[serde(default = "d::handshakes")]
+    pub handshakes: usize,
+    pub tls: Option<ListenTls>,
+}
+
+/// TLS for clients. Files are PEM, relative to the settings file, and taken anew while serving.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenTls {
+    /// The dispatcher's own chain, and its key.
+    pub certificate: String,
+    pub key: String,
+    /// Authorities of clients' certificates.
+    pub clients: Option<String>,
+    /// Whether a client without a certificate is turned away in the handshake.
+    #[serde(default)]
+    pub clients_required: bool,
+    /// Lists of revoked client certificates (CRL).
+    #[serde(default)]
+    pub revoked: Vec<String>,
+}
+
+/// TLS for links to hosts, each of which has to prove its listed name.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EnginesTls {
+    /// Authorities of the hosts' certificates.
+    pub authorities: String,
+    /// What the dispatcher shows of itself.
+    pub certificate: Option<String>,
+    pub key: Option<String>,
 }
 
 /// The hosts' side. Times in seconds.
@@ -93,11 +125,19 @@
     /// Messages that may wait to be written to one host; past it the link is closed.
     pub queue_messages: usize,
     pub ping_s: f64,
+    pub tls: Option<EnginesTls>,
 }
 
 impl Default for Engines {
     fn default() -> Self {
-        Engines { connect_s: 1.0, greet_s: 1.0, message_bytes: 1 << 20, queue_messages: 4096, ping_s: 2.0 }
+        Engines {
+            connect_s: 1.0,
+            greet_s: 1.0,
+            message_bytes: 1 << 20,
+            queue_messages: 4096,
+            ping_s: 2.0,
+            tls: None,
+        }
     }
 }
 
@@ -115,13 +155,16 @@
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Identity {
+    /// What tokens must name; not empty where `keys` is set.
+    #[serde(default)]
     pub issuer: String,
+    #[serde(default)]
     pub audience: String,
     /// Seconds between clocks that are allowed.
     #[serde(default = "d::skew_s")]
     pub skew_s: u64,
-    /// A JWKS document: a file, or an `http://` address.
-    pub keys: String,
+    /// A JWKS document: a file, or an `http://` address. Without one no token counts, client certificates alone do.
+    pub keys: Option<String>,
     /// Where the last good document is kept for a restart.
     pub kept: Option<String>,
     pub rights: String,
@@ -357,6 +400,9 @@
     pub(super) fn handshake_s() -> f64 {
         5.0
     }
+    pub(super) fn handshakes() -> usize {
+        512
+    }
     pub(super) fn idle_s() -> f64 {
         3600.0
     }
@@ -422,6 +468,15 @@
         c.within("listen.idle_s", l.idle_s, 0.1, 1e6);
         c.within("listen.ping_s", l.ping_s, 0.05, 3600.0);
         c.within("listen.queue_messages", l.queue_messages as f64, 8.0, 1e6);
+        c.within("listen.handshakes", l.handshakes as f64, 1.0, 100_000.0);
+        if let Some(tls) = &l.tls {
+            if tls.clients.is_none() && (tls.clients_required || !tls.revoked.is_empty()) {
+                c.fail("listen.tls", "clients_required and revoked need clients".into());
+            }
+        }
+        if e.tls.as_ref().is_some_and(|t| t.certificate.is_some() != t.key.is_some()) {
+            c.fail("engines.tls", "certificate and key come together".into());
+        }
         c.within("engines.connect_s", e.connect_s, 0.01, 60.0);
         c.within("engines.greet_s", e.greet_s, 0.01, 60.0);
         c.within("engines.message_bytes", e.message_bytes as f64, 1024.0, 64.0 * 1048576.0);
@@ -429,6 +484,13 @@
         c.within("engines.ping_s", e.ping_s, 0.05, 3600.0);
         c.within("inventory.reread_s", self.inventory.reread_s, 0.01, 3600.0);
         if let Some(identity) = &self.identity {
+            if identity.keys.is_some() && (identity.issuer.is_empty() || identity.audience.is_empty()) {
+                c.fail("identity.keys", "tokens need an issuer and an audience".into());
+            }
+            let by_certificate = l.tls.as_ref().is_some_and(|t| t.clients.is_some());
+            if identity.keys.is_none() && !by_certificate {
+                c.fail("identity", "neither keys of tokens nor listen.tls.clients: nobody could call".into());
+            }
             c.within("identity.skew_s", identity.skew_s as f64, 0.0, 600.0);
             c.within("identity.refresh_s", identity.refresh_s, 0.05, 86_400.0);
             c.within("identity.keep_s", identity.keep_s, 1.0, 1e7);
--- a/crates/core/src/types.rs
+++ b/crates/core/src/types.rs
@@ -63,8 +63,12 @@
         session: SessionId,
         code: String,
     },
-    /// Keys that counted and do so no more.
+    /// Keys and certificates that counted and do so no more.
     KeysWithdrawn(Vec<String>),
+    /// How far the time by which proofs are judged is ahead of the machine's clock, which never jumps.
+    ProofTime {
+        ahead_us: i64,
+    },
     /// The rights that count from now on (TOML).
     Rights(String),
     SessionText {
@@ -128,6 +132,9 @@
     Dial {
         link: LinkId,
         endpoint: String,
+        /// Its listed name, to be proven where links are secured.
+        #[serde(default)]
+        name: String,
     },
     /// One text message to a host.
     Tell {
--- a/crates/core/tests/callers.rs
+++ b/crates/core/tests/callers.rs
@@ -2,7 +2,7 @@
 mod common;
 
 use bitternlatch_core::{Input, Output, SessionId, Settings};
-use bitternlatch_identity::Caller;
+use bitternlatch_identity::{Caller, Proof};
 use common::{four, Bench, SETTINGS, START_US};
 use serde_json::json;
 
@@ -39,7 +39,7 @@
 
 fn caller(subject: &str, group: &str, key_id: &str, ends: u64) -> Caller {
     let (subject, key_id) = (subject.to_string(), key_id.to_string());
-    Caller { subject, groups: vec![group.to_string()], key_id, token_id: None, ends }
+    Caller { subject, groups: vec![group.to_string()], key_id, token_id: None, ends, proof: Proof::Token }
 }
 
 fn open(bench: &mut Bench, session: u64, subject: &str, group: &str) -> SessionId {
--- a/crates/identity/src/token.rs
+++ b/crates/identity/src/token.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 
 use crate::keys::KeySet;
-use crate::{strict, Caller};
+use crate::{strict, Caller, Proof, CERTIFICATE_SUBJECT};
 
 /// Longest token, bytes; checked before anything is parsed.
 pub const TOKEN_BYTES: usize = 8 * 1024;
@@ -177,6 +177,9 @@
     if claims.sub.is_empty() || long(&claims.sub) || claims.jti.as_ref().is_some_and(long) {
         return Err(Refusal::Malformed("its subject or id"));
     }
+    if claims.sub.starts_with(CERTIFICATE_SUBJECT) {
+        return Err(Refusal::Malformed("its subject, which is a certificate's"));
+    }
     if claims.groups.len() > GROUPS_MOST || claims.groups.iter().any(long) {
         return Err(Refusal::Malformed("its groups"));
     }
@@ -192,5 +195,6 @@
         key_id,
         token_id: claims.jti,
         ends: claims.exp.saturating_add(rules.skew_s),
+        proof: Proof::Token,
     })
 }
--- a/crates/identity/tests/keeper.rs
+++ b/crates/identity/tests/keeper.rs
@@ -2,7 +2,7 @@
 
 use bitternlatch_identity::keeper::{Keeper, KeeperRules, Taken};
 use bitternlatch_identity::rights::{Denial, Rights, Wish};
-use bitternlatch_identity::Caller;
+use bitternlatch_identity::{Caller, Proof};
 
 fn document(ids: &[&str]) -> Vec<u8> {
     // Two points of Ed25519 that are public keys of nobody in particular.
@@ -129,7 +129,14 @@
 
 fn caller(subject: &str, groups: &[&str]) -> Caller {
     let groups = groups.iter().map(|g| g.to_string()).collect();
-    Caller { subject: subject.into(), groups, key_id: "k".into(), token_id: None, ends: 0 }
+    Caller {
+        subject: subject.into(),
+        groups,
+        key_id: "k".into(),
+        token_id: None,
+        ends: 0,
+        proof: Proof::Token,
+    }
 }
 
 #[test]
--- a/crates/net/src/accept.rs
+++ b/crates/net/src/accept.rs
@@ -1,24 +1,33 @@
 //! Accepts connections: an upgrade becomes a session, any other request gets a short answer.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use bitternlatch_door::{Handshakes, Visitor};
 use bitternlatch_identity::Caller;
 use tungstenite::protocol::Role;
 
 use crate::http;
 use crate::socket::{self, Heard, Limits, Outbox, READER_STACK};
+use crate::tls;
+use crate::wire::Wire;
 
 /// What is done with connections. Called from each connection's own thread.
 pub trait Handler: Send + Sync + 'static {
-    /// Whose a connection is, by its `Authorization` header; called before the upgrade is answered.
+    /// Whose a connection is, by its `Authorization` header and the certificate that it has proven; called before the
+    /// upgrade is answered.
     ///
     /// # Errors
     /// Status and text of the answer to one that is not let in.
-    fn admit(&self, _authorization: Option<&str>) -> Result<Option<Caller>, (u16, String)> {
+    fn admit(
+        &self,
+        _authorization: Option<&str>,
+        _certificate: Option<&[u8]>,
+    ) -> Result<Option<Caller>, (u16, String)> {
         Ok(None)
     }
     fn opened(&self, connection: u64, outbox: Outbox, caller: Option<Caller>);
@@ -29,15 +38,25 @@
 }
 
 /// Bounds of one listener.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Door {
     /// Connections at once, handshakes included.
     pub connections: usize,
     /// Longest time from the accept to the upgrade.
     pub handshake: Duration,
+    /// Handshakes at once; past it the oldest of the most crowded address is cut.
+    pub handshakes: usize,
+    pub tls: Option<Arc<tls::Server>>,
     pub socket: Limits,
 }
 
+impl Door {
+    /// Without TLS, and with no bound of its own on handshakes.
+    pub fn plain(connections: usize, handshake: Duration, socket: Limits) -> Door {
+        Door { connections, handshake, handshakes: connections, tls: None, socket }
+    }
+}
+
 /// A listener at work.
 pub struct Acceptor {
     address: SocketAddr,
@@ -74,13 +93,14 @@
 fn accept_loop(listener: &TcpListener, door: &Door, handler: &Arc<dyn Handler>, ending: &AtomicBool) {
     let count = Arc::new(AtomicUsize::new(0));
     let next = Arc::new(AtomicU64::new(1));
+    let room = Arc::new(Room::new(door.handshakes));
     loop {
         let accepted = listener.accept();
         if ending.load(Ordering::SeqCst) {
             return;
         }
-        let mut stream = match accepted {
-            Ok((stream, _)) => stream,
+        let (stream, address) = match accepted {
+            Ok(accepted) => accepted,
             Err(e) => {
                 tracing::warn!(error = %e, "a connection could not be accepted");
                 // Out of descriptors: closing sessions give some back; without a pause this would spin.
@@ -89,54 +109,123 @@
             }
         };
         if count.load(Ordering::SeqCst) >= door.connections {
-            http::answer(&mut stream, 503, "as many connections as there may be; come back later\n");
+            if door.tls.is_none() {
+                http::answer(&stream.into(), 503, "as many connections as there may be; come back later\n");
+            }
             continue;
         }
+        let Ok(handle) = stream.try_clone() else {
+            tracing::warn!("no descriptor for a connection's handshake");
+            continue;
+        };
         count.fetch_add(1, Ordering::SeqCst);
+        let visitor = room.enter(address, handle);
         let (door, handler, held, next) =
             (door.clone(), Arc::clone(handler), Arc::clone(&count), Arc::clone(&next));
+        let waits = Arc::clone(&room);
         let serve = move || {
-            serve(stream, &door, &*handler, &next);
+            serve(stream, &door, &*handler, &next, &|| waits.leave(visitor));
+            waits.leave(visitor);
             held.fetch_sub(1, Ordering::SeqCst);
         };
         let thread = std::thread::Builder::new().stack_size(READER_STACK).name("ws-read".into());
         if let Err(e) = thread.spawn(serve) {
             count.fetch_sub(1, Ordering::SeqCst);
+            room.leave(visitor);
             tracing::warn!(error = %e, "no thread for a connection");
         }
     }
 }
 
-fn serve(mut stream: TcpStream, door: &Door, handler: &dyn Handler, next: &AtomicU64) {
+/// Connections in their handshake, and how to cut them.
+struct Room {
+    inside: Mutex<(Handshakes, BTreeMap<Visitor, TcpStream>)>,
+}
+
+impl Room {
+    fn new(most: usize) -> Room {
+        Room { inside: Mutex::new((Handshakes::new(most), BTreeMap::new())) }
+    }
+
+    fn enter(&self, address: SocketAddr, handle: TcpStream) -> Visitor {
+        let mut inside = self.inside.lock().unwrap_or_else(PoisonError::into_inner);
+        let (visitor, gone) = inside.0.enter(address.ip());
+        if let Some(stream) = gone.and_then(|g| inside.1.remove(&g)) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+            let sent_away = inside.0.sent_away();
+            if sent_away.is_power_of_two() {
+                tracing::warn!(sent_away, "handshakes are cut: more at once than may be");
+            }
+        }
+        inside.1.insert(visitor, handle);
+        visitor
+    }
+
+    fn leave(&self, visitor: Visitor) {
+        let mut inside = self.inside.lock().unwrap_or_else(PoisonError::into_inner);
+        inside.0.leave(visitor);
+        inside.1.remove(&visitor);
+    }
+}
+
+/// The handshakes of one connection: TLS where it is asked for, then the upgrade. `None` where there is no session.
+fn greet(stream: TcpStream, door: &Door, handler: &dyn Handler) -> Option<(Wire, Vec<u8>, Option<Caller>)> {
     let deadline = Instant::now() + door.handshake;
-    let head = match http::read_request(&mut stream, deadline) {
+    let wire = match &door.tls {
+        None => Wire::from(stream),
+        Some(tls) => match Wire::accept(stream, tls.config(), deadline) {
+            Ok(wire) => wire,
+            Err(e) => {
+                tracing::info!(error = %e, "a TLS handshake has failed");
+                return None;
+            }
+        },
+    };
+    let refuse = |status, why: &str| {
+        http::answer(&wire, status, why);
+        wire.finish();
+    };
+    let head = match http::read_request(&wire, deadline) {
         Ok(head) => head,
         Err(e) => {
             if e.kind() == io::ErrorKind::InvalidData {
-                http::answer(&mut stream, 400, &format!("{e}\n"));
+                refuse(400, &format!("{e}\n"));
             }
-            return;
+            return None;
         }
     };
     let reply = match head.upgrade() {
         Some(Ok(reply)) => reply,
-        Some(Err((status, why))) => return http::answer(&mut stream, status, &format!("{why}\n")),
+        Some(Err((status, why))) => {
+            refuse(status, &format!("{why}\n"));
+            return None;
+        }
         None if head.method == "GET" => {
             let (status, body) = handler.plain(&head.path);
-            return http::answer(&mut stream, status, &body);
+            refuse(status, &body);
+            return None;
+        }
+        None => {
+            refuse(405, "only GET is served here\n");
+            return None;
         }
-        None => return http::answer(&mut stream, 405, "only GET is served here\n"),
     };
-    let caller = match handler.admit(head.header("authorization")) {
+    let caller = match handler.admit(head.header("authorization"), wire.peer_certificate().as_deref()) {
         Ok(caller) => caller,
-        Err((status, why)) => return http::answer(&mut stream, status, &format!("{why}\n")),
+        Err((status, why)) => {
+            refuse(status, &format!("{why}\n"));
+            return None;
+        }
     };
-    let _ = stream.set_write_timeout(Some(door.handshake));
-    if io::Write::write_all(&mut stream, reply.as_bytes()).is_err() {
-        return;
-    }
-    let Ok((mut reader, outbox)) = socket::start(stream, head.left, Role::Server, door.socket.clone(), None)
-    else {
+    let _ = wire.set_write_timeout(Some(door.handshake));
+    wire.send(reply.as_bytes()).ok()?;
+    Some((wire, head.left, caller))
+}
+
+fn serve(stream: TcpStream, door: &Door, handler: &dyn Handler, next: &AtomicU64, greeted: &dyn Fn()) {
+    let Some((wire, left, caller)) = greet(stream, door, handler) else { return };
+    greeted();
+    let Ok((mut reader, outbox)) = socket::start(wire, left, Role::Server, door.socket.clone(), None) else {
         return tracing::warn!("no thread to write to a connection");
     };
     let connection = next.fetch_add(1, Ordering::SeqCst);
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -16,9 +16,10 @@
 
 use crate::accept::Handler;
 use crate::clock::Clock;
-use crate::dial::dial;
+use crate::dial::{dial_as, Manner};
 use crate::guard::Guard;
 use crate::socket::{writers, Heard, Limits, Outbox, READER_STACK};
+use crate::tls;
 
 /// Events that may wait for the loop; a thread that has more waits itself, and its socket with it.
 const EVENTS: usize = 16 * 1024;
@@ -57,22 +58,38 @@
 }
 
 impl Handler for Front {
-    fn admit(&self, authorization: Option<&str>) -> Result<Option<Caller>, (u16, String)> {
+    fn admit(
+        &self,
+        authorization: Option<&str>,
+        certificate: Option<&[u8]>,
+    ) -> Result<Option<Caller>, (u16, String)> {
         let Some(guard) = &self.guard else { return Ok(None) };
         let bearer = |a: &str| {
             a.get(..7).filter(|s| s.eq_ignore_ascii_case("bearer ")).map(|_| a[7..].trim().to_string())
         };
-        let Some(token) = authorization.and_then(bearer) else {
-            return Err((401, "token_missing: a bearer token is expected".to_string()));
+        let refused = |code: &str, why: String| {
+            tracing::info!(code, why, "a caller is not let in");
+            (401, format!("{code}: {why}"))
         };
-        guard.check(&token).map(Some).map_err(|refusal| {
-            tracing::info!(code = refusal.code(), why = %refusal, "a caller is not let in");
-            (401, format!("{}: {refusal}", refusal.code()))
-        })
+        // A token says who calls even where the connection is another's, as a gateway's is.
+        match (authorization.and_then(bearer), certificate) {
+            (Some(token), _) => guard.check(&token).map(Some).map_err(|r| refused(r.code(), r.to_string())),
+            (None, Some(der)) => {
+                guard.check_certificate(der).map(Some).map_err(|r| refused(r.code(), r.to_string()))
+            }
+            (None, None) => Err((401, "token_missing: a bearer token is expected".to_string())),
+        }
     }
 
     fn opened(&self, connection: u64, outbox: Outbox, caller: Option<Caller>) {
+        let proof = caller.clone();
         self.tell(Event::Session(SessionId(connection), outbox, caller));
+        // What was withdrawn between the check and this moment was told before the session was known.
+        if let (Some(guard), Some(caller)) = (&self.guard, proof) {
+            if !guard.counts(&caller) {
+                self.tell(Event::Input(Input::KeysWithdrawn(vec![caller.key_id])));
+            }
+        }
     }
 
     fn text(&self, connection: u64, text: String) {
@@ -116,6 +133,7 @@
     machine: Machine,
     clock: Clock,
     engines: Engines,
+    tls: Option<Arc<tls::Client>>,
     events: Receiver<Event>,
     back: Sender<Event>,
     sessions: HashMap<SessionId, Outbox>,
@@ -136,6 +154,7 @@
     ) -> Self {
         Driver {
             engines: settings.engines.clone(),
+            tls: None,
             machine: Machine::new(settings, seed),
             clock: Clock::start(),
             events,
@@ -149,6 +168,11 @@
         }
     }
 
+    /// Secures the links to hosts.
+    pub fn secure(&mut self, tls: Arc<tls::Client>) {
+        self.tls = Some(tls);
+    }
+
     /// Records every step from now on.
     pub fn record(&mut self, recorder: Recorder) {
         self.recorder = Some(recorder);
@@ -236,7 +260,7 @@
                     outbox.close(code, &reason);
                 }
             }
-            Output::Dial { link, endpoint } => self.dial(link, endpoint),
+            Output::Dial { link, endpoint, name } => self.dial(link, endpoint, name),
             Output::Tell { link, text, stale } => self.tell(link, text, stale),
             Output::Hang { link } => {
                 if let Some(outbox) = self.links.get(&link) {
@@ -271,10 +295,12 @@
     }
 
     /// Dials from a thread of the link's own, which then reads it.
-    fn dial(&mut self, link: LinkId, endpoint: String) {
+    fn dial(&mut self, link: LinkId, endpoint: String, name: String) {
+        let tls = self.tls.as_ref().map(|tls| (tls.config(), name));
+        let manner = Manner { token: None, tls };
         let (back, engines) = (self.back.clone(), self.engines.clone());
         let thread = std::thread::Builder::new().stack_size(READER_STACK).name("link".into());
-        if let Err(e) = thread.spawn(move || run_link(link, &endpoint, &engines, &back)) {
+        if let Err(e) = thread.spawn(move || run_link(link, &endpoint, &manner, &engines, &back)) {
             self.own.push_back(Input::LinkFailed { link, why: format!("no thread: {e}") });
         }
     }
@@ -296,7 +322,7 @@
     }
 }
 
-fn run_link(link: LinkId, endpoint: &str, engines: &Engines, back: &Sender<Event>) {
+fn run_link(link: LinkId, endpoint: &str, manner: &Manner, engines: &Engines, back: &Sender<Event>) {
     let limits = Limits {
         message_bytes: engines.message_bytes,
         queue: engines.queue_messages,
@@ -309,7 +335,7 @@
         let _ = unsent_to.send(Event::Input(Input::LinkUnsent { link, attempt }));
     });
     let within = Duration::from_secs_f64(engines.connect_s);
-    let mut reader = match dial(endpoint, "/v1/engine", within, limits, Some(unsent)) {
+    let mut reader = match dial_as(endpoint, "/v1/engine", manner, within, limits, Some(unsent)) {
         Ok((reader, outbox)) => {
             if back.send(Event::Link(link, outbox)).is_err() {
                 return;
--- a/crates/net/src/guard.rs
+++ b/crates/net/src/guard.rs
@@ -1,4 +1,4 @@
-//! Keeps the keys and the rights fresh, and checks tokens for the threads that accept.
+//! Keeps the keys, the rights and the judged time fresh, and checks proofs for the threads that accept.
 
 use std::io;
 use std::path::{Path, PathBuf};
@@ -7,15 +7,19 @@
 
 use bitternlatch_core::settings::Identity;
 use bitternlatch_core::Input;
+use bitternlatch_identity::certificates::{caller_of, BadCertificate};
 use bitternlatch_identity::keeper::{Keeper, KeeperRules, Taken};
 use bitternlatch_identity::keys::{KeySet, DOCUMENT_BYTES};
 use bitternlatch_identity::rights::Rights;
+use bitternlatch_identity::time::JudgedTime;
 use bitternlatch_identity::token::{check, key_id, Refusal, TokenRules};
-use bitternlatch_identity::Caller;
+use bitternlatch_identity::{Caller, Proof};
 use crossbeam_channel::Sender;
 
+use crate::clock::Clock;
+use crate::dial::{get, Manner};
 use crate::driver::Event;
-use crate::http;
+use crate::tls;
 
 /// Longest time for one fetch of keys.
 const FETCH: Duration = Duration::from_secs(2);
@@ -24,19 +28,42 @@
 /// Longest rights file, bytes.
 const RIGHTS_BYTES: u64 = 1 << 20;
 
-fn unix() -> f64 {
+/// The wall clock, Unix seconds.
+pub fn unix() -> f64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64()
 }
 
-/// Checks tokens against the keys in force.
+/// A wall clock: Unix seconds. It may jump.
+pub type Wall = Arc<dyn Fn() -> f64 + Send + Sync>;
+
+/// Checks proofs against the keys and lists in force.
 pub struct Guard {
     rules: TokenRules,
+    /// Lives by a clock that never jumps.
     keeper: Mutex<Keeper>,
+    time: Mutex<JudgedTime>,
+    clock: Clock,
+    wall: Wall,
+    certificates: Option<Arc<tls::Server>>,
+}
+
+fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Guard {
     fn keeper(&self) -> MutexGuard<'_, Keeper> {
-        self.keeper.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.keeper)
+    }
+
+    /// Seconds of the steady clock.
+    fn steady(&self) -> f64 {
+        self.clock.now().seconds()
+    }
+
+    /// Unix seconds by which proofs are judged.
+    fn now(&self) -> u64 {
+        lock(&self.time).now(self.steady()) as u64
     }
 
     /// Whose a token is.
@@ -44,18 +71,41 @@
     /// # Errors
     /// The [`Refusal`]; without any key in force all keys are unknown.
     pub fn check(&self, token: &str) -> Result<Caller, Refusal> {
-        let now = unix();
+        let steady = self.steady();
         // The lock is held to share the set alone, not for the signature.
-        let set = self.keeper().set(now).cloned();
+        let set = self.keeper().set(steady).cloned();
         let checked = match &set {
-            Some(set) => check(token, set, &self.rules, now as u64),
+            Some(set) => check(token, set, &self.rules, self.now()),
             None => Err(Refusal::UnknownKey(key_id(token).unwrap_or_default())),
         };
         if let Err(Refusal::UnknownKey(id)) = &checked {
-            self.keeper().unknown_key(now, id);
+            self.keeper().unknown_key(steady, id);
         }
         checked
     }
+
+    /// Whose a certificate is that the connection's handshake has proven.
+    ///
+    /// # Errors
+    /// As [`caller_of`], and one that is revoked.
+    pub fn check_certificate(&self, der: &[u8]) -> Result<Caller, BadCertificate> {
+        let caller = caller_of(der, self.now())?;
+        match self.counts(&caller) {
+            true => Ok(caller),
+            false => Err(BadCertificate::Revoked),
+        }
+    }
+
+    /// Whether what proved a caller still counts.
+    pub fn counts(&self, caller: &Caller) -> bool {
+        match caller.proof {
+            Proof::Certificate => !self.certificates.as_ref().is_some_and(|s| s.revoked(&caller.key_id)),
+            Proof::Token => {
+                let set = self.keeper().set(self.steady()).cloned();
+                set.is_some_and(|s| s.counts(&caller.key_id, self.now(), self.rules.skew_s))
+            }
+        }
+    }
 }
 
 /// Reads the rights, starts the thread that keeps keys and rights, and tells the loop the first rights. The last good
@@ -63,17 +113,25 @@
 ///
 /// # Errors
 /// Rights that cannot be read or are wrong, with file and cause; a thread that the system does not give.
-pub fn start(identity: &Identity, base: &Path, to: Sender<Event>) -> Result<Arc<Guard>, String> {
+pub fn start(
+    identity: &Identity,
+    base: &Path,
+    certificates: Option<Arc<tls::Server>>,
+    wall: Wall,
+    to: Sender<Event>,
+) -> Result<Arc<Guard>, String> {
     let beside = |file: &str| base.join(file);
     let rights_file = beside(&identity.rights);
     let rights = read_rights(&rights_file)?;
     to.send(Event::Input(Input::Rights(rights.clone()))).map_err(|e| e.to_string())?;
     let rules =
         KeeperRules { refresh_s: identity.refresh_s, keep_s: identity.keep_s, ..KeeperRules::default() };
-    let mut keeper = Keeper::new(rules, unix());
+    let clock = Clock::start();
+    let steady = clock.now().seconds();
+    let mut keeper = Keeper::new(rules, steady);
     let kept = identity.kept.as_deref().map(beside);
     if let Some(path) = &kept {
-        restore(&mut keeper, path);
+        restore(&mut keeper, steady, path);
     }
     let guard = Arc::new(Guard {
         rules: TokenRules {
@@ -82,13 +140,18 @@
             skew_s: identity.skew_s,
         },
         keeper: Mutex::new(keeper),
+        time: Mutex::new(JudgedTime::new(steady, wall())),
+        clock,
+        wall,
+        certificates,
     });
-    let source = match identity.keys.strip_prefix("http://") {
+    let source = identity.keys.as_deref().map(|keys| match keys.strip_prefix("http://") {
         Some(rest) => Source::Address(rest.to_string()),
-        None => Source::File(beside(&identity.keys)),
-    };
+        None => Source::File(beside(keys)),
+    });
+    let (counted, told_us) = (Vec::new(), 0);
     let mut watch =
-        Watch { guard: Arc::clone(&guard), source, kept, rights_file, rights, counted: Vec::new(), to };
+        Watch { guard: Arc::clone(&guard), source, kept, rights_file, rights, counted, told_us, to };
     watch.look();
     let run = move || loop {
         std::thread::sleep(LOOK);
@@ -113,11 +176,11 @@
 }
 
 /// The kept document counts by its file's age.
-fn restore(keeper: &mut Keeper, path: &Path) {
+fn restore(keeper: &mut Keeper, steady: f64, path: &Path) {
     let age = |m: std::fs::Metadata| m.modified().ok().and_then(|t| t.elapsed().ok());
     let age_s = std::fs::metadata(path).ok().and_then(age).map_or(0.0, |a| a.as_secs_f64());
     let Ok(document) = std::fs::read(path) else { return };
-    match keeper.restore(unix(), &document, age_s) {
+    match keeper.restore(steady, &document, age_s) {
         Ok(()) => tracing::info!(age_s, "the last good keys are taken from disk"),
         Err(e) => tracing::error!(error = %e, file = %path.display(), "the kept keys cannot be used"),
     }
@@ -135,7 +198,7 @@
             Source::File(path) => std::fs::read(path),
             Source::Address(rest) => {
                 let (endpoint, path) = rest.split_once('/').unwrap_or((rest, ""));
-                http::get(endpoint, &format!("/{path}"), FETCH, DOCUMENT_BYTES)
+                get(endpoint, &format!("/{path}"), &Manner::default(), FETCH, DOCUMENT_BYTES)
             }
         }
     }
@@ -143,29 +206,56 @@
 
 struct Watch {
     guard: Arc<Guard>,
-    source: Source,
+    /// Where keys come from, if tokens count at all.
+    source: Option<Source>,
     kept: Option<PathBuf>,
     rights_file: PathBuf,
     /// The text in force.
     rights: String,
     /// Keys that counted at the last look.
     counted: Vec<String>,
+    /// How far the judged time is ahead of the steady clock, as the loop was told.
+    told_us: i64,
     to: Sender<Event>,
 }
 
 impl Watch {
     fn look(&mut self) {
-        let now = unix();
-        if self.guard.keeper().fetch_due(now) {
+        self.look_at_clocks();
+        let due = self.source.is_some() && self.guard.keeper().fetch_due(self.guard.steady());
+        if due {
             self.fetch();
         }
         self.look_at_keys();
         self.look_at_rights();
     }
 
+    /// Follows the wall clock where it may be followed, and tells the loop.
+    fn look_at_clocks(&mut self) {
+        let steady = self.guard.steady();
+        let ahead_s = {
+            let mut time = lock(&self.guard.time);
+            let doubted = time.doubts();
+            let stepped = time.look(steady, (self.guard.wall)());
+            if let Some(stepped) = stepped {
+                tracing::warn!(by_s = stepped.by_s, "the clock has jumped and stayed; it is followed");
+            } else if time.doubts() && !doubted {
+                tracing::warn!("the clock has jumped; proofs are judged as before while it may jump back");
+            }
+            time.now(steady) - steady
+        };
+        let ahead_us = (ahead_s * 1e6) as i64;
+        // Less than this is the time between two readings of the clocks.
+        if (ahead_us - self.told_us).abs() >= 1_000_000 {
+            self.told_us = ahead_us;
+            let _ = self.to.send(Event::Input(Input::ProofTime { ahead_us }));
+        }
+    }
+
     fn fetch(&mut self) {
-        let came = self.source.fetch();
-        let (now, chance) = (unix(), chance());
+        let Some(source) = &self.source else { return };
+        let came = source.fetch();
+        let (now, chance) = (self.guard.steady(), chance());
         match came {
             Err(e) => {
                 let pause_s = self.guard.keeper().failed(now, chance);
@@ -196,12 +286,12 @@
 
     /// Tells the loop of keys that counted at the last look and do not now, whatever the cause.
     fn look_at_keys(&mut self) {
-        let now = unix();
+        let now = self.guard.now();
         let skew_s = self.guard.rules.skew_s;
         let counts = |set: &Arc<KeySet>| -> Vec<String> {
-            set.ids().filter(|id| set.counts(id, now as u64, skew_s)).map(str::to_string).collect()
+            set.ids().filter(|id| set.counts(id, now, skew_s)).map(str::to_string).collect()
         };
-        let counting = self.guard.keeper().set(now).map(counts).unwrap_or_default();
+        let counting = self.guard.keeper().set(self.guard.steady()).map(counts).unwrap_or_default();
         let gone: Vec<String> = self.counted.iter().filter(|id| !counting.contains(id)).cloned().collect();
         self.counted = counting;
         if !gone.is_empty() {
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -1,11 +1,12 @@
 //! The little HTTP that stands beside the sessions: heads read within a bound of bytes and time, and short answers.
 
-use std::io::{self, Read, Write};
-use std::net::TcpStream;
+use std::io;
 use std::time::{Duration, Instant};
 
 use tungstenite::handshake::derive_accept_key;
 
+use crate::wire::Wire;
+
 /// Longest head, bytes.
 const HEAD_BYTES: usize = 16 * 1024;
 const HEADERS: usize = 64;
@@ -61,7 +62,7 @@
 
 /// Reads until `parse` has found the head's end, within the bounds.
 fn read_head<T>(
-    stream: &mut TcpStream,
+    stream: &Wire,
     deadline: Instant,
     parse: impl Fn(&[u8]) -> Result<Option<(T, usize)>, httparse::Error>,
 ) -> io::Result<(T, Vec<u8>)> {
@@ -79,7 +80,7 @@
         }
         stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
         let mut chunk = [0; 1024];
-        match stream.read(&mut chunk)? {
+        match stream.receive(&mut chunk)? {
             0 => return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "closed before a whole HTTP head")),
             n => data.extend_from_slice(&chunk[..n]),
         }
@@ -94,7 +95,7 @@
 ///
 /// # Errors
 /// Broken, too long or too late heads, and streams that end.
-pub(crate) fn read_request(stream: &mut TcpStream, deadline: Instant) -> io::Result<Head> {
+pub(crate) fn read_request(stream: &Wire, deadline: Instant) -> io::Result<Head> {
     let (mut head, left) = read_head(stream, deadline, |data| {
         let mut slots = [httparse::EMPTY_HEADER; HEADERS];
         let mut request = httparse::Request::new(&mut slots);
@@ -116,7 +117,7 @@
 /// # Errors
 /// An answer other than a right 101, and all that [`read_request`] may meet.
 pub(crate) fn ask_upgrade(
-    stream: &mut TcpStream,
+    stream: &Wire,
     host: &str,
     path: &str,
     token: Option<&str>,
@@ -133,7 +134,7 @@
         "GET {path} HTTP/1.1\r\nHost: {host}\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n\
          Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: {key}\r\n{proof}\r\n"
     );
-    stream.write_all(ask.as_bytes())?;
+    stream.send(ask.as_bytes())?;
     let ((code, accept), left) = read_head(stream, deadline, |data| {
         let mut slots = [httparse::EMPTY_HEADER; HEADERS];
         let mut response = httparse::Response::new(&mut slots);
@@ -153,7 +154,7 @@
 }
 
 /// Writes a short answer and gives the peer a moment to read it.
-pub(crate) fn answer(stream: &mut TcpStream, status: u16, body: &str) {
+pub(crate) fn answer(stream: &Wire, status: u16, body: &str) {
     let reason = match status {
         200 => "OK",
         400 => "Bad Request",
@@ -171,29 +172,30 @@
         _ => "",
     };
     let _ = stream.set_write_timeout(Some(Duration::from_secs(1)));
-    // A peer that has gone needs no answer.
-    let _ = write!(
-        stream,
+    let text = format!(
         "HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n{extra}Connection: close\r\n\r\n{body}",
         body.len()
     );
+    // A peer that has gone needs no answer.
+    let _ = stream.send(text.as_bytes());
 }
 
-/// A plain GET within a time and a bound of bytes; gives the body.
+/// A plain GET over an open connection; gives the body.
 ///
 /// # Errors
 /// As the socket's; an answer other than 200; a body that is too long or ends early.
-pub(crate) fn get(endpoint: &str, path: &str, within: Duration, most: usize) -> io::Result<Vec<u8>> {
-    let deadline = Instant::now() + within;
-    let unknown = || io::Error::new(io::ErrorKind::NotFound, format!("'{endpoint}' has no address"));
-    let address = std::net::ToSocketAddrs::to_socket_addrs(endpoint)?.next().ok_or_else(unknown)?;
-    let mut stream = TcpStream::connect_timeout(&address, within)?;
-    stream.set_write_timeout(Some(within))?;
+pub(crate) fn get(
+    stream: &Wire,
+    host: &str,
+    path: &str,
+    deadline: Instant,
+    most: usize,
+) -> io::Result<Vec<u8>> {
+    let left = deadline.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+    stream.set_write_timeout(Some(left))?;
     // In one write: a server that answers what it has read so far and hangs up would break a second one.
-    stream.write_all(
-        format!("GET {path} HTTP/1.1\r\nHost: {endpoint}\r\nConnection: close\r\n\r\n").as_bytes(),
-    )?;
-    let ((code, length), mut body) = read_head(&mut stream, deadline, |data| {
+    stream.send(format!("GET {path} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n").as_bytes())?;
+    let ((code, length), mut body) = read_head(stream, deadline, |data| {
         let mut slots = [httparse::EMPTY_HEADER; HEADERS];
         let mut response = httparse::Response::new(&mut slots);
         Ok(match response.parse(data)? {
@@ -216,7 +218,7 @@
             return Err(io::Error::new(io::ErrorKind::TimedOut, "no whole body in time"));
         }
         stream.set_read_timeout(Some(left))?;
-        match stream.read(&mut chunk)? {
+        match stream.receive(&mut chunk)? {
             0 if length.is_some() => return Err(fault("the body ends early")),
             0 => break,
             n => body.extend_from_slice(&chunk[..n]),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -12,4 +12,6 @@
 mod http;
 pub mod logs;
 pub mod socket;
+pub mod tls;
 pub mod watch;
+pub mod wire;
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -4,7 +4,6 @@
 //! every write on to the writing thread as whole bytes, so that its pongs and closes never cut into a data frame.
 
 use std::io::{self, Read, Write};
-use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -17,6 +16,8 @@
 use tungstenite::protocol::{Role, WebSocketConfig};
 use tungstenite::{Error, Message, WebSocket};
 
+use crate::wire::{is_wait, Wire};
+
 /// Stacks of a socket's two threads, bytes. A reader also parses what it reads.
 pub const READER_STACK: usize = 128 * 1024;
 pub const WRITER_STACK: usize = 64 * 1024;
@@ -84,7 +85,7 @@
 #[derive(Clone)]
 pub struct Outbox {
     queue: Queue,
-    stream: Arc<TcpStream>,
+    wire: Arc<Wire>,
     started: Instant,
     last_ms: Arc<AtomicU64>,
 }
@@ -124,8 +125,7 @@
 
     /// Ends the socket at once.
     pub fn cut(&self) {
-        // An error means that it has ended already.
-        let _ = self.stream.shutdown(Shutdown::Both);
+        self.wire.cut();
     }
 }
 
@@ -139,14 +139,20 @@
 
 /// The stream that `tungstenite` is given.
 struct Duplex {
-    stream: Arc<TcpStream>,
+    wire: Arc<Wire>,
     queue: Queue,
     pending: Vec<u8>,
 }
 
 impl Read for Duplex {
     fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
-        (&*self.stream).read(buf)
+        let got = self.wire.receive(buf);
+        if self.wire.wants_write() {
+            // Nothing to add: the writing thread takes along what the session has to say.
+            let nudge = Letter { body: Body::Raw(Vec::new()), stale: None };
+            let _ = self.queue.put(nudge);
+        }
+        got
     }
 }
 
@@ -180,27 +186,27 @@
 /// # Errors
 /// Where the system gives no thread or refuses the stream's options.
 pub fn start(
-    stream: TcpStream,
+    wire: impl Into<Wire>,
     left: Vec<u8>,
     role: Role,
     limits: Limits,
     unsent: Option<Unsent>,
 ) -> io::Result<(Reader, Outbox)> {
-    stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(limits.ping))?;
-    stream.set_write_timeout(None)?;
-    let stream = Arc::new(stream);
+    let wire = Arc::new(wire.into());
+    wire.set_nodelay()?;
+    wire.set_read_timeout(Some(limits.ping))?;
+    wire.set_write_timeout(None)?;
     let (letters_to, letters) = unbounded();
     let waiting = Arc::new(AtomicUsize::new(0));
     let queue = Queue { letters: letters_to, waiting: Arc::clone(&waiting), most: limits.queue };
     let outbox = Outbox {
         queue: queue.clone(),
-        stream: Arc::clone(&stream),
+        wire: Arc::clone(&wire),
         started: Instant::now(),
         last_ms: Arc::new(AtomicU64::new(0)),
     };
     let writer = Writer {
-        stream: Arc::clone(&stream),
+        wire: Arc::clone(&wire),
         letters,
         waiting,
         mask: (role == Role::Client).then(mask_source),
@@ -221,7 +227,7 @@
         .write_buffer_size(0)
         .max_message_size(Some(limits.message_bytes))
         .max_frame_size(Some(limits.message_bytes));
-    let duplex = Duplex { stream, queue, pending: Vec::new() };
+    let duplex = Duplex { wire, queue, pending: Vec::new() };
     let socket = WebSocket::from_partially_read(duplex, left, role, Some(config));
     Ok((Reader { socket, outbox: outbox.clone(), limits, heard: Instant::now(), silent: 0 }, outbox))
 }
@@ -292,10 +298,6 @@
     }
 }
 
-fn is_wait(e: &io::Error) -> bool {
-    matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
-}
-
 /// Masks need not be secret between the project's own processes, but must differ from run to run (RFC 6455, 5.3).
 fn mask_source() -> Xoshiro256PlusPlus {
     use std::hash::{BuildHasher, RandomState};
@@ -303,7 +305,7 @@
 }
 
 struct Writer {
-    stream: Arc<TcpStream>,
+    wire: Arc<Wire>,
     letters: Receiver<Letter>,
     waiting: Arc<AtomicUsize>,
     mask: Option<Xoshiro256PlusPlus>,
@@ -321,14 +323,14 @@
                 let Ok(next) = self.letters.try_recv() else { break };
                 closing = self.encode(next, &mut buffer);
             }
-            if (&*self.stream).write_all(&buffer).is_err() {
+            if self.wire.send(&buffer).is_err() {
                 closing = true;
             }
             if buffer.capacity() > 2 * GATHER_BYTES {
                 buffer = Vec::new();
             }
         }
-        let _ = self.stream.shutdown(Shutdown::Both);
+        self.wire.finish();
     }
 
     /// Appends a letter's bytes; true when it is the last.
--- a/programs/badday/src/client.rs
+++ b/programs/badday/src/client.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::time::Duration;
 
-use bitternlatch_net::dial::dial_as;
+use bitternlatch_net::dial::{dial_as, Manner};
 use bitternlatch_net::socket::{Heard, Limits, Outbox};
 use bitternlatch_protocol::client::ServerEvent;
 use bitternlatch_standin::capture::Capture;
@@ -32,10 +32,10 @@
     /// # Errors
     /// As dialling.
     pub fn connect(endpoint: &str, who: &str, peer: &str, capture: Capture) -> io::Result<Client> {
-        Client::connect_as(endpoint, who, peer, capture, None)
+        Client::connect_as(endpoint, who, peer, capture, &Manner::default())
     }
 
-    /// As [`Client::connect`], with a bearer token.
+    /// As [`Client::connect`], with a token or a certificate.
     ///
     /// # Errors
     /// As dialling.
@@ -44,12 +44,12 @@
         who: &str,
         peer: &str,
         capture: Capture,
-        token: Option<&str>,
+        manner: &Manner,
     ) -> io::Result<Client> {
         let limits =
             Limits { message_bytes: 8 << 20, queue: 4096, ping: Duration::from_secs(10), idle: None };
         let (mut reader, outbox) =
-            dial_as(endpoint, "/v1/responses", token, Duration::from_secs(2), limits, None)?;
+            dial_as(endpoint, "/v1/responses", manner, Duration::from_secs(2), limits, None)?;
         let (to, heard) = unbounded();
         capture.put(who, peer, "open", "");
         let (name, other, lines) = (who.to_string(), peer.to_string(), capture.clone());
--- a/programs/badday/src/day.rs
+++ b/programs/badday/src/day.rs
@@ -155,6 +155,7 @@
 
     pub fn standins(&self) -> bitternlatch_standin::Config {
         bitternlatch_standin::Config {
+            tls: None,
             hosts: self.hosts.iter().map(|h| h.config.clone()).collect(),
             cold: Cold::default(),
             faults: self.faults.clone(),
--- a/programs/badday/src/process.rs
+++ b/programs/badday/src/process.rs
@@ -7,6 +7,8 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use bitternlatch_net::dial::{get, Manner};
+
 /// The word that turns this program into a dispatcher.
 pub const AS_DISPATCHER: &str = "--as-dispatcher";
 
@@ -19,6 +21,8 @@
     /// Number of the next start.
     starts: u32,
     recorded: bool,
+    /// How it is asked whether it is ready.
+    manner: Manner,
     child: Option<Child>,
 }
 
@@ -54,6 +58,7 @@
             settings,
             starts: 0,
             recorded: true,
+            manner: Manner::default(),
             child: None,
         })
     }
@@ -63,6 +68,11 @@
         self.recorded = false;
     }
 
+    /// It speaks TLS.
+    pub fn secured(&mut self, manner: Manner) {
+        self.manner = manner;
+    }
+
     /// Starts it from `image`, this program or another that takes [`AS_DISPATCHER`].
     ///
     /// # Errors
@@ -93,7 +103,7 @@
     pub fn ready(&self, within: Duration) -> bool {
         let by = Instant::now() + within;
         while Instant::now() < by {
-            if ask(&self.address, "/ready").is_ok_and(|answer| answer.starts_with("HTTP/1.1 200")) {
+            if get(&self.address, "/ready", &self.manner, Duration::from_secs(2), 1024).is_ok() {
                 return true;
             }
             std::thread::sleep(Duration::from_millis(10));
--- a/programs/badday/tests/callers.rs
+++ b/programs/badday/tests/callers.rs
@@ -8,6 +8,7 @@
 
 use bitternlatch_badday::client::{Came, Client};
 use bitternlatch_keys::Ring;
+use bitternlatch_net::dial::Manner;
 use bitternlatch_standin::capture::Capture;
 use common::{create, rig, to_the_end, Rig, FOUR};
 use serde_json::{json, Value};
@@ -43,8 +44,14 @@
 }
 
 fn open(rig: &Rig, at: usize, token: &str) -> Result<Client, String> {
-    Client::connect_as(&rig.dispatchers[at].address, "t", "d", Capture::none(), Some(token))
-        .map_err(|e| e.to_string())
+    Client::connect_as(
+        &rig.dispatchers[at].address,
+        "t",
+        "d",
+        Capture::none(),
+        &Manner { token: Some(token.to_string()), tls: None },
+    )
+    .map_err(|e| e.to_string())
 }
 
 fn error_code(client: &Client) -> String {
--- a/programs/badday/tests/common/mod.rs
+++ b/programs/badday/tests/common/mod.rs
@@ -7,6 +7,7 @@
 use bitternlatch_badday::client::{Came, Client};
 use bitternlatch_badday::day::Day;
 use bitternlatch_badday::process::Dispatcher;
+use bitternlatch_net::dial::Manner;
 use bitternlatch_protocol::client::ServerEvent;
 use bitternlatch_standin::capture::{Capture, Line};
 use bitternlatch_standin::Standins;
@@ -37,18 +38,34 @@
 
 /// Hosts of a day's text and some dispatchers, ready. `edit` may change the dispatchers' settings.
 pub fn rig(name: &str, hosts: &str, dispatchers: usize, edit: impl Fn(&mut toml::Table)) -> Rig {
+    rig_with(name, hosts, dispatchers, None, edit)
+}
+
+/// As [`rig`]; with a folder of certificates and a manner of asking dispatchers, hosts speak TLS.
+pub fn rig_with(
+    name: &str,
+    hosts: &str,
+    dispatchers: usize,
+    tls: Option<(PathBuf, Manner)>,
+    edit: impl Fn(&mut toml::Table),
+) -> Rig {
     let text =
         format!("for_s = 1\nrate_rps = 1\nmix = []\ndispatchers = {{ count = 1, settings = \"\" }}\n{hosts}");
     let day = Day::parse(&text).expect("a day");
     let dir = folder(name);
     let (capture, lines) = Capture::channel();
-    let standins = Standins::start(day.standins(), capture).expect("stand-ins");
+    let mut config = day.standins();
+    config.tls = tls.as_ref().map(|t| t.0.clone());
+    let standins = Standins::start(config, capture).expect("stand-ins");
     let mut rig = Rig { hosts: Some(standins), lines, dispatchers: vec![], dir, day, connections: 0.into() };
     rig.write_list(&[]);
     let mut settings: toml::Table = toml::from_str(SETTINGS).expect("settings");
     edit(&mut settings);
     for number in 1..=dispatchers {
         let mut one = Dispatcher::new(&rig.dir, number, dispatchers, &settings).expect("an address");
+        if let Some((_, manner)) = &tls {
+            one.secured(manner.clone());
+        }
         one.start(&image()).expect("a process");
         rig.dispatchers.push(one);
     }
--- a/programs/dispatch/src/lib.rs
+++ b/programs/dispatch/src/lib.rs
@@ -16,7 +16,7 @@
 use bitternlatch_net::accept::{Acceptor, Door};
 use bitternlatch_net::driver::{events, Driver, Event, Front, Recorder};
 use bitternlatch_net::socket::Limits;
-use bitternlatch_net::{guard, logs, watch};
+use bitternlatch_net::{guard, logs, tls, watch};
 use clap::Parser;
 use crossbeam_channel::Sender;
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -70,11 +70,27 @@
         Offer::Taken(_) | Offer::Nothing => {}
     }
     check_rights(&args.config, &settings)?;
+    let secured = Secured::load(&args.config, &settings)?;
     if args.check {
         println!("{shown}: good; {} hosts in {}", good.hosts().len(), list.display());
         return Ok(());
     }
-    serve(args, settings, text, list, good)
+    serve(args, settings, text, list, good, secured)
+}
+
+/// Certificates and keys of both sides, where links are secured.
+struct Secured {
+    server: Option<Arc<tls::Server>>,
+    client: Option<Arc<tls::Client>>,
+}
+
+impl Secured {
+    fn load(config: &Path, settings: &Settings) -> Result<Secured, String> {
+        let base = config.parent().unwrap_or(Path::new(""));
+        let server = settings.listen.tls.as_ref().map(|s| tls::Server::load(s, base)).transpose()?;
+        let client = settings.engines.tls.as_ref().map(|s| tls::Client::load(s, base)).transpose()?;
+        Ok(Secured { server: server.map(Arc::new), client: client.map(Arc::new) })
+    }
 }
 
 /// Rights must speak of classes and tenants that there are.
@@ -92,7 +108,14 @@
     stray.map_or(Ok(()), |tenant| Err(format!("{shown}: tenant '{tenant}' is not in the settings")))
 }
 
-fn serve(args: &Args, settings: Settings, text: String, list: PathBuf, good: LastGood) -> Result<(), String> {
+fn serve(
+    args: &Args,
+    settings: Settings,
+    text: String,
+    list: PathBuf,
+    good: LastGood,
+    secured: Secured,
+) -> Result<(), String> {
     // Ids must not be guessed: the seed is the system's, and no log holds it.
     let seed = match args.seed {
         Some(seed) => seed,
@@ -104,7 +127,10 @@
     let listener = TcpListener::bind(&address).map_err(|e| format!("cannot listen on {address}: {e}"))?;
     let base = args.config.parent().unwrap_or(Path::new(""));
     let guard = match &settings.identity {
-        Some(identity) => Some(guard::start(identity, base, to.clone())?),
+        Some(identity) => {
+            let wall = Arc::new(guard::unix);
+            Some(guard::start(identity, base, secured.server.clone(), wall, to.clone())?)
+        }
         None => None,
     };
     let front = Arc::new(Front { events: to.clone(), ready: Arc::clone(&ready), guard });
@@ -112,13 +138,18 @@
     to.send(Event::Input(Input::Hosts(hosts))).map_err(|e| e.to_string())?;
     let every = Duration::from_secs_f64(settings.inventory.reread_s);
     watch::watch(list, every, good, to.clone()).map_err(|e| format!("no thread for the list: {e}"))?;
-    let acceptor =
-        Acceptor::start(listener, door(&settings), front).map_err(|e| format!("cannot accept: {e}"))?;
+    tls::watch(secured.server.clone(), secured.client.clone(), to.clone())
+        .map_err(|e| format!("no thread for TLS files: {e}"))?;
+    let door = door(&settings, secured.server);
+    let acceptor = Acceptor::start(listener, door, front).map_err(|e| format!("cannot accept: {e}"))?;
     let within = Duration::from_secs_f64(settings.stop.within_s);
     let record = settings.record.as_ref().map(|r| beside(&args.config, &r.file));
     tracing::info!(name = settings.name, address = %acceptor.address(), "listening");
     on_signal(to.clone(), acceptor)?;
     let mut driver = Driver::new(settings, seed, (to, from), ready);
+    if let Some(client) = secured.client {
+        driver.secure(client);
+    }
     if let Some(path) = record {
         let recorder = Recorder::begin(&path, text, seed);
         driver.record(recorder.map_err(|e| format!("cannot record to {}: {e}", path.display()))?);
@@ -128,12 +159,14 @@
     Ok(())
 }
 
-fn door(settings: &Settings) -> Door {
+fn door(settings: &Settings, tls: Option<Arc<tls::Server>>) -> Door {
     let listen = &settings.listen;
     Door {
         // The core closes what is past the sessions' bound with a reason; a few more may be told so.
         connections: listen.sessions + 64,
         handshake: Duration::from_secs_f64(listen.handshake_s),
+        handshakes: listen.handshakes,
+        tls,
         socket: Limits {
             message_bytes: listen.message_bytes,
             queue: listen.queue_messages,
--- a/programs/keys/src/lib.rs
+++ b/programs/keys/src/lib.rs
@@ -3,6 +3,8 @@
 //! A key is announced before it signs, so that every dispatcher knows it by then; the old one is accepted for an overlap
 //! after it. Withdrawing ends a key at once.
 
+pub mod authority;
+
 use std::path::Path;
 
 use base64::engine::general_purpose::URL_SAFE_NO_PAD as B64;
--- a/programs/keys/src/main.rs
+++ b/programs/keys/src/main.rs
@@ -6,7 +6,8 @@
 
 use bitternlatch_identity::keys::KeySet;
 use bitternlatch_identity::rights::{Rights, Wish};
-use bitternlatch_identity::Caller;
+use bitternlatch_identity::{Caller, Proof};
+use bitternlatch_keys::authority::{Authority, Wanted};
 use bitternlatch_keys::Ring;
 use clap::{Parser, Subcommand};
 
@@ -62,6 +63,30 @@
         #[arg(long, default_value_t = 600)]
         for_s: u64,
     },
+    /// Make a small authority in a folder: its certificate, its key and an empty list of revoked ones.
+    Authority {
+        dir: PathBuf,
+        #[arg(long, default_value = "bitternlatch")]
+        name: String,
+    },
+    /// Certify a new key: a dispatcher or host by its names, a caller by a URI. Writes NAME.pem and NAME.key.
+    Certify {
+        dir: PathBuf,
+        name: String,
+        #[arg(long)]
+        dns: Vec<String>,
+        #[arg(long)]
+        ip: Vec<std::net::IpAddr>,
+        /// The caller that it names; rights name it as cert:uri:URI.
+        #[arg(long)]
+        caller: Option<String>,
+        #[arg(long)]
+        group: Vec<String>,
+        #[arg(long, default_value_t = 90)]
+        days: u64,
+    },
+    /// Revoke a certificate and write the list.
+    Revoke { dir: PathBuf, certificate: PathBuf },
     /// May a caller do a class, and why.
     May {
         #[arg(long)]
@@ -92,6 +117,9 @@
     if let What::May { rights, caller, group, class, model } = &args.what {
         return may(rights, caller, group, class, model);
     }
+    if let Some(done) = certificates(&args.what, now) {
+        return done.map(|()| 0);
+    }
     let mut ring = Ring::read(&args.ring)?;
     match &args.what {
         What::Make => println!("{}", ring.announce(now)?),
@@ -105,12 +133,40 @@
             println!("{}", ring.sign(now, &claims)?);
             return Ok(0);
         }
-        What::May { .. } => {}
+        What::May { .. } | What::Authority { .. } | What::Certify { .. } | What::Revoke { .. } => {}
     }
     ring.write(&args.ring, &args.public)?;
     Ok(0)
 }
 
+/// Does what concerns certificates; `None` for all else.
+fn certificates(what: &What, now: u64) -> Option<Result<(), String>> {
+    let certify = |dir: &PathBuf, name: &str, wanted: &Wanted| {
+        let issued = Authority::open(dir)?.issue(wanted)?;
+        Authority::write(dir, name, &issued)
+    };
+    Some(match what {
+        What::Authority { dir, name } => Authority::make(dir, name, now).map(|_| ()),
+        What::Certify { dir, name, dns, ip, caller, group, days } => {
+            let wanted = Wanted {
+                dns: dns.clone(),
+                ips: ip.clone(),
+                uri: caller.clone(),
+                groups: group.clone(),
+                begins: now.saturating_sub(300),
+                ends: now + days * 86_400,
+            };
+            certify(dir, name, &wanted)
+        }
+        What::Revoke { dir, certificate } => {
+            let shown = certificate.display();
+            let text = std::fs::read_to_string(certificate).map_err(|e| format!("{shown}: {e}"));
+            text.and_then(|text| Authority::open(dir)?.revoke(&text, now))
+        }
+        _ => return None,
+    })
+}
+
 fn show(ring: &Ring, now: u64) -> Result<u8, String> {
     let set = KeySet::parse(ring.document()?.as_bytes()).map_err(|e| e.to_string())?;
     for key in &ring.keys {
@@ -135,6 +191,7 @@
         key_id: String::new(),
         token_id: None,
         ends: 0,
+        proof: Proof::Token,
     };
     match rights.may(&caller, &Wish { class, model, max_output_tokens: None, tenant: None }) {
         Ok(grant) => {
--- a/programs/measure/src/relay.rs
+++ b/programs/measure/src/relay.rs
@@ -168,7 +168,7 @@
 pub fn measure(tokens: usize, streams: usize, rounds: usize) -> Result<(), String> {
     let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
     let hose = Arc::new(Hose { tokens: tokens / streams.max(1), conns: Default::default() });
-    let door = Door { connections: 1000, handshake: Duration::from_secs(5), socket: limits(1024) };
+    let door = Door::plain(1000, Duration::from_secs(5), limits(1024));
     let acceptor = Acceptor::start(listener, door, Arc::new(HoseDoor(hose))).map_err(|e| e.to_string())?;
     let host = acceptor.address().to_string();
     let list = vec![("reader-1".into(), host.clone(), "reader"), ("writer-1".into(), host.clone(), "writer")];
--- a/programs/standin/src/config.rs
+++ b/programs/standin/src/config.rs
@@ -128,6 +128,8 @@
     pub faults: Vec<Fault>,
     #[serde(default)]
     pub seed: u64,
+    /// Folder of `authority.pem` and each host's `NAME.pem` and `NAME.key`; without one links are plain.
+    pub tls: Option<std::path::PathBuf>,
 }
 
 impl Config {
--- a/programs/standin/src/world.rs
+++ b/programs/standin/src/world.rs
@@ -5,9 +5,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bitternlatch_core::settings::ListenTls;
 use bitternlatch_identity::Caller;
 use bitternlatch_net::accept::{Acceptor, Door, Handler};
 use bitternlatch_net::socket::{Limits, Outbox};
+use bitternlatch_net::tls;
 use bitternlatch_protocol::engine::{
     decode, encode, Choice, Chunk, CompletionRequest, EngineError, EngineState, EngineUsage, FromEngine,
     KvTransferParams, PromptDetails, ToEngine, CODE_FULL, CODE_STATE_GONE,
@@ -156,11 +158,13 @@
     }
 
     fn listen(&mut self, i: usize) -> std::io::Result<SocketAddr> {
+        let tls = self.tls(i)?;
         let host = &mut self.hosts[i];
         let listener = TcpListener::bind(&host.config.listen)?;
         let socket =
             Limits { message_bytes: 8 << 20, queue: 65_536, ping: Duration::from_secs(5), idle: None };
-        let door = Door { connections: 1024, handshake: Duration::from_secs(5), socket };
+        let mut door = Door::plain(1024, Duration::from_secs(5), socket);
+        door.tls = tls;
         let name = host.config.name.clone();
         self.capture.put(&name, "", "up", "");
         let handler = HostDoor { host: i, name, to: self.to.clone(), capture: self.capture.clone() };
@@ -170,6 +174,21 @@
         Ok(address)
     }
 
+    /// The host's own certificate, from the folder that the config names.
+    fn tls(&self, i: usize) -> std::io::Result<Option<Arc<tls::Server>>> {
+        let Some(dir) = &self.config.tls else { return Ok(None) };
+        let name = &self.hosts[i].config.name;
+        let settings = ListenTls {
+            certificate: format!("{name}.pem"),
+            key: format!("{name}.key"),
+            clients: Some("authority.pem".to_string()),
+            clients_required: true,
+            revoked: Vec::new(),
+        };
+        let server = tls::Server::load(&settings, dir).map_err(std::io::Error::other)?;
+        Ok(Some(Arc::new(server)))
+    }
+
     fn run(&mut self, from: &Receiver<Message>) {
         loop {
             let now_us = (self.now() * 1e6) as u64;
