--- a/crates/core/tests/callers.rs
+++ b/crates/core/tests/callers.rs
@@ -117,3 +117,26 @@
         |o: &Output| matches!(o, Output::CloseSession { session, code: 4401, .. } if *session == ann);
     assert!(bench.out.iter().any(closes));
 }
+
+#[test]
+fn a_clock_that_is_set_ends_proofs_by_the_judged_time_and_the_record_tells() {
+    let mut bench = guarded();
+    let ann = open(&mut bench, 1, "ann", "members");
+    bench.step(Input::ProofTime { ahead_us: 599_000_000 });
+    bench.ask(ann, "query", "k", "one more");
+    assert_eq!(codes(&mut bench, ann), ["response.created"], "a second is left");
+    bench.step(Input::ProofTime { ahead_us: 0 });
+    bench.pass(2.0);
+    bench.ask(ann, "query", "k2", "and one");
+    assert!(
+        codes(&mut bench, ann).contains(&"response.created".to_string()),
+        "the clock was put right again"
+    );
+    bench.step(Input::ProofTime { ahead_us: 598_500_000 });
+    bench.ask(ann, "query", "k3", "too late");
+    assert_eq!(codes(&mut bench, ann).last().map(String::as_str), Some("token_expired"));
+    let late = Some(caller("bob", "members", "k1", NOW_S + 600));
+    bench.step(Input::SessionOpened { session: SessionId(9), caller: late });
+    bench.ask(SessionId(9), "query", "k", "late");
+    assert_eq!(codes(&mut bench, SessionId(9)), ["token_expired"]);
+}
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -15,6 +15,8 @@
 pub(crate) struct Head {
     pub method: String,
     pub path: String,
+    /// Minor version of HTTP/1.
+    version: u8,
     headers: Vec<(String, String)>,
     /// Bytes read beyond it.
     pub left: Vec<u8>,
@@ -29,12 +31,34 @@
         self.header(name).is_some_and(|v| v.split(',').any(|w| w.trim().eq_ignore_ascii_case(word)))
     }
 
+    /// What makes an upgrade one that two readers could understand in two ways (RFC 9112, 3.2 and 6.3; RFC 6455, 4.1).
+    fn unclear(&self) -> Option<&'static str> {
+        let count = |name: &str| self.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name)).count();
+        let once = |name: &str| count(name) == 1;
+        if self.version != 1 {
+            Some("an upgrade is asked for over HTTP/1.1")
+        } else if !once("host") {
+            Some("one header Host is expected")
+        } else if count("sec-websocket-key") > 1 || count("sec-websocket-version") > 1 {
+            Some("a header Sec-WebSocket-Key or -Version stands twice")
+        } else if count("authorization") > 1 {
+            Some("the header Authorization stands twice")
+        } else if count("transfer-encoding") > 0 || self.header("content-length").is_some_and(|n| n != "0") {
+            Some("an upgrade has no body")
+        } else {
+            None
+        }
+    }
+
     /// The answer to a WebSocket upgrade (RFC 6455, 4.2), or what is wrong with it as status and text; `None` where
     /// the request is no upgrade at all.
     pub(crate) fn upgrade(&self) -> Option<Result<String, (u16, &'static str)>> {
         if !self.lists("upgrade", "websocket") {
             return None;
         }
+        if let Some(why) = self.unclear() {
+            return Some(Err((400, why)));
+        }
         if self.method != "GET" {
             return Some(Err((405, "an upgrade is asked for with GET")));
         }
@@ -104,7 +128,16 @@
             httparse::Status::Complete(used) => {
                 let word = |w: Option<&str>| w.unwrap_or_default().to_string();
                 let (method, path) = (word(request.method), word(request.path));
-                Some((Head { method, path, headers: headers(request.headers), left: Vec::new() }, used))
+                Some((
+                    Head {
+                        method,
+                        path,
+                        version: request.version.unwrap_or(0),
+                        headers: headers(request.headers),
+                        left: Vec::new(),
+                    },
+                    used,
+                ))
             }
         })
     })?;
--- a/crates/net/tests/sockets.rs
+++ b/crates/net/tests/sockets.rs
@@ -5,8 +5,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use bitternlatch_identity::Caller;
+use bitternlatch_net::accept::{Acceptor, Door, Handler};
 use bitternlatch_net::dial::dial;
-use bitternlatch_net::socket::{start, Heard, Limits, NotTaken};
+use bitternlatch_net::socket::{start, Heard, Limits, NotTaken, Outbox};
 use tungstenite::protocol::Role;
 
 fn limits(queue: usize) -> Limits {
@@ -91,3 +93,45 @@
     assert!(matches!(reader.hear(), Heard::Ended(why) if why.contains("too long")));
     assert!(matches!(other.hear(), Heard::Ended(why) if why.contains("1009")), "the sender is told");
 }
+
+#[test]
+fn upgrades_that_could_be_read_in_two_ways_are_refused() {
+    struct Nobody;
+    impl Handler for Nobody {
+        fn opened(&self, _: u64, _: Outbox, _: Option<Caller>) {}
+        fn text(&self, _: u64, _: String) {}
+        fn closed(&self, _: u64, _: String) {}
+        fn plain(&self, _: &str) -> (u16, String) {
+            (404, String::new())
+        }
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let door = Door::plain(10, Duration::from_secs(5), limits(8));
+    let acceptor = Acceptor::start(listener, door, Arc::new(Nobody)).expect("a thread");
+    let status = |first: &str, rest: &str| {
+        let mut stream = TcpStream::connect(acceptor.address()).expect("a connection");
+        let ask = format!(
+            "GET / {first}\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: 13\r\n\
+             Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n{rest}\r\n"
+        );
+        stream.write_all(ask.as_bytes()).expect("sent");
+        stream.set_read_timeout(Some(Duration::from_secs(20))).expect("an option");
+        let mut answer = [0; 12];
+        stream.read_exact(&mut answer).expect("an answer");
+        String::from_utf8_lossy(&answer[9..]).into_owned()
+    };
+    assert_eq!(status("HTTP/1.1", "Host: x\r\n"), "101");
+    assert_eq!(status("HTTP/1.1", "Host: x\r\nContent-Length: 0\r\n"), "101");
+    for (first, rest) in [
+        ("HTTP/1.0", "Host: x\r\n"),
+        ("HTTP/1.1", ""),
+        ("HTTP/1.1", "Host: x\r\nHost: y\r\n"),
+        ("HTTP/1.1", "Host: x\r\nSec-WebSocket-Key: BAAAAAAAAAAAAAAAAAAAAA==\r\n"),
+        ("HTTP/1.1", "Host: x\r\nContent-Length: 5\r\n"),
+        ("HTTP/1.1", "Host: x\r\nTransfer-Encoding: chunked\r\n"),
+        ("HTTP/1.1", "Host: x\r\nAuthorization: Bearer a\r\nAuthorization: Bearer b\r\n"),
+    ] {
+        assert_eq!(status(first, rest), "400", "{first} {rest}");
+    }
+    acceptor.stop();
+}
--- a/programs/badday/src/clients.rs
+++ b/programs/badday/src/clients.rs
@@ -1,8 +1,10 @@
 //! The day's clients: conversations planned ahead from a seed, each played by a thread of its own.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bitternlatch_net::dial::Manner;
 use bitternlatch_standin::capture::Capture;
 use rand_core::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -10,6 +12,7 @@
 
 use crate::client::{Came, Client};
 use crate::day::{Day, Mix};
+use crate::secured::Proofs;
 
 /// A conversation, planned whole.
 #[derive(Clone, Debug)]
@@ -37,6 +40,8 @@
     /// By class: whether it is safe to repeat, and the time after which its client gives up.
     pub classes: BTreeMap<String, (bool, f64)>,
     pub retries: u32,
+    /// Where callers have to prove who they are.
+    pub proofs: Option<Arc<Proofs>>,
     /// Dispatchers that the script kills: a client that drops an unsafe request there would not come back to its key.
     pub killed: Vec<usize>,
 }
@@ -124,6 +129,7 @@
     tries: u32,
     at: usize,
     connections: u32,
+    manner: Manner,
 }
 
 /// Plays a conversation to its end.
@@ -138,6 +144,7 @@
         tries: 0,
         at: plan.number,
         connections: 0,
+        manner: service.proofs.as_ref().map(|p| p.manner(plan.number)).unwrap_or_default(),
     };
     for (i, turn) in plan.turns.iter().enumerate() {
         if !talk.turn(plan, i, turn) {
@@ -259,9 +266,17 @@
             let (name, address) = &all[at];
             self.connections += 1;
             let peer = format!("{name}#{}", self.connections);
-            if let Ok(client) = Client::connect(address, &self.who, &peer, self.service.capture.clone()) {
-                self.open = Some((at, client));
-                return Some(());
+            let capture = self.service.capture.clone();
+            match Client::connect_as(address, &self.who, &peer, capture, &self.manner) {
+                Ok(client) => {
+                    self.open = Some((at, client));
+                    return Some(());
+                }
+                Err(e) => {
+                    if let Some(proofs) = &self.service.proofs {
+                        proofs.refused(&e);
+                    }
+                }
             }
             self.at += 1;
             std::thread::sleep(Duration::from_millis(50));
--- a/programs/badday/src/day.rs
+++ b/programs/badday/src/day.rs
@@ -5,6 +5,8 @@
 use bitternlatch_standin::config::{Cold, Fault, HostConfig, Trouble};
 use serde::Deserialize;
 
+use crate::secured::Secure;
+
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Day {
@@ -28,6 +30,8 @@
     /// Hosts that the list's file tells to drain.
     #[serde(default)]
     pub drains: Vec<Drain>,
+    /// TLS on both sides, callers that prove who they are, and keys that change.
+    pub secure: Option<Secure>,
     #[serde(skip)]
     pub hosts: Vec<DayHost>,
 }
@@ -137,6 +141,9 @@
         all.extend(self.dispatchers.restarts.iter().map(|_| "DispatcherKilled".to_string()));
         all.extend(self.drains.iter().map(|_| "ListDrain".to_string()));
         all.extend((self.drop_share > 0.0).then(|| "ClientsDrop".to_string()));
+        if self.secure.is_some() {
+            all.extend(["KeysRotated", "CertificateRevoked"].map(str::to_string));
+        }
         all.sort();
         all.dedup();
         all
--- a/programs/badday/src/lib.rs
+++ b/programs/badday/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod day;
 pub mod process;
 pub mod run;
+pub mod secured;
--- a/programs/badday/src/main.rs
+++ b/programs/badday/src/main.rs
@@ -61,7 +61,9 @@
     );
     println!("troubles: {}", day.troubles().join(", "));
     print(&days);
-    let held = days.iter().all(|(_, o)| o.verdict.breaches.is_empty() && o.records_alike == o.records);
+    let secured = |o: &Outcome| o.secured.as_ref().is_none_or(|s| s.held());
+    let held =
+        days.iter().all(|(_, o)| o.verdict.breaches.is_empty() && o.records_alike == o.records && secured(o));
     let report = report(&day, &days, held);
     let path = args.out.join("report.json");
     std::fs::write(&path, format!("{report:#}\n")).map_err(|e| format!("{}: {e}", path.display()))?;
@@ -106,6 +108,9 @@
         for (rule, n) in o.verdict.by_rule().iter().filter(|r| *r.1 > 0) {
             println!("{name}: {rule:?} broken {n} times");
         }
+        if let Some(s) = &o.secured {
+            println!("{name}: {s:?}");
+        }
         o.verdict.breaches.iter().take(10).for_each(|b| println!("  {}", b.what));
     }
 }
@@ -127,6 +132,7 @@
             "records_alike": o.records_alike,
             "replayed_steps": o.replayed_steps,
             "dispatchers_ended_in_order": o.orderly,
+            "secured": o.secured,
         })
     };
     let days: serde_json::Map<String, serde_json::Value> =
--- a/programs/badday/src/run.rs
+++ b/programs/badday/src/run.rs
@@ -14,6 +14,7 @@
 use crate::clients::{plan, play, Service};
 use crate::day::Day;
 use crate::process::Dispatcher;
+use crate::secured::{Proofs, SecuredFacts};
 
 /// What a day came to.
 pub struct Outcome {
@@ -24,6 +25,8 @@
     pub records_alike: usize,
     /// Dispatchers that ended in order when told to.
     pub orderly: usize,
+    /// On a day with callers that prove who they are.
+    pub secured: Option<SecuredFacts>,
 }
 
 /// What a script's thread writes down.
@@ -47,24 +50,35 @@
     let shown = settings_path.display().to_string();
     let text = std::fs::read_to_string(&settings_path).map_err(|e| format!("{shown}: {e}"))?;
     let settings = Settings::parse(&shown, &text).map_err(|e| e.to_string())?;
-    let table: toml::Table = toml::from_str(&text).map_err(|e| e.to_string())?;
+    let mut table: toml::Table = toml::from_str(&text).map_err(|e| e.to_string())?;
+    let proofs = day.secure.as_ref().map(|_| Proofs::make(dir, day)).transpose()?.map(Arc::new);
+    let mut standins = day.standins();
+    if let Some(proofs) = &proofs {
+        proofs.settings(&mut table)?;
+        standins.tls = Some(proofs.hosts());
+    }
 
     let host_lines = Capture::file(&dir.join("hosts.jsonl")).map_err(fail("hosts.jsonl"))?;
     let client_lines = Capture::file(&dir.join("clients.jsonl")).map_err(fail("clients.jsonl"))?;
     let began = unix_us();
-    let hosts = Standins::start(day.standins(), host_lines.clone()).map_err(fail("the stand-ins"))?;
+    let hosts = Standins::start(standins, host_lines.clone()).map_err(fail("the stand-ins"))?;
     write_list(dir, day, &hosts, &settings.zone, &[]).map_err(fail("hosts.csv"))?;
     let mut dispatchers = Vec::new();
     for number in 1..=day.dispatchers.count {
         let mut one =
             Dispatcher::new(dir, number, day.dispatchers.count, &table).map_err(fail("a dispatcher"))?;
+        if let Some(proofs) = &proofs {
+            one.secured(proofs.desk());
+        }
         one.start(image).map_err(fail("a dispatcher"))?;
         dispatchers.push(one);
     }
     if let Some(late) = dispatchers.iter().find(|d| !d.ready(Duration::from_secs(20))) {
         return Err(format!("{} is not ready; see its log in {}", late.name, dir.display()));
     }
-    let service = service(day, &settings, &dispatchers, client_lines.clone());
+    let mut service = service(day, &settings, &dispatchers, client_lines.clone());
+    service.proofs.clone_from(&proofs);
+    let keys = keys_script(day, &proofs, dispatchers.first().map(|d| d.address.clone()).unwrap_or_default());
     let dispatchers: Shared = Arc::new(Mutex::new(dispatchers));
     let noted = Arc::new(Mutex::new(Noted::default()));
     let scripts = scripts(day, dir, image, &settings, &hosts, &dispatchers, &noted);
@@ -72,6 +86,7 @@
     for script in scripts {
         let _ = script.join();
     }
+    let mut secured = keys.and_then(|script| script.join().ok());
     let (orderly, records) = stop(&dispatchers);
     hosts.stop();
     host_lines.settle();
@@ -79,6 +94,9 @@
     let facts = facts(day, &settings, began, &noted);
     let file = File::create(dir.join("facts.json")).map_err(fail("facts.json"))?;
     serde_json::to_writer_pretty(file, &facts).map_err(|e| format!("facts.json: {e}"))?;
+    if let (Some(proofs), Some(facts)) = (&proofs, &mut secured) {
+        proofs.end(facts, dir)?;
+    }
     let verdict = judge_dir(dir)?;
     let (mut replayed_steps, mut records_alike) = (0, 0);
     for path in &records {
@@ -90,7 +108,18 @@
             records_alike += usize::from(found.difference.is_none());
         }
     }
-    Ok(Outcome { verdict, replayed_steps, records: records.len(), records_alike, orderly })
+    Ok(Outcome { verdict, replayed_steps, records: records.len(), records_alike, orderly, secured })
+}
+
+/// A thread that rotates and revokes, on a day that says so.
+fn keys_script(
+    day: &Day,
+    proofs: &Option<Arc<Proofs>>,
+    address: String,
+) -> Option<std::thread::JoinHandle<SecuredFacts>> {
+    let (script, proofs) = (day.secure.clone()?, Arc::clone(proofs.as_ref()?));
+    let start = Instant::now();
+    Some(std::thread::spawn(move || proofs.play(&script, &address, start)))
 }
 
 fn lock<T>(shared: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
@@ -129,6 +158,7 @@
         capture,
         classes: settings.classes.iter().map(class).collect(),
         retries: day.retries,
+        proofs: None,
         killed: day.dispatchers.restarts.iter().map(|r| r.dispatcher.saturating_sub(1)).collect(),
     }
 }
