--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -47,10 +47,24 @@
     limits: Limits,
     unsent: Option<Unsent>,
 ) -> io::Result<(Reader, Outbox)> {
+    let (wire, left) = upgraded(endpoint, path, manner, within)?;
+    socket::start(wire, left, Role::Client, limits, unsent)
+}
+
+/// Connects and upgrades, and leaves the rest to the caller: the connection, and bytes read beyond the upgrade.
+///
+/// # Errors
+/// As [`dial_as`].
+pub fn upgraded(
+    endpoint: &str,
+    path: &str,
+    manner: &Manner,
+    within: Duration,
+) -> io::Result<(Wire, Vec<u8>)> {
     let deadline = Instant::now() + within;
     let wire = connect(endpoint, manner, within, deadline)?;
     let left = http::ask_upgrade(&wire, endpoint, path, manner.token.as_deref(), deadline)?;
-    socket::start(wire, left, Role::Client, limits, unsent)
+    Ok((wire, left))
 }
 
 fn connect(endpoint: &str, manner: &Manner, within: Duration, deadline: Instant) -> io::Result<Wire> {
--- a/crates/net/src/wire.rs
+++ b/crates/net/src/wire.rs
@@ -18,7 +18,13 @@
 /// One connection.
 pub struct Wire {
     stream: TcpStream,
-    session: Option<Mutex<Connection>>,
+    session: Option<Mutex<Session>>,
+}
+
+struct Session {
+    tls: Connection,
+    /// Bytes from the socket that the session could not take yet: it holds a bounded amount of what was said.
+    unread: Vec<u8>,
 }
 
 impl From<TcpStream> for Wire {
@@ -94,17 +100,17 @@
         while session.wants_write() {
             session.write_tls(&mut stream)?;
         }
-        Ok(Wire { stream, session: Some(Mutex::new(session)) })
+        Ok(Wire { stream, session: Some(Mutex::new(Session { tls: session, unread: Vec::new() })) })
     }
 
-    fn lock(session: &Mutex<Connection>) -> MutexGuard<'_, Connection> {
+    fn lock(session: &Mutex<Session>) -> MutexGuard<'_, Session> {
         session.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The certificate that the peer has proven (DER).
     pub fn peer_certificate(&self) -> Option<Vec<u8>> {
         let session = Wire::lock(self.session.as_ref()?);
-        session.peer_certificates().and_then(|c| c.first()).map(|c| c.as_ref().to_vec())
+        session.tls.peer_certificates().and_then(|c| c.first()).map(|c| c.as_ref().to_vec())
     }
 
     pub fn peer(&self) -> io::Result<SocketAddr> {
@@ -127,26 +133,28 @@
         let Some(session) = &self.session else { return (&self.stream).read(buf) };
         let mut raw = [0; CHUNK];
         loop {
-            match Wire::lock(session).reader().read(buf) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                done => return done,
+            {
+                let mut session = Wire::lock(session);
+                match session.tls.reader().read(buf) {
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                    done => return done,
+                }
+                if !session.unread.is_empty() {
+                    session.feed()?;
+                    continue;
+                }
             }
             let came = (&self.stream).read(&mut raw)?;
             let mut session = Wire::lock(session);
-            let mut rest = &raw[..came];
-            loop {
-                session.read_tls(&mut rest)?;
-                session.process_new_packets().map_err(broken)?;
-                if rest.is_empty() {
-                    break;
-                }
-            }
+            session.unread.extend_from_slice(&raw[..came]);
+            // Also at the end of the stream, which the session has to see.
+            session.feed()?;
         }
     }
 
     /// Whether the session has something of its own to say.
     pub fn wants_write(&self) -> bool {
-        self.session.as_ref().is_some_and(|s| Wire::lock(s).wants_write())
+        self.session.as_ref().is_some_and(|s| Wire::lock(s).tls.wants_write())
     }
 
     /// Writes all, and whatever the session has to say. For the one thread that writes.
@@ -157,8 +165,8 @@
         let Some(session) = &self.session else { return (&self.stream).write_all(bytes) };
         let records = {
             let mut session = Wire::lock(session);
-            session.writer().write_all(bytes)?;
-            drain(&mut session)?
+            session.tls.writer().write_all(bytes)?;
+            drain(&mut session.tls)?
         };
         (&self.stream).write_all(&records)
     }
@@ -168,8 +176,8 @@
         if let Some(session) = &self.session {
             let farewell = {
                 let mut session = Wire::lock(session);
-                session.send_close_notify();
-                drain(&mut session)
+                session.tls.send_close_notify();
+                drain(&mut session.tls)
             };
             // A peer that has gone needs no farewell.
             let _ = farewell.and_then(|f| (&self.stream).write_all(&f));
@@ -208,6 +216,16 @@
     }
 }
 
+impl Session {
+    /// Takes as much of what came as fits; what is said in it has to be read before more can be taken.
+    fn feed(&mut self) -> io::Result<()> {
+        let taken = self.tls.read_tls(&mut self.unread.as_slice())?;
+        self.unread.drain(..taken);
+        self.tls.process_new_packets().map_err(broken)?;
+        Ok(())
+    }
+}
+
 /// All records that wait to leave.
 fn drain(session: &mut Connection) -> io::Result<Vec<u8>> {
     let mut records = Vec::new();
--- a/programs/badday/src/run.rs
+++ b/programs/badday/src/run.rs
@@ -51,7 +51,7 @@
     let text = std::fs::read_to_string(&settings_path).map_err(|e| format!("{shown}: {e}"))?;
     let settings = Settings::parse(&shown, &text).map_err(|e| e.to_string())?;
     let mut table: toml::Table = toml::from_str(&text).map_err(|e| e.to_string())?;
-    let proofs = day.secure.as_ref().map(|_| Proofs::make(dir, day)).transpose()?.map(Arc::new);
+    let proofs = day.secure.as_ref().map(|_| proofs(day, dir)).transpose()?.map(Arc::new);
     let mut standins = day.standins();
     if let Some(proofs) = &proofs {
         proofs.settings(&mut table)?;
@@ -111,6 +111,12 @@
     Ok(Outcome { verdict, replayed_steps, records: records.len(), records_alike, orderly, secured })
 }
 
+fn proofs(day: &Day, dir: &Path) -> Result<Proofs, String> {
+    let hosts: Vec<&str> = day.hosts.iter().map(|h| h.config.name.as_str()).collect();
+    let classes: Vec<&str> = day.mix.iter().map(|m| m.class.as_str()).collect();
+    Proofs::make(dir, &hosts, &classes)
+}
+
 /// A thread that rotates and revokes, on a day that says so.
 fn keys_script(
     day: &Day,
--- a/programs/badday/src/secured.rs
+++ b/programs/badday/src/secured.rs
@@ -14,7 +14,6 @@
 use serde_json::json;
 
 use crate::client::{Came, Client};
-use crate::day::Day;
 
 /// When the script changes keys, seconds after the start.
 #[derive(Clone, Debug, Deserialize)]
@@ -71,14 +70,14 @@
     ///
     /// # Errors
     /// Files that cannot be written.
-    pub fn make(dir: &Path, day: &Day) -> Result<Proofs, String> {
+    pub fn make(dir: &Path, hosts: &[&str], classes: &[&str]) -> Result<Proofs, String> {
         let dir = dir.join("keys");
         let _ = std::fs::remove_dir_all(&dir);
         let servers = Authority::make(&dir.join("servers"), "servers", now())?;
         let callers = Authority::make(&dir.join("callers"), "callers", now())?;
         let until = |w: Wanted| Wanted { begins: now() - 60, ends: now() + 3600, ..w };
-        for name in day.hosts.iter().map(|h| h.config.name.as_str()).chain(["dispatch"]) {
-            let issued = servers.issue(&until(Wanted { dns: vec![name.into()], ..Wanted::default() }))?;
+        for name in hosts.iter().chain([&"dispatch"]) {
+            let issued = servers.issue(&until(Wanted { dns: vec![(*name).into()], ..Wanted::default() }))?;
             Authority::write(&dir.join("servers"), name, &issued)?;
         }
         for name in ["desk", "leaver"] {
@@ -87,7 +86,6 @@
                 callers.issue(&until(Wanted { uri, groups: vec!["desk".into()], ..Wanted::default() }))?;
             Authority::write(&dir.join("callers"), name, &issued)?;
         }
-        let classes: Vec<&str> = day.mix.iter().map(|m| m.class.as_str()).collect();
         let rights = json!({ "rule": [{ "name": "desk", "groups": ["desk"], "tenant": "association",
             "classes": classes, "models": ["*"], "max_output_tokens": 4096 }] });
         let rights: toml::Table = serde_json::from_value(rights).map_err(|e| e.to_string())?;
--- a/programs/badday/tests/callers.rs
+++ b/programs/badday/tests/callers.rs
@@ -6,6 +6,8 @@
 use std::path::Path;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use base64::engine::general_purpose::URL_SAFE_NO_PAD as B64;
+use base64::Engine;
 use bitternlatch_badday::client::{Came, Client};
 use bitternlatch_keys::Ring;
 use bitternlatch_net::dial::Manner;
@@ -93,6 +95,29 @@
     let rig = guarded("rights", 1, &ring, "");
     let token = |c: &Value| ring.sign(now(), c).expect("a token");
     let good = token(&claims("ann", "members", 600));
+    let part = |v: &Value| B64.encode(v.to_string());
+    let signing = ring.signing(now()).expect("a key").id.clone();
+    // As a forger would write them: no signature at all, and a MAC made with what everybody knows.
+    let forged = |alg: &str| {
+        let header = part(&json!({ "alg": alg, "kid": signing }));
+        format!("{header}.{}.{}", part(&claims("ann", "members", 600)), B64.encode([7u8; 32]))
+    };
+    let unknown = |t: &str| {
+        let rest = t.split_once('.').expect("parts").1;
+        format!("{}.{rest}", part(&json!({ "alg": "EdDSA", "kid": "nobody" })))
+    };
+    let later = {
+        let mut c = claims("ann", "members", 600);
+        c["nbf"] = (now() + 300).into();
+        token(&c)
+    };
+    let twice = {
+        let text = claims("ann", "members", 600).to_string().replacen('{', "{\"sub\":\"root\",", 1);
+        let rest: Vec<&str> = good.split('.').collect();
+        format!("{}.{}.{}", rest[0], B64.encode(text), rest[2])
+    };
+    let issuer =
+        token(&json!({ "iss": "https://other", "aud": "bitternlatch", "sub": "ann", "exp": now() + 9 }));
     for (bad, code) in [
         ("nonsense".to_string(), "token_malformed"),
         (
@@ -101,10 +126,19 @@
         ),
         (token(&claims("ann", "members", 0)), "token_expired"),
         (format!("{}x", good), "token_signature"),
+        (forged("none"), "token_algorithm"),
+        (forged("HS256"), "token_algorithm"),
+        (unknown(&good), "token_key_unknown"),
+        (later, "token_not_yet"),
+        (twice, "token_malformed"),
+        (issuer, "token_issuer"),
+        (token(&claims("cert:uri:urn:x", "directors", 600)), "token_malformed"),
+        (format!("{good}.{}", "A".repeat(9000)), "token_too_long"),
     ] {
+        let lines = log_of(&rig).matches(code).count();
         let refused = open(&rig, 0, &bad).err().expect(code);
         assert!(refused.contains("401"), "{refused}");
-        assert!(log_of(&rig).contains(code), "{code} is in the log");
+        wait_for(code, || log_of(&rig).matches(code).count() > lines);
     }
     assert!(Client::connect(&rig.dispatchers[0].address, "t", "d", Capture::none()).is_err(), "no token");
     let member = open(&rig, 0, &good).expect("let in");
--- a/programs/measure/src/latency.rs
+++ b/programs/measure/src/latency.rs
@@ -16,19 +16,19 @@
 const TOKENS: u32 = 40;
 
 /// Microseconds of one way of asking.
-struct Times {
-    first: Histogram<u64>,
-    between: Histogram<u64>,
+pub struct Times {
+    pub first: Histogram<u64>,
+    pub between: Histogram<u64>,
 }
 
 impl Times {
-    fn new() -> Result<Times, String> {
+    pub fn new() -> Result<Times, String> {
         let one = || Histogram::new_with_bounds(1, 60_000_000, 3).map_err(|e| e.to_string());
         Ok(Times { first: one()?, between: one()? })
     }
 
     /// Takes the times at which an answer's tokens came, since it was asked for.
-    fn take(&mut self, tokens: &[Duration]) {
+    pub fn take(&mut self, tokens: &[Duration]) {
         let us = |d: Duration| d.as_micros() as u64;
         if let Some(first) = tokens.first() {
             self.first.saturating_record(us(*first));
@@ -39,7 +39,7 @@
 
 /// Asks by turns through the dispatcher and of the hosts directly, so that both meet the same machine.
 pub fn measure(requests: usize) -> Result<(), String> {
-    let (hosts, list) = stand_ins()?;
+    let (hosts, list) = stand_ins(None)?;
     let address = |name: &str| hosts.addresses().get(name).map(ToString::to_string).unwrap_or_default();
     let dispatcher = dispatcher(&list, |_| {})?;
     let client =
@@ -84,7 +84,7 @@
     Ok(())
 }
 
-fn ask(client: &Client, text: &str) -> Result<Vec<Duration>, String> {
+pub fn ask(client: &Client, text: &str) -> Result<Vec<Duration>, String> {
     let create = serde_json::json!({ "type": "response.create", "model": "m", "input": text,
         "metadata": { "class": "slot-query" } });
     let start = Instant::now();
--- a/programs/measure/src/main.rs
+++ b/programs/measure/src/main.rs
@@ -4,6 +4,7 @@
 mod latency;
 mod relay;
 mod rig;
+mod secured;
 mod sessions;
 
 use std::process::ExitCode;
@@ -48,6 +49,15 @@
         #[arg(long, default_value_t = 5000)]
         count: usize,
     },
+    /// TLS and callers against plain sessions: handshakes, first token, memory; tokens checked a second.
+    Secured {
+        #[arg(long, default_value_t = 200)]
+        requests: usize,
+        #[arg(long, default_value_t = 2000)]
+        sessions: usize,
+        #[arg(long, default_value_t = 3)]
+        rounds: usize,
+    },
     /// CPU time of one decision.
     Decision,
 }
@@ -64,6 +74,7 @@
             What::Latency { requests } => latency::measure(requests),
             What::Relay { tokens, streams, rounds } => relay::measure(tokens, streams, rounds),
             What::Sessions { count } => sessions::measure(count),
+            What::Secured { requests, sessions, rounds } => secured::measure(requests, sessions, rounds),
             What::Decision => {
                 decision::measure();
                 Ok(())
--- a/programs/measure/src/rig.rs
+++ b/programs/measure/src/rig.rs
@@ -1,8 +1,11 @@
 //! A dispatcher in a process of its own before given hosts.
 
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bitternlatch_badday::process::Dispatcher;
+use bitternlatch_net::dial::Manner;
 use bitternlatch_standin::capture::Capture;
 use bitternlatch_standin::{Config, Standins};
 
@@ -24,8 +27,9 @@
 "#;
 
 /// One stand-in that reads and one that writes.
-pub fn stand_ins() -> Result<(Standins, Hosts), String> {
-    let running = Standins::start(Config::parse(HOSTS)?, Capture::none()).map_err(|e| e.to_string())?;
+pub fn stand_ins(tls: Option<PathBuf>) -> Result<(Standins, Hosts), String> {
+    let config = Config { tls, ..Config::parse(HOSTS)? };
+    let running = Standins::start(config, Capture::none()).map_err(|e| e.to_string())?;
     let list = running.addresses().iter().map(|(name, at)| {
         let kind = if name.starts_with("reader") { "reader" } else { "writer" };
         (name.clone(), at.to_string(), kind)
@@ -36,7 +40,16 @@
 
 /// Starts a dispatcher before hosts and waits until it is ready.
 pub fn dispatcher(hosts: &Hosts, edit: impl Fn(&mut toml::Table)) -> Result<Dispatcher, String> {
-    let dir = std::env::temp_dir().join(format!("bitternlatch-measure-{}", std::process::id()));
+    dispatcher_as(hosts, &Manner::default(), edit)
+}
+
+/// As [`dispatcher`], asked in a manner whether it is ready.
+pub fn dispatcher_as(
+    hosts: &Hosts,
+    manner: &Manner,
+    edit: impl Fn(&mut toml::Table),
+) -> Result<Dispatcher, String> {
+    let dir = folder();
     std::fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
     let mut list = String::from("name,address,port,kind,cell,zone\n");
     for (name, address, kind) in hosts {
@@ -48,6 +61,7 @@
     edit(&mut settings);
     let mut one = Dispatcher::new(&dir, 1, 1, &settings).map_err(|e| e.to_string())?;
     one.without_record();
+    one.secured(manner.clone());
     one.start(&std::env::current_exe().map_err(|e| e.to_string())?).map_err(|e| e.to_string())?;
     match one.ready(Duration::from_secs(20)) {
         true => Ok(one),
@@ -55,6 +69,14 @@
     }
 }
 
+/// A folder for this run's files; each dispatcher has one of its own in it.
+pub fn folder() -> PathBuf {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let name =
+        format!("bitternlatch-measure-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    std::env::temp_dir().join(name)
+}
+
 /// A value of a sorted list.
 pub fn quantile(sorted: &[f64], q: f64) -> f64 {
     let last = sorted.len().saturating_sub(1);
--- a/programs/measure/src/sessions.rs
+++ b/programs/measure/src/sessions.rs
@@ -11,7 +11,7 @@
 
 /// Opens sessions that say nothing, then asks once over a further one.
 pub fn measure(count: usize) -> Result<(), String> {
-    let (_hosts, list) = stand_ins()?;
+    let (_hosts, list) = stand_ins(None)?;
     let dispatcher = dispatcher(&list, |settings| {
         if let Some(listen) = settings["listen"].as_table_mut() {
             listen.insert("sessions".into(), (count as i64 + 10).into());
