--- a/crates/core/src/answers.rs
+++ b/crates/core/src/answers.rs
@@ -122,6 +122,8 @@
     fn finish(&mut self, now: Micros, id: RequestId, answer: Response, out: &mut Vec<Output>) {
         let Some(request) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
         request.answered = true;
+        self.charge_answer(id, &answer, out);
+        let Some(request) = self.requests.get_mut(&id) else { return };
         request.say(out, None, |l, _| client::finished(l.sequence, &l.view(&answer)));
         for listener in std::mem::take(&mut request.listeners) {
             self.sessions.unlisten(listener.session, id);
@@ -137,7 +139,7 @@
             self.contexts.keep(&answer.id, context);
         }
         self.close_key(now, id, answer);
-        self.tidy(id);
+        self.tidy(id, out);
     }
 
     /// A key keeps the answer that stands; it is let go where asking again is harmless and may end better.
@@ -159,13 +161,14 @@
         request.answered = true;
         let answer = request.failed("cancelled", "its client left; it may have run", false, None);
         let streaming = request.streaming();
+        self.charge_answer(id, &answer, out);
         self.close_key(now, id, answer);
         self.events.push_back(Event::ClientGone { request: id });
         if streaming {
             self.tell_cancel(id, out);
             self.end_attempt(now, id, Outcome::Cancelled, 0, Vec::new(), out);
         }
-        self.tidy(id);
+        self.tidy(id, out);
     }
 
     /// One client cancels: it is given its final answer, and the request ends if no other waits for it.
@@ -190,9 +193,10 @@
     }
 
     /// Lets go of an entry once it is answered, nothing is out and nothing is held.
-    pub(crate) fn tidy(&mut self, id: RequestId) {
+    pub(crate) fn tidy(&mut self, id: RequestId, out: &mut Vec<Output>) {
         let over = |r: &Request| r.answered && r.attempt.is_none() && r.state.is_none();
         if self.requests.get(&id).is_some_and(over) {
+            self.settle(id, out);
             let gone = self.requests.remove(&id);
             self.prompt_bytes -= gone.map_or(0, |r| r.prompt.len());
         }
--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -334,7 +334,7 @@
             prefix_hit_tokens: f64::from(prefix_hit),
             report,
         }));
-        self.tidy(id);
+        self.tidy(id, out);
     }
 
     pub(crate) fn on_attempt_time(&mut self, now: Micros, id: RequestId, number: u16, out: &mut Vec<Output>) {
--- /dev/null
+++ b/crates/core/src/budgets.rs
@@ -0,0 +1,137 @@
+//! Budgets of tenants: held at admission, charged before the final answer, put right when nothing of the request is out.
+//!
+//! The order is budget first, then the decision module with its own shares: what the budget refuses the module never hears of.
+
+use bitternlatch_budget::bucket::Short;
+use bitternlatch_budget::charge::{Entry, Used};
+use bitternlatch_budget::Amount;
+use bitternlatch_policy::interface::RequestId;
+use bitternlatch_protocol::client::{BadRequest, Response, Status};
+
+use crate::machine::Machine;
+use crate::requests::Request;
+use crate::types::{Micros, Output};
+
+/// Why a request is not taken, and when to come back.
+pub(crate) struct Denied {
+    pub bad: BadRequest,
+    /// `None` is the machine's own time, for what has one at all.
+    pub retry_after_s: Option<f64>,
+}
+
+impl From<BadRequest> for Denied {
+    fn from(bad: BadRequest) -> Denied {
+        Denied { bad, retry_after_s: None }
+    }
+}
+
+impl Denied {
+    pub(crate) fn by_budget(short: Short) -> Denied {
+        let bad = |status, code, message: &str| BadRequest {
+            status,
+            code,
+            message: message.to_string(),
+            param: None,
+        };
+        match short {
+            Short::For(seconds) => Denied {
+                bad: bad(
+                    429,
+                    "budget_spent",
+                    "the tenant's budget has not enough tokens left for this request",
+                ),
+                retry_after_s: Some(seconds),
+            },
+            Short::Ever => bad(
+                403,
+                "budget_too_small",
+                "the request asks for more tokens than the tenant's budget ever has",
+            )
+            .into(),
+        }
+    }
+}
+
+/// What a request has been charged so far.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Charged {
+    entries: u32,
+    last: Option<Used>,
+}
+
+impl Request {
+    /// What its host counted; `None` where none has, or what it says is no count. An output above the ceiling is the host's
+    /// fault and not the tenant's.
+    fn counted(&self) -> Option<Amount> {
+        let usage = (self.usage.total_tokens > 0).then_some(self.usage)?;
+        Some(Amount { prompt: usage.input_tokens, output: usage.output_tokens.min(self.max_tokens) })
+    }
+
+    /// What it is to be charged as things stand; nothing for what is known not to have run or is refused.
+    fn used(&self, served: bool, refused: bool) -> Option<Used> {
+        match self.counted() {
+            _ if refused => None,
+            Some(amount) => Some(Used::Known(amount)),
+            None if served || self.may_run() => Some(Used::Possibly(self.hold.as_ref()?.bound())),
+            None => None,
+        }
+    }
+}
+
+impl Machine {
+    /// The entry for a final answer, before the answer itself.
+    pub(crate) fn charge_answer(&mut self, id: RequestId, answer: &Response, out: &mut Vec<Output>) {
+        let served = matches!(answer.status, Status::Completed | Status::Incomplete);
+        let refused = answer.error.as_ref().is_some_and(|e| e.safe_to_repeat);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.refused = refused;
+        let used = request.used(served, refused);
+        self.charge(id, used, out);
+    }
+
+    fn charge(&mut self, id: RequestId, used: Option<Used>, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(used) = used.filter(|u| request.charged.last != Some(*u)) else { return };
+        request.charged.last = Some(used);
+        request.charged.entries += 1;
+        let tenant = self.settings.tenants.get(request.tenant as usize).map(|t| t.name.clone());
+        out.push(Output::Charge(Entry {
+            response: request.response.id.clone(),
+            number: request.charged.entries,
+            tenant: tenant.unwrap_or_default(),
+            class: self.settings.classes[usize::from(request.class)].name.clone(),
+            owner: request.owner.clone(),
+            key: request.key.as_ref().map(|k| k.text.clone()).unwrap_or_default(),
+            taken_us: request.taken.0,
+            used,
+        }));
+    }
+
+    /// Nothing of the request is out any more: what is known by now is charged, and the rest of its hold is given back. What may have been
+    /// used stays taken: the engine has worked for it.
+    pub(crate) fn settle(&mut self, id: RequestId, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let used = request.used(false, request.refused);
+        self.charge(id, used, out);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let used = match request.charged.last {
+            Some(Used::Known(amount) | Used::Possibly(amount)) => amount,
+            None => Amount::default(),
+        };
+        if let Some(hold) = request.hold.take() {
+            self.book.settle(hold, used);
+        }
+    }
+
+    /// Opens the accounts of the settings. Without a ledger each dispatcher spends an even part.
+    pub(crate) fn open_accounts(&mut self, now: Micros) {
+        let share = 1.0 / f64::from(self.settings.dispatchers.max(1));
+        let classes = &self.settings.classes;
+        let number = |name: &str| classes.iter().position(|c| c.name == name).map(|i| i as u16);
+        for (i, tenant) in self.settings.tenants.iter().enumerate() {
+            if let Some(budget) = &tenant.budget {
+                self.book.open(now.seconds(), i as u32, budget, share, number);
+            }
+        }
+    }
+}
--- a/crates/core/src/carry.rs
+++ b/crates/core/src/carry.rs
@@ -151,7 +151,7 @@
         if let Some(link) = self.links.open(state.host) {
             self.tell_release(link, &state.made_by, out);
         }
-        self.tidy(id);
+        self.tidy(id, out);
     }
 
     pub(crate) fn tell_release(&self, link: LinkId, made_by: &str, out: &mut Vec<Output>) {
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -1,10 +1,13 @@
 //! From a client's message to a request: checks, bounds, keys, and what a returning client is given.
 
+use bitternlatch_budget::book::Hold;
+use bitternlatch_budget::Amount;
 use bitternlatch_policy::interface::{Event, Request as Ask, RequestId};
 use bitternlatch_protocol::client::{self, BadRequest, ClientEvent, Create, Response, Status};
 use bitternlatch_protocol::tokens_of;
 use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
+use crate::budgets::{Charged, Denied};
 use crate::keys::{Key, Known};
 use crate::machine::Machine;
 use crate::requests::{Listener, Request, LISTENERS_MOST};
@@ -45,8 +48,9 @@
         let say = |out: &mut Vec<Output>, text| out.push(Output::Say { session, text });
         match client::parse(text) {
             Ok(ClientEvent::Create(create)) => {
-                if let Err(bad) = self.create(now, session, &create, out) {
-                    let again = (bad.status == 429).then_some((COME_BACK_S * 1000.0) as u64);
+                if let Err(Denied { bad, retry_after_s }) = self.create(now, session, &create, out) {
+                    let own = (bad.status == 429).then_some(COME_BACK_S);
+                    let again = retry_after_s.or(own).map(|s| (s * 1000.0).ceil() as u64);
                     say(out, client::error(&bad, again, Some(&create.metadata)));
                 }
             }
@@ -65,16 +69,16 @@
         session: SessionId,
         create: &Create,
         out: &mut Vec<Output>,
-    ) -> Result<(), BadRequest> {
+    ) -> Result<(), Denied> {
         if self.sessions.in_hand(session) >= self.settings.listen.session_requests {
-            return Err(too_many("this session has as many requests in hand as it may"));
+            return Err(too_many("this session has as many requests in hand as it may").into());
         }
         let wanted = self.wanted(now, session, create)?;
         if let Some(key) = &wanted.key {
             let asked = fingerprint(create);
             match self.keys.know(key, asked) {
                 Known::New => {}
-                Known::Attach(id) => return self.attach(session, id, create, out),
+                Known::Attach(id) => return Ok(self.attach(session, id, create, out)?),
                 Known::Answer(answer) => {
                     self.say_again(session, &answer, create, out);
                     return Ok(());
@@ -82,23 +86,26 @@
                 Known::Forgotten => {
                     let why = "its request has ended and may have run; the answer is no longer kept";
                     let bad = BadRequest::field("metadata.idempotency_key", why);
-                    return Err(BadRequest { status: 410, code: "answer_not_kept", ..bad });
+                    return Err(BadRequest { status: 410, code: "answer_not_kept", ..bad }.into());
                 }
                 Known::OtherRequest => {
                     let why = "this key was used for another request";
                     let bad = BadRequest::field("metadata.idempotency_key", why);
-                    return Err(BadRequest { status: 409, code: "idempotency_key_reused", ..bad });
+                    return Err(BadRequest { status: 409, code: "idempotency_key_reused", ..bad }.into());
                 }
-                Known::NoRoom => return Err(too_many("no room for another idempotency key")),
+                Known::NoRoom => return Err(too_many("no room for another idempotency key").into()),
             }
         }
         if self.requests.len() >= self.settings.requests.in_hand {
-            return Err(too_many("the dispatcher has as many requests in hand as it may"));
+            return Err(too_many("the dispatcher has as many requests in hand as it may").into());
         }
         if self.prompt_bytes + wanted.prompt.len() > self.settings.requests.prompt_bytes_in_hand {
-            return Err(too_many("the prompts in hand take as much memory as they may"));
+            return Err(too_many("the prompts in hand take as much memory as they may").into());
         }
-        self.begin(now, session, create, wanted, out);
+        let most = Amount { prompt: tokens_of(wanted.prompt.len()), output: wanted.max_tokens };
+        let hold = self.book.hold(now.seconds(), wanted.tenant, wanted.class, most);
+        let hold = hold.map_err(Denied::by_budget)?;
+        self.begin(now, session, create, wanted, hold, out);
         Ok(())
     }
 
@@ -172,6 +179,7 @@
         session: SessionId,
         create: &Create,
         wanted: Wanted,
+        hold: Hold,
         out: &mut Vec<Output>,
     ) {
         let id = self.next_request;
@@ -208,6 +216,10 @@
             attempt: None,
             state: None,
             may_have_run: false,
+            taken: now,
+            hold: Some(hold),
+            charged: Charged::default(),
+            refused: false,
             answered: false,
         };
         self.prompt_bytes += request.prompt.len();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod answers;
 mod attempts;
+mod budgets;
 mod callers;
 mod carry;
 mod contexts;
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use bitternlatch_budget::book::Book;
 use bitternlatch_identity::rights::Rights;
 use bitternlatch_identity::Caller;
 use bitternlatch_inventory::Host;
@@ -71,6 +72,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) keys: Keys,
     pub(crate) contexts: Contexts,
+    pub(crate) book: Book,
     pub(crate) timers: Timers,
     pub(crate) probes: BTreeMap<u64, Probe>,
     pub(crate) next_probe: u64,
@@ -102,6 +104,7 @@
             fleet: Fleet::new(&settings.zone),
             keys: Keys::new(limits.keys, limits.key_bytes, limits.key_s),
             contexts: Contexts::new(limits.context_bytes),
+            book: Book::default(),
             timers: Timers::default(),
             probes: BTreeMap::new(),
             next_probe: 1,
@@ -149,6 +152,7 @@
         if !self.sweeping {
             self.sweeping = true;
             self.timers.set(now.after(SWEEP_S), Timer::Sweep);
+            self.open_accounts(now);
         }
         for timer in self.timers.take_due(now) {
             self.on_timer(now, timer, out);
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -3,10 +3,12 @@
 use std::borrow::Cow;
 use std::collections::BTreeMap;
 
+use bitternlatch_budget::book::Hold;
 use bitternlatch_policy::interface::{RequestId, ServerId};
 use bitternlatch_protocol::client::{Response, Usage};
 use bitternlatch_protocol::engine::{EngineUsage, KvTransferParams};
 
+use crate::budgets::Charged;
 use crate::keys::Key;
 use crate::types::{LinkId, Micros, SessionId};
 
@@ -103,6 +105,13 @@
     pub state: Option<HeldState>,
     /// An attempt that could have had the effect was told to a host and not turned away.
     pub may_have_run: bool,
+    /// When it was taken.
+    pub taken: Micros,
+    /// What it holds of its tenant's budget, until it is settled.
+    pub hold: Option<Hold>,
+    pub charged: Charged,
+    /// Its final answer was a refusal.
+    pub refused: bool,
     /// The final answer is given; what is left is to hear the attempt's end.
     pub answered: bool,
 }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -3,6 +3,7 @@
 //! What stands here are facts of an installation and bounds of resources. How requests are routed, judged and
 //! repeated is decided in the decision module and is not set here.
 
+use bitternlatch_budget::plan::Budget;
 use std::collections::BTreeMap;
 use std::fmt;
 
@@ -44,6 +45,7 @@
     pub record: Option<Record>,
     /// Without it any caller may do anything.
     pub identity: Option<Identity>,
+    pub charges: Option<ChargeFile>,
     #[serde(default)]
     pub stop: Stop,
     #[serde(default)]
@@ -175,6 +177,14 @@
     pub keep_s: f64,
 }
 
+/// Where charges are kept.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ChargeFile {
+    /// A journal of this dispatcher's own; relative to the settings file.
+    pub file: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Record {
@@ -348,6 +358,8 @@
     pub name: String,
     /// Requests a second over all dispatchers.
     pub quota_rps: f64,
+    /// Tokens that it may use over all dispatchers.
+    pub budget: Option<Budget>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
@@ -541,6 +553,10 @@
         }
         for (i, tenant) in self.tenants.iter().enumerate() {
             c.within(&format!("tenants.{i}.quota_rps"), tenant.quota_rps, 0.0, 1e9);
+            let known = |name: &str| self.classes.iter().any(|c| c.name == name);
+            if let Some(Err((key, why))) = tenant.budget.as_ref().map(|b| b.check(known)) {
+                c.fail(&format!("tenants.{i}.budget.{key}"), why);
+            }
         }
         for (i, kind) in self.kinds.iter().enumerate() {
             c.within(&format!("kinds.{i}.memory_tokens"), kind.memory_tokens, 0.0, 1e12);
--- a/crates/core/src/types.rs
+++ b/crates/core/src/types.rs
@@ -1,5 +1,6 @@
 //! Ids, the clock, and what goes into and comes out of the machine.
 
+use bitternlatch_budget::charge::Entry;
 use bitternlatch_identity::Caller;
 use bitternlatch_inventory::Host;
 use bitternlatch_policy::interface::ServerId;
@@ -146,6 +147,8 @@
     Hang {
         link: LinkId,
     },
+    /// What a request was charged; before its final answer, and again when more is known.
+    Charge(Entry),
     Log {
         level: Level,
         text: String,
--- /dev/null
+++ b/crates/core/tests/budgets.rs
@@ -0,0 +1,161 @@
+//! Budgets and charges in the machine: what is held, what a request is charged, and what it is not.
+mod common;
+
+use bitternlatch_budget::charge::{Entries, Used};
+use bitternlatch_budget::Amount;
+use bitternlatch_core::{Input, Output, SessionId, Settings};
+use bitternlatch_protocol::engine::{Choice, Chunk, EngineUsage, FromEngine};
+use common::{four, Bench, Told, SETTINGS};
+
+/// 1,000 tokens saved, ten a second.
+const BUDGET: &str =
+    "\n[[tenants]]\nname = \"bands\"\nquota_rps = 1000\nbudget = { rate = { tokens_per_s = 10, burst_tokens = 1000 } }\n";
+
+fn budgeted() -> Bench {
+    let settings = Settings::parse("test", &format!("{SETTINGS}{BUDGET}")).expect("settings");
+    let mut bench = Bench::with(settings, 5);
+    bench.step(Input::Hosts(four()));
+    bench.open_all(1000.0);
+    bench
+}
+
+fn ask(bench: &mut Bench, session: SessionId, class: &str, key: &str, output: u32) {
+    let text = serde_json::json!({ "type": "response.create", "model": "m", "input": "x".repeat(400),
+        "max_output_tokens": output, "metadata": { "class": class, "idempotency_key": key } });
+    bench.step(Input::SessionText { session, text: text.to_string() });
+}
+
+/// Asks, reads, and gives the write that follows.
+fn begin(bench: &mut Bench, session: SessionId, class: &str, key: &str, output: u32) -> Told {
+    ask(bench, session, class, key, output);
+    let read = bench.take();
+    bench.pass(0.01);
+    bench.read_done(&read);
+    bench.take()
+}
+
+fn end(bench: &mut Bench, told: &Told, prompt: u32, output: u32) {
+    let choice = Choice { index: 0, text: "yes".into(), finish_reason: Some("stop".into()) };
+    let usage = EngineUsage {
+        prompt_tokens: prompt,
+        completion_tokens: output,
+        total_tokens: prompt + output,
+        prompt_tokens_details: None,
+    };
+    let usage = (prompt > 0).then_some(usage);
+    let body = Chunk { choices: vec![choice], usage, kv_transfer_params: None };
+    bench.says(told.link, &FromEngine::Chunk { id: told.id.clone(), body });
+    bench.done(told);
+}
+
+fn charges(bench: &Bench) -> Vec<(u32, Used)> {
+    let charge = |o: &Output| match o {
+        Output::Charge(e) => Some((e.number, e.used)),
+        _ => None,
+    };
+    bench.out.iter().filter_map(charge).collect()
+}
+
+fn known(prompt: u32, output: u32) -> Used {
+    Used::Known(Amount { prompt, output })
+}
+
+fn refusal(bench: &mut Bench, session: SessionId) -> (String, Option<u64>) {
+    let last = bench.heard(session).pop().expect("an event");
+    let error = last.error.expect("an error");
+    (error["code"].as_str().unwrap_or_default().to_string(), error["retry_after_ms"].as_u64())
+}
+
+#[test]
+fn a_request_is_charged_once_what_its_host_counted_before_its_answer() {
+    let mut bench = budgeted();
+    let (one, two) = (bench.open(1), bench.open(2));
+    let write = begin(&mut bench, one, "query", "k", 800);
+    ask(&mut bench, two, "query", "k", 800);
+    end(&mut bench, &write, 107, 20);
+    ask(&mut bench, two, "query", "k", 800);
+    assert_eq!(charges(&bench), [(1, known(107, 20))], "its repeats are charged as the first try");
+    let at = |fits: &dyn Fn(&Output) -> bool| bench.out.iter().position(fits).expect("it");
+    let charged = at(&|o| matches!(o, Output::Charge(_)));
+    assert!(charged < at(&|o| matches!(o, Output::Say { text, .. } if text.contains("response.completed"))));
+    // 1000 less 127, and some tens earned meanwhile: 800 more can be held at once.
+    ask(&mut bench, one, "query", "k2", 760);
+    assert_eq!(bench.heard(one).last().map(|e| e.kind.clone()).as_deref(), Some("response.created"));
+}
+
+#[test]
+fn a_refusal_says_when_enough_is_there_and_then_it_is() {
+    let mut bench = budgeted();
+    let session = bench.open(1);
+    let write = begin(&mut bench, session, "query", "k", 890);
+    bench.heard(session);
+    ask(&mut bench, session, "query", "k2", 100);
+    let (code, after_ms) = refusal(&mut bench, session);
+    let after_s = after_ms.expect("a time") as f64 / 1000.0;
+    assert!(code == "budget_spent" && (18.0..=20.0).contains(&after_s), "{code} {after_s}");
+    ask(&mut bench, session, "query", "k3", 2000);
+    assert_eq!(refusal(&mut bench, session), ("budget_too_small".into(), None));
+    assert!(charges(&bench).is_empty(), "refusals cost nothing");
+    end(&mut bench, &write, 100, 890);
+    bench.heard(session);
+    bench.pass(after_s - 1.0);
+    ask(&mut bench, session, "query", "k4", 100);
+    assert_eq!(refusal(&mut bench, session).0, "budget_spent");
+    bench.pass(1.1);
+    ask(&mut bench, session, "query", "k5", 100);
+    assert_eq!(bench.heard(session).last().map(|e| e.kind.clone()).as_deref(), Some("response.created"));
+}
+
+#[test]
+fn what_failed_and_may_have_run_is_possibly_charged_with_its_bound() {
+    let mut bench = budgeted();
+    let session = bench.open(1);
+    let write = begin(&mut bench, session, "booking", "k", 200);
+    bench.step(Input::LinkClosed { link: write.link, why: "reset".into() });
+    bench.pass(20.0);
+    let bound = Used::Possibly(Amount { prompt: 100, output: 200 });
+    assert_eq!(charges(&bench), [(1, bound)]);
+    // One that never left costs nothing: the reader never took it.
+    let mut bench = budgeted();
+    let session = bench.open(1);
+    ask(&mut bench, session, "booking", "k", 200);
+    let read = bench.take();
+    bench.error(&read, 503, Some("engine_full"));
+    for _ in 0..8 {
+        bench.pass(0.5);
+        if let Some(told) = bench.told.pop() {
+            bench.error(&told, 503, Some("engine_full"));
+        }
+    }
+    bench.pass(20.0);
+    let last = bench.heard(session).pop().expect("an answer");
+    assert_eq!(last.kind, "response.failed");
+    assert!(charges(&bench).is_empty(), "{:?}", charges(&bench));
+    ask(&mut bench, session, "query", "k9", 890);
+    assert!(bench.heard(session).iter().any(|e| e.kind == "response.created"), "all was given back");
+}
+
+#[test]
+fn counts_that_are_absent_or_above_the_ceiling_are_bounded() {
+    let mut bench = budgeted();
+    let session = bench.open(1);
+    let write = begin(&mut bench, session, "query", "k", 200);
+    end(&mut bench, &write, 0, 0);
+    let write = begin(&mut bench, session, "query", "k2", 200);
+    end(&mut bench, &write, 130, 5000);
+    let bound = Used::Possibly(Amount { prompt: 100, output: 200 });
+    assert_eq!(
+        charges(&bench),
+        [(1, bound), (1, known(130, 200))],
+        "an output above the ceiling is the host's fault"
+    );
+    let mut entries = Entries::default();
+    for output in &bench.out {
+        if let Output::Charge(entry) = output {
+            entries.offer(entry.clone());
+        }
+    }
+    let bill = entries.bill(0, u64::MAX);
+    let line = bill[&("bands".to_string(), "query".to_string())];
+    assert_eq!((line.prompt, line.output, line.possibly_tokens), (130, 200, 300));
+}
--- /dev/null
+++ b/crates/journal/tests/crash.rs
@@ -0,0 +1,225 @@
+//! A crash at every write, length change and sync of the storage, with all, none or half of what was not synced on the disk.
+
+use std::sync::{Arc, Mutex};
+
+use bitternlatch_budget::charge::{Entry, Used};
+use bitternlatch_budget::Amount;
+use bitternlatch_journal::{Journal, Place};
+use redb::StorageBackend;
+
+#[derive(Clone, Debug)]
+enum Op {
+    Write(u64, Vec<u8>),
+    Length(u64),
+    Sync,
+}
+
+fn apply(bytes: &mut Vec<u8>, op: &Op) {
+    match op {
+        Op::Write(at, data) => {
+            let (from, to) = (*at as usize, *at as usize + data.len());
+            if bytes.len() < to {
+                bytes.resize(to, 0);
+            }
+            bytes[from..to].copy_from_slice(data);
+        }
+        Op::Length(len) => bytes.resize(*len as usize, 0),
+        Op::Sync => {}
+    }
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    bytes: Vec<u8>,
+    done: Vec<Op>,
+    /// Number of further operations that succeed; none after that.
+    left: Option<usize>,
+}
+
+/// A disk in memory that writes down what is done to it, and may run full.
+#[derive(Clone, Debug, Default)]
+struct Disk(Arc<Mutex<Inner>>);
+
+impl Disk {
+    fn of(bytes: Vec<u8>) -> Disk {
+        Disk(Arc::new(Mutex::new(Inner { bytes, ..Inner::default() })))
+    }
+
+    fn act(&self, op: Op) -> Result<(), std::io::Error> {
+        let mut inner = self.0.lock().expect("not poisoned");
+        match &mut inner.left {
+            Some(0) => return Err(std::io::Error::from(std::io::ErrorKind::StorageFull)),
+            Some(left) => *left -= 1,
+            None => {}
+        }
+        apply(&mut inner.bytes, &op);
+        inner.done.push(op);
+        Ok(())
+    }
+
+    fn ops(&self) -> Vec<Op> {
+        self.0.lock().expect("not poisoned").done.clone()
+    }
+}
+
+impl StorageBackend for Disk {
+    fn len(&self) -> Result<u64, std::io::Error> {
+        Ok(self.0.lock().expect("not poisoned").bytes.len() as u64)
+    }
+    fn read(&self, offset: u64, out: &mut [u8]) -> Result<(), std::io::Error> {
+        let inner = self.0.lock().expect("not poisoned");
+        let from = offset as usize;
+        let Some(part) = inner.bytes.get(from..from + out.len()) else {
+            return Err(std::io::Error::from(std::io::ErrorKind::UnexpectedEof));
+        };
+        out.copy_from_slice(part);
+        Ok(())
+    }
+    fn set_len(&self, len: u64) -> Result<(), std::io::Error> {
+        self.act(Op::Length(len))
+    }
+    fn sync_data(&self) -> Result<(), std::io::Error> {
+        self.act(Op::Sync)
+    }
+    fn write(&self, offset: u64, data: &[u8]) -> Result<(), std::io::Error> {
+        self.act(Op::Write(offset, data.to_vec()))
+    }
+}
+
+fn entry(i: u32, number: u32, output: u32) -> Entry {
+    Entry {
+        response: format!("resp_{i}"),
+        number,
+        tenant: "bands".into(),
+        class: "query".into(),
+        owner: String::new(),
+        key: String::new(),
+        taken_us: 1,
+        used: Used::Known(Amount { prompt: 10, output }),
+    }
+}
+
+/// Batches of three, with a correction and a mark of what was shipped in between.
+fn batch(n: u32) -> Vec<Entry> {
+    let mut batch: Vec<Entry> = (0..3).map(|i| entry(n * 3 + i, 1, 1)).collect();
+    if n > 0 {
+        batch.push(entry(n * 3 - 1, 2, 5));
+    }
+    batch
+}
+
+const BATCHES: u32 = 6;
+
+/// What a disk holds after a crash before operation `at`: what was synced, and of the rest all, none, or every other one with
+/// the last cut in half.
+fn after(ops: &[Op], at: usize, kept: usize) -> Vec<u8> {
+    let synced = ops[..at].iter().rposition(|o| matches!(o, Op::Sync)).map_or(0, |i| i + 1);
+    let mut bytes = Vec::new();
+    ops[..synced].iter().for_each(|op| apply(&mut bytes, op));
+    let rest = &ops[synced..at];
+    for (i, op) in rest.iter().enumerate() {
+        let torn = match op {
+            Op::Write(to, data) if kept == 2 && i + 1 == rest.len() => {
+                Op::Write(*to, data[..data.len() / 2].to_vec())
+            }
+            op => op.clone(),
+        };
+        if kept == 0 || kept == 2 && i % 2 == 0 {
+            apply(&mut bytes, &torn);
+        }
+    }
+    bytes
+}
+
+#[test]
+fn after_a_crash_at_any_step_whole_batches_are_there_and_none_that_was_promised_is_missing() {
+    let disk = Disk::default();
+    let journal = Journal::over(disk.clone()).expect("a journal");
+    let mut promised = vec![(disk.ops().len(), 0, 0)];
+    for n in 0..BATCHES {
+        assert_eq!(journal.append(&batch(n)).expect("written").taken, batch(n).len());
+        promised.push((disk.ops().len(), n + 1, promised[promised.len() - 1].2));
+        if n % 2 == 1 {
+            let place = journal.unshipped(100).expect("read").last().expect("some").0;
+            journal.shipped(place).expect("written");
+            promised.push((disk.ops().len(), n + 1, place.0));
+        }
+    }
+    let ops = disk.ops();
+    let first = promised[0].0;
+    let mut seen = 0;
+    for at in first..=ops.len() {
+        for kept in 0..3 {
+            let (_, least, shipped) = *promised.iter().rfind(|p| p.0 <= at).expect("a promise");
+            let again =
+                Journal::over(Disk::of(after(&ops, at, kept))).unwrap_or_else(|e| panic!("{at} {kept}: {e}"));
+            let all = again.entries().expect("read");
+            let whole = |n: u32| batch(n).iter().all(|e| all.standing().any(|s| s.response == e.response));
+            let there = (0..BATCHES).take_while(|n| whole(*n)).count() as u32;
+            assert!(there >= least, "{at} {kept}: {there} batches of {least} promised");
+            assert_eq!(all.standing().count() as u32, there * 3, "{at} {kept}: a batch in part");
+            let rest = again.unshipped(100).expect("read");
+            assert!(
+                rest.first().is_none_or(|r| r.0 > Place(shipped)),
+                "{at} {kept}: shipped is not forgotten"
+            );
+            // Whoever asks again finds repeats where they are there, and goes on.
+            for n in 0..BATCHES {
+                let done = again.append(&batch(n)).expect("written");
+                assert!(
+                    done.contradictions.is_empty() && (done.taken == 0) == (n < there),
+                    "{at} {kept} {n}: {done:?}"
+                );
+            }
+            let line = again.entries().expect("read").bill(0, 9)[&("bands".to_string(), "query".to_string())];
+            assert_eq!((line.requests, line.output), (18, 13 + 5 * 5), "{at} {kept}: the bill adds up");
+            seen += 1;
+        }
+    }
+    assert!(seen > 60, "{seen} crashes");
+}
+
+#[test]
+fn a_disk_that_runs_full_at_any_step_loses_nothing_that_was_promised() {
+    for left in 0..60 {
+        let disk = Disk::default();
+        let journal = Journal::over(disk.clone()).expect("a journal");
+        journal.append(&batch(0)).expect("written");
+        disk.0.lock().expect("not poisoned").left = Some(left);
+        let mut promised = 1;
+        while promised < BATCHES && journal.append(&batch(promised)).is_ok() {
+            promised += 1;
+        }
+        drop(journal);
+        let bytes = disk.0.lock().expect("not poisoned").bytes.clone();
+        let again = Journal::over(Disk::of(bytes)).unwrap_or_else(|e| panic!("{left}: {e}"));
+        let there = again.entries().expect("read").standing().count() as u32;
+        assert!(
+            there >= promised * 3 && there.is_multiple_of(3),
+            "{left}: {there} entries, {promised} batches promised"
+        );
+    }
+}
+
+#[test]
+fn files_that_are_no_journal_or_open_elsewhere_are_named_and_stay() {
+    let path = std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("no.journal");
+    std::fs::write(&path, "a shopping list").expect("a file");
+    let fault = Journal::open(&path).err().expect("refused").to_string();
+    assert!(fault.contains("no.journal"), "{fault}");
+    assert_eq!(std::fs::read_to_string(&path).expect("it"), "a shopping list");
+    std::fs::remove_file(&path).expect("removed");
+    let _open = Journal::open(&path).expect("made");
+    assert!(Journal::open(&path).is_err(), "one process at a time");
+    assert!(Journal::open(std::path::Path::new("/nowhere/at/all")).is_err());
+}
+
+#[test]
+fn one_number_with_two_contents_is_told_and_the_first_stands() {
+    let journal = Journal::over(Disk::default()).expect("a journal");
+    journal.append(&[entry(1, 1, 7)]).expect("written");
+    let done = journal.append(&[entry(1, 1, 8), entry(1, 1, 7), entry(2, 1, 1)]).expect("written");
+    assert_eq!((done.taken, done.repeats), (1, 1));
+    assert_eq!(done.contradictions, [("resp_1".to_string(), 1)]);
+    assert_eq!(journal.unshipped(9).expect("read")[0].1, entry(1, 1, 7));
+}
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -7,14 +7,17 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bitternlatch_core::record::{Entry, Writer};
+use bitternlatch_budget::charge::Entry;
+use bitternlatch_core::record::{self, Writer};
 use bitternlatch_core::settings::Engines;
-use bitternlatch_core::{Input, Level, LinkId, Machine, Output, SessionId, Settings};
+use bitternlatch_core::{Input, Level, LinkId, Machine, Micros, Output, SessionId, Settings};
 use bitternlatch_identity::Caller;
+use bitternlatch_journal::held::{Charge, Held};
 use bitternlatch_protocol::client::{renewal, Renewal};
 use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender, TrySendError};
 
 use crate::accept::Handler;
+use crate::charges::Charges;
 use crate::clock::Clock;
 use crate::dial::{dial_as, Manner};
 use crate::guard::Guard;
@@ -27,6 +30,8 @@
 const RECORD_ENTRIES: usize = 64 * 1024;
 /// Longest wait for closing words to go out at the end.
 const LAST_WORDS: Duration = Duration::from_secs(2);
+/// Longest that an answer waits for its charge to be on disk, seconds; then it goes, as an answer in time comes first.
+const CHARGE_WAIT_S: f64 = 0.5;
 /// Longest time between two writes of a record.
 const RECORD_EVERY: Duration = Duration::from_millis(100);
 
@@ -35,6 +40,8 @@
     Input(Input),
     Session(SessionId, Outbox, Option<Caller>),
     Link(LinkId, Outbox),
+    /// More charges are on disk.
+    Written,
 }
 
 /// The queue to the loop.
@@ -142,6 +149,9 @@
     own: VecDeque<Input>,
     ready: Arc<AtomicBool>,
     recorder: Option<Recorder>,
+    charges: Option<Charges>,
+    /// Answers that wait for their charge.
+    held: Held<SessionId, Output>,
     stopping: bool,
 }
 
@@ -164,6 +174,8 @@
             own: VecDeque::new(),
             ready,
             recorder: None,
+            charges: None,
+            held: Held::new(CHARGE_WAIT_S),
             stopping: false,
         }
     }
@@ -173,6 +185,11 @@
         self.tls = Some(tls);
     }
 
+    /// Keeps charges on disk; answers wait for them.
+    pub fn charge(&mut self, charges: Charges) {
+        self.charges = Some(charges);
+    }
+
     /// Records every step from now on.
     pub fn record(&mut self, recorder: Recorder) {
         self.recorder = Some(recorder);
@@ -204,6 +221,8 @@
         }
         let wait = self.machine.next_wake().map_or(Duration::from_secs(1), |at| self.clock.until(at));
         let wait = stop_by.map_or(wait, |by| wait.min(by.saturating_duration_since(Instant::now())));
+        let held = self.held.next_s().map(|at| self.clock.until(Micros::at(at)));
+        let wait = held.map_or(wait, |held| wait.min(held));
         match self.events.recv_timeout(wait) {
             Ok(Event::Input(input)) => Some(input),
             Ok(Event::Session(session, outbox, caller)) => {
@@ -214,7 +233,7 @@
                 self.links.insert(link, outbox);
                 Some(Input::LinkUp { link })
             }
-            Err(RecvTimeoutError::Timeout) => Some(Input::Tick),
+            Ok(Event::Written) | Err(RecvTimeoutError::Timeout) => Some(Input::Tick),
             Err(RecvTimeoutError::Disconnected) => None,
         }
     }
@@ -222,7 +241,10 @@
     /// One step; true when all is answered after a stop.
     fn step(&mut self, input: Input) -> bool {
         match &input {
-            Input::SessionClosed { session } => drop(self.sessions.remove(session)),
+            Input::SessionClosed { session } => {
+                self.held.forget(*session);
+                drop(self.sessions.remove(session));
+            }
             Input::LinkClosed { link, .. } => drop(self.links.remove(link)),
             _ => {}
         }
@@ -231,19 +253,67 @@
         let mut outputs = Vec::new();
         self.machine.step(at, input, &mut outputs);
         if let (Some(recorder), Some(input)) = (&self.recorder, kept) {
-            if !recorder.put(Entry::Step { at, input, outputs: outputs.clone() }) {
+            if !recorder.put(record::Entry::Step { at, input, outputs: outputs.clone() }) {
                 tracing::error!("the record ends here: it cannot be written as fast as it grows");
                 self.recorder = None;
             }
         }
         self.ready.store(!self.stopping && self.machine.counts().open_links > 0, Ordering::Relaxed);
+        if let Some(charges) = &self.charges {
+            let free = self.held.written(charges.written());
+            self.carry_all(free);
+        }
+        let late = self.held.overdue(at.seconds());
+        if !late.is_empty() {
+            tracing::error!(outputs = late.len(), "answers go before their charges are on disk");
+            self.carry_all(late);
+        }
+        self.carry_in_order(at, outputs)
+    }
+
+    /// Carries a step's outputs out; what follows a charge to a session waits for the charge. True for the last output.
+    fn carry_in_order(&mut self, at: Micros, outputs: Vec<Output>) -> bool {
+        let mut behind = None;
         let mut stopped = false;
         for output in outputs {
-            stopped |= self.carry(output);
+            let output = match output {
+                Output::Charge(entry) => {
+                    behind = self.put_charge(entry).or(behind);
+                    continue;
+                }
+                output => output,
+            };
+            let to = match &output {
+                Output::Say { session, .. } | Output::CloseSession { session, .. } => *session,
+                _ => {
+                    stopped |= self.carry(output);
+                    continue;
+                }
+            };
+            if let Some(output) = self.held.offer(at.seconds(), to, behind, output) {
+                stopped |= self.carry(output);
+            }
         }
         stopped
     }
 
+    fn carry_all(&mut self, outputs: Vec<Output>) {
+        for output in outputs {
+            self.carry(output);
+        }
+    }
+
+    fn put_charge(&mut self, entry: Entry) -> Option<Charge> {
+        match &mut self.charges {
+            Some(charges) => charges.put(entry),
+            None => {
+                tracing::debug!(target: "charge", response = entry.response, number = entry.number,
+                    tenant = entry.tenant, class = entry.class, used = ?entry.used, "charged");
+                None
+            }
+        }
+    }
+
     /// Carries one output out; true for the last one.
     fn carry(&mut self, output: Output) -> bool {
         match output {
@@ -267,6 +337,8 @@
                     outbox.cut();
                 }
             }
+            // Put on its way before; see carry_in_order.
+            Output::Charge(_) => {}
             Output::Log { level, text } => match level {
                 Level::Info => tracing::info!("{text}"),
                 Level::Warn => tracing::warn!("{text}"),
@@ -305,7 +377,12 @@
         }
     }
 
-    fn end(self) {
+    fn end(mut self) {
+        if let Some(charges) = self.charges.take() {
+            charges.end();
+        }
+        let rest = self.held.written(Charge(u64::MAX));
+        self.carry_all(rest);
         for outbox in self.sessions.values() {
             outbox.close(1001, "the dispatcher stops");
         }
@@ -364,7 +441,7 @@
 
 /// Writes the record from a thread of its own.
 pub struct Recorder {
-    queue: Sender<Entry>,
+    queue: Sender<record::Entry>,
     thread: std::thread::JoinHandle<()>,
 }
 
@@ -376,9 +453,9 @@
     pub fn begin(path: &PathBuf, settings: String, seed: u64) -> io::Result<Recorder> {
         let file = std::fs::File::create(path)?;
         let mut writer = Writer::begin(file)?;
-        writer.put(&Entry::Start { settings, seed })?;
+        writer.put(&record::Entry::Start { settings, seed })?;
         writer.flush()?;
-        let (queue, entries) = bounded::<Entry>(RECORD_ENTRIES);
+        let (queue, entries) = bounded::<record::Entry>(RECORD_ENTRIES);
         let write = move || loop {
             let done = match entries.recv_timeout(RECORD_EVERY) {
                 Ok(entry) => writer.put(&entry),
@@ -400,7 +477,7 @@
     }
 
     /// False once the record has ended.
-    fn put(&self, entry: Entry) -> bool {
+    fn put(&self, entry: record::Entry) -> bool {
         match self.queue.try_send(entry) {
             Ok(()) => true,
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => false,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 //! does not read holds up nobody else.
 
 pub mod accept;
+pub mod charges;
 pub mod clock;
 pub mod dial;
 pub mod driver;
--- a/programs/badday/src/process.rs
+++ b/programs/badday/src/process.rs
@@ -49,6 +49,11 @@
         if let Some(listen) = listen.as_table_mut() {
             listen.insert("address".into(), address.clone().into());
         }
+        if settings.contains_key("charges") {
+            // One journal a dispatcher, the same after a restart.
+            let file = toml::Table::from_iter([("file".to_string(), format!("{name}.charges").into())]);
+            settings.insert("charges".into(), file.into());
+        }
         let inventory = toml::Table::from_iter([("file".to_string(), "hosts.csv".into())]);
         settings.insert("inventory".into(), inventory.into());
         Ok(Dispatcher {
--- a/programs/badday/src/secured.rs
+++ b/programs/badday/src/secured.rs
@@ -136,7 +136,7 @@
 
     /// How a conversation's client calls: every other one by certificate, the rest by a token of their own.
     pub fn manner(&self, conversation: usize) -> Manner {
-        if conversation % 2 == 0 {
+        if conversation.is_multiple_of(2) {
             return self.desk.clone();
         }
         let claims = json!({ "iss": "https://issuer", "aud": "bitternlatch", "sub": format!("c{conversation}"),
--- a/programs/badday/tests/sessions.rs
+++ b/programs/badday/tests/sessions.rs
@@ -232,7 +232,8 @@
         ("POST / HTTP/1.1\r\nHost: x\r\n\r\n", "405"),
         ("GET / HTTP/1.1\r\nUpgrade: websocket\r\n\r\n", "400"),
         (
-            "GET / HTTP/1.1\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: 8\r\n\r\n",
+            "GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n\
+             Sec-WebSocket-Version: 8\r\n\r\n",
             "426",
         ),
         ("nonsense\r\n\r\n", "400"),
--- a/programs/dispatch/src/lib.rs
+++ b/programs/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 use bitternlatch_identity::rights::Rights;
 use bitternlatch_inventory::{LastGood, Offer};
 use bitternlatch_net::accept::{Acceptor, Door};
+use bitternlatch_net::charges::Charges;
 use bitternlatch_net::driver::{events, Driver, Event, Front, Recorder};
 use bitternlatch_net::socket::Limits;
 use bitternlatch_net::{guard, logs, tls, watch};
@@ -146,7 +147,14 @@
     let record = settings.record.as_ref().map(|r| beside(&args.config, &r.file));
     tracing::info!(name = settings.name, address = %acceptor.address(), "listening");
     on_signal(to.clone(), acceptor)?;
+    let charges = match &settings.charges {
+        Some(kept) => Some(Charges::begin(&beside(&args.config, &kept.file), to.clone())?),
+        None => None,
+    };
     let mut driver = Driver::new(settings, seed, (to, from), ready);
+    if let Some(charges) = charges {
+        driver.charge(charges);
+    }
     if let Some(client) = secured.client {
         driver.secure(client);
     }
