--- a/crates/protocol/src/client.rs
+++ b/crates/protocol/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use serde::de::{DeserializeOwned, IgnoredAny};
 use serde::{Deserialize, Serialize};
 
 /// Pairs in `metadata`, and the longest key and value in characters, as published.
@@ -83,7 +84,7 @@
 }
 
 #[derive(Deserialize)]
-#[serde(untagged)]
+#[serde(untagged, expecting = "a text or a list of messages is expected")]
 enum RawInput {
     Text(String),
     Items(Vec<RawItem>),
@@ -121,12 +122,15 @@
 /// # Errors
 /// One [`BadRequest`] that names the first field at fault, or the line and column where the JSON breaks.
 pub fn parse(text: &str) -> Result<ClientEvent, BadRequest> {
-    let broken = |e: serde_json::Error| BadRequest::json(format!("the message is not a valid event: {e}"));
-    let event: RawEvent = serde_json::from_str(text).map_err(broken)?;
+    // A sequence would be taken for the fields in their order.
+    if !text.trim_start().starts_with('{') {
+        return Err(BadRequest::json("the message is not an event: a JSON object is expected".to_string()));
+    }
+    let event: RawEvent = read(text)?;
     match event.kind.as_str() {
-        "response.create" => serde_json::from_str(text).map_err(broken).and_then(create),
+        "response.create" => read(text).and_then(create),
         "response.cancel" => {
-            let raw: RawCancel = serde_json::from_str(text).map_err(broken)?;
+            let raw: RawCancel = read(text)?;
             let missing = || BadRequest::field("response_id", "response.cancel needs response_id");
             raw.response_id.map(|response_id| ClientEvent::Cancel { response_id }).ok_or_else(missing)
         }
@@ -140,6 +144,32 @@
     }
 }
 
+/// Reads an event, or says what is wrong with it and where: the JSON itself, or the value of one field.
+fn read<T: DeserializeOwned>(text: &str) -> Result<T, BadRequest> {
+    serde_json::from_str(text).map_err(|_| explain::<T>(text))
+}
+
+fn explain<T: DeserializeOwned>(text: &str) -> BadRequest {
+    if let Err(e) = serde_json::from_str::<IgnoredAny>(text) {
+        return BadRequest::json(format!("the message is not JSON: {e}"));
+    }
+    match serde_path_to_error::deserialize::<_, T>(&mut serde_json::Deserializer::from_str(text)) {
+        Ok(_) => BadRequest::json("the message is not one event".to_string()),
+        Err(e) => {
+            let path = e.path().to_string();
+            let whole = e.into_inner().to_string();
+            // The place is that of a byte in what the client has long forgotten; the field says more.
+            let why = whole.split(" at line ").next().unwrap_or_default();
+            // `serde` names a missing field in its text alone.
+            let missing = why.strip_prefix("missing field `").and_then(|w| w.strip_suffix('`'));
+            match missing {
+                Some(field) => BadRequest::field(field, "is missing"),
+                None => BadRequest::field(if path == "." { "input" } else { &path }, why),
+            }
+        }
+    }
+}
+
 fn create(raw: RawCreate) -> Result<ClientEvent, BadRequest> {
     let model =
         raw.model.filter(|m| !m.is_empty()).ok_or_else(|| BadRequest::field("model", "is missing"))?;
--- a/programs/badday/src/day.rs
+++ b/programs/badday/src/day.rs
@@ -46,6 +46,9 @@
     pub count: usize,
     /// Their settings, but for name, address, list and record; relative to the day's file.
     pub settings: String,
+    /// Tables that are put over those of the settings.
+    #[serde(default)]
+    pub over: toml::Table,
     #[serde(default)]
     pub restarts: Vec<Restart>,
 }
--- a/programs/badday/src/run.rs
+++ b/programs/badday/src/run.rs
@@ -51,6 +51,7 @@
     let text = std::fs::read_to_string(&settings_path).map_err(|e| format!("{shown}: {e}"))?;
     let settings = Settings::parse(&shown, &text).map_err(|e| e.to_string())?;
     let mut table: toml::Table = toml::from_str(&text).map_err(|e| e.to_string())?;
+    table.extend(day.dispatchers.over.clone());
     let proofs = day.secure.as_ref().map(|_| proofs(day, dir)).transpose()?.map(Arc::new);
     let mut standins = day.standins();
     if let Some(proofs) = &proofs {
