--- a/crates/budget/src/book.rs
+++ b/crates/budget/src/book.rs
@@ -49,6 +49,25 @@
     pub period: Option<u64>,
 }
 
+/// Below this share of a bound a caller is told what is left.
+const NEAR: f64 = 0.2;
+
+/// The bound that a tenant is nearest to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Near {
+    /// Tokens: the whole of it, and what is left.
+    pub limit: f64,
+    pub remaining: f64,
+    /// Seconds until the whole is there again, if nobody takes any.
+    pub reset_s: f64,
+}
+
+impl Near {
+    fn share(&self) -> f64 {
+        self.remaining / self.limit.max(1.0)
+    }
+}
+
 /// The accounts, by tenant. A tenant without one is not bounded.
 #[derive(Default)]
 pub struct Book {
@@ -146,6 +165,24 @@
         }
     }
 
+    /// The bound that a tenant is near to, if any: less than a fifth of it is left.
+    pub fn near(&mut self, now_s: f64, tenant: u32) -> Option<Near> {
+        let account = self.accounts.get_mut(&tenant)?;
+        let (burst, amount) = (account.burst, account.amount);
+        let rate = account.rate.as_mut().map(|b| Near {
+            limit: burst,
+            remaining: b.level(now_s).max(0.0),
+            reset_s: b.full_in(now_s),
+        });
+        let period = account.period.as_mut().map(|p| Near {
+            limit: amount as f64,
+            remaining: p.left(now_s) as f64,
+            reset_s: p.ends_in(now_s),
+        });
+        let both = rate.into_iter().chain(period).filter(|n| n.share() < NEAR);
+        both.min_by(|a, b| a.share().total_cmp(&b.share()))
+    }
+
     /// What is left to a tenant here.
     pub fn left(&mut self, now_s: f64, tenant: u32) -> Left {
         let Some(account) = self.accounts.get_mut(&tenant) else { return Left::default() };
--- a/crates/budget/src/bucket.rs
+++ b/crates/budget/src/bucket.rs
@@ -67,6 +67,15 @@
         self.level
     }
 
+    /// Seconds until it is full, if nobody takes any.
+    pub fn full_in(&mut self, now_s: f64) -> f64 {
+        self.fill(now_s);
+        if self.rate <= 0.0 {
+            return f64::INFINITY;
+        }
+        (self.burst - self.level).max(0.0) / self.rate + (self.at_s - now_s).max(0.0)
+    }
+
     /// Another rate and burst from now on; what is saved stays, within the new burst. A larger burst is filled by the clock alone:
     /// given at once, it could be had again and again by parts that shrink and grow.
     pub fn change(&mut self, now_s: f64, rate: f64, burst: f64) {
--- a/crates/budget/src/period.rs
+++ b/crates/budget/src/period.rs
@@ -96,6 +96,12 @@
         self.amount.saturating_sub(self.used)
     }
 
+    /// Seconds until the period ends.
+    pub fn ends_in(&mut self, now_s: f64) -> f64 {
+        self.roll(now_s);
+        (self.ends as f64 - now_s).max(0.0)
+    }
+
     /// Another amount from now on; what is used stays used.
     pub fn change(&mut self, amount: u64) {
         self.amount = amount;
--- a/crates/budget/tests/book.rs
+++ b/crates/budget/tests/book.rs
@@ -37,6 +37,31 @@
     assert!(book.hold(0.0, 9, 0, amount(1 << 30, 0)).is_ok(), "a tenant without a budget is not bounded");
 }
 
+#[test]
+fn who_is_near_a_bound_is_told_the_nearest() {
+    let mut plan = budget(10.0, 1000.0);
+    plan.period = Some(Period { tokens: 1100, per: Per::Day, zone: "UTC".into() });
+    let mut book = Book::default();
+    let noon = 1_770_033_600.0;
+    book.open(noon, 1, &plan, 1.0, class);
+    assert_eq!((book.near(noon, 1), book.near(noon, 2)), (None, None));
+    let hold = book.hold(noon, 1, 0, amount(790, 0)).expect("held");
+    assert_eq!(book.near(noon, 1), None, "a fifth is left of both");
+    let more = book.hold(noon, 1, 0, amount(110, 0)).expect("held");
+    let near = book.near(noon, 1).expect("near");
+    assert_eq!(
+        (near.limit, near.remaining, near.reset_s),
+        (1000.0, 100.0, 90.0),
+        "the rate is nearer than the day"
+    );
+    let near = book.near(noon + 50.0, 1).expect("near");
+    assert_eq!((near.limit, near.remaining), (1100.0, 200.0), "now the day is");
+    assert!(near.reset_s > 40_000.0);
+    book.settle(hold, amount(0, 0));
+    book.settle(more, amount(0, 0));
+    assert_eq!(book.near(noon + 50.0, 1), None);
+}
+
 #[test]
 fn a_reserve_is_for_its_class_alone_and_the_longer_wait_is_told() {
     let mut plan = budget(10.0, 1000.0);
--- a/crates/core/src/budgets.rs
+++ b/crates/core/src/budgets.rs
@@ -6,11 +6,11 @@
 use bitternlatch_budget::charge::{Entry, Used};
 use bitternlatch_budget::Amount;
 use bitternlatch_policy::interface::RequestId;
-use bitternlatch_protocol::client::{BadRequest, Response, Status};
+use bitternlatch_protocol::client::{self, BadRequest, Response, Status};
 
 use crate::machine::Machine;
 use crate::requests::Request;
-use crate::types::{Micros, Output};
+use crate::types::{Micros, Output, SessionId};
 
 /// Why a request is not taken, and when to come back.
 pub(crate) struct Denied {
@@ -79,6 +79,14 @@
 }
 
 impl Machine {
+    /// Tells a session what is left, where its tenant is near a bound.
+    pub(crate) fn say_left(&mut self, now: Micros, tenant: u32, session: SessionId, out: &mut Vec<Output>) {
+        if let Some(near) = self.book.near(now.seconds(), tenant) {
+            let text = client::rate_limits(near.limit as u64, near.remaining as u64, near.reset_s);
+            out.push(Output::Say { session, text });
+        }
+    }
+
     /// The entry for a final answer, before the answer itself.
     pub(crate) fn charge_answer(&mut self, id: RequestId, answer: &Response, out: &mut Vec<Output>) {
         let served = matches!(answer.status, Status::Completed | Status::Incomplete);
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -106,7 +106,9 @@
         self.leases.wanted(now, wanted.tenant, most.total());
         let hold = self.book.hold(now.seconds(), wanted.tenant, wanted.class, most);
         let hold = hold.map_err(Denied::by_budget)?;
+        let tenant = wanted.tenant;
         self.begin(now, session, create, wanted, hold, out);
+        self.say_left(now, tenant, session, out);
         Ok(())
     }
 
--- a/crates/protocol/src/client.rs
+++ b/crates/protocol/src/client.rs
@@ -144,6 +144,13 @@
     }
 }
 
+/// What is left of a bound on tokens, in the published form of the Realtime API's event.
+pub fn rate_limits(limit: u64, remaining: u64, reset_s: f64) -> String {
+    let reset = if reset_s.is_finite() { serde_json::json!(reset_s) } else { serde_json::Value::Null };
+    let one = serde_json::json!({ "name": "tokens", "limit": limit, "remaining": remaining, "reset_seconds": reset });
+    serde_json::json!({ "type": "rate_limits.updated", "rate_limits": [one] }).to_string()
+}
+
 /// Reads an event, or says what is wrong with it and where: the JSON itself, or the value of one field.
 fn read<T: DeserializeOwned>(text: &str) -> Result<T, BadRequest> {
     serde_json::from_str(text).map_err(|_| explain::<T>(text))
