--- a/crates/net/src/accept.rs
+++ b/crates/net/src/accept.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bitternlatch_door::{Handshakes, Visitor};
@@ -12,6 +12,7 @@
 use tungstenite::protocol::Role;
 
 use crate::http;
+use crate::lock;
 use crate::socket::{self, Heard, Limits, Outbox, READER_STACK};
 use crate::tls;
 use crate::wire::Wire;
@@ -148,7 +149,7 @@
     }
 
     fn enter(&self, address: SocketAddr, handle: TcpStream) -> Visitor {
-        let mut inside = self.inside.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut inside = lock(&self.inside);
         let (visitor, gone) = inside.0.enter(address.ip());
         if let Some(stream) = gone.and_then(|g| inside.1.remove(&g)) {
             let _ = stream.shutdown(std::net::Shutdown::Both);
@@ -162,7 +163,7 @@
     }
 
     fn leave(&self, visitor: Visitor) {
-        let mut inside = self.inside.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut inside = lock(&self.inside);
         inside.0.leave(visitor);
         inside.1.remove(&visitor);
     }
--- a/crates/net/src/guard.rs
+++ b/crates/net/src/guard.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bitternlatch_core::settings::Identity;
@@ -19,7 +19,7 @@
 use crate::clock::Clock;
 use crate::dial::{get, Manner};
 use crate::driver::Event;
-use crate::tls;
+use crate::{lock, tls};
 
 /// Longest time for one fetch of keys.
 const FETCH: Duration = Duration::from_secs(2);
@@ -47,10 +47,6 @@
     certificates: Option<Arc<tls::Server>>,
 }
 
-fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
-    shared.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Guard {
     fn keeper(&self) -> MutexGuard<'_, Keeper> {
         lock(&self.keeper)
--- a/crates/net/src/ledger.rs
+++ b/crates/net/src/ledger.rs
@@ -2,7 +2,7 @@
 //!
 //! Nothing waits for the ledger: without it questions are lost, and asked again; charges stay in the journal.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bitternlatch_budget::ledger::{FromLedger, ToLedger, ENTRIES_MOST};
@@ -12,6 +12,7 @@
 
 use crate::dial::dial;
 use crate::driver::Event;
+use crate::lock;
 use crate::socket::{Heard, Limits, Outbox, Reader};
 
 /// Longest time to connect and upgrade, and pauses between two tries: first, and longest.
@@ -32,7 +33,7 @@
 }
 
 fn send(line: &Line, message: &ToLedger) -> bool {
-    let line = line.lock().unwrap_or_else(PoisonError::into_inner);
+    let line = lock(line);
     let text = serde_json::to_string(message).unwrap_or_default();
     line.as_ref().is_some_and(|outbox| outbox.text(text).is_ok())
 }
@@ -68,7 +69,7 @@
 }
 
 fn keep(address: &str, line: &Line, shipped: &Sender<u64>, to: &Sender<Event>) {
-    let put = |outbox| *line.lock().unwrap_or_else(PoisonError::into_inner) = outbox;
+    let put = |outbox| *lock(line) = outbox;
     let mut pause = PAUSE.0;
     loop {
         let limits =
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -17,3 +17,8 @@
 pub mod tls;
 pub mod watch;
 pub mod wire;
+
+/// Locks; a thread that panicked must not take the others with it.
+fn lock<T>(shared: &std::sync::Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
--- a/crates/net/src/tls.rs
+++ b/crates/net/src/tls.rs
@@ -5,7 +5,7 @@
 
 use std::io;
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 
 use bitternlatch_core::settings::{EnginesTls, ListenTls};
@@ -24,6 +24,7 @@
 
 use crate::driver::Event;
 use crate::guard::unix;
+use crate::lock;
 
 /// Time between two looks at the files.
 const LOOK: Duration = Duration::from_millis(200);
@@ -110,10 +111,6 @@
     }
 }
 
-fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
-    shared.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// What a server made of its files.
 struct Made {
     config: Arc<ServerConfig>,
--- a/crates/net/src/wire.rs
+++ b/crates/net/src/wire.rs
@@ -5,7 +5,7 @@
 //! what the reading side has to say (answers to key updates, alerts) waits in the session until that thread comes by.
 
 use std::io::{self, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{Shutdown, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -113,18 +113,6 @@
         session.tls.peer_certificates().and_then(|c| c.first()).map(|c| c.as_ref().to_vec())
     }
 
-    pub fn peer(&self) -> io::Result<SocketAddr> {
-        self.stream.peer_addr()
-    }
-
-    /// Another handle on the TCP stream, to cut it from elsewhere.
-    ///
-    /// # Errors
-    /// Where the system gives no further descriptor.
-    pub fn handle(&self) -> io::Result<TcpStream> {
-        self.stream.try_clone()
-    }
-
     /// Reads what the peer said. For the one thread that reads; it never writes to the socket.
     ///
     /// # Errors
--- a/programs/badday/tests/callers.rs
+++ b/programs/badday/tests/callers.rs
@@ -4,7 +4,7 @@
 use std::io::{Read, Write};
 use std::net::TcpListener;
 use std::path::Path;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use base64::engine::general_purpose::URL_SAFE_NO_PAD as B64;
 use base64::Engine;
@@ -12,15 +12,11 @@
 use bitternlatch_keys::Ring;
 use bitternlatch_net::dial::Manner;
 use bitternlatch_standin::capture::Capture;
-use common::{create, rig, to_the_end, Rig, FOUR};
+use common::{closed, create, error_code, log_of, now, rig, to_the_end, wait_for, Rig, FOUR};
 use serde_json::{json, Value};
 
 const RIGHTS: &str = include_str!("../../../deploy/rights.toml");
 
-fn now() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_secs()
-}
-
 fn claims(subject: &str, group: &str, for_s: u64) -> Value {
     json!({ "iss": "https://issuer", "aud": "bitternlatch", "sub": subject, "groups": [group], "exp": now() + for_s })
 }
@@ -56,38 +52,11 @@
     .map_err(|e| e.to_string())
 }
 
-fn error_code(client: &Client) -> String {
-    let last = to_the_end(client).pop().expect("an event");
-    last.error.map_or(last.kind, |e| e["code"].as_str().unwrap_or_default().to_string())
-}
-
 fn served(client: &Client, class: &str, key: &str) {
     client.say(&create(class, key, "words [len=3]"));
     assert_eq!(to_the_end(client).last().map(|e| e.kind.clone()).as_deref(), Some("response.completed"));
 }
 
-fn closed(client: &Client) -> String {
-    loop {
-        match client.next(Duration::from_secs(20)) {
-            Came::Closed(why) => return why,
-            Came::Silence => panic!("it is not closed"),
-            Came::Event(_) => {}
-        }
-    }
-}
-
-fn log_of(rig: &Rig) -> String {
-    std::fs::read_to_string(rig.dir.join("dispatch-1.1.log")).expect("the log")
-}
-
-fn wait_for(what: &str, fits: impl Fn() -> bool) {
-    let by = Instant::now() + Duration::from_secs(20);
-    while !fits() {
-        assert!(Instant::now() < by, "{what} has not come");
-        std::thread::sleep(Duration::from_millis(20));
-    }
-}
-
 #[test]
 fn only_proven_callers_are_let_in_and_each_does_what_it_may() {
     let mut ring = Ring::default();
--- a/programs/badday/tests/common/mod.rs
+++ b/programs/badday/tests/common/mod.rs
@@ -174,3 +174,39 @@
 pub fn final_kind(client: &Client) -> String {
     to_the_end(client).last().map(|e| e.kind.clone()).unwrap_or_default()
 }
+
+/// The wall clock, Unix seconds.
+pub fn now() -> u64 {
+    std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("after 1970").as_secs()
+}
+
+/// Waits until something holds, or panics.
+pub fn wait_for(what: &str, fits: impl Fn() -> bool) {
+    let by = Instant::now() + Duration::from_secs(30);
+    while !fits() {
+        assert!(Instant::now() < by, "{what} has not come");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// The last event's kind, or the code of its error.
+pub fn error_code(client: &Client) -> String {
+    let last = to_the_end(client).pop().expect("an event");
+    last.error.map_or(last.kind, |e| e["code"].as_str().unwrap_or_default().to_string())
+}
+
+/// Waits for a session's end, and gives why.
+pub fn closed(client: &Client) -> String {
+    loop {
+        match client.next(Duration::from_secs(20)) {
+            Came::Closed(why) => return why,
+            Came::Silence => panic!("it is not closed"),
+            Came::Event(_) => {}
+        }
+    }
+}
+
+/// The log of the first dispatcher's first run.
+pub fn log_of(rig: &Rig) -> String {
+    std::fs::read_to_string(rig.dir.join("dispatch-1.1.log")).expect("the log")
+}
--- a/programs/badday/tests/ledger.rs
+++ b/programs/badday/tests/ledger.rs
@@ -7,19 +7,11 @@
 use bitternlatch_badday::process::free_address;
 use bitternlatch_bill::{gather, rows};
 use bitternlatch_ledger::{Running, Settings, Tenant};
-use common::{create, final_kind, folder, rig, Rig, FOUR};
+use common::{create, final_kind, folder, rig, wait_for, Rig, FOUR};
 use serde_json::json;
 
 const RATE: f64 = 50_000.0;
 
-fn wait_for(what: &str, fits: impl Fn() -> bool) {
-    let by = Instant::now() + Duration::from_secs(30);
-    while !fits() {
-        assert!(Instant::now() < by, "{what} has not come");
-        std::thread::sleep(Duration::from_millis(20));
-    }
-}
-
 /// Starts one; the one before it may still be about to let go of its file and port.
 fn start(address: &str, file: &Path) -> Running {
     let tenants = vec![Tenant { name: "association".into(), tokens_per_s: RATE }];
--- a/programs/badday/tests/secured.rs
+++ b/programs/badday/tests/secured.rs
@@ -5,14 +5,14 @@
 use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use bitternlatch_badday::client::{Came, Client};
 use bitternlatch_keys::authority::{Authority, Wanted};
 use bitternlatch_net::dial::Manner;
 use bitternlatch_net::tls;
 use bitternlatch_standin::capture::Capture;
-use common::{create, folder, rig_with, to_the_end, Rig, FOUR};
+use common::{closed, create, error_code, folder, log_of, now, rig_with, wait_for, Rig, FOUR};
 use serde_json::json;
 
 const RIGHTS: &str = r#"
@@ -32,10 +32,6 @@
 max_output_tokens = 800
 "#;
 
-fn now() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_secs()
-}
-
 fn server(names: &[&str]) -> Wanted {
     let dns = names.iter().map(|n| (*n).to_string()).collect();
     Wanted { dns, begins: now() - 60, ends: now() + 600, ..Wanted::default() }
@@ -125,37 +121,14 @@
         Client::connect_as(address, "t", "d", Capture::none(), manner).map_err(|e| e.to_string())
     }
 
-    fn log(&self) -> String {
-        std::fs::read_to_string(self.rig.dir.join("dispatch-1.1.log")).expect("the log")
-    }
-
     fn logged(&self, what: &str) {
-        let by = Instant::now() + Duration::from_secs(20);
-        while !self.log().contains(what) {
-            assert!(Instant::now() < by, "'{what}' is not in the log: {}", self.log());
-            std::thread::sleep(Duration::from_millis(20));
-        }
+        wait_for(what, || log_of(&self.rig).contains(what));
     }
 }
 
-fn outcome(client: &Client) -> String {
-    let last = to_the_end(client).pop().expect("an event");
-    last.error.map_or(last.kind, |e| e["code"].as_str().unwrap_or_default().to_string())
-}
-
 fn ask(client: &Client, class: &str, key: &str) -> String {
     client.say(&create(class, key, "words [len=3]"));
-    outcome(client)
-}
-
-fn closed(client: &Client) -> String {
-    loop {
-        match client.next(Duration::from_secs(20)) {
-            Came::Closed(why) => return why,
-            Came::Silence => panic!("it is not closed"),
-            Came::Event(_) => {}
-        }
-    }
+    error_code(client)
 }
 
 #[test]
