Start settings in four files: types, defaults, checks, what the module is told

Moved as they stand, nothing changed in behaviour: `cargo test -p bitternlatch-core` passes as before.

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -3,13 +3,15 @@
 //! What stands here are facts of an installation and bounds of resources. How requests are routed, judged and
 //! repeated is decided in the decision module and is not set here.
 
-use bitternlatch_budget::plan::Budget;
-use std::collections::BTreeMap;
+mod check;
+mod defaults;
+mod module;
+
 use std::fmt;
 
+use bitternlatch_budget::plan::Budget;
 use bitternlatch_policy::interface as policy;
 use serde::Deserialize;
-use toml::de::{DeTable, DeValue};
 
 /// What is wrong with a settings file, and where.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
@@ -66,24 +68,24 @@
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     pub address: String,
-    #[serde(default = "d::sessions")]
+    #[serde(default = "defaults::sessions")]
     pub sessions: usize,
     /// Requests in hand a session.
-    #[serde(default = "d::session_requests")]
+    #[serde(default = "defaults::session_requests")]
     pub session_requests: usize,
-    #[serde(default = "d::message_bytes")]
+    #[serde(default = "defaults::message_bytes")]
     pub message_bytes: usize,
-    #[serde(default = "d::handshake_s")]
+    #[serde(default = "defaults::handshake_s")]
     pub handshake_s: f64,
-    #[serde(default = "d::idle_s")]
+    #[serde(default = "defaults::idle_s")]
     pub idle_s: f64,
-    #[serde(default = "d::ping_s")]
+    #[serde(default = "defaults::ping_s")]
     pub ping_s: f64,
     /// Messages that may wait to be written to one client; past it the session is closed.
-    #[serde(default = "d::client_queue")]
+    #[serde(default = "defaults::client_queue")]
     pub queue_messages: usize,
     /// Connections whose handshake is not done; past it the oldest of the most crowded address goes.
-    #[serde(default = "d::handshakes")]
+    #[serde(default = "defaults::handshakes")]
     pub handshakes: usize,
     pub tls: Option<ListenTls>,
 }
@@ -150,7 +152,7 @@
     /// CSV or Ansible YAML; relative to the settings file.
     pub file: String,
     /// Seconds between two looks.
-    #[serde(default = "d::reread_s")]
+    #[serde(default = "defaults::reread_s")]
     pub reread_s: f64,
 }
 
@@ -164,7 +166,7 @@
     #[serde(default)]
     pub audience: String,
     /// Seconds between clocks that are allowed.
-    #[serde(default = "d::skew_s")]
+    #[serde(default = "defaults::skew_s")]
     pub skew_s: u64,
     /// A JWKS document: a file, or an `http://` address. Without one no token counts, client certificates alone do.
     pub keys: Option<String>,
@@ -172,9 +174,9 @@
     pub kept: Option<String>,
     pub rights: String,
     /// Seconds between two fetches, and for how long the last good document counts.
-    #[serde(default = "d::refresh_s")]
+    #[serde(default = "defaults::refresh_s")]
     pub refresh_s: f64,
-    #[serde(default = "d::keep_s")]
+    #[serde(default = "defaults::keep_s")]
     pub keep_s: f64,
 }
 
@@ -278,9 +280,9 @@
 pub struct Attempts {
     /// Attempts for one request.
     pub most: u32,
-    #[serde(default = "d::yes")]
+    #[serde(default = "defaults::yes")]
     pub may_cancel: bool,
-    #[serde(default = "d::yes")]
+    #[serde(default = "defaults::yes")]
     pub may_probe: bool,
     pub max_retry_after_s: f64,
     /// Writers read a prompt themselves when there is no state to fetch.
@@ -406,314 +408,6 @@
     }
 }
 
-/// Defaults of the clients' side and others.
-mod d {
-    pub(super) fn sessions() -> usize {
-        6_000
-    }
-    pub(super) fn session_requests() -> usize {
-        64
-    }
-    pub(super) fn message_bytes() -> usize {
-        1 << 20
-    }
-    pub(super) fn handshake_s() -> f64 {
-        5.0
-    }
-    pub(super) fn handshakes() -> usize {
-        512
-    }
-    pub(super) fn idle_s() -> f64 {
-        3600.0
-    }
-    pub(super) fn ping_s() -> f64 {
-        20.0
-    }
-    pub(super) fn client_queue() -> usize {
-        1024
-    }
-    pub(super) fn reread_s() -> f64 {
-        0.1
-    }
-    pub(super) fn skew_s() -> u64 {
-        30
-    }
-    pub(super) fn refresh_s() -> f64 {
-        60.0
-    }
-    pub(super) fn keep_s() -> f64 {
-        86_400.0
-    }
-    pub(super) fn yes() -> bool {
-        true
-    }
-}
-
-impl Settings {
-    /// Reads and checks a settings text; `file` is for messages alone.
-    ///
-    /// # Errors
-    /// The first fault: broken TOML, a key that is missing, unknown or of the wrong type, or a value out of its bounds,
-    /// with line and column.
-    pub fn parse(file: &str, text: &str) -> Result<Settings, SettingsError> {
-        let fail = |(line, column), cause| SettingsError { file: file.to_string(), line, column, cause };
-        let parsed: Result<Settings, toml::de::Error> = toml::from_str(text);
-        let settings = parsed.map_err(|e| {
-            let at = e.span().map_or((0, 0), |s| position(text, s.start));
-            fail(at, e.message().replace('\n', " ").trim().to_string())
-        })?;
-        match settings.check() {
-            Ok(()) => Ok(settings),
-            Err((path, cause)) => Err(fail(locate(text, &path), format!("{path}: {cause}"))),
-        }
-    }
-
-    fn check(&self) -> Result<(), (String, String)> {
-        let mut c = Check(Ok(()));
-        c.name("name", &self.name);
-        c.name("zone", &self.zone);
-        c.within("dispatchers", f64::from(self.dispatchers), 1.0, 65_535.0);
-        self.check_sides(&mut c);
-        self.check_rules(&mut c);
-        self.check_tables(&mut c);
-        c.0
-    }
-
-    fn check_sides(&self, c: &mut Check) {
-        let (l, e, r) = (&self.listen, &self.engines, &self.requests);
-        c.within("listen.sessions", l.sessions as f64, 1.0, 100_000.0);
-        c.within("listen.session_requests", l.session_requests as f64, 1.0, 10_000.0);
-        c.within("listen.message_bytes", l.message_bytes as f64, 1024.0, 64.0 * 1048576.0);
-        c.within("listen.handshake_s", l.handshake_s, 0.01, 600.0);
-        c.within("listen.idle_s", l.idle_s, 0.1, 1e6);
-        c.within("listen.ping_s", l.ping_s, 0.05, 3600.0);
-        c.within("listen.queue_messages", l.queue_messages as f64, 8.0, 1e6);
-        c.within("listen.handshakes", l.handshakes as f64, 1.0, 100_000.0);
-        if let Some(tls) = &l.tls {
-            if tls.clients.is_none() && (tls.clients_required || !tls.revoked.is_empty()) {
-                c.fail("listen.tls", "clients_required and revoked need clients".into());
-            }
-        }
-        if e.tls.as_ref().is_some_and(|t| t.certificate.is_some() != t.key.is_some()) {
-            c.fail("engines.tls", "certificate and key come together".into());
-        }
-        c.within("engines.connect_s", e.connect_s, 0.01, 60.0);
-        c.within("engines.greet_s", e.greet_s, 0.01, 60.0);
-        c.within("engines.message_bytes", e.message_bytes as f64, 1024.0, 64.0 * 1048576.0);
-        c.within("engines.queue_messages", e.queue_messages as f64, 8.0, 1e6);
-        c.within("engines.ping_s", e.ping_s, 0.05, 3600.0);
-        c.within("inventory.reread_s", self.inventory.reread_s, 0.01, 3600.0);
-        if let Some(identity) = &self.identity {
-            if identity.keys.is_some() && (identity.issuer.is_empty() || identity.audience.is_empty()) {
-                c.fail("identity.keys", "tokens need an issuer and an audience".into());
-            }
-            let by_certificate = l.tls.as_ref().is_some_and(|t| t.clients.is_some());
-            if identity.keys.is_none() && !by_certificate {
-                c.fail("identity", "neither keys of tokens nor listen.tls.clients: nobody could call".into());
-            }
-            c.within("identity.skew_s", identity.skew_s as f64, 0.0, 600.0);
-            c.within("identity.refresh_s", identity.refresh_s, 0.05, 86_400.0);
-            c.within("identity.keep_s", identity.keep_s, 1.0, 1e7);
-        }
-        c.within("stop.within_s", self.stop.within_s, 0.1, 3600.0);
-        c.within("requests.in_hand", r.in_hand as f64, 1.0, 1e7);
-        c.within("requests.prompt_bytes", r.prompt_bytes as f64, 1024.0, 1e9);
-        c.within("requests.prompt_bytes_in_hand", r.prompt_bytes_in_hand as f64, 1024.0, 1e12);
-        c.within("requests.context_bytes", r.context_bytes as f64, 0.0, 1e12);
-        c.within("requests.context_s", r.context_s, 0.0, 1e7);
-        c.within("requests.keys", r.keys as f64, 1.0, 1e8);
-        c.within("requests.key_bytes", r.key_bytes as f64, 0.0, 1e12);
-        c.within("requests.key_s", r.key_s, 1.0, 1e7);
-        c.within("requests.answer_margin_s", r.answer_margin_s, 0.0, 10.0);
-        c.within("requests.max_output_tokens", f64::from(r.max_output_tokens), 1.0, 1e7);
-    }
-
-    fn check_rules(&self, c: &mut Check) {
-        let (rules, cold, a) = (&self.rules, &self.rules.cold, &self.attempts);
-        c.within("rules.pin_limit_s", rules.pin_limit_s, 0.01, 3600.0);
-        c.within("rules.drain_grace_s", rules.drain_grace_s, 0.01, 3600.0);
-        c.within("rules.cold.start_capacity", cold.start_capacity, 0.01, 1.0);
-        c.within("rules.cold.overload_factor", cold.overload_factor, 1.0, 100.0);
-        c.within("rules.cold.window_s", cold.window_s, 0.1, 600.0);
-        c.within("rules.cold.warm_after_s", cold.warm_after_s, 0.1, 3600.0);
-        c.within("attempts.most", f64::from(a.most), 1.0, 100.0);
-        c.within("attempts.max_retry_after_s", a.max_retry_after_s, 0.0, 3600.0);
-    }
-
-    fn check_tables(&self, c: &mut Check) {
-        c.some("classes", self.classes.len());
-        c.some("kinds", self.kinds.len());
-        c.unique("classes", self.classes.iter().map(|x| x.name.as_str()));
-        c.unique("tenants", self.tenants.iter().map(|x| x.name.as_str()));
-        c.unique("kinds", self.kinds.iter().map(|x| x.name.as_str()));
-        for (i, class) in self.classes.iter().enumerate() {
-            let at = |key: &str| format!("classes.{i}.{key}");
-            c.within(&at("ttft_aim_s"), class.ttft_aim_s, 0.001, 3600.0);
-            c.within(&at("ttft_aim_ms_per_1000_tokens"), class.ttft_aim_ms_per_1000_tokens, 0.0, 1e6);
-            c.within(&at("token_gap_aim_s"), class.token_gap_aim_s, 0.0001, 60.0);
-            c.within(&at("deadline_s"), class.deadline_s, 0.05, 86_400.0);
-            c.within(&at("worth"), class.worth, 0.0, 1e6);
-            c.within(&at("late_worth"), class.late_worth, 0.0, 1.0);
-            c.within(&at("key_window_s"), class.key_window_s, 0.0, 1e7);
-            if class.effect == Effect::Keyed && class.key_window_s <= 0.0 {
-                c.fail(&at("effect"), "a keyed class needs key_window_s above 0".into());
-            }
-        }
-        for (i, tenant) in self.tenants.iter().enumerate() {
-            c.within(&format!("tenants.{i}.quota_rps"), tenant.quota_rps, 0.0, 1e9);
-            let known = |name: &str| self.classes.iter().any(|c| c.name == name);
-            if let Some(Err((key, why))) = tenant.budget.as_ref().map(|b| b.check(known)) {
-                c.fail(&format!("tenants.{i}.budget.{key}"), why);
-            }
-        }
-        for (i, kind) in self.kinds.iter().enumerate() {
-            c.within(&format!("kinds.{i}.memory_tokens"), kind.memory_tokens, 0.0, 1e12);
-        }
-    }
-
-    /// What the decision module is told at its start.
-    pub fn policy(&self) -> policy::Settings {
-        policy::Settings {
-            dispatchers: self.dispatchers,
-            zone: 0,
-            classes: self.classes.iter().map(Class::policy).collect(),
-            tenants: self.tenants.iter().map(|t| policy::TenantSettings { quota_rps: t.quota_rps }).collect(),
-            kinds: self.kinds.iter().map(Kind::policy).collect(),
-            report_fields: self.reports.fields.iter().map(|f| f.means.policy()).collect(),
-            report_mode: match self.reports.mode {
-                ReportMode::WithAnswers => policy::ReportMode::WithAnswers,
-                ReportMode::OnProbe => policy::ReportMode::OnProbe,
-                ReportMode::Off => policy::ReportMode::Off,
-            },
-            cold: policy::ColdStart {
-                start_capacity: self.rules.cold.start_capacity,
-                overload_factor: self.rules.cold.overload_factor,
-                window_s: self.rules.cold.window_s,
-                warm_after_s: self.rules.cold.warm_after_s,
-            },
-            limits: policy::Limits {
-                max_attempts: self.attempts.most,
-                may_cancel: self.attempts.may_cancel,
-                may_probe: self.attempts.may_probe,
-                max_retry_after_s: self.attempts.max_retry_after_s,
-            },
-            pin_limit_s: self.rules.pin_limit_s,
-            over_share_worth: 1.0,
-            must_subscribe: false,
-            writers_read: self.attempts.writers_read,
-            tick_s: crate::machine::TICK_S,
-        }
-    }
-}
-
-impl Class {
-    fn policy(&self) -> policy::ClassSettings {
-        let scope = match self.key_scope {
-            Scope::All => policy::KeyScope::All,
-            Scope::Zone => policy::KeyScope::Zone,
-            Scope::Cell => policy::KeyScope::Cell,
-        };
-        policy::ClassSettings {
-            effect: match self.effect {
-                Effect::Safe => policy::Effect::Safe,
-                Effect::Keyed => policy::Effect::Keyed { scope, window_s: self.key_window_s },
-                Effect::Unsafe => policy::Effect::Unsafe,
-            },
-            ttft_aim_s: self.ttft_aim_s,
-            ttft_aim_per_token_s: self.ttft_aim_ms_per_1000_tokens / 1e6,
-            token_gap_aim_s: self.token_gap_aim_s,
-            deadline_s: self.deadline_s,
-            worth: self.worth,
-            late_worth: self.late_worth,
-        }
-    }
-}
-
-impl Kind {
-    fn policy(&self) -> policy::KindSettings {
-        policy::KindSettings { role: self.role, memory_tokens: self.memory_tokens }
-    }
-}
-
-impl Meaning {
-    fn policy(self) -> policy::ReportField {
-        match self {
-            Meaning::Concurrent => policy::ReportField::Concurrent,
-            Meaning::Queue => policy::ReportField::Queue,
-            Meaning::SlotShare => policy::ReportField::SlotShare,
-            Meaning::MemoryShare => policy::ReportField::MemoryShare,
-            Meaning::WaitingKiloTokens => policy::ReportField::WaitingKiloTokens,
-            Meaning::Other => policy::ReportField::Other,
-        }
-    }
-}
-
-/// Keeps the first fault found: the key's path and the cause.
-struct Check(Result<(), (String, String)>);
-
-impl Check {
-    fn fail(&mut self, path: &str, cause: String) {
-        if self.0.is_ok() {
-            self.0 = Err((path.to_string(), cause));
-        }
-    }
-
-    fn within(&mut self, path: &str, value: f64, least: f64, most: f64) {
-        if !(least..=most).contains(&value) {
-            self.fail(path, format!("{value} is not between {least} and {most}"));
-        }
-    }
-
-    fn name(&mut self, path: &str, value: &str) {
-        if value.trim().is_empty() || value.len() > 100 {
-            self.fail(path, "a name of 1 to 100 bytes is expected".into());
-        }
-    }
-
-    fn some(&mut self, path: &str, len: usize) {
-        if len == 0 || len > 1000 {
-            self.fail(path, format!("{len} entries; 1 to 1000 are expected"));
-        }
-    }
-
-    fn unique<'a>(&mut self, path: &str, names: impl Iterator<Item = &'a str>) {
-        let mut seen = BTreeMap::new();
-        for (i, name) in names.enumerate() {
-            let at = format!("{path}.{i}.name");
-            self.name(&at, name);
-            if let Some(first) = seen.insert(name, i) {
-                self.fail(&at, format!("'{name}' is also the name of number {}", first + 1));
-            }
-        }
-    }
-}
-
-/// Line and column, from 1, of a byte.
-fn position(text: &str, at: usize) -> (usize, usize) {
-    let before = text.get(..at.min(text.len())).unwrap_or(text);
-    let line = before.matches('\n').count() + 1;
-    let column = before.rsplit('\n').next().unwrap_or("").chars().count() + 1;
-    (line, column)
-}
-
-/// Where a key given by its path stands, or the nearest table above it.
-fn locate(text: &str, path: &str) -> (usize, usize) {
-    let Ok(root) = DeTable::parse(text) else { return (0, 0) };
-    let mut here = DeValue::Table(root.into_inner());
-    let mut at = 0;
-    for part in path.split('.') {
-        let next = match &here {
-            DeValue::Table(table) => table.get(part).cloned(),
-            DeValue::Array(list) => part.parse::<usize>().ok().and_then(|i| list.get(i).cloned()),
-            _ => None,
-        };
-        let Some(next) = next else { break };
-        at = next.span().start;
-        here = next.into_inner();
-    }
-    position(text, at)
-}
-
 #[cfg(test)]
 pub(crate) mod tests {
     use super::*;
--- /dev/null
+++ b/crates/core/src/settings/module.rs
@@ -0,0 +1,83 @@
+//! What the decision module is told of the settings.
+
+use bitternlatch_policy::interface as policy;
+
+use super::{Class, Effect, Kind, Meaning, ReportMode, Scope, Settings};
+
+impl Settings {
+    /// What the decision module is told at its start.
+    pub fn policy(&self) -> policy::Settings {
+        policy::Settings {
+            dispatchers: self.dispatchers,
+            zone: 0,
+            classes: self.classes.iter().map(Class::policy).collect(),
+            tenants: self.tenants.iter().map(|t| policy::TenantSettings { quota_rps: t.quota_rps }).collect(),
+            kinds: self.kinds.iter().map(Kind::policy).collect(),
+            report_fields: self.reports.fields.iter().map(|f| f.means.policy()).collect(),
+            report_mode: match self.reports.mode {
+                ReportMode::WithAnswers => policy::ReportMode::WithAnswers,
+                ReportMode::OnProbe => policy::ReportMode::OnProbe,
+                ReportMode::Off => policy::ReportMode::Off,
+            },
+            cold: policy::ColdStart {
+                start_capacity: self.rules.cold.start_capacity,
+                overload_factor: self.rules.cold.overload_factor,
+                window_s: self.rules.cold.window_s,
+                warm_after_s: self.rules.cold.warm_after_s,
+            },
+            limits: policy::Limits {
+                max_attempts: self.attempts.most,
+                may_cancel: self.attempts.may_cancel,
+                may_probe: self.attempts.may_probe,
+                max_retry_after_s: self.attempts.max_retry_after_s,
+            },
+            pin_limit_s: self.rules.pin_limit_s,
+            over_share_worth: 1.0,
+            must_subscribe: false,
+            writers_read: self.attempts.writers_read,
+            tick_s: crate::machine::TICK_S,
+        }
+    }
+}
+
+impl Class {
+    fn policy(&self) -> policy::ClassSettings {
+        let scope = match self.key_scope {
+            Scope::All => policy::KeyScope::All,
+            Scope::Zone => policy::KeyScope::Zone,
+            Scope::Cell => policy::KeyScope::Cell,
+        };
+        policy::ClassSettings {
+            effect: match self.effect {
+                Effect::Safe => policy::Effect::Safe,
+                Effect::Keyed => policy::Effect::Keyed { scope, window_s: self.key_window_s },
+                Effect::Unsafe => policy::Effect::Unsafe,
+            },
+            ttft_aim_s: self.ttft_aim_s,
+            ttft_aim_per_token_s: self.ttft_aim_ms_per_1000_tokens / 1e6,
+            token_gap_aim_s: self.token_gap_aim_s,
+            deadline_s: self.deadline_s,
+            worth: self.worth,
+            late_worth: self.late_worth,
+        }
+    }
+}
+
+impl Kind {
+    fn policy(&self) -> policy::KindSettings {
+        policy::KindSettings { role: self.role, memory_tokens: self.memory_tokens }
+    }
+}
+
+impl Meaning {
+    fn policy(self) -> policy::ReportField {
+        match self {
+            Meaning::Concurrent => policy::ReportField::Concurrent,
+            Meaning::Queue => policy::ReportField::Queue,
+            Meaning::SlotShare => policy::ReportField::SlotShare,
+            Meaning::MemoryShare => policy::ReportField::MemoryShare,
+            Meaning::WaitingKiloTokens => policy::ReportField::WaitingKiloTokens,
+            Meaning::Other => policy::ReportField::Other,
+        }
+    }
+}
