--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -4,6 +4,7 @@
 //! repeated is decided in the decision module and is not set here.
 
 mod check;
+mod cluster;
 mod defaults;
 mod module;
 
@@ -13,6 +14,8 @@
 use bitternlatch_policy::interface as policy;
 use serde::Deserialize;
 
+pub use cluster::{Cluster, Peer};
+
 /// What is wrong with a settings file, and where.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub struct SettingsError {
@@ -49,6 +52,8 @@
     pub identity: Option<Identity>,
     pub charges: Option<ChargeFile>,
     pub ledger: Option<LedgerAt>,
+    /// Without it this dispatcher knows of no other.
+    pub cluster: Option<Cluster>,
     #[serde(default)]
     pub stop: Stop,
     #[serde(default)]
@@ -456,6 +461,39 @@
         Settings::parse("small.toml", SMALL).expect("the small settings are good")
     }
 
+    #[test]
+    fn the_ready_made_cluster_is_one() {
+        let texts = [
+            include_str!("../../../deploy/cluster/dispatch-1.toml"),
+            include_str!("../../../deploy/cluster/dispatch-2.toml"),
+            include_str!("../../../deploy/cluster/dispatch-3.toml"),
+        ];
+        let read = |text: &&str| Settings::parse("deploy", text).expect("good settings");
+        let all: Vec<Settings> = texts.iter().map(read).collect();
+        let roster = |s: &Settings| s.cluster.as_ref().map(|c| c.roster.clone());
+        assert!(all.iter().all(|s| roster(s) == roster(&all[0])));
+        let clients =
+            |s: &Settings| roster(s).and_then(|r| r.into_iter().find(|p| p.name == s.name)?.clients);
+        assert!(all.iter().all(|s| clients(s).as_ref() == Some(&s.listen.address)));
+    }
+
+    #[test]
+    fn a_cluster_is_checked_by_place_and_cause() {
+        let fault = |roster: &str| {
+            let table = "[cluster]\nname = \"hall\"\nsecret = \"s\"\n";
+            Settings::parse("f.toml", &format!("{SMALL}{table}{roster}")).map_err(|e| e.to_string()).err()
+        };
+        let peer =
+            |name: &str, at: &str| format!("[[cluster.roster]]\nname = \"{name}\"\naddress = \"{at}\"\n");
+        let (one, two) = (peer("d1", "127.0.0.1:7811"), peer("d2", "127.0.0.1:7812"));
+        assert_eq!(fault(&(one.clone() + &two)), None);
+        assert!(fault(&two).is_some_and(|f| f.contains("'d1', this dispatcher, is not in it")));
+        let twice = fault(&(one.clone() + &peer("d2", "127.0.0.1:7811")));
+        assert!(twice.is_some_and(|f| f.contains("cluster.roster.1.address: 127.0.0.1:7811 is also")));
+        assert!(fault(&(one.clone() + &one)).is_some_and(|f| f.contains("'d1' is also the name")));
+        assert!(fault(&peer("d1", "127.0.0.1:0")).is_some_and(|f| f.contains("cannot be sent to")));
+    }
+
     #[test]
     fn faults_name_file_line_and_key() {
         let fault = |from: &str, to: &str| {
--- a/crates/core/src/settings/check.rs
+++ b/crates/core/src/settings/check.rs
@@ -31,6 +31,9 @@
         c.name("zone", &self.zone);
         c.within("dispatchers", f64::from(self.dispatchers), 1.0, 65_535.0);
         self.check_sides(&mut c);
+        if let Some(cluster) = &self.cluster {
+            cluster.check(&self.name, &mut c);
+        }
         self.check_rules(&mut c);
         self.check_tables(&mut c);
         c.0
@@ -130,34 +133,34 @@
 }
 
 /// Keeps the first fault found: the key's path and the cause.
-struct Check(Result<(), (String, String)>);
+pub(super) struct Check(Result<(), (String, String)>);
 
 impl Check {
-    fn fail(&mut self, path: &str, cause: String) {
+    pub(super) fn fail(&mut self, path: &str, cause: String) {
         if self.0.is_ok() {
             self.0 = Err((path.to_string(), cause));
         }
     }
 
-    fn within(&mut self, path: &str, value: f64, least: f64, most: f64) {
+    pub(super) fn within(&mut self, path: &str, value: f64, least: f64, most: f64) {
         if !(least..=most).contains(&value) {
             self.fail(path, format!("{value} is not between {least} and {most}"));
         }
     }
 
-    fn name(&mut self, path: &str, value: &str) {
+    pub(super) fn name(&mut self, path: &str, value: &str) {
         if value.trim().is_empty() || value.len() > 100 {
             self.fail(path, "a name of 1 to 100 bytes is expected".into());
         }
     }
 
-    fn some(&mut self, path: &str, len: usize) {
+    pub(super) fn some(&mut self, path: &str, len: usize) {
         if len == 0 || len > 1000 {
             self.fail(path, format!("{len} entries; 1 to 1000 are expected"));
         }
     }
 
-    fn unique<'a>(&mut self, path: &str, names: impl Iterator<Item = &'a str>) {
+    pub(super) fn unique<'a>(&mut self, path: &str, names: impl Iterator<Item = &'a str>) {
         let mut seen = BTreeMap::new();
         for (i, name) in names.enumerate() {
             let at = format!("{path}.{i}.name");
--- /dev/null
+++ b/crates/core/src/settings/cluster.rs
@@ -0,0 +1,64 @@
+//! `[cluster]`: the dispatchers that should know each other.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use serde::Deserialize;
+
+use super::check::Check;
+
+/// Off without this table. Peers speak datagrams and, for whole views, TCP at the same addresses.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cluster {
+    /// Of all dispatchers that belong together; others' datagrams are dropped.
+    pub name: String,
+    /// What proves that a peer belongs to it: a file of 16 to 4096 bytes, the same at all; relative to the settings file.
+    pub secret: String,
+    /// Where the latest start is kept, so that a restart counts as later whatever the clock says; relative likewise.
+    pub kept: Option<String>,
+    /// Where this one listens, if not where the roster says that peers send: behind a forwarder.
+    pub address: Option<SocketAddrV4>,
+    /// All members, this one among them.
+    pub roster: Vec<Peer>,
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Peer {
+    pub name: String,
+    /// For datagrams and TCP, IPv4.
+    pub address: SocketAddrV4,
+    /// Where its clients come, for refusals that name others to try.
+    pub clients: Option<String>,
+}
+
+impl Cluster {
+    pub(super) fn check(&self, own: &str, c: &mut Check) {
+        c.name("cluster.name", &self.name);
+        c.name("cluster.secret", &self.secret);
+        c.some("cluster.roster", self.roster.len());
+        c.unique("cluster.roster", self.roster.iter().map(|p| p.name.as_str()));
+        if self.roster.iter().all(|p| p.name != own) {
+            c.fail("cluster.roster", format!("'{own}', this dispatcher, is not in it"));
+        }
+        let mut seen = BTreeMap::new();
+        for (i, peer) in self.roster.iter().enumerate() {
+            let at = format!("cluster.roster.{i}.address");
+            if peer.address.port() == 0
+                || peer.address.ip().is_unspecified()
+                || peer.address.ip().is_multicast()
+            {
+                c.fail(&at, format!("{} cannot be sent to", peer.address));
+            }
+            if let Some(other) = seen.insert(peer.address, &peer.name) {
+                c.fail(&at, format!("{} is also the address of '{other}'", peer.address));
+            }
+        }
+    }
+
+    /// Where this one listens.
+    pub fn own_address(&self, own: &str) -> Option<SocketAddrV4> {
+        self.address.or_else(|| self.roster.iter().find(|p| p.name == own).map(|p| p.address))
+    }
+}
--- /dev/null
+++ b/crates/membership/src/machine.rs
@@ -0,0 +1,458 @@
+//! One member: the protocol's steps, its timers, and the view that comes of them.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::num::{NonZeroU8, NonZeroUsize};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use foca::{AccumulatingRuntime, Config, Foca, NoCustomBroadcast, PeriodicParams, Timer};
+use rand_core::SeedableRng;
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+use crate::member::{Id, NameKey, Start};
+use crate::seal::{word, Dropped, From, Kind, Opener, Sealer, Secret, SAID_MOST};
+use crate::standing::Standing;
+use crate::watch::Watched;
+
+/// Members that a roster may name.
+const ROSTER_MOST: usize = 1000;
+/// Time between two probes, and within it until others are asked to probe too.
+const PROBE_EVERY: Duration = Duration::from_millis(250);
+const PROBE_WAIT: Duration = Duration::from_millis(100);
+const PROBES_BY_OTHERS: usize = 3;
+/// Time that a suspect has to say that it is there.
+const SUSPECT_FOR: Duration = Duration::from_millis(900);
+/// News go out with that frequency to so many while there are any.
+const GOSSIP: (Duration, usize) = (Duration::from_millis(100), 3);
+/// Members given up are called now and then, so that halves find each other again.
+const CALL_BACK: (Duration, usize) = (Duration::from_millis(1000), 2);
+/// Members of the roster that are not there are called one by one, that often.
+const HAIL_EVERY: Duration = Duration::from_millis(500);
+/// How long a member that was given up is remembered as such.
+const FORGET_AFTER: Duration = Duration::from_secs(3600);
+/// A timer so late means that this process stood still, or was too slow to be a judge of others.
+const LATE: Duration = Duration::from_millis(250);
+/// How long a better standing must hold before it counts; a worse one counts at once.
+const SETTLE: Duration = Duration::from_secs(1);
+
+/// One line of the roster.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    pub name: String,
+    pub address: SocketAddrV4,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RosterError {
+    #[error("'{0}' is not in the roster")]
+    Missing(String),
+    #[error("'{0}' stands in the roster twice")]
+    Twice(String),
+    #[error("the names '{0}' and '{1}' have the same short form; change one")]
+    Alike(String, String),
+    #[error("{0} members; 1 to {ROSTER_MOST} are expected")]
+    Size(usize),
+}
+
+/// The members that there should be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Roster(BTreeMap<NameKey, Peer>);
+
+impl Roster {
+    /// # Errors
+    /// Where names are missing, double, or meet in their short form.
+    pub fn new(own: &str, peers: &[Peer]) -> Result<Roster, RosterError> {
+        if peers.is_empty() || peers.len() > ROSTER_MOST {
+            return Err(RosterError::Size(peers.len()));
+        }
+        let mut by_key: BTreeMap<NameKey, Peer> = BTreeMap::new();
+        for peer in peers {
+            match by_key.insert(NameKey::of(&peer.name), peer.clone()) {
+                Some(other) if other.name == peer.name => return Err(RosterError::Twice(other.name)),
+                Some(other) => return Err(RosterError::Alike(other.name, peer.name.clone())),
+                None => {}
+            }
+        }
+        match by_key.contains_key(&NameKey::of(own)) {
+            true => Ok(Roster(by_key)),
+            false => Err(RosterError::Missing(own.to_string())),
+        }
+    }
+}
+
+/// What is known of one member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Nothing was ever heard of it.
+    Unheard,
+    Alive,
+    /// A probe went unanswered, here or elsewhere; it still counts as there.
+    Suspect,
+    /// Failed, or left.
+    Down,
+}
+
+impl State {
+    pub fn is_there(self) -> bool {
+        matches!(self, State::Alive | State::Suspect)
+    }
+}
+
+/// One line of a view.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberView {
+    pub name: String,
+    pub address: SocketAddrV4,
+    pub start: Option<Start>,
+    pub state: State,
+    /// On the same clock as the calls.
+    pub since: Duration,
+    pub evidence: &'static str,
+}
+
+/// All that one member knows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct View {
+    pub me: Id,
+    pub standing: Standing,
+    /// The later start under the same name to which this process has given way.
+    pub fenced_by: Option<Start>,
+    pub members: Vec<MemberView>,
+    pub dropped: BTreeMap<Dropped, u64>,
+}
+
+/// What has changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    Member {
+        name: NameKey,
+        state: State,
+        start: Start,
+    },
+    Standing(Standing),
+    /// This process stood still for so long; peers get that time before they are doubted.
+    StoodStill(Duration),
+    /// Others had given this one up; it is back.
+    CameBack(Start),
+    /// Another process under this name started later; this one speaks no more.
+    Fenced(Start),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    Send(SocketAddrV4, Vec<u8>),
+    Event(Event),
+}
+
+/// How many datagrams were dropped, by cause.
+pub type Dropping = BTreeMap<Dropped, u64>;
+
+struct Row {
+    id: Option<Id>,
+    state: State,
+    since: Duration,
+    evidence: &'static str,
+}
+
+type Swim = Foca<Id, Watched, Xoshiro256PlusPlus, NoCustomBroadcast>;
+
+pub struct Membership {
+    swim: Swim,
+    runtime: AccumulatingRuntime<Id>,
+    roster: Roster,
+    rows: BTreeMap<NameKey, Row>,
+    timers: BTreeMap<(Duration, u64), Timer<Id>>,
+    set: u64,
+    hail_at: Duration,
+    hailed: Option<NameKey>,
+    sealer: Sealer,
+    opener: Opener,
+    dropped: Dropping,
+    standing: Standing,
+    /// A better standing, and since when it has held.
+    better: Option<(Standing, Duration)>,
+    /// The latest start heard of under the own name.
+    namesake: Arc<AtomicU64>,
+    fenced_by: Option<Start>,
+    left: bool,
+}
+
+fn config() -> Config {
+    let some = |n: usize| NonZeroUsize::new(n).unwrap_or(NonZeroUsize::MIN);
+    let often = |(frequency, n): (Duration, usize)| Some(PeriodicParams { frequency, num_members: some(n) });
+    Config {
+        probe_period: PROBE_EVERY,
+        probe_rtt: PROBE_WAIT,
+        num_indirect_probes: some(PROBES_BY_OTHERS),
+        max_transmissions: NonZeroU8::new(10).unwrap_or(NonZeroU8::MIN),
+        suspect_to_down_after: SUSPECT_FOR,
+        remove_down_after: Some(FORGET_AFTER),
+        max_packet_size: some(SAID_MOST),
+        notify_down_members: true,
+        periodic_announce: often((Duration::from_secs(10), 1)),
+        periodic_announce_to_down_members: often(CALL_BACK),
+        periodic_gossip: often(GOSSIP),
+    }
+}
+
+impl Membership {
+    /// A member under `name`, heard where the roster says; `process` tells this start from others.
+    pub fn new(name: &str, process: u64, roster: Roster, secret: Secret, seed: u64, now: Duration) -> Self {
+        let key = NameKey::of(name);
+        let nowhere = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
+        let address = roster.0.get(&key).map_or(nowhere, |own| own.address);
+        let me = Id { name: key, address, start: Start { process, comeback: 0 } };
+        let unheard = || Row { id: None, state: State::Unheard, since: now, evidence: "never heard" };
+        let rows = roster.0.keys().filter(|k| **k != key).map(|k| (*k, unheard())).collect();
+        let standing = Standing::of(1, roster.0.len());
+        let namesake = Arc::new(AtomicU64::new(0));
+        let codec = Watched { own: key, latest: Arc::clone(&namesake) };
+        Membership {
+            swim: Foca::new(me, config(), Xoshiro256PlusPlus::seed_from_u64(seed), codec),
+            namesake,
+            runtime: AccumulatingRuntime::new(),
+            roster,
+            rows,
+            timers: BTreeMap::new(),
+            set: 0,
+            hail_at: now,
+            hailed: None,
+            sealer: Sealer::new(secret, key, process),
+            opener: Opener::default(),
+            dropped: Dropping::new(),
+            standing,
+            better: None,
+            fenced_by: None,
+            left: false,
+        }
+    }
+
+    fn silent(&self) -> bool {
+        self.left || self.fenced_by.is_some()
+    }
+
+    /// When it wants to be woken, at the latest.
+    pub fn wake_at(&self) -> Option<Duration> {
+        if self.silent() {
+            return None;
+        }
+        let settled = self.better.map(|(_, since)| since + SETTLE);
+        let timer = self.timers.keys().next().map(|(at, _)| *at);
+        [Some(self.hail_at), timer, settled].into_iter().flatten().min()
+    }
+
+    /// Takes a datagram that came from an address.
+    pub fn datagram(&mut self, now: Duration, from: SocketAddrV4, bytes: &[u8], out: &mut Vec<Output>) {
+        if self.silent() {
+            return;
+        }
+        self.wake(now, out);
+        let opened = self.opener.open(&self.sealer, bytes);
+        if let Err(why) = opened.and_then(|(sender, said)| self.take(sender, said)) {
+            if let Dropped::OldStart(name, later) = why {
+                self.tell_replaced(name, later, from, out);
+            }
+            *self.dropped.entry(why.alike()).or_default() += 1;
+        }
+        let latest = self.namesake.load(Ordering::Relaxed);
+        match latest > self.swim.identity().start.process {
+            true => self.fence(Start { process: latest, comeback: 0 }, out),
+            false => self.settle(now, out),
+        }
+    }
+
+    /// Tells a process that its name has a later start: where it spoke from, and where its name should be.
+    fn tell_replaced(&mut self, name: NameKey, later: u64, from: SocketAddrV4, out: &mut Vec<Output>) {
+        let listed = self.roster.0.get(&name).map(|peer| peer.address).filter(|at| *at != from);
+        let said = [&name.0.to_le_bytes()[..], &later.to_le_bytes()].concat();
+        for to in [Some(from), listed].into_iter().flatten() {
+            out.push(Output::Send(to, self.sealer.seal(Kind::Replaced, &said)));
+        }
+    }
+
+    fn take(&mut self, sender: From, said: &[u8]) -> Result<(), Dropped> {
+        let own = self.swim.identity().name;
+        let later = match sender.kind {
+            Kind::Swim if sender.name == own => sender.process,
+            // Misled by a forwarder it may come to another than it is meant for.
+            Kind::Replaced if said.len() == 12 && word(&said[..4]) == u64::from(own.0) => word(&said[4..]),
+            Kind::Replaced => return Err(Dropped::Unreadable),
+            Kind::Swim => {
+                return self.swim.handle_data(said, &mut self.runtime).map_err(|_| Dropped::Unreadable)
+            }
+        };
+        self.namesake.fetch_max(later, Ordering::Relaxed);
+        Ok(())
+    }
+
+    /// Does what is due.
+    pub fn wake(&mut self, now: Duration, out: &mut Vec<Output>) {
+        if self.silent() {
+            return;
+        }
+        self.give_back_lost_time(now, out);
+        while let Some(first) = self.timers.first_entry().filter(|e| e.key().0 <= now) {
+            let timer = first.remove();
+            // Its errors are of timers that were set before an identity changed; they are moot.
+            let _ = self.swim.handle_timer(timer, &mut self.runtime);
+            self.collect(now, out);
+        }
+        if now >= self.hail_at {
+            self.hail_at = now + HAIL_EVERY;
+            self.hail();
+        }
+        self.settle(now, out);
+    }
+
+    /// Says farewell; nothing is said or heard after it.
+    pub fn leave(&mut self, now: Duration, out: &mut Vec<Output>) {
+        if !self.silent() {
+            let _ = self.swim.leave_cluster(&mut self.runtime);
+            self.collect(now, out);
+            self.left = true;
+        }
+    }
+
+    /// Where this process stood still, acknowledgements may lie unread in its socket: what is due is put off by
+    /// what was lost, so that it doubts itself before others.
+    fn give_back_lost_time(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let Some(late) = self.timers.keys().next().and_then(|(at, _)| now.checked_sub(*at)) else { return };
+        if late < LATE {
+            return;
+        }
+        let timers = std::mem::take(&mut self.timers);
+        self.timers = timers.into_iter().map(|((at, n), timer)| ((at + late + LATE, n), timer)).collect();
+        out.push(Output::Event(Event::StoodStill(late)));
+    }
+
+    /// Calls the next one of the roster that is not there.
+    fn hail(&mut self) {
+        let absent = |key: &&NameKey| self.rows.get(key).is_some_and(|row| !row.state.is_there());
+        let keys: Vec<NameKey> = self.roster.0.keys().filter(absent).copied().collect();
+        let next = keys.iter().find(|key| Some(**key) > self.hailed).or(keys.first()).copied();
+        self.hailed = next;
+        if let Some(peer) = next.and_then(|key| self.roster.0.get(&key)) {
+            let start = Start { process: 0, comeback: 0 };
+            let id = Id { name: NameKey::of(&peer.name), address: peer.address, start };
+            let _ = self.swim.announce(id, &mut self.runtime);
+        }
+    }
+
+    /// Carries out what the protocol wants, and brings the view up to date.
+    fn settle(&mut self, now: Duration, out: &mut Vec<Output>) {
+        self.collect(now, out);
+        self.look(now, out);
+        let there =
+            1 + self.rows.iter().filter(|(k, r)| self.roster.0.contains_key(k) && r.state.is_there()).count();
+        let standing = Standing::of(there, self.roster.0.len());
+        if standing <= self.standing {
+            self.better = None;
+            self.stand(standing, out);
+            return;
+        }
+        let since = match self.better {
+            Some((better, since)) => {
+                self.better = Some((better.min(standing), since));
+                since
+            }
+            None => {
+                self.better = Some((standing, now));
+                now
+            }
+        };
+        if now >= since + SETTLE {
+            self.better = None;
+            self.stand(standing, out);
+        }
+    }
+
+    fn stand(&mut self, standing: Standing, out: &mut Vec<Output>) {
+        if standing != self.standing {
+            self.standing = standing;
+            out.push(Output::Event(Event::Standing(standing)));
+        }
+    }
+
+    fn collect(&mut self, now: Duration, out: &mut Vec<Output>) {
+        while let Some((to, said)) = self.runtime.to_send() {
+            out.push(Output::Send(to.address, self.sealer.seal(Kind::Swim, &said)));
+        }
+        while let Some((after, timer)) = self.runtime.to_schedule() {
+            self.set += 1;
+            self.timers.insert((now + after, self.set), timer);
+        }
+        while let Some(told) = self.runtime.to_notify() {
+            if let foca::OwnedNotification::Rejoin(id) = told {
+                out.push(Output::Event(Event::CameBack(id.start)));
+            }
+        }
+    }
+
+    /// Compares the protocol's table with the view.
+    fn look(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let me = *self.swim.identity();
+        for member in self.swim.iter_membership_state() {
+            let id = *member.id();
+            if id.name == me.name {
+                continue;
+            }
+            let state = match member.state() {
+                foca::State::Alive => State::Alive,
+                foca::State::Suspect => State::Suspect,
+                foca::State::Down => State::Down,
+            };
+            let evidence = match state {
+                State::Alive => "heard, by itself or by others",
+                State::Suspect => "a probe went unanswered",
+                _ => "suspected in vain, or left",
+            };
+            let fresh = Row { id: Some(id), state, since: now, evidence };
+            let row = self.rows.entry(id.name).or_insert(Row { state: State::Unheard, id: None, ..fresh });
+            if row.state != state || row.id != Some(id) {
+                *row = Row { id: Some(id), state, since: now, evidence };
+                out.push(Output::Event(Event::Member { name: id.name, state, start: id.start }));
+            }
+        }
+    }
+
+    /// Of two processes alive under one name the one that started later goes on.
+    fn fence(&mut self, by: Start, out: &mut Vec<Output>) {
+        self.fenced_by = Some(by);
+        self.timers.clear();
+        out.push(Output::Event(Event::Fenced(by)));
+    }
+
+    /// A member's name, or its short form where the roster has none.
+    pub fn name_of(&self, key: NameKey) -> String {
+        self.roster.0.get(&key).map_or_else(|| format!("{:08x}", key.0), |p| p.name.clone())
+    }
+
+    pub fn standing(&self) -> Standing {
+        self.standing
+    }
+
+    pub fn view(&self) -> View {
+        let line = |(key, row): (&NameKey, &Row)| {
+            let peer = self.roster.0.get(key);
+            let name = self.name_of(*key);
+            let address = row.id.map(|id| id.address).or(peer.map(|p| p.address));
+            Some(MemberView {
+                name,
+                address: address?,
+                start: row.id.map(|id| id.start),
+                state: row.state,
+                since: row.since,
+                evidence: row.evidence,
+            })
+        };
+        View {
+            me: *self.swim.identity(),
+            standing: self.standing,
+            fenced_by: self.fenced_by,
+            members: self.rows.iter().filter_map(line).collect(),
+            dropped: self.dropped.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/seal.rs
@@ -0,0 +1,283 @@
+//! The envelope of a datagram: which cluster, from whom, a number against replays, and a proof.
+//!
+//! `version (1) | cluster (4) | sender's name (4) | start (8) | number (8) | kind (1) | what is said | tag (16)`; the
+//! tag is the first half of a BLAKE3 hash, keyed by the cluster's secret, over all that stands before it. It proves that
+//! the sender knows the secret; it hides nothing.
+
+use std::collections::BTreeMap;
+
+use crate::member::NameKey;
+
+const VERSION: u8 = 1;
+const HEAD: usize = 26;
+
+const TAG: usize = 16;
+/// Longest datagram, bytes, as on the users' platform.
+pub const DATAGRAM_MOST: usize = 256;
+/// Longest text within one.
+pub const SAID_MOST: usize = DATAGRAM_MOST - HEAD - TAG;
+/// Senders whose numbers are remembered; past it the one heard longest ago is forgotten, and its old
+/// datagrams would be taken again until it is heard.
+pub const SENDERS_MOST: usize = 4096;
+/// Numbers before the highest that may still come, out of order.
+const WINDOW: u64 = 64;
+
+/// What all members of one cluster know.
+pub struct Secret {
+    cluster: u32,
+    key: [u8; 32],
+}
+
+impl Secret {
+    /// From the cluster's name and the bytes of its secret's file.
+    pub fn new(cluster: &str, secret: &[u8]) -> Secret {
+        let key = blake3::derive_key("bitternlatch 2026-12 datagrams between dispatchers", secret);
+        Secret { cluster: NameKey::of(cluster).0, key }
+    }
+
+    fn tag(&self, bytes: &[u8]) -> blake3::Hash {
+        blake3::keyed_hash(&self.key, bytes)
+    }
+}
+
+/// Why a datagram is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, thiserror::Error)]
+pub enum Dropped {
+    #[error("longer or shorter than any datagram of ours")]
+    Noise,
+    #[error("another version")]
+    Version,
+    #[error("another cluster")]
+    Cluster,
+    #[error("the proof does not fit: a stranger, another secret, or damage")]
+    Proof,
+    #[error("taken before, or too old")]
+    Replay,
+    #[error("from a start of its sender that has been replaced by start {1}")]
+    OldStart(NameKey, u64),
+    #[error("proven, and cannot be read")]
+    Unreadable,
+}
+
+impl Dropped {
+    /// The same without what differs from one to the next, to be counted by.
+    pub(crate) fn alike(self) -> Dropped {
+        match self {
+            Dropped::OldStart(..) => Dropped::OldStart(NameKey(0), 0),
+            other => other,
+        }
+    }
+
+    /// A short name for tables.
+    pub fn name(self) -> &'static str {
+        match self {
+            Dropped::Noise => "noise",
+            Dropped::Version => "version",
+            Dropped::Cluster => "cluster",
+            Dropped::Proof => "proof",
+            Dropped::Replay => "replay",
+            Dropped::OldStart(..) => "old_start",
+            Dropped::Unreadable => "unreadable",
+        }
+    }
+}
+
+/// What a datagram holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A message of the protocol.
+    Swim,
+    /// To a process whose name has a later start: the name's short form, 4 bytes, and that start, 8.
+    Replaced,
+}
+
+impl Kind {
+    fn byte(self) -> u8 {
+        match self {
+            Kind::Swim => 0,
+            Kind::Replaced => 1,
+        }
+    }
+
+    fn of(byte: u8) -> Option<Kind> {
+        [Kind::Swim, Kind::Replaced].into_iter().find(|kind| kind.byte() == byte)
+    }
+}
+
+/// Whose name a datagram bears, unproven: for what lies between members.
+pub fn sender(datagram: &[u8]) -> Option<NameKey> {
+    datagram.get(5..9).map(|name| NameKey(word(name) as u32))
+}
+
+/// Seals what one process sends.
+pub struct Sealer {
+    secret: Secret,
+    name: NameKey,
+    process: u64,
+    number: u64,
+}
+
+impl Sealer {
+    pub fn new(secret: Secret, name: NameKey, process: u64) -> Sealer {
+        Sealer { secret, name, process, number: 0 }
+    }
+
+    /// One datagram; `said` holds at most [`SAID_MOST`] bytes.
+    pub fn seal(&mut self, kind: Kind, said: &[u8]) -> Vec<u8> {
+        self.number += 1;
+        let mut out = Vec::with_capacity(HEAD + said.len() + TAG);
+        out.push(VERSION);
+        out.extend(self.secret.cluster.to_le_bytes());
+        out.extend(self.name.0.to_le_bytes());
+        out.extend(self.process.to_le_bytes());
+        out.extend(self.number.to_le_bytes());
+        out.push(kind.byte());
+        out.extend(said);
+        let tag = self.secret.tag(&out);
+        out.extend(&tag.as_bytes()[..TAG]);
+        out
+    }
+}
+
+struct Numbers {
+    process: u64,
+    highest: u64,
+    seen: u64, // A bit for each of the `WINDOW` numbers up to the highest.
+    turn: u64,
+}
+
+/// Who sent a datagram.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct From {
+    pub name: NameKey,
+    pub process: u64,
+    pub kind: Kind,
+}
+
+/// Opens what comes in; remembers the numbers of each sender.
+#[derive(Default)]
+pub struct Opener {
+    senders: BTreeMap<NameKey, Numbers>,
+    turn: u64,
+}
+
+impl Opener {
+    /// What a datagram says, and who says it.
+    ///
+    /// # Errors
+    /// Where it is not to be taken; nothing is remembered of it then.
+    pub fn open<'a>(&mut self, secret: &Sealer, bytes: &'a [u8]) -> Result<(From, &'a [u8]), Dropped> {
+        if bytes.len() < HEAD + TAG || bytes.len() > DATAGRAM_MOST {
+            return Err(Dropped::Noise);
+        }
+        let (body, tag) = bytes.split_at(bytes.len() - TAG);
+        if body[0] != VERSION {
+            return Err(Dropped::Version);
+        }
+        if word(&body[1..5]) != u64::from(secret.secret.cluster) {
+            return Err(Dropped::Cluster);
+        }
+        // Compared in constant time, by the hash's own equality.
+        let mut whole = *secret.secret.tag(body).as_bytes();
+        let ours = blake3::Hash::from_bytes(whole);
+        whole[..TAG].copy_from_slice(tag);
+        if ours != blake3::Hash::from_bytes(whole) {
+            return Err(Dropped::Proof);
+        }
+        let kind = Kind::of(body[25]).ok_or(Dropped::Unreadable)?;
+        let from = From { name: NameKey(word(&body[5..9]) as u32), process: word(&body[9..17]), kind };
+        self.number(from, word(&body[17..25]))?;
+        Ok((from, &body[HEAD..]))
+    }
+
+    fn number(&mut self, from: From, number: u64) -> Result<(), Dropped> {
+        self.turn += 1;
+        let known = self.senders.get(&from.name).map(|n| n.process);
+        if let Some(later) = known.filter(|process| from.process < *process) {
+            return Err(Dropped::OldStart(from.name, later));
+        }
+        if known != Some(from.process) {
+            self.make_room();
+            let fresh = Numbers { process: from.process, highest: 0, seen: 0, turn: 0 };
+            self.senders.insert(from.name, fresh);
+        }
+        let Some(numbers) = self.senders.get_mut(&from.name) else { return Err(Dropped::Replay) };
+        numbers.turn = self.turn;
+        if number > numbers.highest {
+            let step = number - numbers.highest;
+            numbers.seen = if step >= WINDOW { 1 } else { numbers.seen << step | 1 };
+            numbers.highest = number;
+            return Ok(());
+        }
+        let back = numbers.highest - number;
+        if back >= WINDOW || numbers.seen & (1 << back) != 0 {
+            return Err(Dropped::Replay);
+        }
+        numbers.seen |= 1 << back;
+        Ok(())
+    }
+
+    fn make_room(&mut self) {
+        if self.senders.len() >= SENDERS_MOST {
+            let oldest = self.senders.iter().min_by_key(|(_, n)| n.turn).map(|(name, _)| *name);
+            oldest.map(|name| self.senders.remove(&name));
+        }
+    }
+}
+
+pub(crate) fn word(bytes: &[u8]) -> u64 {
+    bytes.iter().rev().fold(0, |word, byte| word << 8 | u64::from(*byte))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn sealer(secret: &[u8], process: u64) -> Sealer {
+        Sealer::new(Secret::new("hall", secret), NameKey::of("d1"), process)
+    }
+
+    #[test]
+    fn a_datagram_is_taken_once_and_out_of_order_within_bounds() {
+        let (mut from, to) = (sealer(b"s", 7), sealer(b"s", 1));
+        let sent: Vec<Vec<u8>> = (0..100u8).map(|n| from.seal(Kind::Swim, &[n])).collect();
+        let mut opener = Opener::default();
+        let mut take = |i: usize| opener.open(&to, &sent[i]).map(|(_, said)| said.to_vec());
+        assert_eq!(take(5), Ok(vec![5]));
+        assert_eq!(take(3), Ok(vec![3]));
+        assert_eq!(take(3), Err(Dropped::Replay));
+        assert_eq!(take(5), Err(Dropped::Replay));
+        assert_eq!(take(99), Ok(vec![99]));
+        assert_eq!(take(36), Ok(vec![36]));
+        assert_eq!(take(35), Err(Dropped::Replay), "too far back to tell");
+        assert_eq!(take(98), Ok(vec![98]));
+    }
+
+    #[test]
+    fn an_earlier_start_is_not_heard_again() {
+        let (mut old, mut new, to) = (sealer(b"s", 7), sealer(b"s", 8), sealer(b"s", 1));
+        let mut opener = Opener::default();
+        let (early, late) = (old.seal(Kind::Swim, b"a"), old.seal(Kind::Swim, b"b"));
+        assert!(opener.open(&to, &early).is_ok());
+        assert!(opener.open(&to, &new.seal(Kind::Swim, b"c")).is_ok());
+        assert_eq!(opener.open(&to, &late), Err(Dropped::OldStart(NameKey::of("d1"), 8)));
+    }
+
+    #[test]
+    fn strangers_noise_and_every_changed_bit_are_dropped() {
+        let to = sealer(b"s", 1);
+        let mut opener = Opener::default();
+        assert_eq!(opener.open(&to, &sealer(b"t", 7).seal(Kind::Swim, b"x")), Err(Dropped::Proof));
+        let mut other = Sealer::new(Secret::new("yard", b"s"), NameKey::of("d1"), 7);
+        assert_eq!(opener.open(&to, &other.seal(Kind::Swim, b"x")), Err(Dropped::Cluster));
+        assert_eq!(opener.open(&to, &[1; 20]), Err(Dropped::Noise));
+        assert_eq!(opener.open(&to, &[1; 257]), Err(Dropped::Noise));
+        let good = sealer(b"s", 7).seal(Kind::Swim, b"hello");
+        for bit in 0..good.len() * 8 {
+            let mut bad = good.clone();
+            bad[bit / 8] ^= 1 << (bit % 8);
+            assert!(opener.open(&to, &bad).is_err(), "bit {bit}");
+        }
+        assert!(opener.open(&to, &good).is_ok());
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/cluster.rs
@@ -0,0 +1,149 @@
+//! Members that fail, pause, part and come back, in simulated time.
+use bitternlatch_membership::simulated::*;
+use bitternlatch_membership::*;
+
+#[test]
+fn three_find_each_other_and_miss_one_that_is_killed() {
+    let mut world = World::new(3, 1);
+    world.run(ms(3_000));
+    assert!(world.all_whole());
+    world.kill(2);
+    world.run(ms(8_000));
+    for at in [0, 1] {
+        assert_eq!((world.standing(at), world.state(2, at)), (Some(Standing::Majority), Some(State::Down)));
+    }
+    // Started again, with nothing kept, it is one more start of the same member.
+    world.start(2);
+    world.run(ms(14_000));
+    assert!(world.all_whole());
+}
+
+#[test]
+fn one_that_stands_still_is_given_up_doubts_itself_first_and_comes_back() {
+    let mut world = World::new(5, 2);
+    world.run(ms(3_000));
+    world.nodes[4].paused = true;
+    world.run(ms(13_000));
+    assert!((0..4).all(|at| world.state(4, at) == Some(State::Down)));
+    let woken = world.now;
+    world.go_on(4);
+    world.run(ms(20_000));
+    assert!(world.all_whole());
+    let after = |of: usize| world.downs(of, woken).into_iter().filter(|(_, by)| *by == 4).count();
+    assert!((0..4).all(|of| after(of) == 0), "it took others for dead that it had not listened to");
+    let own: Vec<&Event> = world.events.iter().filter(|e| e.0 >= woken && e.1 == 4).map(|e| &e.2).collect();
+    assert!(own.iter().any(|e| matches!(e, Event::StoodStill(d) if *d > ms(5_000))), "{own:?}");
+}
+
+#[test]
+fn halves_know_that_they_are_no_majority_and_find_each_other_again() {
+    let mut world = World::new(6, 3);
+    world.run(ms(3_000));
+    world.passes = Box::new(|from, to| (from < 2) == (to < 2));
+    world.run(ms(12_000));
+    assert!((0..2).all(|at| world.standing(at) == Some(Standing::CutOff)));
+    assert!((2..6).all(|at| world.standing(at) == Some(Standing::Majority)));
+    world.passes = Box::new(|_, _| true);
+    world.run(ms(25_000));
+    assert!(world.all_whole(), "{:?}", (0..6).map(|i| world.standing(i)).collect::<Vec<_>>());
+}
+
+#[test]
+fn one_that_hears_nobody_is_alone_and_not_the_last_one_alive() {
+    let mut world = World::new(4, 4);
+    world.run(ms(3_000));
+    world.passes = Box::new(|from, to| from != 0 && to != 0);
+    world.run(ms(12_000));
+    assert_eq!(world.standing(0), Some(Standing::Alone));
+    assert!((1..4).all(|at| world.standing(at) == Some(Standing::Majority)));
+}
+
+#[test]
+fn a_third_that_hears_both_keeps_all_three_together() {
+    let mut world = World::new(3, 5);
+    world.run(ms(3_000));
+    world.passes = Box::new(|from, to| from + to != 1); // Members 0 and 1 do not hear each other.
+    world.run(ms(60_000));
+    assert!(world.all_whole());
+    assert!(world.downs(0, ms(0)).is_empty() && world.downs(1, ms(0)).is_empty());
+}
+
+#[test]
+fn lost_and_doubled_datagrams_remove_nobody() {
+    for (loss, seed) in [(0.05, 6), (0.05, 7), (0.05, 8)] {
+        let mut world = World::new(10, seed);
+        (world.loss, world.twice) = (loss, 0.2);
+        world.run(ms(120_000));
+        let downs: usize = (0..10).map(|i| world.downs(i, ms(0)).len()).sum();
+        assert_eq!(downs, 0);
+        assert!(world.all_whole());
+    }
+}
+
+#[test]
+fn an_hour_old_datagrams_change_nothing() {
+    let mut world = World::new(3, 9);
+    world.kept = Some(vec![]);
+    world.run(ms(10_000));
+    let old = world.kept.take().expect("kept");
+    world.kill(2);
+    world.start(2);
+    world.run(ms(3_600_000));
+    let (before, count) = (world.events.len(), old.len());
+    for (from, to, bytes) in old {
+        world.deliver(from, to, bytes);
+    }
+    world.run(ms(3_610_000));
+    assert!(count > 50 && world.all_whole());
+    assert_eq!(world.events.len(), before, "{:?}", &world.events[before..]);
+}
+
+#[test]
+fn all_restarted_together_find_each_other() {
+    let mut world = World::new(10, 10);
+    world.run(ms(5_000));
+    for i in 0..10 {
+        world.kill(i);
+        world.start(i);
+        world.run(ms(5_000 + 1_500 * (i as u64 + 1)));
+    }
+    world.run(ms(40_000));
+    assert!(world.all_whole());
+}
+
+#[test]
+fn a_farewell_is_believed_at_once() {
+    let mut world = World::new(5, 11);
+    world.run(ms(3_000));
+    let (now, mut out) = (world.now, vec![]);
+    world.nodes[1].member.as_mut().expect("alive").leave(now, &mut out);
+    world.carry(1, out);
+    world.kill(1);
+    world.run(ms(4_500));
+    let downs = world.downs(1, now);
+    assert_eq!(downs.len(), 4, "{downs:?}");
+}
+
+#[test]
+fn of_two_under_one_name_the_later_goes_on_and_the_other_says_so() {
+    // The later one has its sockets elsewhere, as two processes cannot share an address.
+    let mut world = World::new(5, 12);
+    world.run(ms(3_000));
+    world.start_as(4, 1);
+    world.run(ms(12_000));
+    let fenced: Vec<_> = world.events.iter().filter(|e| matches!(e.2, Event::Fenced(_))).collect();
+    assert_eq!(fenced.len(), 1, "{fenced:?}");
+    let (_, by, event) = fenced[0];
+    assert!(*by == 1 && matches!(event, Event::Fenced(start) if start.process > 1), "{fenced:?}");
+    let first = world.nodes[1].member.as_ref().expect("alive");
+    assert_eq!(first.wake_at(), None, "it speaks no more");
+    assert_eq!(world.state(1, 0), Some(State::Alive));
+}
+
+#[test]
+fn no_datagram_is_longer_than_the_platform_takes() {
+    let mut world = World::new(60, 13);
+    world.run(ms(10_000));
+    assert!(world.all_whole());
+    assert!(world.longest <= DATAGRAM_MOST && world.longest > 200, "{}", world.longest);
+}
--- /dev/null
+++ b/crates/peer-net/src/lib.rs
@@ -0,0 +1,10 @@
+//! The plane between dispatchers: one socket for datagrams, one for TCP at the same address, a thread each.
+//!
+//! What is said and who is there is decided in `bitternlatch-membership`; here are sockets, the clock and files.
+
+mod plane;
+mod start;
+mod views;
+
+pub use plane::Plane;
+pub use views::{ask, Line, Shown};
--- /dev/null
+++ b/crates/peer-net/src/plane.rs
@@ -0,0 +1,208 @@
+//! The thread that hears and speaks datagrams, and wakes the member when it wants.
+
+use std::io::ErrorKind;
+use std::net::{SocketAddr, SocketAddrV4, TcpListener, UdpSocket};
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use bitternlatch_core::settings::Cluster;
+use bitternlatch_membership::{Event, Membership, Output, Peer, Roster, Secret, DATAGRAM_MOST};
+use bitternlatch_net::clock::Clock;
+
+use crate::start;
+use crate::views::{self, Shown};
+
+/// Longest wait for a datagram, so that a stop is seen.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// Bounds of the secret's file, bytes.
+const SECRET_BYTES: std::ops::RangeInclusive<u64> = 16..=4096;
+
+/// One dispatcher's part in the cluster, running.
+pub struct Plane {
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+struct Loop {
+    socket: UdpSocket,
+    clock: Clock,
+    member: Arc<Mutex<Membership>>,
+    stop: Arc<AtomicBool>,
+    name: String,
+}
+
+fn lock(member: &Mutex<Membership>) -> MutexGuard<'_, Membership> {
+    member.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn read_secret(path: &Path) -> Result<Vec<u8>, String> {
+    let shown = path.display();
+    let size = std::fs::metadata(path).map_err(|e| format!("{shown}: {e}"))?.len();
+    if !SECRET_BYTES.contains(&size) {
+        let (least, most) = (SECRET_BYTES.start(), SECRET_BYTES.end());
+        return Err(format!("{shown}: {size} bytes; a secret has {least} to {most}"));
+    }
+    std::fs::read(path).map_err(|e| format!("{shown}: {e}"))
+}
+
+/// What a member needs of its settings and files.
+struct Papers {
+    roster: Roster,
+    secret: Secret,
+    address: SocketAddrV4,
+}
+
+impl Papers {
+    fn read(cluster: &Cluster, name: &str, base: &Path) -> Result<Papers, String> {
+        let peers = cluster.roster.iter().map(|p| Peer { name: p.name.clone(), address: p.address });
+        let roster =
+            Roster::new(name, &peers.collect::<Vec<_>>()).map_err(|e| format!("cluster.roster: {e}"))?;
+        let address = cluster.own_address(name).ok_or("cluster: no address of its own")?;
+        let secret = Secret::new(&cluster.name, &read_secret(&base.join(&cluster.secret))?);
+        Ok(Papers { roster, secret, address })
+    }
+}
+
+impl Plane {
+    /// Whether [`Plane::join`] could use these settings and the secret's file.
+    ///
+    /// # Errors
+    /// Where not, and why.
+    pub fn check(cluster: &Cluster, name: &str, base: &Path) -> Result<(), String> {
+        Papers::read(cluster, name, base).map(|_| ())
+    }
+
+    /// Joins the cluster; paths are relative to `base`. `told` is called from the plane's thread at each event.
+    ///
+    /// # Errors
+    /// Where the secret, the kept start, the roster or an address cannot be used.
+    pub fn join(
+        cluster: &Cluster,
+        name: &str,
+        base: &Path,
+        mut told: impl FnMut(&Event) + Send + 'static,
+    ) -> Result<Plane, String> {
+        let Papers { roster, secret, address } = Papers::read(cluster, name, base)?;
+        let bad = |what: &str, e: std::io::Error| format!("cluster: {what} {address}: {e}");
+        let socket = UdpSocket::bind(address).map_err(|e| bad("no datagrams at", e))?;
+        let listener = TcpListener::bind(address).map_err(|e| bad("cannot listen on", e))?;
+        // Only now: a start that finds its address taken must not count.
+        let process = start::number(cluster.kept.as_ref().map(|k| base.join(k)).as_deref())?;
+        let seed = getrandom::u64().map_err(|e| format!("no randomness: {e}"))?;
+        let clock = Clock::start();
+        let member = Membership::new(name, process, roster, secret, seed, now(&clock));
+        let member = Arc::new(Mutex::new(member));
+        let thread = |what: &str| std::thread::Builder::new().name(what.into());
+        let no_thread = |e| format!("cluster: no thread: {e}");
+        let (seen, cluster_name, own) = (Arc::clone(&member), cluster.name.clone(), name.to_string());
+        let view = move || {
+            let view = lock(&seen).view();
+            Shown::of(&cluster_name, &own, &view, now(&clock).as_millis() as u64)
+        };
+        thread("views").spawn(move || views::serve(&listener, view)).map_err(no_thread)?;
+        let stop = Arc::new(AtomicBool::new(false));
+        let plane = Loop { socket, clock, member, stop: Arc::clone(&stop), name: name.to_string() };
+        let run = move || plane.run(&mut told);
+        let thread = thread("peers").spawn(run).map_err(no_thread)?;
+        tracing::info!(cluster = cluster.name, %address, start = process, "in the cluster");
+        Ok(Plane { stop, thread: Some(thread) })
+    }
+
+    /// Says farewell to the peers and ends.
+    pub fn leave(mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn now(clock: &Clock) -> Duration {
+    Duration::from_micros(clock.now().0)
+}
+
+impl Loop {
+    fn run(&self, told: &mut dyn FnMut(&Event)) {
+        // One more than any datagram of ours, so that a longer one is seen to be longer.
+        let mut buffer = [0u8; DATAGRAM_MOST + 1];
+        let mut out = Vec::new();
+        loop {
+            let wake_at = lock(&self.member).wake_at();
+            let wait = wake_at.map_or(LOOK_EVERY, |at| at.saturating_sub(now(&self.clock)).min(LOOK_EVERY));
+            let heard = self.hear(wait, &mut buffer);
+            let mut member = lock(&self.member);
+            match heard {
+                Some((SocketAddr::V4(from), n)) => {
+                    member.datagram(now(&self.clock), from, &buffer[..n], &mut out)
+                }
+                _ => member.wake(now(&self.clock), &mut out),
+            }
+            let stop = self.stop.load(Ordering::SeqCst);
+            if stop {
+                member.leave(now(&self.clock), &mut out);
+            }
+            drop(member);
+            self.carry(&mut out, told);
+            if stop {
+                return;
+            }
+        }
+    }
+
+    fn hear(&self, wait: Duration, buffer: &mut [u8]) -> Option<(SocketAddr, usize)> {
+        let began = Instant::now();
+        let wait = wait.max(Duration::from_millis(1));
+        let heard = self.socket.set_read_timeout(Some(wait)).and_then(|()| self.socket.recv_from(buffer));
+        match heard {
+            Ok((n, from)) => Some((from, n)),
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => None,
+            Err(_) => {
+                // A peer's closed port comes back as an error at once; a broken socket must not spin.
+                if began.elapsed() < Duration::from_millis(1) {
+                    std::thread::sleep(Duration::from_millis(1));
+                }
+                None
+            }
+        }
+    }
+
+    fn carry(&self, out: &mut Vec<Output>, told: &mut dyn FnMut(&Event)) {
+        for output in out.drain(..) {
+            match output {
+                // A datagram that cannot be sent is as good as lost, which the protocol bears.
+                Output::Send(to, bytes) => drop(self.socket.send_to(&bytes, to)),
+                Output::Event(event) => {
+                    self.log(&event);
+                    told(&event);
+                }
+            }
+        }
+    }
+
+    fn log(&self, event: &Event) {
+        let me = self.name.as_str();
+        match event {
+            Event::Member { name, state, start } => {
+                let named = lock(&self.member).name_of(*name);
+                tracing::info!(me, peer = named, state = ?state, start = start.process, "a member");
+            }
+            Event::Standing(standing) => tracing::warn!(me, standing = ?standing, "standing"),
+            Event::StoodStill(d) => {
+                tracing::warn!(me, ms = d.as_millis() as u64, "stood still; doubts itself first")
+            }
+            Event::CameBack(start) => {
+                tracing::warn!(me, comebacks = start.comeback, "had been given up by peers; is back")
+            }
+            Event::Fenced(by) => {
+                tracing::error!(
+                    me,
+                    later = by.process,
+                    "another process under this name started later; this one stops"
+                )
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer-net/src/start.rs
@@ -0,0 +1,63 @@
+//! The number of this start: later ones are larger, whatever the clock says.
+
+use std::fs::File;
+use std::io::{ErrorKind, Write};
+use std::path::Path;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Longest file that is read, bytes.
+const FILE_BYTES: u64 = 64;
+
+/// The clock's milliseconds, or one more than the start that the file tells of if that is later; written there
+/// before it is used, so that no two starts of one folder have one number.
+///
+/// # Errors
+/// Where the file cannot be read or written, or holds no number; a start that could pass for an earlier one is none.
+pub(crate) fn number(kept: Option<&Path>) -> Result<u64, String> {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+    let Some(path) = kept else { return Ok(unix) };
+    let shown = path.display();
+    let last = match std::fs::metadata(path) {
+        Err(e) if e.kind() == ErrorKind::NotFound => 0,
+        Err(e) => return Err(format!("{shown}: {e}")),
+        Ok(about) if about.len() > FILE_BYTES => return Err(format!("{shown}: not a start's number")),
+        Ok(_) => {
+            let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: {e}"))?;
+            text.trim()
+                .parse()
+                .map_err(|_| format!("{shown}: not a start's number; remove it to begin anew"))?
+        }
+    };
+    let number = unix.max(last + 1);
+    write(path, number).map_err(|e| format!("{shown}: {e}"))?;
+    Ok(number)
+}
+
+/// Whole or not at all: a torn number would stop the next start.
+fn write(path: &Path, number: u64) -> std::io::Result<()> {
+    let beside = path.with_extension("new");
+    let mut file = File::create(&beside)?;
+    writeln!(file, "{number}")?;
+    file.sync_all()?;
+    std::fs::rename(&beside, path)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_start_of_one_folder_is_later_though_the_clock_is_behind() {
+        let dir = std::env::temp_dir().join(format!("bitternlatch-start-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        let path = dir.join("d1.start");
+        let first = number(Some(&path)).expect("a number");
+        assert!(number(Some(&path)).expect("a number") > first);
+        let ahead = u64::MAX / 2;
+        std::fs::write(&path, ahead.to_string()).expect("a file");
+        assert_eq!(number(Some(&path)), Ok(ahead + 1));
+        std::fs::write(&path, "x7").expect("a file");
+        assert!(number(Some(&path)).is_err_and(|e| e.contains("not a start's number")));
+        std::fs::remove_dir_all(&dir).expect("removed");
+    }
+}
--- /dev/null
+++ b/crates/peer-net/src/views.rs
@@ -0,0 +1,116 @@
+//! Whole views over TCP, as JSON: how operators and other programs see what a member knows.
+
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+use bitternlatch_membership::View;
+use serde::{Deserialize, Serialize};
+
+/// The one question there is.
+const QUESTION: &str = "members 1";
+/// Longest question and longest answer, bytes: a thousand members take some 250 KB.
+const QUESTION_BYTES: u64 = 64;
+const ANSWER_BYTES: u64 = 1 << 20;
+/// Longest that one asker is waited for; askers are served one after the other.
+const ASKER: Duration = Duration::from_millis(500);
+
+/// A view as it is told. Times in Unix milliseconds of the member's own clock.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Shown {
+    pub cluster: String,
+    pub name: String,
+    pub address: String,
+    pub start: u64,
+    /// How often it came back under this start after others had given it up.
+    pub comebacks: u16,
+    pub standing: String,
+    /// The later start under its name to which it has given way.
+    pub fenced_by: Option<u64>,
+    pub at_ms: u64,
+    pub members: Vec<Line>,
+    /// Datagrams not taken, by cause.
+    pub dropped: BTreeMap<String, u64>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    pub name: String,
+    pub address: String,
+    pub start: Option<u64>,
+    pub state: String,
+    pub since_ms: u64,
+    pub evidence: String,
+}
+
+impl Shown {
+    pub(crate) fn of(cluster: &str, name: &str, view: &View, at_ms: u64) -> Shown {
+        let line = |m: &bitternlatch_membership::MemberView| Line {
+            name: m.name.clone(),
+            address: m.address.to_string(),
+            start: m.start.map(|s| s.process),
+            state: format!("{:?}", m.state).to_lowercase(),
+            since_ms: m.since.as_millis() as u64,
+            evidence: m.evidence.to_string(),
+        };
+        Shown {
+            cluster: cluster.to_string(),
+            name: name.to_string(),
+            address: view.me.address.to_string(),
+            start: view.me.start.process,
+            comebacks: view.me.start.comeback,
+            standing: format!("{:?}", view.standing).to_lowercase(),
+            fenced_by: view.fenced_by.map(|s| s.process),
+            at_ms,
+            members: view.members.iter().map(line).collect(),
+            dropped: view.dropped.iter().map(|(why, n)| (why.name().to_string(), *n)).collect(),
+        }
+    }
+}
+
+/// Answers askers one after the other until the process ends.
+pub(crate) fn serve(listener: &TcpListener, view: impl Fn() -> Shown) {
+    for stream in listener.incoming() {
+        match stream {
+            Ok(stream) => {
+                if let Err(e) = answer(stream, &view) {
+                    tracing::debug!(error = %e, "an asker for the view was not answered");
+                }
+            }
+            // Without descriptors it would spin.
+            Err(_) => std::thread::sleep(Duration::from_millis(50)),
+        }
+    }
+}
+
+fn answer(mut stream: TcpStream, view: &impl Fn() -> Shown) -> io::Result<()> {
+    stream.set_read_timeout(Some(ASKER))?;
+    stream.set_write_timeout(Some(ASKER))?;
+    let mut question = String::new();
+    BufReader::new((&stream).take(QUESTION_BYTES)).read_line(&mut question)?;
+    if question.trim() != QUESTION {
+        return stream.write_all(b"{\"error\":\"the question is 'members 1'\"}\n");
+    }
+    let mut text = serde_json::to_string(&view())?;
+    text.push('\n');
+    stream.write_all(text.as_bytes())
+}
+
+/// What a member knows, as it tells it.
+///
+/// # Errors
+/// Where it cannot be reached within the time, or what it tells cannot be read.
+pub fn ask(peer: SocketAddr, within: Duration) -> Result<Shown, String> {
+    let told = || -> io::Result<String> {
+        let mut stream = TcpStream::connect_timeout(&peer, within)?;
+        stream.set_read_timeout(Some(within))?;
+        stream.set_write_timeout(Some(within))?;
+        writeln!(stream, "{QUESTION}")?;
+        let mut text = String::new();
+        stream.take(ANSWER_BYTES).read_to_string(&mut text)?;
+        Ok(text)
+    };
+    let text = told().map_err(|e| format!("{peer}: {e}"))?;
+    serde_json::from_str(&text).map_err(|e| format!("{peer}: this is not a view: {e}"))
+}
--- a/programs/badday/src/process.rs
+++ b/programs/badday/src/process.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bitternlatch_net::dial::{get, Manner};
+use rustix::process::{kill_process, Pid, Signal};
 
 /// The word that turns this program into a dispatcher.
 pub const AS_DISPATCHER: &str = "--as-dispatcher";
@@ -73,6 +74,11 @@
         self.recorded = false;
     }
 
+    /// Sets one table or value of its settings, for the next start.
+    pub fn set(&mut self, key: &str, value: toml::Value) {
+        self.settings.insert(key.to_string(), value);
+    }
+
     /// It speaks TLS.
     pub fn secured(&mut self, manner: Manner) {
         self.manner = manner;
@@ -126,12 +132,33 @@
 
     /// SIGTERM.
     pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// SIGSTOP: it stands still between two instructions.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// SIGCONT.
+    pub fn go_on(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    fn signal(&self, signal: Signal) {
         if let Some(child) = &self.child {
-            let pid = rustix::process::Pid::from_child(child);
-            let _ = rustix::process::kill_process(pid, rustix::process::Signal::TERM);
+            let _ = kill_process(Pid::from_child(child), signal);
         }
     }
 
+    /// The log of its latest run.
+    ///
+    /// # Errors
+    /// As the file's.
+    pub fn log(&self) -> io::Result<String> {
+        std::fs::read_to_string(self.dir.join(format!("{}.{}.log", self.name, self.starts)))
+    }
+
     /// Waits for the end after [`Dispatcher::terminate`]; true for an orderly one.
     pub fn ended(&mut self, within: Duration) -> bool {
         let by = Instant::now() + within;
--- /dev/null
+++ b/programs/badday/tests/cluster.rs
@@ -0,0 +1,239 @@
+//! Several processes of the program that know each other, with faults between them and to them.
+mod common;
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket};
+use std::time::{Duration, Instant};
+
+use bitternlatch_badday::between::{Between, Rule};
+use bitternlatch_badday::process::Dispatcher;
+use bitternlatch_peer_net::{ask, Shown};
+use common::{folder, image, SETTINGS};
+use serde_json::json;
+
+const CUT: Rule = Rule { cut: true, lost: 0.0, twice: 0.0, delay_s: 0.0, jitter_s: 0.0 };
+/// One host, which is not there.
+const LIST: &str = "name,address,port,kind,cell,zone,state\nr1,127.0.0.1,1,reader,c,pos-site,ready\n";
+const SOON: Duration = Duration::from_secs(30);
+
+/// Dispatchers without hosts, whose datagrams to each other pass relays.
+struct Cluster {
+    dispatchers: Vec<Dispatcher>,
+    addresses: Vec<SocketAddrV4>,
+    between: Between,
+}
+
+/// An address that is free for datagrams and connections both.
+fn free() -> SocketAddrV4 {
+    for _ in 0..100 {
+        let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+        let SocketAddr::V4(address) = listener.local_addr().expect("its address") else { continue };
+        if UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+    panic!("no port is free for both");
+}
+
+fn table(secret: &str, roster: &[(String, SocketAddrV4)], own: SocketAddrV4, kept: &str) -> toml::Value {
+    let line = |(name, address): &(String, SocketAddrV4)| json!({ "name": name, "address": address });
+    let roster: Vec<serde_json::Value> = roster.iter().map(line).collect();
+    let text = json!({ "name": "hall", "secret": secret, "kept": kept, "address": own, "roster": roster });
+    serde_json::from_value(text).expect("a table")
+}
+
+fn cluster(name: &str, count: usize) -> Cluster {
+    let dir = folder(name);
+    std::fs::write(dir.join("hosts.csv"), LIST).expect("a list");
+    std::fs::write(dir.join("secret"), "sixteen bytes or more").expect("a secret");
+    std::fs::write(dir.join("other"), "another secret altogether").expect("a secret");
+    let settings: toml::Table = toml::from_str(SETTINGS).expect("settings");
+    let addresses: Vec<SocketAddrV4> = (0..count).map(|_| free()).collect();
+    let names = (0..count).map(|i| format!("dispatch-{}", i + 1));
+    let members: Vec<_> = names.zip(addresses.iter().copied()).collect();
+    let between = Between::start(&members, 7).expect("relays");
+    let front = |(i, m): (usize, &(String, SocketAddrV4))| (m.0.clone(), between.front(i).expect("a front"));
+    let roster: Vec<_> = members.iter().enumerate().map(front).collect();
+    let mut dispatchers = Vec::new();
+    for (me, own) in addresses.iter().enumerate() {
+        let mut one = Dispatcher::new(&dir, me + 1, count, &settings).expect("an address");
+        let kept = format!("dispatch-{}.start", me + 1);
+        one.set("cluster", table("secret", &roster, *own, &kept));
+        one.without_record();
+        one.start(&image()).expect("a process");
+        dispatchers.push(one);
+    }
+    let cluster = Cluster { dispatchers, addresses, between };
+    cluster.all_whole();
+    cluster
+}
+
+impl Cluster {
+    fn view(&self, of: usize) -> Option<Shown> {
+        ask(SocketAddr::V4(self.addresses[of]), Duration::from_secs(5)).ok()
+    }
+
+    fn standing(&self, of: usize) -> String {
+        self.view(of).map_or("not there".into(), |v| v.standing)
+    }
+
+    fn state(&self, of: usize, at: usize) -> String {
+        let name = &self.dispatchers[of].name;
+        let line = self.view(at).and_then(|v| v.members.into_iter().find(|m| m.name == *name));
+        line.map_or("not there".into(), |l| l.state)
+    }
+
+    fn until(&self, what: &str, fits: impl Fn() -> bool) {
+        let by = Instant::now() + SOON;
+        while !fits() {
+            let all: Vec<_> = (0..self.addresses.len()).map(|i| self.view(i)).collect();
+            assert!(Instant::now() < by, "{what} has not come: {all:#?}");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    fn all_whole(&self) {
+        self.until("a whole", || (0..self.addresses.len()).all(|i| self.standing(i) == "whole"));
+    }
+}
+
+#[test]
+fn one_that_is_killed_is_missed_and_comes_back_as_a_later_start() {
+    let mut cluster = cluster("cluster-killed", 3);
+    let before = cluster.view(2).expect("a view").start;
+    cluster.dispatchers[2].kill();
+    cluster.until("its loss", || (0..2).all(|at| cluster.state(2, at) == "down"));
+    cluster.until("a majority", || (0..2).all(|at| cluster.standing(at) == "majority"));
+    cluster.dispatchers[2].start(&image()).expect("a process");
+    cluster.all_whole();
+    assert!(cluster.view(2).expect("a view").start > before);
+}
+
+#[test]
+fn one_that_stands_still_is_given_up_and_back_it_doubts_itself_and_no_other() {
+    let cluster = cluster("cluster-paused", 3);
+    cluster.dispatchers[1].pause();
+    cluster.until("its loss", || cluster.state(1, 0) == "down" && cluster.state(1, 2) == "down");
+    cluster.dispatchers[1].go_on();
+    cluster.all_whole();
+    let log = cluster.dispatchers[1].log().expect("a log");
+    assert!(log.contains("stood still"), "{log}");
+    assert!(!log.contains("\"state\":\"Down\""), "{log}");
+}
+
+#[test]
+fn a_part_that_is_cut_off_knows_it_and_joins_again() {
+    let cluster = cluster("cluster-parted", 5);
+    cluster.between.part(&[0, 1], CUT);
+    cluster.until("two that are cut off", || (0..2).all(|at| cluster.standing(at) == "cutoff"));
+    cluster.until("a majority", || (2..5).all(|at| cluster.standing(at) == "majority"));
+    cluster.between.part(&[0, 1], Rule::default());
+    cluster.all_whole();
+    cluster.between.part(&[4], CUT);
+    cluster.until("one alone", || cluster.standing(4) == "alone");
+    cluster.between.part(&[4], Rule::default());
+    cluster.all_whole();
+}
+
+#[test]
+fn one_way_loss_between_two_is_bridged_by_the_third() {
+    let cluster = cluster("cluster-one-way", 3);
+    cluster.between.set(0, 1, CUT);
+    std::thread::sleep(Duration::from_secs(6)); // Some fifteen probes; nothing is to happen, so nothing can be waited for.
+    assert!((0..3).all(|at| cluster.standing(at) == "whole"));
+    let down = |d: &Dispatcher| d.log().expect("a log").contains("\"state\":\"Down\"");
+    assert!(!cluster.dispatchers.iter().any(down));
+}
+
+#[test]
+fn lost_late_and_doubled_datagrams_keep_no_member_away_for_long() {
+    let cluster = cluster("cluster-lossy", 4);
+    cluster.between.all(Rule { cut: false, lost: 0.3, twice: 0.3, delay_s: 0.002, jitter_s: 0.02 });
+    cluster.dispatchers[3].pause();
+    cluster.until("its loss", || (0..3).all(|at| cluster.state(3, at) == "down"));
+    cluster.dispatchers[3].go_on();
+    cluster.until("its return", || (0..3).all(|at| cluster.state(3, at) == "alive"));
+    cluster.between.all(Rule::default());
+    cluster.all_whole();
+    let replays = cluster.view(0).expect("a view").dropped.get("replay").copied().unwrap_or(0);
+    assert!(replays > 0, "doubles are told apart");
+}
+
+#[test]
+fn a_farewell_is_taken_at_its_word() {
+    let mut cluster = cluster("cluster-farewell", 3);
+    cluster.dispatchers[0].terminate();
+    assert!(cluster.dispatchers[0].ended(SOON));
+    cluster.until("its leave", || (1..3).all(|at| cluster.state(0, at) == "down"));
+    let suspected = |d: &Dispatcher| d.log().expect("a log").contains("\"state\":\"Suspect\"");
+    assert!(!cluster.dispatchers[1..].iter().any(suspected), "it was not missed, it left");
+}
+
+#[test]
+fn strangers_noise_and_replays_are_dropped_and_counted() {
+    let cluster = cluster("cluster-stranger", 2);
+    let mut stranger = Dispatcher::new(
+        &std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("cluster-stranger"),
+        3,
+        2,
+        &toml::from_str(SETTINGS).expect("settings"),
+    )
+    .expect("an address");
+    let own = free();
+    let roster = [("dispatch-3".to_string(), own), ("dispatch-1".to_string(), cluster.addresses[0])];
+    stranger.set("cluster", table("other", &roster, own, "dispatch-3.start"));
+    stranger.without_record();
+    stranger.start(&image()).expect("a process");
+    let noise = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("a socket");
+    for n in [0, 5, 60, 257, 1000] {
+        noise.send_to(&vec![1u8; n], cluster.addresses[0]).expect("sent");
+    }
+    let counted = |why: &str| cluster.view(0).and_then(|v| v.dropped.get(why).copied()).unwrap_or(0);
+    cluster.until("a count of strangers", || counted("proof") > 0 && counted("noise") >= 3);
+    let view = cluster.view(0).expect("a view");
+    assert_eq!((view.standing.as_str(), view.members.len()), ("whole", 1), "{view:?}");
+    let alone = ask(SocketAddr::V4(own), SOON).expect("a view");
+    assert_eq!(alone.standing, "alone");
+}
+
+#[test]
+fn of_two_processes_under_one_name_the_later_goes_on_and_the_other_ends_and_says_why() {
+    let mut cluster = cluster("cluster-namesake", 3);
+    let dir = std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("cluster-namesake");
+    let settings = toml::from_str(SETTINGS).expect("settings");
+    // The same name from another folder: its file of the last start is not there.
+    std::fs::create_dir_all(dir.join("elsewhere")).expect("a folder");
+    for file in ["hosts.csv", "secret"] {
+        std::fs::copy(dir.join(file), dir.join("elsewhere").join(file)).expect("a copy");
+    }
+    let mut second = Dispatcher::new(&dir.join("elsewhere"), 1, 3, &settings).expect("an address");
+    let own = free();
+    let at = |i: usize| if i == 0 { own } else { cluster.between.front(i).expect("a front") };
+    let names = (0..3).map(|i| (format!("dispatch-{}", i + 1), at(i)));
+    second.set("cluster", table("secret", &names.collect::<Vec<_>>(), own, "dispatch-1.start"));
+    second.without_record();
+    second.start(&image()).expect("a process");
+    assert!(!cluster.dispatchers[0].ended(SOON), "it does not end as if it had been told to");
+    let log = cluster.dispatchers[0].log().expect("a log");
+    assert!(log.contains("another process under this name started later"), "{log}");
+    let later = || ask(SocketAddr::V4(own), SOON).map_or("not there".into(), |v| v.standing);
+    cluster.until("the later one", || cluster.state(0, 1) == "alive" && later() == "whole");
+}
+
+#[test]
+fn a_cluster_that_cannot_be_joined_ends_the_start_with_one_line() {
+    let dir = folder("cluster-broken");
+    std::fs::write(dir.join("hosts.csv"), LIST).expect("a list");
+    std::fs::write(dir.join("short"), "short").expect("a secret");
+    let settings = toml::from_str(SETTINGS).expect("settings");
+    for (secret, cause) in [("nowhere", "nowhere"), ("short", "5 bytes; a secret has 16 to 4096")] {
+        let mut one = Dispatcher::new(&dir, 1, 1, &settings).expect("an address");
+        let own = free();
+        one.set("cluster", table(secret, &[("dispatch-1".to_string(), own)], own, "kept"));
+        one.without_record();
+        one.start(&image()).expect("a process");
+        assert!(!one.ended(SOON));
+        let log = one.log().expect("a log");
+        let last = log.lines().last().unwrap_or_default();
+        assert!(last.starts_with("bitternlatch-dispatch: ") && last.contains(cause), "{log}");
+    }
+}
--- a/programs/dispatch/src/lib.rs
+++ b/programs/dispatch/src/lib.rs
@@ -14,12 +14,14 @@
 use bitternlatch_identity::rights::Rights;
 use bitternlatch_inventory::{LastGood, Offer};
 use bitternlatch_journal::Journal;
+use bitternlatch_membership::Event as ClusterEvent;
 use bitternlatch_net::accept::{Acceptor, Door};
 use bitternlatch_net::charges::Charges;
 use bitternlatch_net::driver::{events, Driver, Event, Front, Recorder};
 use bitternlatch_net::ledger::LedgerLink;
 use bitternlatch_net::socket::Limits;
 use bitternlatch_net::{guard, logs, tls, watch};
+use bitternlatch_peer_net::Plane;
 use clap::Parser;
 use crossbeam_channel::Sender;
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -88,6 +90,10 @@
     }
     check_rights(&args.config, &settings)?;
     let secured = Secured::load(&args.config, &settings)?;
+    if let Some(cluster) = &settings.cluster {
+        let base = args.config.parent().unwrap_or(Path::new(""));
+        Plane::check(cluster, &settings.name, base)?;
+    }
     if args.check {
         println!("{shown}: good; {} hosts in {}", good.hosts().len(), list.display());
         return Ok(());
@@ -173,6 +179,8 @@
     let charges = journal.clone().map(|j| Charges::begin(j, to.clone())).transpose()?;
     let ledger = settings.ledger.as_ref().map(|l| LedgerLink::start(l.address.clone(), journal, to.clone()));
     let ledger = ledger.transpose().map_err(|e| format!("no thread for the ledger: {e}"))?;
+    let fenced = Arc::new(AtomicBool::new(false));
+    let plane = join(&settings, base, &to, &fenced)?;
     let mut driver = Driver::new(settings, seed, (to, from), ready);
     if let Some(ledger) = ledger {
         driver.borrow(ledger);
@@ -188,8 +196,31 @@
         driver.record(recorder.map_err(|e| format!("cannot record to {}: {e}", path.display()))?);
     }
     driver.run(within);
+    plane.into_iter().for_each(Plane::leave);
     tracing::info!("stopped");
-    Ok(())
+    match fenced.load(Ordering::SeqCst) {
+        true => Err("another process under this name started later; this one has stopped".to_string()),
+        false => Ok(()),
+    }
+}
+
+/// Joins the other dispatchers, where there are to be any. One that finds a later start under its own name takes
+/// nothing new and ends.
+fn join(
+    settings: &Settings,
+    base: &Path,
+    to: &Sender<Event>,
+    fenced: &Arc<AtomicBool>,
+) -> Result<Option<Plane>, String> {
+    let Some(cluster) = &settings.cluster else { return Ok(None) };
+    let (to, fenced) = (to.clone(), Arc::clone(fenced));
+    let told = move |event: &ClusterEvent| {
+        if matches!(event, ClusterEvent::Fenced(_)) {
+            fenced.store(true, Ordering::SeqCst);
+            let _ = to.send(Event::Input(Input::Stop));
+        }
+    };
+    Plane::join(cluster, &settings.name, base, told).map(Some)
 }
 
 fn door(settings: &Settings, tls: Option<Arc<tls::Server>>) -> Door {
--- a/programs/dispatch/tests/platform.rs
+++ b/programs/dispatch/tests/platform.rs
@@ -330,3 +330,53 @@
     assert!(used < 2.0, "{used} s of processor time for waiting");
     dispatcher.served("c1");
 }
+
+/// Inodes in a table of sockets under `/proc`, by the position of their column.
+fn inodes(pid: u32, table: &str, column: usize) -> Vec<String> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/net/{table}")).unwrap_or_default();
+    let rows = text.lines().skip(1).map(|l| l.split_whitespace().collect::<Vec<_>>());
+    rows.filter_map(|row| row.get(column).map(|i| i.to_string())).collect()
+}
+
+/// What each descriptor of a process leads to.
+fn descriptors(pid: u32) -> Vec<String> {
+    let folder = std::fs::read_dir(format!("/proc/{pid}/fd")).expect("its descriptors");
+    let links = folder.flatten().filter_map(|f| std::fs::read_link(f.path()).ok());
+    links.map(|l| l.to_string_lossy().into_owned()).collect()
+}
+
+fn children(pid: u32) -> usize {
+    let processes = std::fs::read_dir("/proc").expect("the processes").flatten();
+    let stats = processes.filter_map(|p| std::fs::read_to_string(p.path().join("stat")).ok());
+    let parent = |stat: &String| stat.rsplit(')').next()?.split_whitespace().nth(1)?.parse::<u32>().ok();
+    stats.filter(|stat| parent(stat) == Some(pid)).count()
+}
+
+/// The bench leads the calls that the program makes through the C library; what goes past it would not work.
+#[test]
+fn it_stays_one_process_linked_to_the_c_library_with_sockets_over_ipv4_alone() {
+    let dispatcher = Dispatcher::start("alone");
+    let kept = dispatcher.connect();
+    dispatcher.served("c1");
+    let pid = dispatcher.child.id();
+    assert_eq!(children(pid), 0);
+    let maps = std::fs::read_to_string(format!("/proc/{pid}/maps")).expect("its memory");
+    assert!(maps.contains("/libc.so.6") && maps.contains("/ld-linux"), "{maps}");
+    let four = [inodes(pid, "tcp", 9), inodes(pid, "udp", 9)].concat();
+    // Pairs that lead a signal to the loop have no name, so that nobody comes to them.
+    let pairs: Vec<String> = inodes(pid, "unix", 6);
+    let links = descriptors(pid);
+    let sockets = links.iter().filter_map(|l| l.strip_prefix("socket:[")?.strip_suffix(']'));
+    let (mut own, mut other) = (0, vec![]);
+    for inode in sockets {
+        match inode {
+            _ if four.iter().any(|i| i == inode) => own += 1,
+            _ if pairs.iter().any(|i| i == inode) => {}
+            _ => other.push(inode.to_string()),
+        }
+    }
+    assert!(own >= 2, "a listener and a connection are open: {links:?}");
+    assert!(other.is_empty(), "neither IPv4 nor a pair: {other:?}");
+    assert!(!links.iter().any(|l| l.contains("io_uring")), "{links:?}");
+    drop(kept);
+}
--- a/programs/measure/src/main.rs
+++ b/programs/measure/src/main.rs
@@ -3,6 +3,7 @@
 mod charges;
 mod decision;
 mod latency;
+mod members;
 mod relay;
 mod rig;
 mod secured;
@@ -66,6 +67,16 @@
     },
     /// CPU time of one decision.
     Decision,
+    /// Membership in simulated time: failures missed, halves healed, living ones removed, bytes.
+    Members {
+        #[arg(long, value_delimiter = ',', default_value = "3,10,100,300")]
+        sizes: Vec<usize>,
+        #[arg(long, default_value_t = 20)]
+        seeds: u64,
+        /// Seconds of loss in each run.
+        #[arg(long, default_value_t = 60)]
+        lossy_s: u64,
+    },
 }
 
 fn main() -> ExitCode {
@@ -86,6 +97,10 @@
                 decision::measure();
                 Ok(())
             }
+            What::Members { sizes, seeds, lossy_s } => {
+                members::measure(&sizes, seeds, lossy_s);
+                Ok(())
+            }
         },
     };
     match done {
--- /dev/null
+++ b/programs/measure/src/members.rs
@@ -0,0 +1,139 @@
+//! Membership in simulated time, by the code that serves: how soon a failed one is missed, how often one that is there,
+//! how soon all agree again, and what it costs on the wire.
+
+use std::time::Duration;
+
+use bitternlatch_membership::simulated::{ms, World};
+use bitternlatch_membership::{Event, State};
+
+/// What was seen in all runs of one size.
+#[derive(Default)]
+struct Seen {
+    missed_s: Vec<f64>,
+    unmissed: usize,
+    healed_s: Vec<f64>,
+    unhealed: usize,
+    bytes_s: f64,
+    longest: usize,
+    /// Living members given up, by loss of 5 and 30 of 100.
+    removed: [usize; 2],
+    unheard: usize,
+}
+
+const QUIET: Duration = Duration::from_secs(20);
+const KILLED: Duration = Duration::from_secs(15);
+const PARTED: Duration = Duration::from_secs(10);
+const HEALED: Duration = Duration::from_secs(60);
+
+fn failure(size: usize, seed: u64, seen: &mut Seen) {
+    let mut world = World::new(size, seed);
+    world.run(QUIET);
+    seen.unheard += usize::from(!world.all_whole());
+    let before = world.bytes;
+    world.run(QUIET + ms(5_000));
+    seen.bytes_s += (world.bytes - before) as f64 / 5.0 / size as f64;
+    let killed = world.now;
+    world.kill(size - 1);
+    world.run(killed + KILLED);
+    let downs = world.downs(size - 1, killed);
+    seen.unmissed += (size - 1).saturating_sub(downs.len());
+    seen.missed_s.extend(downs.iter().map(|(at, _)| (*at - killed).as_secs_f64()));
+    seen.longest = seen.longest.max(world.longest);
+}
+
+fn parted(size: usize, seed: u64, seen: &mut Seen) {
+    let mut world = World::new(size, seed);
+    world.run(QUIET);
+    world.passes = Box::new(move |from, to| (2 * from < size) == (2 * to < size));
+    world.run(QUIET + PARTED);
+    world.passes = Box::new(|_, _| true);
+    let healed = world.now;
+    while world.now < healed + HEALED && !world.all_whole() {
+        world.run(world.now + ms(100));
+    }
+    match world.all_whole() {
+        true => seen.healed_s.push((world.now - healed).as_secs_f64()),
+        false => seen.unhealed += 1,
+    }
+}
+
+fn lossy(size: usize, seed: u64, loss: f64, for_s: u64) -> usize {
+    let mut world = World::new(size, seed);
+    world.run(QUIET);
+    world.loss = loss;
+    let began = world.now;
+    world.run(began + Duration::from_secs(for_s));
+    let down = |e: &&(Duration, usize, Event)| {
+        matches!(e.2, Event::Member { state: State::Down, .. }) && e.0 >= began
+    };
+    world.events.iter().filter(down).count()
+}
+
+fn quantile(values: &mut [f64], q: f64) -> f64 {
+    values.sort_by(f64::total_cmp);
+    let last = values.len().saturating_sub(1);
+    values.get((q * last as f64).round() as usize).copied().unwrap_or(f64::NAN)
+}
+
+/// Runs each size with so many seeds, side by side, and prints a line for each.
+pub fn measure(sizes: &[usize], seeds: u64, lossy_s: u64) {
+    println!("simulated; {seeds} seeds; removals of living members by a peer, in {lossy_s} s of loss a seed");
+    println!(
+        "{:>5} {:>9} {:>9} {:>8} {:>10} {:>9} {:>9} {:>8} {:>9} {:>9} {:>8}",
+        "size",
+        "missed50",
+        "missed99",
+        "unmissed",
+        "healed50",
+        "healedmax",
+        "unhealed",
+        "bytes/s",
+        "longest",
+        "at 5%",
+        "at 30%"
+    );
+    for size in sizes {
+        let threads = std::thread::available_parallelism().map_or(2, usize::from) as u64;
+        let one = |lane: u64| {
+            let mut seen = Seen::default();
+            for seed in (0..seeds).filter(|seed| seed % threads == lane) {
+                failure(*size, seed, &mut seen);
+                parted(*size, 1000 + seed, &mut seen);
+                seen.removed[0] += lossy(*size, 2000 + seed, 0.05, lossy_s);
+                seen.removed[1] += lossy(*size, 3000 + seed, 0.3, lossy_s);
+            }
+            seen
+        };
+        let lanes: Vec<Seen> = std::thread::scope(|scope| {
+            let lanes: Vec<_> = (0..threads).map(|lane| scope.spawn(move || one(lane))).collect();
+            lanes.into_iter().filter_map(|lane| lane.join().ok()).collect()
+        });
+        print_line(*size, seeds, lanes);
+    }
+}
+
+fn print_line(size: usize, seeds: u64, lanes: Vec<Seen>) {
+    let mut missed: Vec<f64> = lanes.iter().flat_map(|s| s.missed_s.iter().copied()).collect();
+    let mut healed: Vec<f64> = lanes.iter().flat_map(|s| s.healed_s.iter().copied()).collect();
+    let sum = |of: fn(&Seen) -> usize| lanes.iter().map(of).sum::<usize>();
+    let bytes = lanes.iter().map(|s| s.bytes_s).sum::<f64>() / seeds as f64;
+    let longest = lanes.iter().map(|s| s.longest).max().unwrap_or(0);
+    println!(
+        "{size:>5} {:>8.2}s {:>8.2}s {:>8} {:>9.1}s {:>8.1}s {:>9} {bytes:>8.0} {longest:>9} {:>9} {:>8}",
+        quantile(&mut missed, 0.5),
+        quantile(&mut missed, 0.99),
+        sum(|s| s.unmissed),
+        quantile(&mut healed, 0.5),
+        quantile(&mut healed, 1.0),
+        sum(|s| s.unhealed),
+        sum(|s| s.removed[0]),
+        sum(|s| s.removed[1]),
+    );
+    if sum(|s| s.unheard) > 0 {
+        println!(
+            "      not all had heard of all within {} s in {} runs",
+            QUIET.as_secs(),
+            sum(|s| s.unheard)
+        );
+    }
+}
