A dispatcher that is cut off refuses at once what must not run twice, and says where else

The standing enters the core as an input, so that records replay alike, with the time until which it counts; it is checked where a request is taken and where it is first sent. Keyed and unsafe requests of one that is cut off, alone, or stood still are refused with `cut_off`, a time to come back and the clients' addresses of those that are there; safe ones are served. One that hears nobody is not ready.

Seen on the way: a dispatcher that was stopped and went on lost every session and link, with 'Interrupted system call': reads with a time limit are interrupted by SIGCONT (`wire.rs`, `receive`).

--- a/crates/core/src/budgets.rs
+++ b/crates/core/src/budgets.rs
@@ -17,11 +17,13 @@
     pub bad: BadRequest,
     /// `None` is the machine's own time, for what has one at all.
     pub retry_after_s: Option<f64>,
+    /// Where else to try.
+    pub elsewhere: Vec<String>,
 }
 
 impl From<BadRequest> for Denied {
     fn from(bad: BadRequest) -> Denied {
-        Denied { bad, retry_after_s: None }
+        Denied { bad, retry_after_s: None, elsewhere: vec![] }
     }
 }
 
@@ -41,6 +43,7 @@
                     "the tenant's budget has not enough tokens left for this request",
                 ),
                 retry_after_s: Some(seconds),
+                elsewhere: vec![],
             },
             Short::Ever => bad(
                 403,
--- a/crates/core/src/carry.rs
+++ b/crates/core/src/carry.rs
@@ -42,8 +42,13 @@
         let Some(request) = self.requests.get_mut(&id).filter(|r| !r.answered && r.attempt.is_none()) else {
             return self.not_sent(id, 0, host, Outcome::Moot);
         };
-        let number = request.attempts;
+        let (number, class) = (request.attempts, request.class);
         request.attempts += 1;
+        // Between admission and this act the process may have stood still, or lost its peers.
+        if number == 0 && !self.may_take(now, class) {
+            return self.not_sent(id, number, host, Outcome::Moot);
+        }
+        let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(role) = open else { return self.not_sent(id, number, host, Outcome::ConnectFailed) };
         let purpose = match (role, &request.state) {
             (Role::Reader, _) => Purpose::Read,
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -48,10 +48,11 @@
         let say = |out: &mut Vec<Output>, text| out.push(Output::Say { session, text });
         match client::parse(text) {
             Ok(ClientEvent::Create(create)) => {
-                if let Err(Denied { bad, retry_after_s }) = self.create(now, session, &create, out) {
+                if let Err(Denied { bad, retry_after_s, elsewhere }) = self.create(now, session, &create, out)
+                {
                     let own = (bad.status == 429).then_some(COME_BACK_S);
                     let again = retry_after_s.or(own).map(|s| (s * 1000.0).ceil() as u64);
-                    say(out, client::error(&bad, again, Some(&create.metadata)));
+                    say(out, client::error_elsewhere(&bad, again, Some(&create.metadata), &elsewhere));
                 }
             }
             Ok(ClientEvent::Cancel { response_id }) => {
@@ -96,6 +97,9 @@
                 Known::NoRoom => return Err(too_many("no room for another idempotency key").into()),
             }
         }
+        if !self.may_take(now, wanted.class) {
+            return Err(self.sent_elsewhere());
+        }
         if self.requests.len() >= self.settings.requests.in_hand {
             return Err(too_many("the dispatcher has as many requests in hand as it may").into());
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 mod links;
 mod machine;
 mod names;
+mod peers;
 pub mod record;
 mod requests;
 mod sessions;
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -17,6 +17,7 @@
 use crate::leases::Leases;
 use crate::links::Links;
 use crate::names::Names;
+use crate::peers::Peers;
 use crate::requests::Requests;
 use crate::sessions::Sessions;
 use crate::settings::Settings;
@@ -90,6 +91,7 @@
     pub(crate) contexts: Contexts,
     pub(crate) book: Book,
     pub(crate) leases: Leases,
+    pub(crate) peers: Peers,
     pub(crate) timers: Timers<Timer>,
     pub(crate) probes: BTreeMap<u64, Probe>,
     pub(crate) next_probe: u64,
@@ -123,6 +125,7 @@
             contexts: Contexts::new(limits.context_bytes),
             book: Book::default(),
             leases: Leases::default(),
+            peers: Peers::default(),
             timers: Timers::default(),
             probes: BTreeMap::new(),
             next_probe: 1,
@@ -203,6 +206,7 @@
             Input::LinkClosed { link, why } => self.on_link_down(now, link, true, &why, out),
             Input::LinkText { link, text } => self.on_engine_text(now, link, &text, out),
             Input::LinkUnsent { link, attempt } => self.on_unsent(now, link, &attempt, out),
+            Input::Standing { standing, there, until } => self.on_standing(standing, there, until),
             Input::Tick => {}
             Input::Stop => {
                 self.stopping = true;
--- /dev/null
+++ b/crates/core/src/peers.rs
@@ -0,0 +1,69 @@
+//! What this dispatcher may do by what it knows of its peers, checked at the act and by time.
+
+use bitternlatch_membership::{Duty, Standing, Work};
+use bitternlatch_protocol::client::BadRequest;
+
+use crate::budgets::Denied;
+use crate::machine::Machine;
+use crate::settings::Effect;
+use crate::types::Micros;
+
+/// Seconds after which one that is sent elsewhere may come back here: a standing takes about that long to mend.
+const COME_BACK_S: f64 = 2.0;
+
+/// What was told last, and until when it counts.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    told: Option<(Standing, Micros)>,
+    /// Names of those that are there.
+    there: Vec<String>,
+}
+
+fn work(effect: Effect) -> Work {
+    match effect {
+        Effect::Safe => Work::Safe,
+        Effect::Keyed => Work::Keyed,
+        Effect::Unsafe => Work::Unsafe,
+    }
+}
+
+impl Machine {
+    pub(crate) fn on_standing(&mut self, standing: Standing, there: Vec<String>, until: Micros) {
+        self.peers = Peers { told: Some((standing, until)), there };
+    }
+
+    /// What it knows now; `None` where it is to know of nobody. What was told before this process stood still, or has
+    /// not been told again in time, is no knowledge: it counts as alone.
+    fn standing(&self, now: Micros) -> Option<Standing> {
+        self.settings.cluster.as_ref()?;
+        let fresh = self.peers.told.filter(|(_, until)| now < *until);
+        Some(fresh.map_or(Standing::Alone, |(standing, _)| standing))
+    }
+
+    /// Whether a request of this class may be begun, or sent for the first time, now.
+    pub(crate) fn may_take(&self, now: Micros, class: u16) -> bool {
+        let Some(class) = self.settings.classes.get(usize::from(class)) else { return false };
+        self.standing(now).is_none_or(|standing| Duty::of(standing, work(class.effect)).takes)
+    }
+
+    /// The refusal of what may not be taken, with where else to try: all others that are there, or, where none is
+    /// known to be, all that there should be.
+    pub(crate) fn sent_elsewhere(&self) -> Denied {
+        let others =
+            self.settings.cluster.iter().flat_map(|c| &c.roster).filter(|p| p.name != self.settings.name);
+        let all: Vec<_> = others.filter_map(|p| Some((&p.name, p.clients.as_ref()?))).collect();
+        let there = |(name, _): &&(&String, &String)| self.peers.there.contains(name);
+        let known: Vec<String> = all.iter().filter(there).map(|(_, at)| (*at).clone()).collect();
+        let elsewhere =
+            if known.is_empty() { all.iter().map(|(_, at)| (*at).clone()).collect() } else { known };
+        let message = "this dispatcher is cut off from its peers and takes nothing that must not run twice";
+        let bad = BadRequest { status: 503, code: "cut_off", message: message.to_string(), param: None };
+        Denied { bad, retry_after_s: Some(COME_BACK_S), elsewhere }
+    }
+
+    /// Whether callers should come, by what is known of peers and hosts.
+    pub fn is_ready(&self, now: Micros) -> bool {
+        let peers = self.standing(now).is_none_or(|standing| Duty::of(standing, Work::Safe).ready);
+        peers && !self.stopping && self.counts().open_links > 0
+    }
+}
--- a/crates/core/src/types.rs
+++ b/crates/core/src/types.rs
@@ -4,6 +4,7 @@
 use bitternlatch_budget::ledger::{Part, Want};
 use bitternlatch_identity::Caller;
 use bitternlatch_inventory::Host;
+use bitternlatch_membership::Standing;
 use bitternlatch_policy::interface::ServerId;
 use serde::{Deserialize, Serialize};
 
@@ -108,6 +109,12 @@
         link: LinkId,
         attempt: String,
     },
+    /// What is known of the peers, the names of those that are there, and until when that counts.
+    Standing {
+        standing: Standing,
+        there: Vec<String>,
+        until: Micros,
+    },
     /// The time alone.
     Tick,
     /// Take nothing new, answer what is in hand, then say [`Output::Stopped`].
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -34,6 +34,10 @@
 const FORGET_AFTER: Duration = Duration::from_secs(3600);
 /// A timer so late means that this process stood still, or was too slow to be a judge of others.
 const LATE: Duration = Duration::from_millis(250);
+/// After standing still for so long peers may have given this one up: it knows nothing until they are heard again, past
+/// what lay unread in its socket meanwhile.
+const DOUBT_AFTER: Duration = Duration::from_millis(900);
+const UNREAD: Duration = Duration::from_millis(200);
 /// How long a better standing must hold before it counts; a worse one counts at once.
 const SETTLE: Duration = Duration::from_secs(1);
 
@@ -173,6 +177,9 @@
     standing: Standing,
     /// A better standing, and since when it has held.
     better: Option<(Standing, Duration)>,
+    /// Since when nothing is known but by peers that were heard later.
+    doubt: Option<Duration>,
+    heard: BTreeMap<NameKey, Duration>,
     /// The latest start heard of under the own name.
     namesake: Arc<AtomicU64>,
     fenced_by: Option<Start>,
@@ -224,6 +231,8 @@
             dropped: Dropping::new(),
             standing,
             better: None,
+            doubt: None,
+            heard: BTreeMap::new(),
             fenced_by: None,
             left: false,
         }
@@ -250,6 +259,12 @@
         }
         self.wake(now, out);
         let opened = self.opener.open(&self.sealer, bytes);
+        if let Ok((sender, _)) = &opened {
+            // Only of the roster, which bounds what is kept.
+            if self.roster.0.contains_key(&sender.name) {
+                self.heard.insert(sender.name, now);
+            }
+        }
         if let Err(why) = opened.and_then(|(sender, said)| self.take(sender, said)) {
             if let Dropped::OldStart(name, later) = why {
                 self.tell_replaced(name, later, from, out);
@@ -324,6 +339,9 @@
         }
         let timers = std::mem::take(&mut self.timers);
         self.timers = timers.into_iter().map(|((at, n), timer)| ((at + late + LATE, n), timer)).collect();
+        if late >= DOUBT_AFTER {
+            self.doubt = Some(now + UNREAD);
+        }
         out.push(Output::Event(Event::StoodStill(late)));
     }
 
@@ -344,9 +362,7 @@
     fn settle(&mut self, now: Duration, out: &mut Vec<Output>) {
         self.collect(now, out);
         self.look(now, out);
-        let there =
-            1 + self.rows.iter().filter(|(k, r)| self.roster.0.contains_key(k) && r.state.is_there()).count();
-        let standing = Standing::of(there, self.roster.0.len());
+        let standing = self.judge();
         if standing <= self.standing {
             self.better = None;
             self.stand(standing, out);
@@ -368,6 +384,22 @@
         }
     }
 
+    /// By those of the roster that are there; in doubt, that were heard since.
+    fn judge(&mut self) -> Standing {
+        let since = self.doubt;
+        let listed =
+            self.rows.iter().filter(|(key, row)| self.roster.0.contains_key(key) && row.state.is_there());
+        let (there, heard) = listed.fold((1, 1), |(there, heard), (key, _)| {
+            let fresh = since.is_none_or(|since| self.heard.get(key).is_some_and(|at| *at >= since));
+            (there + 1, heard + usize::from(fresh))
+        });
+        let standing = Standing::of(heard, self.roster.0.len());
+        if standing >= Standing::Majority || heard == there && heard > 1 {
+            self.doubt = None;
+        }
+        standing
+    }
+
     fn stand(&mut self, standing: Standing, out: &mut Vec<Output>) {
         if standing != self.standing {
             self.standing = standing;
@@ -424,6 +456,12 @@
         out.push(Output::Event(Event::Fenced(by)));
     }
 
+    /// Names of the roster that are there, as far as this one knows.
+    pub fn there(&self) -> Vec<String> {
+        let there = self.rows.iter().filter(|(_, row)| row.state.is_there());
+        there.filter_map(|(key, _)| self.roster.0.get(key).map(|peer| peer.name.clone())).collect()
+    }
+
     /// A member's name, or its short form where the roster has none.
     pub fn name_of(&self, key: NameKey) -> String {
         self.roster.0.get(&key).map_or_else(|| format!("{:08x}", key.0), |p| p.name.clone())
--- a/crates/membership/src/standing.rs
+++ b/crates/membership/src/standing.rs
@@ -1,7 +1,9 @@
 //! What a dispatcher knows of the whole, and what it may do while it knows no more than that.
 
+use serde::{Deserialize, Serialize};
+
 /// Judged against the roster, itself included; members under suspicion still count as there.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Standing {
     /// Nobody of the roster is heard: it is taken to be this one that is cut off, not all others that are dead.
     Alone,
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -267,7 +267,7 @@
                 self.recorder = None;
             }
         }
-        self.ready.store(!self.stopping && self.machine.counts().open_links > 0, Ordering::Relaxed);
+        self.ready.store(!self.stopping && self.machine.is_ready(at), Ordering::Relaxed);
         if let Some(charges) = &self.charges {
             let free = self.held.written(charges.written());
             self.carry_all(free);
--- a/crates/net/src/wire.rs
+++ b/crates/net/src/wire.rs
@@ -118,7 +118,7 @@
     /// # Errors
     /// As the socket's; a stream that breaks the protocol.
     pub fn receive(&self, buf: &mut [u8]) -> io::Result<usize> {
-        let Some(session) = &self.session else { return (&self.stream).read(buf) };
+        let Some(session) = &self.session else { return read_on(&self.stream, buf) };
         let mut raw = [0; CHUNK];
         loop {
             {
@@ -132,7 +132,7 @@
                     continue;
                 }
             }
-            let came = (&self.stream).read(&mut raw)?;
+            let came = read_on(&self.stream, &mut raw)?;
             let mut session = Wire::lock(session);
             session.unread.extend_from_slice(&raw[..came]);
             // Also at the end of the stream, which the session has to see.
@@ -214,6 +214,17 @@
     }
 }
 
+/// Reads on after an interruption: a process that was stopped and goes on has all its waiting reads interrupted where they
+/// have a time limit, and would lose every session and link.
+fn read_on(mut stream: &TcpStream, buf: &mut [u8]) -> io::Result<usize> {
+    loop {
+        match stream.read(buf) {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            done => return done,
+        }
+    }
+}
+
 /// All records that wait to leave.
 fn drain(session: &mut Connection) -> io::Result<Vec<u8>> {
     let mut records = Vec::new();
--- a/crates/peer-net/src/lib.rs
+++ b/crates/peer-net/src/lib.rs
@@ -6,5 +6,5 @@
 mod start;
 mod views;
 
-pub use plane::Plane;
+pub use plane::{Plane, Told};
 pub use views::{ask, Line, Shown};
--- a/crates/peer-net/src/plane.rs
+++ b/crates/peer-net/src/plane.rs
@@ -9,7 +9,8 @@
 use std::time::{Duration, Instant};
 
 use bitternlatch_core::settings::Cluster;
-use bitternlatch_membership::{Event, Membership, Output, Peer, Roster, Secret, DATAGRAM_MOST};
+use bitternlatch_core::Micros;
+use bitternlatch_membership::{Event, Membership, Output, Peer, Roster, Secret, Standing, DATAGRAM_MOST};
 use bitternlatch_net::clock::Clock;
 
 use crate::start;
@@ -20,6 +21,22 @@
 /// Bounds of the secret's file, bytes.
 const SECRET_BYTES: std::ops::RangeInclusive<u64> = 16..=4096;
 
+/// How often the standing is told again, and how long what was told counts: less than peers take to give one up.
+const TELL_EVERY: Duration = Duration::from_millis(200);
+const COUNTS_FOR: Duration = Duration::from_millis(900);
+
+/// What the dispatcher is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    Standing {
+        standing: Standing,
+        there: Vec<String>,
+        until: Micros,
+    },
+    /// Another process under this name started later.
+    Fenced,
+}
+
 /// One dispatcher's part in the cluster, running.
 pub struct Plane {
     stop: Arc<AtomicBool>,
@@ -75,7 +92,8 @@
         Papers::read(cluster, name, base).map(|_| ())
     }
 
-    /// Joins the cluster; paths are relative to `base`. `told` is called from the plane's thread at each event.
+    /// Joins the cluster; paths are relative to `base`. `told` is called from the plane's thread, with the
+    /// standing several times a second.
     ///
     /// # Errors
     /// Where the secret, the kept start, the roster or an address cannot be used.
@@ -83,7 +101,7 @@
         cluster: &Cluster,
         name: &str,
         base: &Path,
-        mut told: impl FnMut(&Event) + Send + 'static,
+        mut told: impl FnMut(Told) + Send + 'static,
     ) -> Result<Plane, String> {
         let Papers { roster, secret, address } = Papers::read(cluster, name, base)?;
         let bad = |what: &str, e: std::io::Error| format!("cluster: {what} {address}: {e}");
@@ -125,10 +143,11 @@
 }
 
 impl Loop {
-    fn run(&self, told: &mut dyn FnMut(&Event)) {
+    fn run(&self, told: &mut dyn FnMut(Told)) {
         // One more than any datagram of ours, so that a longer one is seen to be longer.
         let mut buffer = [0u8; DATAGRAM_MOST + 1];
         let mut out = Vec::new();
+        let mut tell_at = Duration::ZERO;
         loop {
             let wake_at = lock(&self.member).wake_at();
             let wait = wake_at.map_or(LOOK_EVERY, |at| at.saturating_sub(now(&self.clock)).min(LOOK_EVERY));
@@ -140,6 +159,13 @@
                 }
                 _ => member.wake(now(&self.clock), &mut out),
             }
+            let at = now(&self.clock);
+            let news = out.iter().any(|o| matches!(o, Output::Event(Event::Standing(_))));
+            if news || at >= tell_at {
+                tell_at = at + TELL_EVERY;
+                let until = Micros((at + COUNTS_FOR).as_micros() as u64);
+                told(Told::Standing { standing: member.standing(), there: member.there(), until });
+            }
             let stop = self.stop.load(Ordering::SeqCst);
             if stop {
                 member.leave(now(&self.clock), &mut out);
@@ -169,14 +195,16 @@
         }
     }
 
-    fn carry(&self, out: &mut Vec<Output>, told: &mut dyn FnMut(&Event)) {
+    fn carry(&self, out: &mut Vec<Output>, told: &mut dyn FnMut(Told)) {
         for output in out.drain(..) {
             match output {
                 // A datagram that cannot be sent is as good as lost, which the protocol bears.
                 Output::Send(to, bytes) => drop(self.socket.send_to(&bytes, to)),
                 Output::Event(event) => {
                     self.log(&event);
-                    told(&event);
+                    if matches!(event, Event::Fenced(_)) {
+                        told(Told::Fenced);
+                    }
                 }
             }
         }
--- a/crates/protocol/src/client.rs
+++ b/crates/protocol/src/client.rs
@@ -394,6 +394,8 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     retry_after_ms: Option<u64>,
     metadata: Option<&'a BTreeMap<String, String>>,
+    #[serde(skip_serializing_if = "<[String]>::is_empty")]
+    elsewhere: &'a [String],
 }
 
 fn text(value: &impl Serialize) -> String {
@@ -435,6 +437,16 @@
     bad: &BadRequest,
     retry_after_ms: Option<u64>,
     meta: Option<&BTreeMap<String, String>>,
+) -> String {
+    error_elsewhere(bad, retry_after_ms, meta, &[])
+}
+
+/// The same with `elsewhere` (ours): addresses of other dispatchers to try.
+pub fn error_elsewhere(
+    bad: &BadRequest,
+    retry_after_ms: Option<u64>,
+    meta: Option<&BTreeMap<String, String>>,
+    elsewhere: &[String],
 ) -> String {
     let kind =
         if bad.status == 429 || bad.status == 503 { "rate_limit_error" } else { "invalid_request_error" };
@@ -445,6 +457,7 @@
         param: bad.param.as_deref(),
         retry_after_ms,
         metadata: meta,
+        elsewhere,
     };
     text(&ErrorEvent { kind: "error", status: bad.status, error })
 }
--- a/programs/badday/tests/cluster.rs
+++ b/programs/badday/tests/cluster.rs
@@ -7,8 +7,7 @@
 use bitternlatch_badday::between::{Between, Rule};
 use bitternlatch_badday::process::Dispatcher;
 use bitternlatch_peer_net::{ask, Shown};
-use common::{folder, image, SETTINGS};
-use serde_json::json;
+use common::{between, cluster_table, folder, free_for_peers, image, SETTINGS};
 
 const CUT: Rule = Rule { cut: true, lost: 0.0, twice: 0.0, delay_s: 0.0, jitter_s: 0.0 };
 /// One host, which is not there.
@@ -22,42 +21,19 @@
     between: Between,
 }
 
-/// An address that is free for datagrams and connections both.
-fn free() -> SocketAddrV4 {
-    for _ in 0..100 {
-        let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
-        let SocketAddr::V4(address) = listener.local_addr().expect("its address") else { continue };
-        if UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-    panic!("no port is free for both");
-}
-
-fn table(secret: &str, roster: &[(String, SocketAddrV4)], own: SocketAddrV4, kept: &str) -> toml::Value {
-    let line = |(name, address): &(String, SocketAddrV4)| json!({ "name": name, "address": address });
-    let roster: Vec<serde_json::Value> = roster.iter().map(line).collect();
-    let text = json!({ "name": "hall", "secret": secret, "kept": kept, "address": own, "roster": roster });
-    serde_json::from_value(text).expect("a table")
-}
-
 fn cluster(name: &str, count: usize) -> Cluster {
     let dir = folder(name);
     std::fs::write(dir.join("hosts.csv"), LIST).expect("a list");
     std::fs::write(dir.join("secret"), "sixteen bytes or more").expect("a secret");
     std::fs::write(dir.join("other"), "another secret altogether").expect("a secret");
     let settings: toml::Table = toml::from_str(SETTINGS).expect("settings");
-    let addresses: Vec<SocketAddrV4> = (0..count).map(|_| free()).collect();
-    let names = (0..count).map(|i| format!("dispatch-{}", i + 1));
-    let members: Vec<_> = names.zip(addresses.iter().copied()).collect();
-    let between = Between::start(&members, 7).expect("relays");
-    let front = |(i, m): (usize, &(String, SocketAddrV4))| (m.0.clone(), between.front(i).expect("a front"));
-    let roster: Vec<_> = members.iter().enumerate().map(front).collect();
+    let addresses = free_for_peers(count);
+    let (between, roster) = between(&addresses);
     let mut dispatchers = Vec::new();
     for (me, own) in addresses.iter().enumerate() {
         let mut one = Dispatcher::new(&dir, me + 1, count, &settings).expect("an address");
         let kept = format!("dispatch-{}.start", me + 1);
-        one.set("cluster", table("secret", &roster, *own, &kept));
+        one.set("cluster", cluster_table("secret", *own, &kept, &roster));
         one.without_record();
         one.start(&image()).expect("a process");
         dispatchers.push(one);
@@ -178,9 +154,10 @@
         &toml::from_str(SETTINGS).expect("settings"),
     )
     .expect("an address");
-    let own = free();
-    let roster = [("dispatch-3".to_string(), own), ("dispatch-1".to_string(), cluster.addresses[0])];
-    stranger.set("cluster", table("other", &roster, own, "dispatch-3.start"));
+    let own = free_for_peers(1)[0];
+    let line = |name: &str, at| (name.to_string(), at, String::new());
+    let roster = [line("dispatch-3", own), line("dispatch-1", cluster.addresses[0])];
+    stranger.set("cluster", cluster_table("other", own, "dispatch-3.start", &roster));
     stranger.without_record();
     stranger.start(&image()).expect("a process");
     let noise = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("a socket");
@@ -206,10 +183,10 @@
         std::fs::copy(dir.join(file), dir.join("elsewhere").join(file)).expect("a copy");
     }
     let mut second = Dispatcher::new(&dir.join("elsewhere"), 1, 3, &settings).expect("an address");
-    let own = free();
+    let own = free_for_peers(1)[0];
     let at = |i: usize| if i == 0 { own } else { cluster.between.front(i).expect("a front") };
-    let names = (0..3).map(|i| (format!("dispatch-{}", i + 1), at(i)));
-    second.set("cluster", table("secret", &names.collect::<Vec<_>>(), own, "dispatch-1.start"));
+    let roster: Vec<_> = (0..3).map(|i| (format!("dispatch-{}", i + 1), at(i), String::new())).collect();
+    second.set("cluster", cluster_table("secret", own, "dispatch-1.start", &roster));
     second.without_record();
     second.start(&image()).expect("a process");
     assert!(!cluster.dispatchers[0].ended(SOON), "it does not end as if it had been told to");
@@ -227,8 +204,9 @@
     let settings = toml::from_str(SETTINGS).expect("settings");
     for (secret, cause) in [("nowhere", "nowhere"), ("short", "5 bytes; a secret has 16 to 4096")] {
         let mut one = Dispatcher::new(&dir, 1, 1, &settings).expect("an address");
-        let own = free();
-        one.set("cluster", table(secret, &[("dispatch-1".to_string(), own)], own, "kept"));
+        let own = free_for_peers(1)[0];
+        let roster = [("dispatch-1".to_string(), own, String::new())];
+        one.set("cluster", cluster_table(secret, own, "kept", &roster));
         one.without_record();
         one.start(&image()).expect("a process");
         assert!(!one.ended(SOON));
--- a/programs/badday/tests/common/mod.rs
+++ b/programs/badday/tests/common/mod.rs
@@ -1,9 +1,12 @@
 //! Stand-ins in this process, a dispatcher as a process of its own, and clients.
 #![allow(dead_code)]
 
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
+use bitternlatch_badday::between::Between;
 use bitternlatch_badday::client::{Came, Client};
 use bitternlatch_badday::day::Day;
 use bitternlatch_badday::process::Dispatcher;
@@ -41,6 +44,11 @@
     rig_with(name, hosts, dispatchers, None, edit)
 }
 
+/// As [`rig`]; `each` may change one dispatcher's place before its start, by number from 0.
+pub fn rig_each(name: &str, hosts: &str, dispatchers: usize, each: impl Fn(usize, &mut Dispatcher)) -> Rig {
+    rig_of(name, hosts, dispatchers, None, |_| (), each)
+}
+
 /// As [`rig`]; with a folder of certificates and a manner of asking dispatchers, hosts speak TLS.
 pub fn rig_with(
     name: &str,
@@ -48,6 +56,17 @@
     dispatchers: usize,
     tls: Option<(PathBuf, Manner)>,
     edit: impl Fn(&mut toml::Table),
+) -> Rig {
+    rig_of(name, hosts, dispatchers, tls, edit, |_, _| ())
+}
+
+fn rig_of(
+    name: &str,
+    hosts: &str,
+    dispatchers: usize,
+    tls: Option<(PathBuf, Manner)>,
+    edit: impl Fn(&mut toml::Table),
+    each: impl Fn(usize, &mut Dispatcher),
 ) -> Rig {
     let text =
         format!("for_s = 1\nrate_rps = 1\nmix = []\ndispatchers = {{ count = 1, settings = \"\" }}\n{hosts}");
@@ -66,6 +85,7 @@
         if let Some((_, manner)) = &tls {
             one.secured(manner.clone());
         }
+        each(number - 1, &mut one);
         one.start(&image()).expect("a process");
         rig.dispatchers.push(one);
     }
@@ -154,6 +174,42 @@
     .to_string()
 }
 
+/// Addresses that are free for datagrams and connections both: each of a loopback host of its own, so that nothing else
+/// that asks for any free port is given one of them meanwhile.
+pub fn free_for_peers(count: usize) -> Vec<SocketAddrV4> {
+    static GIVEN: AtomicU32 = AtomicU32::new(1);
+    let process = std::process::id();
+    let (high, low) = (64 + (process >> 8) % 64, process % 256);
+    let next = || GIVEN.fetch_add(1, Ordering::SeqCst);
+    let host = |n: u32| Ipv4Addr::new(127, high as u8, low as u8, (n % 250) as u8 + 1);
+    (0..count).map(|_| next()).map(|n| SocketAddrV4::new(host(n), 7811 + (n / 250) as u16)).collect()
+}
+
+/// A `[cluster]` table: its secret's file, where it listens, its roster of names, addresses and clients' addresses.
+pub fn cluster_table(
+    secret: &str,
+    own: SocketAddrV4,
+    kept: &str,
+    roster: &[(String, SocketAddrV4, String)],
+) -> toml::Value {
+    let line = |(name, address, clients): &(String, SocketAddrV4, String)| serde_json::json!({ "name": name, "address": address, "clients": clients });
+    let roster: Vec<serde_json::Value> = roster.iter().map(line).collect();
+    let table = serde_json::json!(
+        { "name": "hall", "secret": secret, "kept": kept, "address": own, "roster": roster }
+    );
+    serde_json::from_value(table).expect("a table")
+}
+
+/// Relays before so many members, and the roster that leads through them.
+pub fn between(addresses: &[SocketAddrV4]) -> (Between, Vec<(String, SocketAddrV4, String)>) {
+    let name = |i: usize| format!("dispatch-{}", i + 1);
+    let members: Vec<_> = addresses.iter().enumerate().map(|(i, at)| (name(i), *at)).collect();
+    let between = Between::start(&members, 7).expect("relays");
+    let line = |i: usize| (name(i), between.front(i).expect("a front"), format!("clients-of-{}", i + 1));
+    let roster = (0..addresses.len()).map(line).collect();
+    (between, roster)
+}
+
 /// Listens until the final event, or panics after a time that no answer may take.
 pub fn to_the_end(client: &Client) -> Vec<ServerEvent> {
     let mut events = Vec::new();
--- a/programs/dispatch/src/lib.rs
+++ b/programs/dispatch/src/lib.rs
@@ -14,14 +14,13 @@
 use bitternlatch_identity::rights::Rights;
 use bitternlatch_inventory::{LastGood, Offer};
 use bitternlatch_journal::Journal;
-use bitternlatch_membership::Event as ClusterEvent;
 use bitternlatch_net::accept::{Acceptor, Door};
 use bitternlatch_net::charges::Charges;
 use bitternlatch_net::driver::{events, Driver, Event, Front, Recorder};
 use bitternlatch_net::ledger::LedgerLink;
 use bitternlatch_net::socket::Limits;
 use bitternlatch_net::{guard, logs, tls, watch};
-use bitternlatch_peer_net::Plane;
+use bitternlatch_peer_net::{Plane, Told};
 use clap::Parser;
 use crossbeam_channel::Sender;
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -214,8 +213,13 @@
 ) -> Result<Option<Plane>, String> {
     let Some(cluster) = &settings.cluster else { return Ok(None) };
     let (to, fenced) = (to.clone(), Arc::clone(fenced));
-    let told = move |event: &ClusterEvent| {
-        if matches!(event, ClusterEvent::Fenced(_)) {
+    // Without a loop the process is ending.
+    let told = move |told: Told| match told {
+        Told::Standing { standing, there, until } => {
+            // A loop that is behind gets the next one; what it has is no longer believed then.
+            let _ = to.try_send(Event::Input(Input::Standing { standing, there, until }));
+        }
+        Told::Fenced => {
             fenced.store(true, Ordering::SeqCst);
             let _ = to.send(Event::Input(Input::Stop));
         }
