--- /dev/null
+++ b/crates/membership/tests/properties.rs
@@ -0,0 +1,98 @@
+//! Whatever happens to datagrams and processes: once all is well again all agree, and no member takes itself for more than
+//! it can know.
+
+use bitternlatch_membership::simulated::*;
+use bitternlatch_membership::*;
+use proptest::prelude::*;
+
+const MEMBERS: usize = 5;
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// Which members are on one side, by bit; and what is lost and doubled, in tenths.
+    Network(u8, u8, u8),
+    Kill(usize),
+    Start(usize),
+    Pause(usize),
+    GoOn(usize),
+    Run(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let member = 0..MEMBERS;
+    prop_oneof![
+        (0u8..32, 0u8..6, 0u8..5).prop_map(|(side, lost, twice)| Step::Network(side, lost, twice)),
+        member.clone().prop_map(Step::Kill),
+        member.clone().prop_map(Step::Start),
+        member.clone().prop_map(Step::Pause),
+        member.prop_map(Step::GoOn),
+        (100u64..6_000).prop_map(Step::Run),
+        (100u64..6_000).prop_map(Step::Run),
+    ]
+}
+
+fn take(world: &mut World, step: &Step) {
+    match *step {
+        Step::Network(side, lost, twice) => {
+            world.passes = Box::new(move |from, to| side >> from & 1 == side >> to & 1);
+            (world.loss, world.twice) = (f64::from(lost) / 10.0, f64::from(twice) / 10.0);
+        }
+        Step::Kill(i) => world.kill(i),
+        Step::Start(i) => world.start(i),
+        Step::Pause(i) => world.nodes[i].paused = true,
+        Step::GoOn(i) => world.go_on(i),
+        Step::Run(ms_) => world.run(world.now + ms(ms_)),
+    }
+}
+
+/// Everything works, and all processes run.
+fn heal(world: &mut World) {
+    world.passes = Box::new(|_, _| true);
+    (world.loss, world.twice) = (0.0, 0.0);
+    for i in 0..MEMBERS {
+        match world.nodes[i].member.is_some() {
+            true => world.go_on(i),
+            false => world.start(i),
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn all_agree_once_all_is_well(seed in any::<u64>(), steps in prop::collection::vec(step(), 1..25)) {
+        let mut world = World::new(MEMBERS, seed);
+        steps.iter().for_each(|s| take(&mut world, s));
+        heal(&mut world);
+        let healed = world.now;
+        world.run(healed + ms(30_000));
+        let standings: Vec<_> = (0..MEMBERS).map(|i| world.standing(i)).collect();
+        prop_assert!(world.all_whole(), "{:?}", standings);
+        for of in 0..MEMBERS {
+            for at in (0..MEMBERS).filter(|at| *at != of) {
+                prop_assert_eq!(world.state(of, at), Some(State::Alive));
+            }
+        }
+        // From then on nothing changes any more.
+        let before = world.events.len();
+        world.run(healed + ms(60_000));
+        prop_assert_eq!(&world.events[before..], &[]);
+    }
+
+    #[test]
+    fn of_two_sides_that_stay_apart_at_most_one_holds_itself_for_a_majority(
+        seed in any::<u64>(),
+        side in 1u8..31,
+        steps in prop::collection::vec(step(), 0..10),
+    ) {
+        let mut world = World::new(MEMBERS, seed);
+        steps.iter().for_each(|s| take(&mut world, s));
+        heal(&mut world);
+        world.passes = Box::new(move |from, to| side >> from & 1 == side >> to & 1);
+        world.run(world.now + ms(10_000));
+        let majority = |i: &usize| world.standing(*i).is_some_and(|s| s >= Standing::Majority);
+        let sides: std::collections::BTreeSet<u8> = (0..MEMBERS).filter(majority).map(|i| side >> i & 1).collect();
+        prop_assert!(sides.len() <= 1, "{:?}", sides);
+    }
+}
--- a/crates/peer-net/src/plane.rs
+++ b/crates/peer-net/src/plane.rs
@@ -211,18 +211,18 @@
     }
 
     fn log(&self, event: &Event) {
-        let me = self.name.as_str();
+        let (me, at_us) = (self.name.as_str(), self.clock.now().0);
         match event {
             Event::Member { name, state, start } => {
                 let named = lock(&self.member).name_of(*name);
-                tracing::info!(me, peer = named, state = ?state, start = start.process, "a member");
+                tracing::info!(me, at_us, peer = named, state = ?state, start = start.process, "a member");
             }
-            Event::Standing(standing) => tracing::warn!(me, standing = ?standing, "standing"),
+            Event::Standing(standing) => tracing::warn!(me, at_us, standing = ?standing, "standing"),
             Event::StoodStill(d) => {
-                tracing::warn!(me, ms = d.as_millis() as u64, "stood still; doubts itself first")
+                tracing::warn!(me, at_us, ms = d.as_millis() as u64, "stood still; doubts itself first")
             }
             Event::CameBack(start) => {
-                tracing::warn!(me, comebacks = start.comeback, "had been given up by peers; is back")
+                tracing::warn!(me, at_us, comebacks = start.comeback, "had been given up by peers; is back")
             }
             Event::Fenced(by) => {
                 tracing::error!(
--- a/programs/badday/src/day.rs
+++ b/programs/badday/src/day.rs
@@ -5,6 +5,7 @@
 use bitternlatch_standin::config::{Cold, Fault, HostConfig, Trouble};
 use serde::Deserialize;
 
+use crate::parted::{self, BetweenFault, ProcessFault};
 use crate::secured::Secure;
 
 #[derive(Clone, Debug, Deserialize)]
@@ -30,6 +31,11 @@
     /// Hosts that the list's file tells to drain.
     #[serde(default)]
     pub drains: Vec<Drain>,
+    /// Troubles between dispatchers that know each other, and to their processes.
+    #[serde(default)]
+    pub between: Vec<BetweenFault>,
+    #[serde(default)]
+    pub process: Vec<ProcessFault>,
     /// TLS on both sides, callers that prove who they are, and keys that change.
     pub secure: Option<Secure>,
     #[serde(skip)]
@@ -49,6 +55,9 @@
     /// Tables that are put over those of the settings.
     #[serde(default)]
     pub over: toml::Table,
+    /// Whether they know each other.
+    #[serde(default)]
+    pub cluster: bool,
     #[serde(default)]
     pub restarts: Vec<Restart>,
 }
@@ -124,6 +133,10 @@
                 return Err(format!("{name}: {value} is not between 0.1 and {most}"));
             }
         }
+        if !day.between.is_empty() && !day.dispatchers.cluster {
+            return Err("between: needs dispatchers.cluster = true".to_string());
+        }
+        parted::check(&day.between, &day.process, day.dispatchers.count)?;
         match day.dispatchers.count {
             1..=64 => Ok(day),
             n => Err(format!("dispatchers.count: {n} is not between 1 and 64")),
@@ -134,6 +147,7 @@
     pub fn calm(&self) -> Day {
         let mut calm = self.clone();
         (calm.faults, calm.drains, calm.drop_share) = (Vec::new(), Vec::new(), 0.0);
+        (calm.between, calm.process) = (Vec::new(), Vec::new());
         calm.dispatchers.restarts.clear();
         calm
     }
@@ -144,6 +158,8 @@
         all.extend(self.dispatchers.restarts.iter().map(|_| "DispatcherKilled".to_string()));
         all.extend(self.drains.iter().map(|_| "ListDrain".to_string()));
         all.extend((self.drop_share > 0.0).then(|| "ClientsDrop".to_string()));
+        all.extend((!self.between.is_empty()).then(|| "BetweenDispatchers".to_string()));
+        all.extend(self.process.iter().map(|p| format!("Dispatcher{:?}", p.what)));
         if self.secure.is_some() {
             all.extend(["KeysRotated", "CertificateRevoked"].map(str::to_string));
         }
--- a/programs/badday/src/lib.rs
+++ b/programs/badday/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod client;
 pub mod clients;
 pub mod day;
+pub mod parted;
 pub mod process;
 pub mod run;
 pub mod secured;
+mod views;
--- a/programs/badday/src/main.rs
+++ b/programs/badday/src/main.rs
@@ -62,8 +62,9 @@
     println!("troubles: {}", day.troubles().join(", "));
     print(&days);
     let secured = |o: &Outcome| o.secured.as_ref().is_none_or(|s| s.held());
-    let held =
-        days.iter().all(|(_, o)| o.verdict.breaches.is_empty() && o.records_alike == o.records && secured(o));
+    let held = days.iter().all(|(_, o)| {
+        o.verdict.breaches.is_empty() && o.records_alike == o.records && secured(o) && o.views.is_empty()
+    });
     let report = report(&day, &days, held);
     let path = args.out.join("report.json");
     std::fs::write(&path, format!("{report:#}\n")).map_err(|e| format!("{}: {e}", path.display()))?;
@@ -111,6 +112,7 @@
         if let Some(s) = &o.secured {
             println!("{name}: {s:?}");
         }
+        o.views.iter().for_each(|view| println!("{name}: {view}"));
         o.verdict.breaches.iter().take(10).for_each(|b| println!("  {}", b.what));
     }
 }
@@ -133,6 +135,7 @@
             "replayed_steps": o.replayed_steps,
             "dispatchers_ended_in_order": o.orderly,
             "secured": o.secured,
+            "views": o.views,
         })
     };
     let days: serde_json::Map<String, serde_json::Value> =
--- /dev/null
+++ b/programs/badday/src/parted.rs
@@ -0,0 +1,283 @@
+//! Dispatchers that know each other on a day: what lies between them, and what happens to their processes.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use bitternlatch_standin::capture::unix_us;
+use serde::Deserialize;
+
+use crate::between::{Between, Rule};
+use crate::process::Dispatcher;
+
+/// Which datagrams a trouble concerns, seen from its group.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Way {
+    #[default]
+    Both,
+    /// From the group to the others alone.
+    Out,
+    /// From the others to the group alone.
+    In,
+}
+
+/// `[[between]]`: for some time what a group of dispatchers and the others say to each other is cut, lost, delayed or doubled.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BetweenFault {
+    pub at_s: f64,
+    pub for_s: f64,
+    /// From 1; all of them, for trouble between each two.
+    pub group: Vec<usize>,
+    #[serde(default)]
+    pub way: Way,
+    #[serde(default)]
+    pub cut: bool,
+    #[serde(default)]
+    pub lost: f64,
+    #[serde(default)]
+    pub twice: f64,
+    #[serde(default)]
+    pub delay_s: f64,
+    #[serde(default)]
+    pub jitter_s: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum What {
+    /// SIGSTOP, and SIGCONT after the time.
+    Pause,
+    /// SIGKILL, and a start with what its folder holds after the time.
+    Kill,
+    /// The same, and the folder's last start is gone.
+    KillAndEmpty,
+}
+
+/// `[[process]]`: what happens to one dispatcher's process.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ProcessFault {
+    pub at_s: f64,
+    pub for_s: f64,
+    /// From 1.
+    pub dispatcher: usize,
+    pub what: What,
+}
+
+impl BetweenFault {
+    fn rule(&self) -> Rule {
+        Rule {
+            cut: self.cut,
+            lost: self.lost,
+            twice: self.twice,
+            delay_s: self.delay_s,
+            jitter_s: self.jitter_s,
+        }
+    }
+
+    /// Whether it concerns what one dispatcher says to another, both from 0.
+    pub(crate) fn concerns(&self, from: usize, to: usize, count: usize) -> bool {
+        let within = |i: usize| self.group.contains(&(i + 1));
+        if self.group.len() == count {
+            return true;
+        }
+        match self.way {
+            Way::Both => within(from) != within(to),
+            Way::Out => within(from) && !within(to),
+            Way::In => !within(from) && within(to),
+        }
+    }
+}
+
+/// The first thing wrong with troubles of so many dispatchers.
+///
+/// # Errors
+/// With its place and cause.
+pub(crate) fn check(between: &[BetweenFault], process: &[ProcessFault], count: usize) -> Result<(), String> {
+    for (i, b) in between.iter().enumerate() {
+        let shares = [b.lost, b.twice].iter().all(|s| (0.0..=1.0).contains(s));
+        let times = [b.at_s, b.for_s, b.delay_s, b.jitter_s].iter().all(|t| (0.0..=600.0).contains(t));
+        if !shares || !times {
+            return Err(format!("between.{i}: shares are 0 to 1, times 0 to 600 s"));
+        }
+        if b.group.is_empty() || b.group.iter().any(|n| !(1..=count).contains(n)) {
+            return Err(format!("between.{i}.group: dispatchers 1 to {count} are expected"));
+        }
+    }
+    for (i, p) in process.iter().enumerate() {
+        if !(1..=count).contains(&p.dispatcher) {
+            return Err(format!("process.{i}.dispatcher: {} is not between 1 and {count}", p.dispatcher));
+        }
+        if !(0.0..=600.0).contains(&p.at_s) || !(0.0..=600.0).contains(&p.for_s) {
+            return Err(format!("process.{i}: times are 0 to 600 s"));
+        }
+    }
+    Ok(())
+}
+
+/// What truly happened, by the script's own clock.
+#[derive(Clone, Debug)]
+pub(crate) struct Truth {
+    pub from_us: u64,
+    pub to_us: u64,
+    pub what: Happened,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum Happened {
+    /// A process was paused, or not there.
+    Away(usize),
+    Between(BetweenFault),
+}
+
+pub(crate) type Truths = Arc<Mutex<Vec<Truth>>>;
+
+/// The cluster of one day.
+pub(crate) struct Joined {
+    addresses: Vec<SocketAddrV4>,
+    between: Arc<Between>,
+    dir: PathBuf,
+    pub truths: Truths,
+}
+
+/// Each listens on a loopback host of its own, which nothing else is given.
+fn address(number: usize) -> SocketAddrV4 {
+    let process = std::process::id();
+    let (high, low) = (128 + (process >> 8) % 64, process % 256);
+    SocketAddrV4::new(Ipv4Addr::new(127, high as u8, low as u8, number as u8 + 1), 7811)
+}
+
+impl Joined {
+    /// # Errors
+    /// Where the secret cannot be written or the system gives no socket.
+    pub fn make(dir: &Path, count: usize, seed: u64) -> std::io::Result<Joined> {
+        let addresses: Vec<SocketAddrV4> = (0..count).map(address).collect();
+        let named = addresses.iter().enumerate().map(|(i, at)| (format!("dispatch-{}", i + 1), *at));
+        let between = Between::start(&named.collect::<Vec<_>>(), seed)?;
+        std::fs::write(dir.join("secret"), "known to the day's dispatchers alone\n")?;
+        Ok(Joined {
+            addresses,
+            between: Arc::new(between),
+            dir: dir.to_path_buf(),
+            truths: Truths::default(),
+        })
+    }
+
+    /// Gives each its part; `dispatchers` are all of the day, in order.
+    pub fn settle(&self, dispatchers: &mut [Dispatcher]) {
+        let line = |(i, one): (usize, &Dispatcher)| {
+            let front = self.between.front(i).map(|at| at.to_string()).unwrap_or_default();
+            toml::Table::from_iter([
+                ("name".to_string(), one.name.clone().into()),
+                ("address".to_string(), front.into()),
+                ("clients".to_string(), one.address.clone().into()),
+            ])
+        };
+        let roster: Vec<toml::Value> = dispatchers.iter().enumerate().map(line).map(Into::into).collect();
+        for (one, address) in dispatchers.iter_mut().zip(&self.addresses) {
+            let table = toml::Table::from_iter([
+                ("name".to_string(), "day".into()),
+                ("secret".to_string(), "secret".into()),
+                ("kept".to_string(), format!("{}.start", one.name).into()),
+                ("address".to_string(), address.to_string().into()),
+                ("roster".to_string(), roster.clone().into()),
+            ]);
+            one.set("cluster", table.into());
+        }
+    }
+
+    /// Threads that play the troubles at their times, from now on.
+    pub fn scripts(
+        &self,
+        between: &[BetweenFault],
+        process: &[ProcessFault],
+        image: &Path,
+        dispatchers: &Arc<Mutex<Vec<Dispatcher>>>,
+    ) -> Vec<JoinHandle<()>> {
+        let start = Instant::now();
+        let mut threads = vec![self.between_script(between.to_vec(), start)];
+        for fault in process {
+            let fault = fault.clone();
+            let (all, image, dir) = (Arc::clone(dispatchers), image.to_path_buf(), self.dir.clone());
+            let truths = Arc::clone(&self.truths);
+            threads.push(std::thread::spawn(move || play(&fault, start, &all, &image, &dir, &truths)));
+        }
+        threads
+    }
+
+    /// Troubles may overlap: at each change the last that concerns a way and is on counts.
+    fn between_script(&self, faults: Vec<BetweenFault>, start: Instant) -> JoinHandle<()> {
+        let (between, truths, count) =
+            (Arc::clone(&self.between), Arc::clone(&self.truths), self.addresses.len());
+        let mut times: Vec<f64> = faults.iter().flat_map(|f| [f.at_s, f.at_s + f.for_s]).collect();
+        times.sort_by(f64::total_cmp);
+        std::thread::spawn(move || {
+            let mut since: Vec<Option<u64>> = vec![None; faults.len()];
+            for at_s in times {
+                wait_until(start, at_s);
+                let on = |f: &&BetweenFault| f.at_s <= at_s && at_s < f.at_s + f.for_s;
+                for (from, to) in (0..count).flat_map(|from| (0..count).map(move |to| (from, to))) {
+                    let last = faults.iter().filter(on).rfind(|f| f.concerns(from, to, count));
+                    between.set(from, to, last.map(BetweenFault::rule).unwrap_or_default());
+                }
+                for (fault, since) in faults.iter().zip(&mut since) {
+                    match (on(&fault), *since) {
+                        (true, None) => *since = Some(unix_us()),
+                        (false, Some(from_us)) => {
+                            *since = None;
+                            note(&truths, from_us, Happened::Between(fault.clone()));
+                        }
+                        _ => {}
+                    }
+                }
+            }
+        })
+    }
+}
+
+fn wait_until(start: Instant, at_s: f64) {
+    std::thread::sleep(Duration::from_secs_f64(at_s).saturating_sub(start.elapsed()));
+}
+
+pub(crate) fn lock<T>(shared: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+fn note(truths: &Truths, from_us: u64, what: Happened) {
+    lock(truths).push(Truth { from_us, to_us: unix_us(), what });
+}
+
+fn play(
+    fault: &ProcessFault,
+    start: Instant,
+    all: &Mutex<Vec<Dispatcher>>,
+    image: &Path,
+    dir: &Path,
+    truths: &Truths,
+) {
+    wait_until(start, fault.at_s);
+    let (i, began) = (fault.dispatcher - 1, unix_us());
+    if let Some(one) = lock(all).get_mut(i) {
+        match fault.what {
+            What::Pause => one.pause(),
+            What::Kill | What::KillAndEmpty => one.kill(),
+        }
+    }
+    wait_until(start, fault.at_s + fault.for_s);
+    if let Some(one) = lock(all).get_mut(i) {
+        if fault.what == What::KillAndEmpty {
+            // Where it has none yet there is nothing to take away.
+            let _ = std::fs::remove_file(dir.join(format!("{}.start", one.name)));
+        }
+        match fault.what {
+            What::Pause => one.go_on(),
+            // Should it not start again, its clients find the others.
+            What::Kill | What::KillAndEmpty => drop(one.start(image)),
+        }
+    }
+    note(truths, began, Happened::Away(i));
+}
--- a/programs/badday/src/run.rs
+++ b/programs/badday/src/run.rs
@@ -13,8 +13,10 @@
 
 use crate::clients::{plan, play, Service};
 use crate::day::Day;
+use crate::parted::{Happened, Joined};
 use crate::process::Dispatcher;
 use crate::secured::{Proofs, SecuredFacts};
+use crate::views;
 
 /// What a day came to.
 pub struct Outcome {
@@ -27,6 +29,8 @@
     pub orderly: usize,
     /// On a day with callers that prove who they are.
     pub secured: Option<SecuredFacts>,
+    /// What dispatchers that know each other believed without cause, or failed to see.
+    pub views: Vec<String>,
 }
 
 /// What a script's thread writes down.
@@ -71,9 +75,16 @@
         if let Some(proofs) = &proofs {
             one.secured(proofs.desk());
         }
-        one.start(image).map_err(fail("a dispatcher"))?;
         dispatchers.push(one);
     }
+    let joined = match day.dispatchers.cluster {
+        true => Some(Joined::make(dir, day.dispatchers.count, day.seed).map_err(fail("the cluster"))?),
+        false => None,
+    };
+    joined.iter().for_each(|joined| joined.settle(&mut dispatchers));
+    for one in &mut dispatchers {
+        one.start(image).map_err(fail("a dispatcher"))?;
+    }
     if let Some(late) = dispatchers.iter().find(|d| !d.ready(Duration::from_secs(20))) {
         return Err(format!("{} is not ready; see its log in {}", late.name, dir.display()));
     }
@@ -83,15 +94,34 @@
     let dispatchers: Shared = Arc::new(Mutex::new(dispatchers));
     let noted = Arc::new(Mutex::new(Noted::default()));
     let scripts = scripts(day, dir, image, &settings, &hosts, &dispatchers, &noted);
+    let scripts = match &joined {
+        Some(joined) => {
+            let more = joined.scripts(&day.between, &day.process, image, &dispatchers);
+            scripts.into_iter().chain(more).collect()
+        }
+        None => scripts,
+    };
     clients(day, service);
     for script in scripts {
         let _ = script.join();
     }
     let mut secured = keys.and_then(|script| script.join().ok());
+    let told_to_stop = unix_us();
     let (orderly, records) = stop(&dispatchers);
     hosts.stop();
     host_lines.settle();
     client_lines.settle();
+    let truths = joined.as_ref().map(|j| lock(&j.truths).clone()).unwrap_or_default();
+    for truth in &truths {
+        // One that was paused answers late, and is not asked for more than one that was killed.
+        if let Happened::Away(i) = truth.what {
+            lock(&noted).kills.push((truth.from_us, format!("dispatch-{}", i + 1)));
+        }
+    }
+    let views = match joined {
+        Some(_) => views::judge(&views::read(dir)?, &truths, day.dispatchers.count, told_to_stop),
+        None => Vec::new(),
+    };
     let facts = facts(day, &settings, began, &noted);
     let file = File::create(dir.join("facts.json")).map_err(fail("facts.json"))?;
     serde_json::to_writer_pretty(file, &facts).map_err(|e| format!("facts.json: {e}"))?;
@@ -109,7 +139,7 @@
             records_alike += usize::from(found.difference.is_none());
         }
     }
-    Ok(Outcome { verdict, replayed_steps, records: records.len(), records_alike, orderly, secured })
+    Ok(Outcome { verdict, replayed_steps, records: records.len(), records_alike, orderly, secured, views })
 }
 
 fn proofs(day: &Day, dir: &Path) -> Result<Proofs, String> {
@@ -166,7 +196,11 @@
         classes: settings.classes.iter().map(class).collect(),
         retries: day.retries,
         proofs: None,
-        killed: day.dispatchers.restarts.iter().map(|r| r.dispatcher.saturating_sub(1)).collect(),
+        killed: {
+            let restarted = day.dispatchers.restarts.iter().map(|r| r.dispatcher);
+            let away = day.process.iter().map(|p| p.dispatcher);
+            restarted.chain(away).map(|number| number.saturating_sub(1)).collect()
+        },
     }
 }
 
--- /dev/null
+++ b/programs/badday/src/views.rs
@@ -0,0 +1,167 @@
+//! Members' views, from their own logs, held against what the script did.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use serde::Deserialize;
+
+use crate::parted::{Happened, Truth};
+
+/// A removal has its cause within so long before it: the probe, the suspicion and the news of it, with slack.
+const CAUSE_US: u64 = 4_000_000;
+/// A member that is cut off from the majority knows it within this.
+const KNOWN_US: u64 = 5_000_000;
+/// Loss above which a living member may be taken for dead.
+const MUCH_LOST: f64 = 0.1;
+
+#[derive(Deserialize)]
+struct LogLine {
+    fields: Fields,
+}
+
+#[derive(Deserialize)]
+struct Fields {
+    at_us: Option<u64>,
+    me: Option<String>,
+    peer: Option<String>,
+    state: Option<String>,
+    standing: Option<String>,
+}
+
+/// What members said: of each other, and of their own standing.
+#[derive(Debug, Default)]
+pub(crate) struct Said {
+    /// When, by whom, of whom.
+    pub downs: Vec<(u64, usize, usize)>,
+    /// When, by whom, what.
+    pub standings: Vec<(u64, usize, String)>,
+}
+
+fn number(name: &str) -> Option<usize> {
+    name.strip_prefix("dispatch-")?.parse::<usize>().ok()?.checked_sub(1)
+}
+
+/// All that the logs of a day's folder say.
+///
+/// # Errors
+/// Where the folder or a log cannot be read.
+pub(crate) fn read(dir: &Path) -> Result<Said, String> {
+    let mut said = Said::default();
+    let entries = std::fs::read_dir(dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+    for path in entries.flatten().map(|e| e.path()).filter(|p| p.extension().is_some_and(|e| e == "log")) {
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+        text.lines()
+            .filter_map(|line| serde_json::from_str::<LogLine>(line).ok())
+            .for_each(|l| said.take(l.fields));
+    }
+    said.downs.sort_unstable();
+    said.standings.sort();
+    Ok(said)
+}
+
+impl Said {
+    fn take(&mut self, line: Fields) {
+        let (Some(at), Some(me)) = (line.at_us, line.me.as_deref().and_then(number)) else { return };
+        if let Some(standing) = line.standing {
+            self.standings.push((at, me, standing));
+        }
+        let peer = line.peer.as_deref().and_then(number);
+        if let (Some("Down"), Some(peer)) = (line.state.as_deref(), peer) {
+            self.downs.push((at, me, peer));
+        }
+    }
+
+    /// The standing that a member had at a time, by its own word.
+    fn standing(&self, of: usize, at: u64) -> Option<&str> {
+        let mut before = self.standings.iter().filter(|(t, by, _)| *by == of && *t <= at);
+        before.next_back().map(|(_, _, standing)| standing.as_str())
+    }
+}
+
+/// What members believed without cause, or failed to see; up to `end`, when they were told to stop.
+pub(crate) fn judge(said: &Said, truths: &[Truth], count: usize, end: u64) -> Vec<String> {
+    let mut wrong: Vec<String> = Vec::new();
+    for (at, by, of) in said.downs.iter().filter(|d| d.0 < end) {
+        let near = |t: &&Truth| t.from_us <= *at && *at <= t.to_us.saturating_add(CAUSE_US);
+        let cause = |t: &Truth| match &t.what {
+            Happened::Away(away) => away == of,
+            Happened::Between(b) => {
+                let much = b.cut || b.lost > MUCH_LOST;
+                much && (0..count).any(|i| b.concerns(*of, i, count) || b.concerns(i, *of, count))
+            }
+        };
+        if !truths.iter().filter(near).any(cause) {
+            wrong.push(format!("dispatch-{} took dispatch-{} for dead without cause", by + 1, of + 1));
+        }
+    }
+    for truth in truths.iter().filter(|t| t.to_us > t.from_us + KNOWN_US && t.from_us + KNOWN_US < end) {
+        let Happened::Between(b) = &truth.what else { continue };
+        let apart =
+            |i: usize| (0..count).filter(|o| b.concerns(i, *o, count) && b.concerns(*o, i, count)).count();
+        for member in
+            (0..count).filter(|i| b.cut && b.group.len() < count && 2 * (count - apart(*i)) <= count)
+        {
+            let busy =
+                |t: &Truth| matches!(t.what, Happened::Away(i) if i == member) && t.to_us >= truth.from_us;
+            let standing = said.standing(member, truth.from_us + KNOWN_US);
+            if !truths.iter().any(busy) && !matches!(standing, Some("CutOff" | "Alone")) {
+                wrong.push(format!(
+                    "dispatch-{} was cut off from the majority and held itself for {standing:?}",
+                    member + 1
+                ));
+            }
+        }
+    }
+    let last: BTreeMap<usize, &str> = (0..count).filter_map(|i| Some((i, said.standing(i, end)?))).collect();
+    for i in (0..count).filter(|i| last.get(i) != Some(&"Whole")) {
+        wrong.push(format!("dispatch-{} ended the day as {:?} and not whole", i + 1, last.get(&i)));
+    }
+    wrong.sort();
+    wrong.dedup();
+    wrong
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::parted::BetweenFault;
+
+    const S: u64 = 1_000_000;
+
+    fn whole(count: usize) -> Said {
+        let standings = (0..count).map(|i| (S, i, "Whole".to_string())).collect();
+        Said { downs: vec![], standings }
+    }
+
+    fn cut(from: u64, to: u64) -> Truth {
+        let text = "at_s = 1\nfor_s = 9\ngroup = [1]\ncut = true";
+        let fault: BetweenFault = toml::from_str(text).expect("a fault");
+        Truth { from_us: from, to_us: to, what: Happened::Between(fault) }
+    }
+
+    #[test]
+    fn a_removal_needs_its_cause() {
+        let mut said = whole(3);
+        said.downs.push((10 * S, 0, 2));
+        let away = |i, from| Truth { from_us: from, to_us: from + S, what: Happened::Away(i) };
+        assert!(judge(&said, &[away(2, 8 * S)], 3, 60 * S).is_empty());
+        for truths in [vec![], vec![away(1, 8 * S)], vec![away(2, 2 * S)], vec![away(2, 11 * S)]] {
+            let wrong = judge(&said, &truths, 3, 60 * S);
+            assert_eq!(wrong, ["dispatch-1 took dispatch-3 for dead without cause"], "{truths:?}");
+        }
+    }
+
+    #[test]
+    fn who_is_cut_off_has_to_see_it_and_all_have_to_find_each_other_again() {
+        let truths = [cut(10 * S, 20 * S)];
+        let mut said = whole(3);
+        let blind = judge(&said, &truths, 3, 60 * S);
+        assert_eq!(blind.len(), 1, "{blind:?}");
+        assert!(blind[0].contains("dispatch-1 was cut off"));
+        said.standings.push((13 * S, 0, "Alone".to_string()));
+        let lasting = judge(&said, &truths, 3, 60 * S);
+        assert!(lasting.len() == 1 && lasting[0].contains("ended the day"), "{lasting:?}");
+        said.standings.push((22 * S, 0, "Whole".to_string()));
+        assert!(judge(&said, &truths, 3, 60 * S).is_empty());
+    }
+}
