--- a/programs/badday/tests/cluster.rs
+++ b/programs/badday/tests/cluster.rs
@@ -22,6 +22,11 @@
 }
 
 fn cluster(name: &str, count: usize) -> Cluster {
+    cluster_but(name, count, |_, _| true)
+}
+
+/// One whose members' rosters may lack others: `lists` tells by numbers whether the one has the other in its own.
+fn cluster_but(name: &str, count: usize, lists: impl Fn(usize, usize) -> bool) -> Cluster {
     let dir = folder(name);
     std::fs::write(dir.join("hosts.csv"), LIST).expect("a list");
     std::fs::write(dir.join("secret"), "sixteen bytes or more").expect("a secret");
@@ -33,7 +38,9 @@
     for (me, own) in addresses.iter().enumerate() {
         let mut one = Dispatcher::new(&dir, me + 1, count, &settings).expect("an address");
         let kept = format!("dispatch-{}.start", me + 1);
-        one.set("cluster", cluster_table("secret", *own, &kept, &roster));
+        let own_roster =
+            roster.iter().enumerate().filter(|(other, _)| lists(me, *other)).map(|(_, line)| line.clone());
+        one.set("cluster", cluster_table("secret", *own, &kept, &own_roster.collect::<Vec<_>>()));
         one.without_record();
         one.start(&image()).expect("a process");
         dispatchers.push(one);
@@ -196,6 +203,68 @@
     cluster.until("the later one", || cluster.state(0, 1) == "alive" && later() == "whole");
 }
 
+#[test]
+fn a_restart_in_the_time_of_suspicion_is_a_later_start_and_no_loss() {
+    let mut cluster = cluster("cluster-quick", 4);
+    let before = cluster.view(1).expect("a view").start;
+    cluster.dispatchers[1].kill();
+    cluster.until("suspicion", || (0..4).any(|at| at != 1 && cluster.state(1, at) == "suspect"));
+    cluster.dispatchers[1].start(&image()).expect("a process");
+    let start_at = |at: usize| {
+        let lines = cluster.view(at).map(|v| v.members).unwrap_or_default();
+        lines.iter().find(|m| m.name == "dispatch-2").and_then(|m| m.start).unwrap_or(0)
+    };
+    cluster.until("the later start", || [0, 2, 3].iter().all(|at| start_at(*at) > before));
+    cluster.all_whole();
+}
+
+#[test]
+fn a_flapping_member_takes_nobody_with_it() {
+    let cluster = cluster("cluster-flapping", 4);
+    for _ in 0..20 {
+        cluster.between.part(&[3], CUT);
+        std::thread::sleep(Duration::from_millis(400));
+        cluster.between.part(&[3], Rule::default());
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    cluster.all_whole();
+    // It is the only one that was ever missed by those that were not cut off.
+    for steady in &cluster.dispatchers[..3] {
+        let log = steady.log().expect("a log");
+        let downs = log.lines().filter(|l| l.contains("\"state\":\"Down\""));
+        let others: Vec<&str> = downs.filter(|l| !l.contains("\"peer\":\"dispatch-4\"")).collect();
+        assert!(others.is_empty(), "{others:?}");
+    }
+}
+
+#[test]
+fn all_restarted_one_after_the_other_find_each_other() {
+    let mut cluster = cluster("cluster-rolling", 5);
+    let starts: Vec<u64> = (0..5).map(|i| cluster.view(i).expect("a view").start).collect();
+    for i in 0..5 {
+        cluster.dispatchers[i].terminate();
+        assert!(cluster.dispatchers[i].ended(SOON));
+        cluster.dispatchers[i].start(&image()).expect("a process");
+        std::thread::sleep(Duration::from_millis(300));
+    }
+    cluster.all_whole();
+    assert!((0..5).all(|i| cluster.view(i).expect("a view").start > starts[i]));
+}
+
+#[test]
+fn members_whose_rosters_differ_hear_each_other_and_judge_by_their_own() {
+    // The third knows nothing of the fourth.
+    let mut cluster = cluster_but("cluster-rosters", 4, |me, other| (me, other) != (2, 3));
+    cluster.until("the fourth", || {
+        let lines = cluster.view(2).map(|v| v.members).unwrap_or_default();
+        lines.iter().filter(|m| m.state == "alive").count() == 3
+    });
+    cluster.dispatchers[3].kill();
+    cluster.until("its loss", || (0..2).all(|at| cluster.state(3, at) == "down"));
+    assert_eq!(cluster.standing(0), "majority");
+    assert_eq!(cluster.standing(2), "whole", "all that its roster names are there");
+}
+
 #[test]
 fn a_cluster_that_cannot_be_joined_ends_the_start_with_one_line() {
     let dir = folder("cluster-broken");
