Two members that came back together probe again: the library had waited for a word

Seen: the property of two sides failed after 40% loss and a cut: both sides held themselves for a majority, for as long as the cut lasted. Checked by printing views and events of that course: members 0 and 4 came back (`CameBack`) within 3 ms of each other and changed no view after it; not the judgement of standing, whose input stood still. At fault: `machine.rs`, `collect`: after a comeback `foca` is disconnected and sets its timers only when it hears someone, so that two alone wait for each other.

Change: after a comeback it is given an update of nobody, by which it begins. Also `bitternlatch-measure cluster`.

--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -408,17 +408,27 @@
     }
 
     fn collect(&mut self, now: Duration, out: &mut Vec<Output>) {
-        while let Some((to, said)) = self.runtime.to_send() {
-            out.push(Output::Send(to.address, self.sealer.seal(Kind::Swim, &said)));
-        }
-        while let Some((after, timer)) = self.runtime.to_schedule() {
-            self.set += 1;
-            self.timers.insert((now + after, self.set), timer);
-        }
-        while let Some(told) = self.runtime.to_notify() {
-            if let foca::OwnedNotification::Rejoin(id) = told {
-                out.push(Output::Event(Event::CameBack(id.start)));
+        loop {
+            let mut back = false;
+            while let Some((to, said)) = self.runtime.to_send() {
+                out.push(Output::Send(to.address, self.sealer.seal(Kind::Swim, &said)));
+            }
+            while let Some((after, timer)) = self.runtime.to_schedule() {
+                self.set += 1;
+                self.timers.insert((now + after, self.set), timer);
+            }
+            while let Some(told) = self.runtime.to_notify() {
+                if let foca::OwnedNotification::Rejoin(id) = told {
+                    back = true;
+                    out.push(Output::Event(Event::CameBack(id.start)));
+                }
+            }
+            if !back {
+                return;
             }
+            // The library says and probes nothing after a comeback until it hears someone; two that came back together
+            // would wait for each other without end. An update of nobody makes it begin.
+            let _ = self.swim.apply_many(std::iter::empty(), false, &mut self.runtime);
         }
     }
 
--- a/programs/badday/src/process.rs
+++ b/programs/badday/src/process.rs
@@ -183,6 +183,13 @@
         (1..=self.starts).map(|n| self.dir.join(format!("{}.{n}.rec", self.name))).collect()
     }
 
+    /// Seconds of processor time that its process has used; as the system tells it, in hundredths.
+    pub fn cpu_s(&self) -> Option<f64> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.as_ref()?.id())).ok()?;
+        let fields = stat.rsplit(')').next()?.split_whitespace().skip(11).take(2);
+        Some(fields.filter_map(|ticks| ticks.parse::<f64>().ok()).sum::<f64>() / 100.0)
+    }
+
     /// Resident memory of its process, KiB; as the system tells it.
     pub fn resident_kib(&self) -> Option<u64> {
         let pid = self.child.as_ref()?.id();
--- a/programs/measure/src/main.rs
+++ b/programs/measure/src/main.rs
@@ -1,6 +1,7 @@
 //! Measures the dispatcher in one run on one machine, each figure beside the plainest thing that could do the work.
 
 mod charges;
+mod cluster;
 mod decision;
 mod latency;
 mod members;
@@ -67,6 +68,13 @@
     },
     /// CPU time of one decision.
     Decision,
+    /// First token, memory and processor time with `[cluster]` and without, among so many members on sockets.
+    Cluster {
+        #[arg(long, default_value_t = 3)]
+        members: usize,
+        #[arg(long, default_value_t = 200)]
+        requests: usize,
+    },
     /// Membership in simulated time: failures missed, halves healed, living ones removed, bytes.
     Members {
         #[arg(long, value_delimiter = ',', default_value = "3,10,100,300")]
@@ -97,6 +105,7 @@
                 decision::measure();
                 Ok(())
             }
+            What::Cluster { members, requests } => cluster::measure(members, requests),
             What::Members { sizes, seeds, lossy_s } => {
                 members::measure(&sizes, seeds, lossy_s);
                 Ok(())
