One lock, one wait and one quantile where four stood; a view gone through once a datagram

`lock` of `crates/net` serves its twins in peer-net, `between`, `parted` and `run`; `wait_until`, the quantile of the measurements and the tests' cut stand once. `Membership::datagram` compared all members with the view twice; it does so before the datagram only where something is due, as nothing else can have changed. `look` makes a row once.

--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -127,7 +127,7 @@
     /// The later start under the same name to which this process has given way.
     pub fenced_by: Option<Start>,
     pub members: Vec<MemberView>,
-    pub dropped: BTreeMap<Dropped, u64>,
+    pub dropped: Dropping,
 }
 
 /// What has changed.
@@ -263,7 +263,10 @@
         if self.silent() {
             return;
         }
-        self.wake(now, out);
+        // Else nothing can have changed since the last step, and the view need not be gone through twice.
+        if self.wake_at().is_some_and(|at| at <= now) {
+            self.wake(now, out);
+        }
         let opened = self.opener.open(&self.sealer, bytes);
         if let Ok((sender, _)) = &opened {
             // Only of the roster, which bounds what is kept.
@@ -474,14 +477,14 @@
                 State::Suspect => "a probe went unanswered",
                 _ => "suspected in vain, or left",
             };
-            let fresh = Row { id: Some(id), state, since: now, evidence };
-            let row = self.rows.entry(id.name).or_insert(Row { state: State::Unheard, id: None, ..fresh });
-            if row.state != state || row.id != Some(id) {
-                *row = Row { id: Some(id), state, since: now, evidence };
+            let known = self.rows.get(&id.name).filter(|row| row.state == state && row.id == Some(id));
+            let since = known.map_or(now, |row| row.since);
+            if known.is_none() {
+                self.rows.insert(id.name, Row { id: Some(id), state, since, evidence });
                 out.push(Output::Event(Event::Member { name: id.name, state, start: id.start }));
             }
             if state == State::Suspect {
-                let until = row.since + SUSPECT_MOST;
+                let until = since + SUSPECT_MOST;
                 self.suspect_until = Some(self.suspect_until.map_or(until, |first| first.min(until)));
             }
         }
--- a/crates/membership/src/seal.rs
+++ b/crates/membership/src/seal.rs
@@ -10,7 +10,6 @@
 
 const VERSION: u8 = 1;
 const HEAD: usize = 26;
-
 const TAG: usize = 16;
 /// Longest datagram, bytes, as on the users' platform.
 pub const DATAGRAM_MOST: usize = 256;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -19,6 +19,6 @@
 pub mod wire;
 
 /// Locks; a thread that panicked must not take the others with it.
-fn lock<T>(shared: &std::sync::Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+pub fn lock<T>(shared: &std::sync::Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     shared.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
--- a/crates/peer-net/src/plane.rs
+++ b/crates/peer-net/src/plane.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, SocketAddrV4, TcpListener, UdpSocket};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -12,6 +12,7 @@
 use bitternlatch_core::Micros;
 use bitternlatch_membership::{Event, Membership, Output, Peer, Roster, Secret, Standing, DATAGRAM_MOST};
 use bitternlatch_net::clock::Clock;
+use bitternlatch_net::lock;
 
 use crate::start;
 use crate::views::{self, Shown};
@@ -51,10 +52,6 @@
     name: String,
 }
 
-fn lock(member: &Mutex<Membership>) -> MutexGuard<'_, Membership> {
-    member.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn read_secret(path: &Path) -> Result<Vec<u8>, String> {
     let shown = path.display();
     let size = std::fs::metadata(path).map_err(|e| format!("{shown}: {e}"))?.len();
--- a/programs/badday/src/between.rs
+++ b/programs/badday/src/between.rs
@@ -5,11 +5,12 @@
 use std::io::{self, ErrorKind};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use bitternlatch_membership::{sender, NameKey};
+use bitternlatch_net::lock;
 use rand_core::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 
@@ -110,10 +111,6 @@
     }
 }
 
-fn lock(rules: &Rules) -> MutexGuard<'_, BTreeMap<(usize, usize), Rule>> {
-    rules.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Drop for Between {
     fn drop(&mut self) {
         self.stop.store(true, Ordering::SeqCst);
--- a/programs/badday/src/parted.rs
+++ b/programs/badday/src/parted.rs
@@ -6,6 +6,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use bitternlatch_net::lock;
 use bitternlatch_standin::capture::unix_us;
 use serde::Deserialize;
 
@@ -239,14 +240,10 @@
     }
 }
 
-fn wait_until(start: Instant, at_s: f64) {
+pub(crate) fn wait_until(start: Instant, at_s: f64) {
     std::thread::sleep(Duration::from_secs_f64(at_s).saturating_sub(start.elapsed()));
 }
 
-pub(crate) fn lock<T>(shared: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    shared.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
-}
-
 fn note(truths: &Truths, from_us: u64, what: Happened) {
     lock(truths).push(Truth { from_us, to_us: unix_us(), what });
 }
--- a/programs/badday/src/run.rs
+++ b/programs/badday/src/run.rs
@@ -8,12 +8,13 @@
 use bitternlatch_audit::{judge_dir, ClassFacts, ColdFacts, Facts, HostFacts, Verdict};
 use bitternlatch_core::record::{read, replay};
 use bitternlatch_core::settings::{Effect, Settings};
+use bitternlatch_net::lock;
 use bitternlatch_standin::capture::{unix_us, Capture};
 use bitternlatch_standin::Standins;
 
 use crate::clients::{plan, play, Service};
 use crate::day::Day;
-use crate::parted::{Happened, Joined};
+use crate::parted::{self, Happened, Joined};
 use crate::process::Dispatcher;
 use crate::secured::{Proofs, SecuredFacts};
 use crate::views;
@@ -159,10 +160,6 @@
     Some(std::thread::spawn(move || proofs.play(&script, &address, start)))
 }
 
-fn lock<T>(shared: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    shared.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
-}
-
 /// Writes the hosts' list as the operators' tools would: whole, beside, and moved into place.
 fn write_list(
     dir: &Path,
@@ -234,9 +231,7 @@
     noted: &Arc<Mutex<Noted>>,
 ) -> Vec<std::thread::JoinHandle<()>> {
     let start = Instant::now();
-    let wait_until = move |at_s: f64| {
-        std::thread::sleep(Duration::from_secs_f64(at_s).saturating_sub(start.elapsed()));
-    };
+    let wait_until = move |at_s: f64| parted::wait_until(start, at_s);
     let mut threads = Vec::new();
     for restart in day.dispatchers.restarts.clone() {
         let (all, noted, image) = (Arc::clone(dispatchers), Arc::clone(noted), image.to_path_buf());
--- a/programs/badday/tests/cluster.rs
+++ b/programs/badday/tests/cluster.rs
@@ -7,9 +7,8 @@
 use bitternlatch_badday::between::{Between, Rule};
 use bitternlatch_badday::process::Dispatcher;
 use bitternlatch_peer_net::{ask, Shown};
-use common::{between, cluster_table, folder, free_for_peers, image, SETTINGS};
+use common::{between, cluster_table, folder, free_for_peers, image, CUT, SETTINGS};
 
-const CUT: Rule = Rule { cut: true, lost: 0.0, twice: 0.0, delay_s: 0.0, jitter_s: 0.0 };
 /// One host, which is not there.
 const LIST: &str = "name,address,port,kind,cell,zone,state\nr1,127.0.0.1,1,reader,c,pos-site,ready\n";
 const SOON: Duration = Duration::from_secs(30);
--- a/programs/badday/tests/common/mod.rs
+++ b/programs/badday/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-use bitternlatch_badday::between::Between;
+use bitternlatch_badday::between::{Between, Rule};
 use bitternlatch_badday::client::{Came, Client};
 use bitternlatch_badday::day::Day;
 use bitternlatch_badday::process::Dispatcher;
@@ -174,6 +174,9 @@
     .to_string()
 }
 
+/// Nothing passes.
+pub const CUT: Rule = Rule { cut: true, lost: 0.0, twice: 0.0, delay_s: 0.0, jitter_s: 0.0 };
+
 /// Addresses that are free for datagrams and connections both: each of a loopback host of its own, so that nothing else
 /// that asks for any free port is given one of them meanwhile.
 pub fn free_for_peers(count: usize) -> Vec<SocketAddrV4> {
--- a/programs/badday/tests/standing.rs
+++ b/programs/badday/tests/standing.rs
@@ -9,8 +9,6 @@
 use bitternlatch_peer_net::ask;
 use common::*;
 
-const CUT: Rule = Rule { cut: true, lost: 0.0, twice: 0.0, delay_s: 0.0, jitter_s: 0.0 };
-
 struct Three {
     rig: Rig,
     between: Between,
--- a/programs/measure/src/members.rs
+++ b/programs/measure/src/members.rs
@@ -6,6 +6,8 @@
 use bitternlatch_membership::simulated::{ms, World};
 use bitternlatch_membership::{Event, State};
 
+use crate::rig;
+
 /// What was seen in all runs of one size.
 #[derive(Default)]
 struct Seen {
@@ -71,8 +73,10 @@
 
 fn quantile(values: &mut [f64], q: f64) -> f64 {
     values.sort_by(f64::total_cmp);
-    let last = values.len().saturating_sub(1);
-    values.get((q * last as f64).round() as usize).copied().unwrap_or(f64::NAN)
+    if values.is_empty() {
+        return f64::NAN;
+    }
+    rig::quantile(values, q)
 }
 
 /// Runs each size with so many seeds, side by side, and prints a line for each.
