--- a/programs/badday/src/day.rs
+++ b/programs/badday/src/day.rs
@@ -133,8 +133,10 @@
                 return Err(format!("{name}: {value} is not between 0.1 and {most}"));
             }
         }
-        if !day.between.is_empty() && !day.dispatchers.cluster {
-            return Err("between: needs dispatchers.cluster = true".to_string());
+        // Both are played by the cluster's scripts; without it they would be passed by in silence.
+        let parted = [("between", !day.between.is_empty()), ("process", !day.process.is_empty())];
+        if let Some((key, _)) = parted.iter().find(|(_, there)| *there && !day.dispatchers.cluster) {
+            return Err(format!("{key}: needs dispatchers.cluster = true"));
         }
         parted::check(&day.between, &day.process, day.dispatchers.count)?;
         match day.dispatchers.count {
--- a/programs/badday/src/parted.rs
+++ b/programs/badday/src/parted.rs
@@ -278,3 +278,26 @@
     }
     note(truths, began, Happened::Away(i));
 }
+
+#[cfg(test)]
+mod tests {
+    use crate::day::Day;
+
+    #[test]
+    fn troubles_that_would_not_be_played_are_refused_with_their_place() {
+        let fault = |cluster: bool, more: &str| {
+            let dispatchers = format!("dispatchers = {{ count = 2, settings = \"\", cluster = {cluster} }}");
+            let text = format!("for_s = 1\nrate_rps = 1\nmix = []\n{dispatchers}\nhosts = []\n{more}");
+            Day::parse(&text).err()
+        };
+        let process =
+            |n: usize| format!("[[process]]\nat_s = 1\nfor_s = 1\ndispatcher = {n}\nwhat = \"pause\"");
+        let between = |n: usize| format!("[[between]]\nat_s = 1\nfor_s = 1\ngroup = [{n}]\ncut = true");
+        assert_eq!(fault(true, &process(2)), None);
+        assert_eq!(fault(true, &between(2)), None);
+        assert_eq!(fault(false, &process(2)), Some("process: needs dispatchers.cluster = true".into()));
+        assert_eq!(fault(false, &between(2)), Some("between: needs dispatchers.cluster = true".into()));
+        assert!(fault(true, &process(3)).is_some_and(|f| f.starts_with("process.0.dispatcher: 3")));
+        assert!(fault(true, &between(3)).is_some_and(|f| f.starts_with("between.0.group:")));
+    }
+}
