--- /dev/null
+++ b/crates/agreement/src/shares.rs
@@ -0,0 +1,292 @@
+//! One member's part: voter, steward where it is one, and borrower.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use bitternlatch_membership::NameKey;
+
+use crate::{usable, Ballot, Lender, Message, Number, Process, Verdict, LOAN};
+
+/// Between two steps: a steward asks its voters anew, a borrower its steward. A part is asked for five times before it ends.
+const BEAT: Duration = Duration::from_millis(300);
+/// Millionths of the whole that are never lent: each member of the roster spends an even part of them in any case, so
+/// that one that is cut off still lets something through.
+const CAREFUL: u32 = 100_000;
+const WHOLE: u32 = 1_000_000;
+/// Questions whose answers are waited for; older ones' parts would have ended.
+const ASKED_MOST: usize = 8;
+
+/// What each member of a roster may spend of the whole without asking anybody.
+pub fn base(roster: usize) -> f64 {
+    f64::from(CAREFUL) / f64::from(WHOLE) / roster.max(1) as f64
+}
+
+/// What is lent to this member, as a share of the whole, and until when, by its own clock. Beside [`base`].
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Part {
+    pub lent: f64,
+    pub until: Duration,
+}
+
+/// What there is to do and to know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    Say(NameKey, Vec<u8>),
+    /// This process has become steward, or is it no more.
+    Steward(bool),
+    /// That member was started with another roster; neither helps the other, and both spend carefully.
+    OtherRoster(NameKey),
+}
+
+pub struct Shares {
+    own: Process,
+    roster: BTreeSet<NameKey>,
+    /// Short form of the roster.
+    digest: u32,
+    ballot: Ballot,
+    lender: Option<(Duration, Lender)>,
+    next: u64,
+    beat_at: Duration,
+    asked: BTreeMap<Number, Duration>,
+    part: Part,
+    /// The question that brought it.
+    part_of: Number,
+    /// Whom it takes for the steward, and questions to it in a row that brought nothing.
+    steward: Option<NameKey>,
+    misses: u32,
+    turn: usize,
+    seed: u64,
+    others: BTreeSet<NameKey>,
+    left: bool,
+}
+
+impl Shares {
+    /// `start` tells this process from others under its name; the roster holds its own name too.
+    pub fn new(own: NameKey, start: u64, roster: BTreeSet<NameKey>, seed: u64, now: Duration) -> Shares {
+        let own = Process { name: own, start };
+        // FNV-1a over the names in order.
+        let digest = roster.iter().fold(0x811C_9DC5u32, |sum, name| (sum ^ name.0).wrapping_mul(0x0100_0193));
+        Shares {
+            own,
+            ballot: Ballot::new(own, &roster, now),
+            roster,
+            digest,
+            lender: None,
+            next: 0,
+            beat_at: now,
+            asked: BTreeMap::new(),
+            part: Part::default(),
+            part_of: Number::default(),
+            steward: None,
+            misses: 0,
+            turn: seed as usize % 1024,
+            seed,
+            others: BTreeSet::new(),
+            left: false,
+        }
+    }
+
+    pub fn wake_at(&self) -> Option<Duration> {
+        (!self.left).then_some(self.beat_at)
+    }
+
+    /// What it was lent last; whether that counts still is for the act to check.
+    pub fn part(&self) -> Part {
+        self.part
+    }
+
+    /// Whom it asks.
+    pub fn steward(&self) -> Option<NameKey> {
+        self.steward
+    }
+
+    /// Those that may be using a part lent by this one, where it is steward.
+    pub fn lends_to(&self, now: Duration) -> Option<usize> {
+        self.ballot.stewards_since(now)?;
+        self.lender.as_ref().map(|(_, lender)| lender.borrowers())
+    }
+
+    /// Does what is due.
+    pub fn wake(&mut self, now: Duration, out: &mut Vec<Told>) {
+        if self.left || now < self.beat_at {
+            return;
+        }
+        self.beat_at = now + BEAT;
+        if self.ballot.stands(now) {
+            let wait = Duration::from_millis(self.chance() % 400);
+            match self.ballot.give_up(now, wait) {
+                Some(number) => self.say_voters(now, Message::Released { number }, out),
+                None => {
+                    let number = self.number();
+                    self.ballot.ask(now, number);
+                    self.say_voters(now, Message::Vote { number, roster: self.digest }, out);
+                }
+            }
+        }
+        self.borrow(now, out);
+        self.look(now, out);
+    }
+
+    /// Takes what another process said, proven and in its name.
+    pub fn heard(&mut self, now: Duration, from: Process, said: &[u8], out: &mut Vec<Told>) {
+        let Ok(message) = Message::read(said) else { return };
+        if !self.left && self.roster.contains(&from.name) {
+            self.take(now, from, message, out);
+            self.look(now, out);
+        }
+    }
+
+    /// Gives back all that it has; nothing is said or heard after it. Only for one that uses nothing any more.
+    pub fn leave(&mut self, now: Duration, out: &mut Vec<Told>) {
+        if self.left {
+            return;
+        }
+        if let Some(number) = self.ballot.step_down(now) {
+            self.say_voters(now, Message::Released { number }, out);
+        }
+        self.part = Part::default();
+        if let Some(steward) = self.steward.filter(|s| *s != self.own.name) {
+            out.push(Told::Say(steward, Message::Done.write()));
+        }
+        self.look(now, out);
+        self.left = true;
+    }
+
+    fn take(&mut self, now: Duration, from: Process, message: Message, out: &mut Vec<Told>) {
+        match message {
+            Message::Vote { number, roster } => {
+                let verdict = match self.same_roster(from, roster, out) {
+                    true => self.ballot.on_vote(now, from, number),
+                    false => Verdict::Refused(None),
+                };
+                let answer = match verdict {
+                    Verdict::Granted => Message::Granted { number },
+                    Verdict::Refused(holder) => Message::Refused { number, holder },
+                };
+                self.say(now, from, answer, out);
+            }
+            Message::Granted { number } => self.ballot.on_granted(now, from.name, number),
+            Message::Released { number } => self.ballot.on_released(now, from, number),
+            Message::Borrow { number, roster } => {
+                let same = self.same_roster(from, roster, out);
+                let answer = self.lend(now, from, number, same);
+                self.say(now, from, answer, out);
+            }
+            Message::Lent { number, millionths } => self.on_lent(number, millionths),
+            Message::Refused { holder, .. } | Message::NotHere { holder, .. } => self.on_elsewhere(holder),
+            Message::Done => {
+                if let Some((_, lender)) = &mut self.lender {
+                    lender.done(from);
+                }
+            }
+        }
+    }
+
+    /// As steward; checked now, by this process's own clock, whatever it believed a moment ago.
+    fn lend(&mut self, now: Duration, to: Process, number: Number, same: bool) -> Message {
+        let since = self.ballot.stewards_since(now);
+        let not_here = Message::NotHere { number, holder: self.ballot.holder(now) };
+        let Some(since) = since.filter(|_| same) else { return not_here };
+        if self.lender.as_ref().is_none_or(|(of, _)| *of != since) {
+            self.lender = Some((since, Lender::new(WHOLE - CAREFUL, since)));
+        }
+        let lent = self.lender.as_mut().and_then(|(_, lender)| lender.lend(now, to, number));
+        lent.map_or(not_here, |millionths| Message::Lent { number, millionths })
+    }
+
+    /// As borrower. The part of the latest question counts: it tells of those that came since.
+    fn on_lent(&mut self, number: Number, millionths: u32) {
+        let Some(asked) = self.asked.remove(&number) else { return };
+        self.misses = 0;
+        if number > self.part_of {
+            self.part_of = number;
+            let lent = f64::from(millionths.min(WHOLE - CAREFUL)) / f64::from(WHOLE);
+            self.part = Part { lent, until: asked + usable(LOAN) };
+        }
+    }
+
+    fn on_elsewhere(&mut self, holder: Option<NameKey>) {
+        if let Some(holder) = holder.filter(|h| self.roster.contains(h)) {
+            if self.steward != Some(holder) {
+                (self.steward, self.misses) = (Some(holder), 0);
+            }
+        }
+    }
+
+    fn borrow(&mut self, now: Duration, out: &mut Vec<Told>) {
+        if let Some(own) = self.ballot.stewards_since(now).map(|_| self.own.name) {
+            self.steward = Some(own);
+        } else if self.misses >= 2 || self.steward == Some(self.own.name) {
+            self.steward = None;
+        }
+        self.misses += 1;
+        // Without one, voters are asked in turn: each knows whom it has promised it.
+        let voters = self.ballot.voters();
+        let Some(to) = self.steward.or_else(|| voters.get(self.turn % voters.len().max(1)).copied()) else {
+            return;
+        };
+        self.turn += 1;
+        let number = self.number();
+        self.asked.insert(number, now);
+        while self.asked.len() > ASKED_MOST {
+            self.asked.pop_first();
+        }
+        let question = Message::Borrow { number, roster: self.digest };
+        match to == self.own.name {
+            true => self.take(now, self.own, question, out),
+            false => out.push(Told::Say(to, question.write())),
+        }
+    }
+
+    fn say(&mut self, now: Duration, to: Process, message: Message, out: &mut Vec<Told>) {
+        match to == self.own {
+            true => self.take(now, to, message, out),
+            false => out.push(Told::Say(to.name, message.write())),
+        }
+    }
+
+    fn say_voters(&mut self, now: Duration, message: Message, out: &mut Vec<Told>) {
+        for voter in self.ballot.voters().to_vec() {
+            match voter == self.own.name {
+                true => self.take(now, self.own, message, out),
+                false => out.push(Told::Say(voter, message.write())),
+            }
+        }
+    }
+
+    fn same_roster(&mut self, from: Process, digest: u32, out: &mut Vec<Told>) -> bool {
+        let same = digest == self.digest;
+        if same {
+            self.others.remove(&from.name);
+        } else if self.others.insert(from.name) {
+            out.push(Told::OtherRoster(from.name));
+        }
+        same
+    }
+
+    /// Tells of a change; forgets what was lent under a stewardship that is over.
+    fn look(&mut self, now: Duration, out: &mut Vec<Told>) {
+        let stewards = self.ballot.stewards_since(now);
+        let lends = self.lender.as_ref().map(|(since, _)| *since);
+        if let (Some(_), None) = (lends, stewards) {
+            self.lender = None;
+            out.push(Told::Steward(false));
+        } else if let (None, Some(since)) = (lends, stewards) {
+            self.lender = Some((since, Lender::new(WHOLE - CAREFUL, since)));
+            out.push(Told::Steward(true));
+        }
+    }
+
+    fn number(&mut self) -> Number {
+        self.next += 1;
+        Number(self.next)
+    }
+
+    /// SplitMix64.
+    fn chance(&mut self) -> u64 {
+        self.seed = self.seed.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let z = (self.seed ^ (self.seed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        let z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        z ^ (z >> 31)
+    }
+}
--- /dev/null
+++ b/crates/agreement/src/together.rs
@@ -0,0 +1,88 @@
+//! One member whole: who is there, and what is agreed on, over one envelope.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use bitternlatch_membership::{Event, Membership, Output as Swim};
+
+use crate::{Process, Shares, Told};
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    Send(SocketAddrV4, Vec<u8>),
+    Member(Event),
+    /// All but [`Told::Say`], which is carried out here.
+    Agreed(Told),
+}
+
+pub struct Together {
+    pub member: Membership,
+    pub shares: Shares,
+    swim: Vec<Swim>,
+}
+
+impl Together {
+    pub fn new(member: Membership, seed: u64, now: Duration) -> Together {
+        let own = member.own();
+        let shares = Shares::new(own.name, own.start.process, member.roster(), seed, now);
+        Together { member, shares, swim: Vec::new() }
+    }
+
+    pub fn wake_at(&self) -> Option<Duration> {
+        // One that has given way to a later start says nothing more, and need not be woken for it.
+        let member = self.member.wake_at()?;
+        Some(self.shares.wake_at().map_or(member, |at| at.min(member)))
+    }
+
+    /// Takes a datagram that came from an address.
+    pub fn datagram(&mut self, now: Duration, from: SocketAddrV4, bytes: &[u8], out: &mut Vec<Output>) {
+        self.member.datagram(now, from, bytes, &mut self.swim);
+        self.carry(now, out);
+    }
+
+    /// Does what is due.
+    pub fn wake(&mut self, now: Duration, out: &mut Vec<Output>) {
+        self.member.wake(now, &mut self.swim);
+        let mut told = Vec::new();
+        self.shares.wake(now, &mut told);
+        self.tell(told, out);
+        self.carry(now, out);
+    }
+
+    /// Gives back what it has and says farewell, once nothing is used any more.
+    pub fn leave(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let mut told = Vec::new();
+        self.shares.leave(now, &mut told);
+        self.tell(told, out);
+        self.member.leave(now, &mut self.swim);
+        self.carry(now, out);
+    }
+
+    fn carry(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let mut told = Vec::new();
+        for output in std::mem::take(&mut self.swim) {
+            match output {
+                Swim::Send(to, bytes) => out.push(Output::Send(to, bytes)),
+                Swim::Event(event) => out.push(Output::Member(event)),
+                Swim::Said { name, start, said } => {
+                    self.shares.heard(now, Process { name, start }, &said, &mut told)
+                }
+            }
+        }
+        self.tell(told, out);
+    }
+
+    fn tell(&mut self, told: Vec<Told>, out: &mut Vec<Output>) {
+        let mut swim = Vec::new();
+        for one in told {
+            match one {
+                Told::Say(to, said) => self.member.say(to, &said, &mut swim),
+                other => out.push(Output::Agreed(other)),
+            }
+        }
+        out.extend(swim.into_iter().filter_map(|output| match output {
+            Swim::Send(to, bytes) => Some(Output::Send(to, bytes)),
+            Swim::Event(_) | Swim::Said { .. } => None,
+        }));
+    }
+}
--- a/crates/core/src/budgets.rs
+++ b/crates/core/src/budgets.rs
@@ -134,9 +134,11 @@
         }
     }
 
-    /// Opens the accounts of the settings. Without a ledger each dispatcher spends an even part.
+    /// Opens the accounts of the settings. Without a ledger each dispatcher spends an even part; of rates, among
+    /// peers that know each other, what it is lent. Amounts a period stay even parts: what one that failed has used of its own is
+    /// not known to the others.
     pub(crate) fn open_accounts(&mut self, now: Micros) {
-        let share = 1.0 / f64::from(self.settings.dispatchers.max(1));
+        let share = 1.0 / self.sharers() as f64;
         let classes = &self.settings.classes;
         let number = |name: &str| classes.iter().position(|c| c.name == name).map(|i| i as u16);
         for (i, tenant) in self.settings.tenants.iter().enumerate() {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 mod requests;
 mod sessions;
 pub mod settings;
+mod shares;
 mod timers;
 mod types;
 
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -21,6 +21,7 @@
 use crate::requests::Requests;
 use crate::sessions::Sessions;
 use crate::settings::Settings;
+use crate::shares::Lent;
 use crate::timers::{Timer, Timers};
 use crate::types::{Input, Level, LinkId, Micros, Output, SessionId};
 
@@ -92,6 +93,7 @@
     pub(crate) book: Book,
     pub(crate) leases: Leases,
     pub(crate) peers: Peers,
+    pub(crate) lent: Lent,
     pub(crate) timers: Timers<Timer>,
     pub(crate) probes: BTreeMap<u64, Probe>,
     pub(crate) next_probe: u64,
@@ -126,6 +128,7 @@
             book: Book::default(),
             leases: Leases::default(),
             peers: Peers::default(),
+            lent: Lent::default(),
             timers: Timers::default(),
             probes: BTreeMap::new(),
             next_probe: 1,
@@ -176,6 +179,7 @@
             self.open_accounts(now);
             self.open_leases(now);
         }
+        self.follow_part(now);
         for timer in self.timers.take_due(now) {
             self.on_timer(now, timer, out);
             self.pump(now, out);
@@ -207,6 +211,7 @@
             Input::LinkText { link, text } => self.on_engine_text(now, link, &text, out),
             Input::LinkUnsent { link, attempt } => self.on_unsent(now, link, &attempt, out),
             Input::Standing { standing, there, until } => self.on_standing(standing, there, until),
+            Input::Part { lent, until } => self.on_part(now, lent, until),
             Input::Tick => {}
             Input::Stop => {
                 self.stopping = true;
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -34,7 +34,7 @@
 
     /// What it knows now; `None` where it is to know of nobody. What was told before this process stood still, or has
     /// not been told again in time, is no knowledge: it counts as alone.
-    fn standing(&self, now: Micros) -> Option<Standing> {
+    pub(crate) fn standing(&self, now: Micros) -> Option<Standing> {
         self.settings.cluster.as_ref()?;
         let fresh = self.peers.told.filter(|(_, until)| now < *until);
         Some(fresh.map_or(Standing::Alone, |(standing, _)| standing))
--- /dev/null
+++ b/crates/core/src/shares.rs
@@ -0,0 +1,56 @@
+//! This dispatcher's part of what all share, where it is lent one by its peers: checked at each step, by time.
+
+use bitternlatch_agreement::base;
+use bitternlatch_membership::{Duty, Share, Work};
+use bitternlatch_policy::interface::Event;
+
+use crate::machine::Machine;
+use crate::types::Micros;
+
+/// What was lent last.
+#[derive(Debug, Default)]
+pub(crate) struct Lent {
+    lent: f64,
+    until: Micros,
+    /// The part that budgets and the decision module go by.
+    spends: f64,
+}
+
+impl Machine {
+    /// How many share even parts: all of the roster, or as many as the settings say.
+    pub(crate) fn sharers(&self) -> usize {
+        let listed = self.settings.cluster.as_ref().map(|c| c.roster.len());
+        listed.unwrap_or(self.settings.dispatchers as usize).max(1)
+    }
+
+    pub(crate) fn on_part(&mut self, now: Micros, lent: f64, until: Micros) {
+        if self.settings.cluster.is_some() && (0.0..=1.0).contains(&lent) {
+            (self.lent.lent, self.lent.until) = (lent, until);
+            self.follow_part(now);
+        }
+    }
+
+    /// Lets a part that has ended end, at the moment at which it did, before anything is done: this process may have stood
+    /// still since. What others let go of counts from the step in which it is heard of.
+    pub(crate) fn follow_part(&mut self, now: Micros) {
+        let Some(standing) = self.standing(now) else { return };
+        let careful = base(self.sharers());
+        let ended = now >= self.lent.until;
+        let may = !ended && Duty::of(standing, Work::Safe).share == Share::Lent;
+        let spends = if may { careful + self.lent.lent } else { careful };
+        if spends == self.lent.spends {
+            return;
+        }
+        self.lent.spends = spends;
+        let since = if ended { self.lent.until.min(now) } else { now };
+        self.events.push_back(Event::Share { part: spends, since: since.seconds() });
+        if self.settings.ledger.is_some() {
+            return;
+        }
+        let rates = self.settings.tenants.iter().enumerate();
+        for (i, rate) in rates.filter_map(|(i, t)| Some((i as u32, t.budget.as_ref()?.rate?))) {
+            let whole = (rate.tokens_per_s, rate.burst_tokens);
+            self.book.lend(since.seconds(), i, spends, whole);
+        }
+    }
+}
--- a/crates/core/src/types.rs
+++ b/crates/core/src/types.rs
@@ -115,6 +115,11 @@
         there: Vec<String>,
         until: Micros,
     },
+    /// Lent to this dispatcher of what all share, from 0 to 1, beside its careful part; and until when.
+    Part {
+        lent: f64,
+        until: Micros,
+    },
     /// The time alone.
     Tick,
     /// Take nothing new, answer what is in hand, then say [`Output::Stopped`].
--- a/crates/core/tests/budgets.rs
+++ b/crates/core/tests/budgets.rs
@@ -5,7 +5,6 @@
 use bitternlatch_budget::ledger::{Part, Want};
 use bitternlatch_budget::Amount;
 use bitternlatch_core::{Input, Output, SessionId, Settings};
-use bitternlatch_protocol::engine::{Choice, Chunk, EngineUsage, FromEngine};
 use common::{four, Bench, Told, SETTINGS};
 
 /// 1,000 tokens saved, ten a second.
@@ -35,20 +34,6 @@
     bench.take()
 }
 
-fn end(bench: &mut Bench, told: &Told, prompt: u32, output: u32) {
-    let choice = Choice { index: 0, text: "yes".into(), finish_reason: Some("stop".into()) };
-    let usage = EngineUsage {
-        prompt_tokens: prompt,
-        completion_tokens: output,
-        total_tokens: prompt + output,
-        prompt_tokens_details: None,
-    };
-    let usage = (prompt > 0).then_some(usage);
-    let body = Chunk { choices: vec![choice], usage, kv_transfer_params: None };
-    bench.says(told.link, &FromEngine::Chunk { id: told.id.clone(), body });
-    bench.done(told);
-}
-
 fn charges(bench: &Bench) -> Vec<(u32, Used)> {
     let charge = |o: &Output| match o {
         Output::Charge(e) => Some((e.number, e.used)),
@@ -73,7 +58,7 @@
     let (one, two) = (bench.open(1), bench.open(2));
     let write = begin(&mut bench, one, "query", "k", 800);
     ask(&mut bench, two, "query", "k", 800);
-    end(&mut bench, &write, 107, 20);
+    bench.end(&write, 107, 20);
     ask(&mut bench, two, "query", "k", 800);
     assert_eq!(charges(&bench), [(1, known(107, 20))], "its repeats are charged as the first try");
     let at = |fits: &dyn Fn(&Output) -> bool| bench.out.iter().position(fits).expect("it");
@@ -101,7 +86,7 @@
     ask(&mut bench, session, "query", "k3", 2000);
     assert_eq!(refusal(&mut bench, session), ("budget_too_small".into(), None));
     assert!(charges(&bench).is_empty(), "refusals cost nothing");
-    end(&mut bench, &write, 100, 890);
+    bench.end(&write, 100, 890);
     bench.heard(session);
     bench.pass(after_s - 1.0);
     ask(&mut bench, session, "query", "k4", 100);
@@ -145,9 +130,9 @@
     let mut bench = budgeted();
     let session = bench.open(1);
     let write = begin(&mut bench, session, "query", "k", 200);
-    end(&mut bench, &write, 0, 0);
+    bench.end(&write, 0, 0);
     let write = begin(&mut bench, session, "query", "k2", 200);
-    end(&mut bench, &write, 130, 5000);
+    bench.end(&write, 130, 5000);
     let bound = Used::Possibly(Amount { prompt: 100, output: 200 });
     assert_eq!(
         charges(&bench),
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -242,6 +242,21 @@
         self.says(told.link, &FromEngine::Done { id: told.id.clone(), load: None });
     }
 
+    /// The write's end, with what the host counted; without a prompt it counted nothing.
+    pub fn end(&mut self, told: &Told, prompt: u32, output: u32) {
+        let choice = Choice { index: 0, text: "yes".into(), finish_reason: Some("stop".into()) };
+        let usage = EngineUsage {
+            prompt_tokens: prompt,
+            completion_tokens: output,
+            total_tokens: prompt + output,
+            prompt_tokens_details: None,
+        };
+        let usage = (prompt > 0).then_some(usage);
+        let body = Chunk { choices: vec![choice], usage, kv_transfer_params: None };
+        self.says(told.link, &FromEngine::Chunk { id: told.id.clone(), body });
+        self.done(told);
+    }
+
     pub fn error(&mut self, told: &Told, status: u16, code: Option<&str>) {
         let error = EngineError { message: "no".into(), code: code.map(str::to_string) };
         self.says(told.link, &FromEngine::Error { id: told.id.clone(), status, error, load: None });
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -16,5 +16,5 @@
 
 pub use machine::{Dropping, Event, MemberView, Membership, Output, Peer, Roster, RosterError, State, View};
 pub use member::{Id, NameKey, Start};
-pub use seal::{sender, Dropped, Secret, DATAGRAM_MOST};
+pub use seal::{sender, Dropped, Secret, DATAGRAM_MOST, SAID_MOST};
 pub use standing::{Duty, Share, Standing, Work};
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -1,6 +1,6 @@
 //! One member: the protocol's steps, its timers, and the view that comes of them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -151,6 +151,12 @@
 pub enum Output {
     Send(SocketAddrV4, Vec<u8>),
     Event(Event),
+    /// What a member said of agreement: proven, once, and by the latest start under its name.
+    Said {
+        name: NameKey,
+        start: u64,
+        said: Vec<u8>,
+    },
 }
 
 /// How many datagrams were dropped, by cause.
@@ -274,7 +280,7 @@
                 self.heard.insert(sender.name, now);
             }
         }
-        if let Err(why) = opened.and_then(|(sender, said)| self.take(sender, said)) {
+        if let Err(why) = opened.and_then(|(sender, said)| self.take(sender, said, out)) {
             if let Dropped::OldStart(name, later) = why {
                 self.tell_replaced(name, later, from, out);
             }
@@ -296,13 +302,17 @@
         }
     }
 
-    fn take(&mut self, sender: From, said: &[u8]) -> Result<(), Dropped> {
+    fn take(&mut self, sender: From, said: &[u8], out: &mut Vec<Output>) -> Result<(), Dropped> {
         let own = self.swim.identity().name;
         let later = match sender.kind {
-            Kind::Swim if sender.name == own => sender.process,
+            Kind::Swim | Kind::Agreement if sender.name == own => sender.process,
             // Misled by a forwarder it may come to another than it is meant for.
             Kind::Replaced if said.len() == 12 && word(&said[..4]) == u64::from(own.0) => word(&said[4..]),
             Kind::Replaced => return Err(Dropped::Unreadable),
+            Kind::Agreement => {
+                out.push(Output::Said { name: sender.name, start: sender.process, said: said.to_vec() });
+                return Ok(());
+            }
             Kind::Swim => {
                 return self.swim.handle_data(said, &mut self.runtime).map_err(|_| Dropped::Unreadable)
             }
@@ -497,6 +507,25 @@
         out.push(Output::Event(Event::Fenced(by)));
     }
 
+    /// Says something of agreement to a member of the roster, at most [`SAID_MOST`] bytes.
+    pub fn say(&mut self, to: NameKey, said: &[u8], out: &mut Vec<Output>) {
+        let peer = self.roster.0.get(&to).filter(|_| !self.silent());
+        // Where a member has moved, its own word of it counts more than the roster.
+        let at = self.rows.get(&to).and_then(|row| row.id).map(|id| id.address);
+        if let Some(at) = at.or(peer.map(|p| p.address)).filter(|_| peer.is_some()) {
+            out.push(Output::Send(at, self.sealer.seal(Kind::Agreement, said)));
+        }
+    }
+
+    /// This process, and all of the roster by their short names.
+    pub fn own(&self) -> Id {
+        *self.swim.identity()
+    }
+
+    pub fn roster(&self) -> BTreeSet<NameKey> {
+        self.roster.0.keys().copied().collect()
+    }
+
     /// Names of the roster that are there, as far as this one knows.
     pub fn there(&self) -> Vec<String> {
         let there = self.rows.iter().filter(|(_, row)| row.state.is_there());
--- a/crates/membership/src/seal.rs
+++ b/crates/membership/src/seal.rs
@@ -88,6 +88,8 @@
     Swim,
     /// To a process whose name has a later start: the name's short form, 4 bytes, and that start, 8.
     Replaced,
+    /// Of what members agree on, which is decided elsewhere.
+    Agreement,
 }
 
 impl Kind {
@@ -95,11 +97,12 @@
         match self {
             Kind::Swim => 0,
             Kind::Replaced => 1,
+            Kind::Agreement => 2,
         }
     }
 
     fn of(byte: u8) -> Option<Kind> {
-        [Kind::Swim, Kind::Replaced].into_iter().find(|kind| kind.byte() == byte)
+        [Kind::Swim, Kind::Replaced, Kind::Agreement].into_iter().find(|kind| kind.byte() == byte)
     }
 }
 
--- a/crates/membership/src/simulated.rs
+++ b/crates/membership/src/simulated.rs
@@ -139,6 +139,7 @@
         for output in out {
             match output {
                 Output::Event(event) => self.events.push((self.now, me, event)),
+                Output::Said { .. } => {}
                 Output::Send(to, bytes) => self.send(me, usize::from(to.port()) - 10_000, bytes),
             }
         }
--- a/crates/membership/src/standing.rs
+++ b/crates/membership/src/standing.rs
@@ -37,10 +37,10 @@
 /// Which part of a bound that all dispatchers share may be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Share {
-    /// One part of as many as the roster has.
-    OfRoster,
-    /// What the others have certainly let go of as well.
-    OfLive,
+    /// What each of the roster may spend whatever happens, at once and though what it was lent would count for a while yet.
+    Careful,
+    /// That, and what it was lent, while that counts.
+    Lent,
 }
 
 /// What a dispatcher does in one standing.
@@ -48,7 +48,8 @@
 pub struct Duty {
     /// Whether a request is taken on; one that is not is refused at once, with other addresses to try.
     pub takes: bool,
-    /// Its part of the guard of cold hosts and of even parts of budgets.
+    /// Its part of even parts of budgets. The guard of cold hosts has no parts: it draws for each request by itself, so that its sum
+    /// follows the traffic whoever sends it.
     pub share: Share,
     /// Whether the ready check says so.
     pub ready: bool,
@@ -64,14 +65,14 @@
         use Work::{Keyed, Safe, Unsafe};
         let duty = |takes, share, ready, names_others| Duty { takes, share, ready, names_others };
         match (standing, work) {
-            (Whole | Majority, Safe | Keyed | Unsafe) => duty(true, Share::OfLive, true, true),
-            (CutOff, Safe) => duty(true, Share::OfRoster, true, true),
+            (Whole | Majority, Safe | Keyed | Unsafe) => duty(true, Share::Lent, true, true),
+            (CutOff, Safe) => duty(true, Share::Careful, true, true),
             // A key seen elsewhere may be running there: one that cannot ask does not run it again.
-            (CutOff, Keyed | Unsafe) => duty(false, Share::OfRoster, true, true),
+            (CutOff, Keyed | Unsafe) => duty(false, Share::Careful, true, true),
             // All others dead at once is judged as this one cut off: callers are sent away, what harms nobody
             // is still served for those who can reach no other.
-            (Alone, Safe) => duty(true, Share::OfRoster, false, true),
-            (Alone, Keyed | Unsafe) => duty(false, Share::OfRoster, false, true),
+            (Alone, Safe) => duty(true, Share::Careful, false, true),
+            (Alone, Keyed | Unsafe) => duty(false, Share::Careful, false, true),
         }
     }
 }
@@ -99,7 +100,7 @@
             let knows = standing >= Standing::Majority;
             for work in [Work::Keyed, Work::Unsafe] {
                 assert_eq!(Duty::of(standing, work).takes, knows);
-                assert_eq!(Duty::of(standing, work).share == Share::OfLive, knows);
+                assert_eq!(Duty::of(standing, work).share == Share::Lent, knows);
             }
         }
     }
--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -1,5 +1,6 @@
-//! The clock that the core is given: Unix time at the start, then monotonic.
+//! The clock that the core is given: Unix time at the process's first look, then monotonic.
 
+use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bitternlatch_core::Micros;
@@ -11,9 +12,14 @@
 }
 
 impl Clock {
+    /// The same in all parts of a process: what one of them says counts until a time is held against another's clock, and
+    /// between two looks at the wall clock it may have been set.
     pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { base_us: unix.as_micros() as u64, start: Instant::now() }
+        static FIRST: OnceLock<Clock> = OnceLock::new();
+        *FIRST.get_or_init(|| {
+            let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            Clock { base_us: unix.as_micros() as u64, start: Instant::now() }
+        })
     }
 
     pub fn now(&self) -> Micros {
--- a/crates/peer-net/src/plane.rs
+++ b/crates/peer-net/src/plane.rs
@@ -8,9 +8,10 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use bitternlatch_agreement::{Output, Part, Together, Told as Agreed};
 use bitternlatch_core::settings::Cluster;
 use bitternlatch_core::Micros;
-use bitternlatch_membership::{Event, Membership, Output, Peer, Roster, Secret, Standing, DATAGRAM_MOST};
+use bitternlatch_membership::{Event, Membership, Peer, Roster, Secret, Standing, DATAGRAM_MOST};
 use bitternlatch_net::clock::Clock;
 use bitternlatch_net::lock;
 
@@ -34,6 +35,11 @@
         there: Vec<String>,
         until: Micros,
     },
+    /// Lent to this one of what all share, beside its careful part.
+    Part {
+        lent: f64,
+        until: Micros,
+    },
     /// Another process under this name started later.
     Fenced,
 }
@@ -47,7 +53,7 @@
 struct Loop {
     socket: UdpSocket,
     clock: Clock,
-    member: Arc<Mutex<Membership>>,
+    whole: Arc<Mutex<Together>>,
     stop: Arc<AtomicBool>,
     name: String,
 }
@@ -109,17 +115,15 @@
         let seed = getrandom::u64().map_err(|e| format!("no randomness: {e}"))?;
         let clock = Clock::start();
         let member = Membership::new(name, process, roster, secret, seed, now(&clock));
-        let member = Arc::new(Mutex::new(member));
+        let whole = Together::new(member, seed.rotate_left(32), now(&clock));
+        let whole = Arc::new(Mutex::new(whole));
         let thread = |what: &str| std::thread::Builder::new().name(what.into());
         let no_thread = |e| format!("cluster: no thread: {e}");
-        let (seen, cluster_name, own) = (Arc::clone(&member), cluster.name.clone(), name.to_string());
-        let view = move || {
-            let view = lock(&seen).view();
-            Shown::of(&cluster_name, &own, &view, now(&clock).as_millis() as u64)
-        };
+        let (seen, cluster_name, own) = (Arc::clone(&whole), cluster.name.clone(), name.to_string());
+        let view = move || Shown::of(&cluster_name, &own, &lock(&seen), now(&clock));
         thread("views").spawn(move || views::serve(&listener, view)).map_err(no_thread)?;
         let stop = Arc::new(AtomicBool::new(false));
-        let plane = Loop { socket, clock, member, stop: Arc::clone(&stop), name: name.to_string() };
+        let plane = Loop { socket, clock, whole, stop: Arc::clone(&stop), name: name.to_string() };
         let run = move || plane.run(&mut told);
         let thread = thread("peers").spawn(run).map_err(no_thread)?;
         tracing::info!(cluster = cluster.name, %address, start = process, "in the cluster");
@@ -139,35 +143,47 @@
     Duration::from_micros(clock.now().0)
 }
 
+fn micros(at: Duration) -> Micros {
+    Micros(at.as_micros() as u64)
+}
+
 impl Loop {
     fn run(&self, told: &mut dyn FnMut(Told)) {
         // One more than any datagram of ours, so that a longer one is seen to be longer.
         let mut buffer = [0u8; DATAGRAM_MOST + 1];
         let mut out = Vec::new();
         let mut tell_at = Duration::ZERO;
+        let (mut told_part, mut said) = (Part::default(), Part::default());
         loop {
-            let wake_at = lock(&self.member).wake_at();
+            let wake_at = lock(&self.whole).wake_at();
             let wait = wake_at.map_or(LOOK_EVERY, |at| at.saturating_sub(now(&self.clock)).min(LOOK_EVERY));
             let heard = self.hear(wait, &mut buffer);
-            let mut member = lock(&self.member);
+            let mut whole = lock(&self.whole);
             match heard {
                 Some((SocketAddr::V4(from), n)) => {
-                    member.datagram(now(&self.clock), from, &buffer[..n], &mut out)
+                    whole.datagram(now(&self.clock), from, &buffer[..n], &mut out)
                 }
-                _ => member.wake(now(&self.clock), &mut out),
+                _ => whole.wake(now(&self.clock), &mut out),
             }
             let at = now(&self.clock);
-            let news = out.iter().any(|o| matches!(o, Output::Event(Event::Standing(_))));
+            let news = out.iter().any(|o| matches!(o, Output::Member(Event::Standing(_))));
             if news || at >= tell_at {
                 tell_at = at + TELL_EVERY;
-                let until = Micros((at + COUNTS_FOR).as_micros() as u64);
-                told(Told::Standing { standing: member.standing(), there: member.there(), until });
+                let until = micros(at + COUNTS_FOR);
+                let (standing, there) = (whole.member.standing(), whole.member.there());
+                told(Told::Standing { standing, there, until });
             }
+            let part = whole.shares.part();
+            if part != told_part {
+                told_part = part;
+                told(Told::Part { lent: part.lent, until: micros(part.until) });
+            }
+            said = self.log_part(at, part, said);
             let stop = self.stop.load(Ordering::SeqCst);
             if stop {
-                member.leave(now(&self.clock), &mut out);
+                whole.leave(now(&self.clock), &mut out);
             }
-            drop(member);
+            drop(whole);
             self.carry(&mut out, told);
             if stop {
                 return;
@@ -197,7 +213,8 @@
             match output {
                 // A datagram that cannot be sent is as good as lost, which the protocol bears.
                 Output::Send(to, bytes) => drop(self.socket.send_to(&bytes, to)),
-                Output::Event(event) => {
+                Output::Agreed(agreed) => self.log_agreed(&agreed),
+                Output::Member(event) => {
                     self.log(&event);
                     if matches!(event, Event::Fenced(_)) {
                         told(Told::Fenced);
@@ -207,11 +224,44 @@
         }
     }
 
+    /// A line where what may be spent has changed, with the time until which the part before would have counted; renewals are none.
+    fn log_part(&self, at: Duration, part: Part, said: Part) -> Part {
+        let lent = if at < part.until { part.lent } else { 0.0 };
+        if lent != said.lent {
+            let before_until_us = micros(said.until).0;
+            tracing::info!(
+                me = self.name,
+                at_us = micros(at).0,
+                lent,
+                before_until_us,
+                "its part of what all share"
+            );
+        }
+        Part { lent, until: part.until }
+    }
+
+    fn log_agreed(&self, agreed: &Agreed) {
+        let me = self.name.as_str();
+        match agreed {
+            Agreed::Say(..) => {}
+            Agreed::Steward(true) => tracing::info!(me, "lends parts of what all share"),
+            Agreed::Steward(false) => tracing::info!(me, "lends parts no more"),
+            Agreed::OtherRoster(name) => {
+                let peer = lock(&self.whole).member.name_of(*name);
+                tracing::warn!(
+                    me,
+                    peer,
+                    "was started with another roster; both spend carefully, apart from each other"
+                )
+            }
+        }
+    }
+
     fn log(&self, event: &Event) {
         let (me, at_us) = (self.name.as_str(), self.clock.now().0);
         match event {
             Event::Member { name, state, start } => {
-                let named = lock(&self.member).name_of(*name);
+                let named = lock(&self.whole).member.name_of(*name);
                 tracing::info!(me, at_us, peer = named, state = ?state, start = start.process, "a member");
             }
             Event::Standing(standing) => tracing::warn!(me, at_us, standing = ?standing, "standing"),
--- a/crates/peer-net/src/views.rs
+++ b/crates/peer-net/src/views.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
-use bitternlatch_membership::View;
+use bitternlatch_agreement::{base, Together};
 use serde::{Deserialize, Serialize};
 
 /// The one question there is.
@@ -29,6 +29,12 @@
     /// The later start under its name to which it has given way.
     pub fenced_by: Option<u64>,
     pub at_ms: u64,
+    /// Whom it asks for its part of what all share; empty where it knows nobody.
+    #[serde(default)]
+    pub steward: String,
+    /// What it may spend of the whole now, from 0 to 1.
+    #[serde(default)]
+    pub part: f64,
     pub members: Vec<Line>,
     /// Datagrams not taken, by cause.
     pub dropped: BTreeMap<String, u64>,
@@ -45,7 +51,10 @@
 }
 
 impl Shown {
-    pub(crate) fn of(cluster: &str, name: &str, view: &View, at_ms: u64) -> Shown {
+    pub(crate) fn of(cluster: &str, name: &str, whole: &Together, now: Duration) -> Shown {
+        let view = whole.member.view();
+        let part = whole.shares.part();
+        let lent = if now < part.until { part.lent } else { 0.0 };
         let line = |m: &bitternlatch_membership::MemberView| Line {
             name: m.name.clone(),
             address: m.address.to_string(),
@@ -62,7 +71,9 @@
             comebacks: view.me.start.comeback,
             standing: format!("{:?}", view.standing).to_lowercase(),
             fenced_by: view.fenced_by.map(|s| s.process),
-            at_ms,
+            at_ms: now.as_millis() as u64,
+            steward: whole.shares.steward().map(|key| whole.member.name_of(key)).unwrap_or_default(),
+            part: lent + base(whole.member.roster().len()),
             members: view.members.iter().map(line).collect(),
             dropped: view.dropped.iter().map(|(why, n)| (why.name().to_string(), *n)).collect(),
         }
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -233,6 +233,7 @@
     links: BTreeMap<u16, (f64, f64)>,
     typical: (f64, f64),        // Mean uncached and total tokens of a read.
     allowance: Vec<(f64, f64)>, // Per tenant: requests in hand within the share, and when counted.
+    part: f64,                  // This router's of what all share.
     lateness: (f64, f64),       // Mean first-token delay beyond promise, and when it was seen.
     retries: f64,
 }
@@ -262,6 +263,7 @@
         Router {
             pools: vec![REPORT_PRIOR.map(|prior| (prior, 0.0)); settings.kinds.len()],
             allowance: vec![(f64::INFINITY, 0.0); settings.tenants.len()],
+            part: 1.0 / f64::from(settings.dispatchers),
             set: settings,
             seed,
             servers: BTreeMap::new(),
@@ -292,6 +294,7 @@
                 self.take_report(now, server, &report);
                 self.on_probe(now, server, outcome, elapsed_s, out);
             }
+            Event::Share { part, since } => self.on_share(part, since),
             Event::PlaceAnswer { .. } | Event::PeerMessage { .. } => {}
         }
     }
@@ -580,13 +583,28 @@
         fade(self.lateness, now, FADE_HALF_S).max(ages().sum::<f64>() / ages().count().max(1) as f64)
     }
 
+    /// Another part of what all share, from a moment on that may lie back; until then the last one counts.
+    fn on_share(&mut self, part: f64, since: f64) {
+        for tenant in 0..self.allowance.len() as u32 {
+            self.fill_share(tenant, since);
+        }
+        self.part = part;
+    }
+
+    /// Requests that a tenant may begin here within its share.
+    fn fill_share(&mut self, tenant: u32, now: f64) -> Option<&mut (f64, f64)> {
+        let slot = self.allowance.get_mut(tenant as usize)?;
+        let part = self.set.tenants[tenant as usize].quota_rps * self.part;
+        let burst = SHARE_BURST.0 * part + SHARE_BURST.1;
+        *slot = ((slot.0 + (now - slot.1).max(0.0) * part).min(burst), now.max(slot.1));
+        Some(slot)
+    }
+
     /// Whether a tenant's traffic here runs above this router's part of its share.
     fn over_share(&mut self, now: f64, tenant: u32) -> bool {
-        let Some(slot) = self.allowance.get_mut(tenant as usize) else { return false };
-        let part = self.set.tenants[tenant as usize].quota_rps / f64::from(self.set.dispatchers);
-        let burst = SHARE_BURST.0 * part + SHARE_BURST.1;
-        let left = (slot.0 + (now - slot.1) * part).min(burst);
-        *slot = ((left - 1.0).max(0.0), now);
+        let Some(slot) = self.fill_share(tenant, now) else { return false };
+        let left = slot.0;
+        slot.0 = (left - 1.0).max(0.0);
         left < 1.0
     }
 
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -243,15 +243,45 @@
 /// What a router is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
-    Servers { form: ListForm, entries: Vec<ServerEntry> },
+    Servers {
+        form: ListForm,
+        entries: Vec<ServerEntry>,
+    },
     Arrival(Request),
-    FirstToken { request: RequestId, attempt: u16, server: ServerId, elapsed_s: f64 },
-    PlaceAnswer { request: RequestId, attempt: u16, server: ServerId, held: bool },
+    FirstToken {
+        request: RequestId,
+        attempt: u16,
+        server: ServerId,
+        elapsed_s: f64,
+    },
+    PlaceAnswer {
+        request: RequestId,
+        attempt: u16,
+        server: ServerId,
+        held: bool,
+    },
     AttemptEnded(AttemptEnd),
-    ClientGone { request: RequestId },
-    Timer { label: u64 },
-    ProbeEnded { server: ServerId, outcome: Outcome, elapsed_s: f64, report: Vec<f64> },
-    PeerMessage { from: u32, data: Vec<u8> },
+    ClientGone {
+        request: RequestId,
+    },
+    Timer {
+        label: u64,
+    },
+    ProbeEnded {
+        server: ServerId,
+        outcome: Outcome,
+        elapsed_s: f64,
+        report: Vec<f64>,
+    },
+    PeerMessage {
+        from: u32,
+        data: Vec<u8>,
+    },
+    /// This router's part of what all share, from 0 to 1, and since when; before the first, an even one.
+    Share {
+        part: f64,
+        since: f64,
+    },
 }
 
 /// What a router wants done, in order.
--- a/crates/policy/tests/defences.rs
+++ b/crates/policy/tests/defences.rs
@@ -211,6 +211,29 @@
     assert!(refused_of(0) > refused_of(1));
 }
 
+#[test]
+fn a_part_of_the_share_counts_from_its_moment_and_shrinks_at_once() {
+    // Of 200 requests a second a router of a hundred has two; with the whole, a burst of 400.
+    let refused_with = |parts: &[(f64, f64)]| {
+        let tenants = vec![TenantSettings { quota_rps: 200.0 }];
+        let set = Settings { tenants, dispatchers: 100, over_share_worth: 0.0, ..settings(Effect::Safe) };
+        let mut desk = Desk::new(set);
+        for (part, ago) in parts {
+            desk.tell(Event::Share { part: *part, since: desk.now - ago });
+            desk.pass(10.0);
+        }
+        (1..60).for_each(|id| drop(desk.arrive(plain(id))));
+        (1..60).filter(|id| refused(&desk.log, *id)).count()
+    };
+    let alone = refused_with(&[]);
+    assert!(alone > 40, "{alone}");
+    // What the fleet cannot bear is refused whatever the share.
+    let whole = refused_with(&[(1.0, 0.0)]);
+    assert!(whole < alone / 2, "{whole} against {alone}");
+    assert_eq!(refused_with(&[(1.0, 0.0), (0.01, 0.0)]), alone, "shrunk");
+    assert!(refused_with(&[(0.0, 20.0), (0.0, 0.0)]) >= alone);
+}
+
 #[test]
 fn restarts_are_told_by_boot_time_and_clear_what_was_believed() {
     let mut desk = Desk::new(settings(Effect::Safe));
--- a/programs/badday/src/lib.rs
+++ b/programs/badday/src/lib.rs
@@ -8,4 +8,4 @@
 pub mod process;
 pub mod run;
 pub mod secured;
-mod views;
+pub mod views;
--- a/programs/badday/src/views.rs
+++ b/programs/badday/src/views.rs
@@ -11,6 +11,10 @@
 const CAUSE_US: u64 = 4_000_000;
 /// A member that is cut off from the majority knows it within this.
 const KNOWN_US: u64 = 5_000_000;
+/// How long a part may be used after it was asked for.
+const PART_US: u64 = 1_470_000;
+/// What is not spent carefully by each, and the width of the figures.
+const MOST_LENT: f64 = 0.9 + 1e-6;
 /// Loss above which a living member may be taken for dead.
 const MUCH_LOST: f64 = 0.1;
 
@@ -26,6 +30,8 @@
     peer: Option<String>,
     state: Option<String>,
     standing: Option<String>,
+    lent: Option<f64>,
+    before_until_us: Option<u64>,
 }
 
 /// What members said: of each other, and of their own standing.
@@ -35,6 +41,8 @@
     pub downs: Vec<(u64, usize, usize)>,
     /// When, by whom, what.
     pub standings: Vec<(u64, usize, String)>,
+    /// By member, in order: since when, how much it was lent, and until when that before it counted.
+    pub parts: BTreeMap<usize, Vec<(u64, f64, u64)>>,
 }
 
 fn number(name: &str) -> Option<usize> {
@@ -56,6 +64,7 @@
     }
     said.downs.sort_unstable();
     said.standings.sort();
+    said.parts.values_mut().for_each(|parts| parts.sort_by_key(|p| p.0));
     Ok(said)
 }
 
@@ -65,12 +74,37 @@
         if let Some(standing) = line.standing {
             self.standings.push((at, me, standing));
         }
+        if let (Some(lent), Some(until)) = (line.lent, line.before_until_us) {
+            self.parts.entry(me).or_default().push((at, lent, until));
+        }
         let peer = line.peer.as_deref().and_then(number);
         if let (Some("Down"), Some(peer)) = (line.state.as_deref(), peer) {
             self.downs.push((at, me, peer));
         }
     }
 
+    /// How much all were lent together at most, and when.
+    fn most_lent(&self, truths: &[Truth]) -> (f64, u64) {
+        let mut changes: Vec<(u64, f64)> = Vec::new();
+        for (member, parts) in &self.parts {
+            for (i, (at, lent, _)) in parts.iter().enumerate() {
+                let end = part_ends(*at, parts.get(i + 1), *member, truths);
+                changes.extend([(*at, *lent), (end.max(*at), -lent)]);
+            }
+        }
+        // What ends at a moment has ended when another begins at it.
+        changes.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let mut now = 0.0;
+        changes.iter().fold((0.0, 0), |most, (at, change)| {
+            now += change;
+            if now > most.0 {
+                (now, *at)
+            } else {
+                most
+            }
+        })
+    }
+
     /// The standing that a member had at a time, by its own word.
     fn standing(&self, of: usize, at: u64) -> Option<&str> {
         let mut before = self.standings.iter().filter(|(t, by, _)| *by == of && *t <= at);
@@ -78,6 +112,27 @@
     }
 }
 
+/// How much members were lent together at most, by the logs of a folder; where none of them was killed.
+///
+/// # Errors
+/// Where the folder or a log cannot be read.
+pub fn lent_at_most(dir: &Path) -> Result<f64, String> {
+    Ok(read(dir)?.most_lent(&[]).0)
+}
+
+/// When a part that was lent at a time ended: with the next line of its process, or by the time that this line names; one whose
+/// process was killed a part's life after that. The last of the day ends with it.
+fn part_ends(at: u64, next: Option<&(u64, f64, u64)>, member: usize, truths: &[Truth]) -> u64 {
+    let Some((next, _, until)) = next else { return u64::MAX };
+    if *until > at {
+        return *next.min(until);
+    }
+    let killed =
+        |t: &&Truth| matches!(t.what, Happened::Away(i) if i == member) && (at..*next).contains(&t.from_us);
+    let killed = truths.iter().find(killed).map(|t| t.from_us + PART_US);
+    killed.map_or(*next, |end| end.min(*next))
+}
+
 /// What members believed without cause, or failed to see; up to `end`, when they were told to stop.
 pub(crate) fn judge(said: &Said, truths: &[Truth], count: usize, end: u64) -> Vec<String> {
     let mut wrong: Vec<String> = Vec::new();
@@ -112,6 +167,10 @@
             }
         }
     }
+    let (lent, at) = said.most_lent(truths);
+    if lent > MOST_LENT {
+        wrong.push(format!("at {at} us members were lent {lent:.4} of what all share, more than there is"));
+    }
     let last: BTreeMap<usize, &str> = (0..count).filter_map(|i| Some((i, said.standing(i, end)?))).collect();
     for i in (0..count).filter(|i| last.get(i) != Some(&"Whole")) {
         wrong.push(format!("dispatch-{} ended the day as {:?} and not whole", i + 1, last.get(&i)));
@@ -130,7 +189,7 @@
 
     fn whole(count: usize) -> Said {
         let standings = (0..count).map(|i| (S, i, "Whole".to_string())).collect();
-        Said { downs: vec![], standings }
+        Said { standings, ..Said::default() }
     }
 
     fn cut(from: u64, to: u64) -> Truth {
@@ -151,6 +210,23 @@
         }
     }
 
+    #[test]
+    fn parts_may_not_add_up_to_more_than_there_is() {
+        let mut said = whole(2);
+        let lent = [(0, vec![(2 * S, 0.9, 0), (5 * S, 0.0, 4 * S)]), (1, vec![(4 * S, 0.9, 0)])];
+        said.parts = lent.into_iter().collect();
+        assert!(judge(&said, &[], 2, 60 * S).is_empty(), "the first one's had ended by its time");
+        said.parts.insert(1, vec![(4 * S - 1, 0.9, 0)]);
+        let wrong = judge(&said, &[], 2, 60 * S);
+        assert!(wrong.len() == 1 && wrong[0].contains("lent 1.8000"), "{wrong:?}");
+        // Killed at the third second: no line tells of its end.
+        said.parts.insert(0, vec![(2 * S, 0.9, 0), (9 * S, 0.0, 0)]);
+        let killed = [Truth { from_us: 3 * S, to_us: 8 * S, what: Happened::Away(0) }];
+        assert!(!judge(&said, &killed, 2, 60 * S).is_empty());
+        said.parts.insert(1, vec![(3 * S + PART_US, 0.9, 0)]);
+        assert!(judge(&said, &killed, 2, 60 * S).is_empty());
+    }
+
     #[test]
     fn who_is_cut_off_has_to_see_it_and_all_have_to_find_each_other_again() {
         let truths = [cut(10 * S, 20 * S)];
--- a/programs/badday/tests/cluster.rs
+++ b/programs/badday/tests/cluster.rs
@@ -1,82 +1,14 @@
 //! Several processes of the program that know each other, with faults between them and to them.
 mod common;
 
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket};
-use std::time::{Duration, Instant};
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::time::Duration;
 
-use bitternlatch_badday::between::{Between, Rule};
+use bitternlatch_badday::between::Rule;
 use bitternlatch_badday::process::Dispatcher;
-use bitternlatch_peer_net::{ask, Shown};
-use common::{between, cluster_table, folder, free_for_peers, image, CUT, SETTINGS};
-
-/// One host, which is not there.
-const LIST: &str = "name,address,port,kind,cell,zone,state\nr1,127.0.0.1,1,reader,c,pos-site,ready\n";
-const SOON: Duration = Duration::from_secs(30);
-
-/// Dispatchers without hosts, whose datagrams to each other pass relays.
-struct Cluster {
-    dispatchers: Vec<Dispatcher>,
-    addresses: Vec<SocketAddrV4>,
-    between: Between,
-}
-
-fn cluster(name: &str, count: usize) -> Cluster {
-    cluster_but(name, count, |_, _| true)
-}
-
-/// One whose members' rosters may lack others: `lists` tells by numbers whether the one has the other in its own.
-fn cluster_but(name: &str, count: usize, lists: impl Fn(usize, usize) -> bool) -> Cluster {
-    let dir = folder(name);
-    std::fs::write(dir.join("hosts.csv"), LIST).expect("a list");
-    std::fs::write(dir.join("secret"), "sixteen bytes or more").expect("a secret");
-    std::fs::write(dir.join("other"), "another secret altogether").expect("a secret");
-    let settings: toml::Table = toml::from_str(SETTINGS).expect("settings");
-    let addresses = free_for_peers(count);
-    let (between, roster) = between(&addresses);
-    let mut dispatchers = Vec::new();
-    for (me, own) in addresses.iter().enumerate() {
-        let mut one = Dispatcher::new(&dir, me + 1, count, &settings).expect("an address");
-        let kept = format!("dispatch-{}.start", me + 1);
-        let own_roster =
-            roster.iter().enumerate().filter(|(other, _)| lists(me, *other)).map(|(_, line)| line.clone());
-        one.set("cluster", cluster_table("secret", *own, &kept, &own_roster.collect::<Vec<_>>()));
-        one.without_record();
-        one.start(&image()).expect("a process");
-        dispatchers.push(one);
-    }
-    let cluster = Cluster { dispatchers, addresses, between };
-    cluster.all_whole();
-    cluster
-}
-
-impl Cluster {
-    fn view(&self, of: usize) -> Option<Shown> {
-        ask(SocketAddr::V4(self.addresses[of]), Duration::from_secs(5)).ok()
-    }
-
-    fn standing(&self, of: usize) -> String {
-        self.view(of).map_or("not there".into(), |v| v.standing)
-    }
-
-    fn state(&self, of: usize, at: usize) -> String {
-        let name = &self.dispatchers[of].name;
-        let line = self.view(at).and_then(|v| v.members.into_iter().find(|m| m.name == *name));
-        line.map_or("not there".into(), |l| l.state)
-    }
-
-    fn until(&self, what: &str, fits: impl Fn() -> bool) {
-        let by = Instant::now() + SOON;
-        while !fits() {
-            let all: Vec<_> = (0..self.addresses.len()).map(|i| self.view(i)).collect();
-            assert!(Instant::now() < by, "{what} has not come: {all:#?}");
-            std::thread::sleep(Duration::from_millis(50));
-        }
-    }
-
-    fn all_whole(&self) {
-        self.until("a whole", || (0..self.addresses.len()).all(|i| self.standing(i) == "whole"));
-    }
-}
+use bitternlatch_peer_net::ask;
+use common::cluster::{cluster, cluster_but, LIST, SOON};
+use common::{cluster_table, folder, free_for_peers, image, CUT, SETTINGS};
 
 #[test]
 fn one_that_is_killed_is_missed_and_comes_back_as_a_later_start() {
--- a/programs/badday/tests/common/mod.rs
+++ b/programs/badday/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Stand-ins in this process, a dispatcher as a process of its own, and clients.
 #![allow(dead_code)]
 
+pub mod cluster;
+
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
--- a/programs/cluster/src/lib.rs
+++ b/programs/cluster/src/lib.rs
@@ -50,7 +50,8 @@
     if let Some(by) = view.fenced_by {
         let _ = write!(text, ", has given way to start {by}");
     }
-    text.push('\n');
+    let steward = if view.steward.is_empty() { "nobody known" } else { &view.steward };
+    let _ = writeln!(text, "\n  spends {:.3} of what all share, lent by {steward}", view.part);
     let _ = writeln!(text, "  {:<20} {:<21} {:<8} {:>10}  evidence", "member", "address", "state", "for s");
     for m in &view.members {
         let for_s = view.at_ms.saturating_sub(m.since_ms) as f64 / 1000.0;
@@ -88,6 +89,8 @@
             standing: "whole".into(),
             fenced_by: None,
             at_ms: 3_500,
+            steward: "b".into(),
+            part: 0.5,
             members: others.iter().map(line).collect(),
             dropped: BTreeMap::from([("proof".to_string(), 2)]),
         };
@@ -108,6 +111,7 @@
         let (_, shown) = view("a", &[("b", "suspect")]);
         let text = table(&shown.expect("a view"));
         assert!(text.starts_with("a of hall, start 7: whole\n"), "{text}");
+        assert!(text.contains("spends 0.500 of what all share, lent by b\n"), "{text}");
         assert!(
             text.contains("suspect") && text.contains("2.5") && text.contains("dropped: proof 2"),
             "{text}"
--- a/programs/dispatch/src/lib.rs
+++ b/programs/dispatch/src/lib.rs
@@ -219,6 +219,9 @@
             // A loop that is behind gets the next one; what it has is no longer believed then.
             let _ = to.try_send(Event::Input(Input::Standing { standing, there, until }));
         }
+        Told::Part { lent, until } => {
+            let _ = to.try_send(Event::Input(Input::Part { lent, until }));
+        }
         Told::Fenced => {
             fenced.store(true, Ordering::SeqCst);
             let _ = to.send(Event::Input(Input::Stop));
