--- a/crates/agreement/src/lender.rs
+++ b/crates/agreement/src/lender.rs
@@ -73,6 +73,11 @@
         self.borrowers.remove(&who);
     }
 
+    /// Whether this one may be using a part.
+    pub fn counts(&self, who: &Process) -> bool {
+        self.borrowers.contains_key(who)
+    }
+
     fn forget(&mut self, now: Duration) {
         self.borrowers.retain(|_, b| {
             b.parts.retain(|p| now < p.until);
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`Ballot`]: a few voters let one of themselves at a time be steward, by promises that end by the clock
 //!   (leases: Gray and Cheriton, 1989; by a majority and without a disk: PaxosLease, Trencseni and others, 2012).
 //! - [`Lender`]: the steward lends parts of what all share to those that ask; a part ends by the clock.
+//! - What members have seen of hosts goes to the steward with each question, and to the others with its answers.
 //! - [`Shares`]: one member's part in both.
 //! - [`Together`]: that and the membership, over one envelope.
 //!
@@ -12,12 +13,14 @@
 //! answer that comes late, after a pause of any length, is worth that much less.
 
 mod ballot;
+mod hearsay;
 mod lender;
 mod message;
 mod shares;
 mod together;
 
 pub use ballot::{voters, Ballot, Verdict, LEASE};
+pub use hearsay::{Hearsay, Host, Sight, Trait, HEARSAY_MOST, SIGHTS_MOST};
 pub use lender::{Lender, LOAN};
 pub use message::{Message, Unreadable, MESSAGE_MOST};
 pub use shares::{base, Part, Shares, Told};
--- a/crates/agreement/src/shares.rs
+++ b/crates/agreement/src/shares.rs
@@ -5,7 +5,8 @@
 
 use bitternlatch_membership::NameKey;
 
-use crate::{usable, Ballot, Lender, Message, Number, Process, Verdict, LOAN};
+use crate::hearsay::{latest, Gathered};
+use crate::{usable, Ballot, Hearsay, Host, Lender, Message, Number, Process, Sight, Trait, Verdict, LOAN};
 
 /// Between two steps: a steward asks its voters anew, a borrower its steward. A part is asked for five times before it ends.
 const BEAT: Duration = Duration::from_millis(300);
@@ -34,6 +35,11 @@
     Say(NameKey, Vec<u8>),
     /// This process has become steward, or is it no more.
     Steward(bool),
+    /// What others see of hosts, and how many of them tell anything.
+    Heard {
+        of: u16,
+        heard: Vec<Hearsay>,
+    },
     /// That member was started with another roster; neither helps the other, and both spend carefully.
     OtherRoster(NameKey),
 }
@@ -45,6 +51,9 @@
     digest: u32,
     ballot: Ballot,
     lender: Option<(Duration, Lender)>,
+    /// As steward: what members see.
+    gathered: Gathered,
+    seen: BTreeMap<(Host, Trait), Duration>,
     next: u64,
     beat_at: Duration,
     asked: BTreeMap<Number, Duration>,
@@ -72,6 +81,8 @@
             roster,
             digest,
             lender: None,
+            gathered: Gathered::default(),
+            seen: BTreeMap::new(),
             next: 0,
             beat_at: now,
             asked: BTreeMap::new(),
@@ -95,6 +106,11 @@
         self.part
     }
 
+    /// All that this member sees of hosts now, and since when, by its clock.
+    pub fn sees(&mut self, seen: BTreeMap<(Host, Trait), Duration>) {
+        self.seen = seen;
+    }
+
     /// Whom it asks.
     pub fn steward(&self) -> Option<NameKey> {
         self.steward
@@ -167,42 +183,57 @@
             }
             Message::Granted { number } => self.ballot.on_granted(now, from.name, number),
             Message::Released { number } => self.ballot.on_released(now, from, number),
-            Message::Borrow { number, roster } => {
+            Message::Borrow { number, roster, seen } => {
                 let same = self.same_roster(from, roster, out);
-                let answer = self.lend(now, from, number, same);
+                let answer = self.lend(now, from, number, same.then_some(&seen));
                 self.say(now, from, answer, out);
             }
-            Message::Lent { number, millionths } => self.on_lent(number, millionths),
+            Message::Lent { number, millionths, of, heard } => {
+                if self.on_lent(number, millionths) {
+                    out.push(Told::Heard { of, heard });
+                }
+            }
             Message::Refused { holder, .. } | Message::NotHere { holder, .. } => self.on_elsewhere(holder),
             Message::Done => {
                 if let Some((_, lender)) = &mut self.lender {
                     lender.done(from);
+                    self.gathered.forget(from);
                 }
             }
         }
     }
 
     /// As steward; checked now, by this process's own clock, whatever it believed a moment ago.
-    fn lend(&mut self, now: Duration, to: Process, number: Number, same: bool) -> Message {
+    fn lend(&mut self, now: Duration, to: Process, number: Number, seen: Option<&Vec<Sight>>) -> Message {
         let since = self.ballot.stewards_since(now);
         let not_here = Message::NotHere { number, holder: self.ballot.holder(now) };
-        let Some(since) = since.filter(|_| same) else { return not_here };
+        let Some((since, seen)) = since.zip(seen) else { return not_here };
         if self.lender.as_ref().is_none_or(|(of, _)| *of != since) {
-            self.lender = Some((since, Lender::new(WHOLE - CAREFUL, since)));
+            self.begin_lending(since);
         }
-        let lent = self.lender.as_mut().and_then(|(_, lender)| lender.lend(now, to, number));
-        lent.map_or(not_here, |millionths| Message::Lent { number, millionths })
+        let Some((_, lender)) = &mut self.lender else { return not_here };
+        let Some(millionths) = lender.lend(now, to, number) else { return not_here };
+        self.gathered.keep(|who| lender.counts(who));
+        self.gathered.told(now, to, seen);
+        let (of, heard) = self.gathered.for_member(now, to);
+        Message::Lent { number, millionths, of, heard }
+    }
+
+    fn begin_lending(&mut self, since: Duration) {
+        self.lender = Some((since, Lender::new(WHOLE - CAREFUL, since)));
+        self.gathered = Gathered::default();
     }
 
-    /// As borrower. The part of the latest question counts: it tells of those that came since.
-    fn on_lent(&mut self, number: Number, millionths: u32) {
-        let Some(asked) = self.asked.remove(&number) else { return };
+    /// As borrower. The answer to the latest question counts: it tells of those that came since.
+    fn on_lent(&mut self, number: Number, millionths: u32) -> bool {
+        let Some(asked) = self.asked.remove(&number) else { return false };
         self.misses = 0;
         if number > self.part_of {
             self.part_of = number;
             let lent = f64::from(millionths.min(WHOLE - CAREFUL)) / f64::from(WHOLE);
             self.part = Part { lent, until: asked + usable(LOAN) };
         }
+        number == self.part_of
     }
 
     fn on_elsewhere(&mut self, holder: Option<NameKey>) {
@@ -231,7 +262,12 @@
         while self.asked.len() > ASKED_MOST {
             self.asked.pop_first();
         }
-        let question = Message::Borrow { number, roster: self.digest };
+        let seen = self.seen.iter().map(|((host, what), since)| Sight {
+            host: *host,
+            what: *what,
+            age: now.saturating_sub(*since),
+        });
+        let question = Message::Borrow { number, roster: self.digest, seen: latest(seen.collect()) };
         match to == self.own.name {
             true => self.take(now, self.own, question, out),
             false => out.push(Told::Say(to, question.write())),
@@ -248,7 +284,7 @@
     fn say_voters(&mut self, now: Duration, message: Message, out: &mut Vec<Told>) {
         for voter in self.ballot.voters().to_vec() {
             match voter == self.own.name {
-                true => self.take(now, self.own, message, out),
+                true => self.take(now, self.own, message.clone(), out),
                 false => out.push(Told::Say(voter, message.write())),
             }
         }
@@ -272,7 +308,7 @@
             self.lender = None;
             out.push(Told::Steward(false));
         } else if let (None, Some(since)) = (lends, stewards) {
-            self.lender = Some((since, Lender::new(WHOLE - CAREFUL, since)));
+            self.begin_lending(since);
             out.push(Told::Steward(true));
         }
     }
--- a/crates/agreement/tests/shares.rs
+++ b/crates/agreement/tests/shares.rs
@@ -279,7 +279,7 @@
     assert!((world.spends(0) - 0.45 - base(3)).abs() < 1e-4, "{}", world.spends(0));
     let mut told = vec![];
     let (clock, from) = (world.members[0].clock(world.now), Process { name: name(2), start: 9 });
-    let question = Message::Borrow { number: Number(1), roster: 1 };
+    let question = Message::Borrow { number: Number(1), roster: 1, seen: vec![] };
     let mut fresh = Shares::new(name(0), 1, (0..3).map(name).collect(), 1, clock);
     fresh.heard(clock, from, &question.write(), &mut told);
     fresh.heard(clock, from, &question.write(), &mut told);
@@ -305,7 +305,7 @@
         }
     }
     let from = Process { name: name(0), start: 1 };
-    let lent = |number, millionths| Message::Lent { number, millionths }.write();
+    let lent = |number, millionths| Message::Lent { number, millionths, of: 2, heard: vec![] }.write();
     shares.heard(at(310), from, &lent(numbers[1], 100_000), &mut told);
     shares.heard(at(320), from, &lent(numbers[0], 900_000), &mut told);
     assert_eq!(shares.part(), Part { lent: 0.1, until: at(300 + 1470) });
--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -320,6 +320,7 @@
         if outcome == (Outcome::Full { state_gone: true }) {
             request.state = None;
         }
+        self.note_outcome(now, attempt.host, outcome);
         if attempt.stage == Stage::Streaming && outcome != Outcome::Served {
             self.fail(now, id, "server_error", "the answer broke off; it may have run", out);
         }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The hosts: what the list says, what each says of itself, and the entry that the decision module is given.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bitternlatch_inventory::{Host, HostState};
 use bitternlatch_policy::interface::{Role, ServerEntry, ServerId, Standing};
@@ -22,12 +22,15 @@
     said: EngineState,
     /// Clock seconds of the start that it told; 0 = not told.
     booted_at: f64,
+    /// By the word of peers, while the own list cannot be read.
+    drained_elsewhere: bool,
 }
 
 impl Known {
     fn standing(&self) -> Standing {
         match (self.host.state, self.said) {
             (HostState::Gone, _) => Standing::Gone,
+            (HostState::Ready, EngineState::Ready) if self.drained_elsewhere => Standing::Draining,
             (HostState::Draining, _) | (_, EngineState::Draining) => Standing::Draining,
             (HostState::Ready, EngineState::Ready) => Standing::Ready,
         }
@@ -37,6 +40,15 @@
         self.standing() == Standing::Ready
     }
 
+    /// By the list or its own word.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.host.state == HostState::Draining || self.said == EngineState::Draining
+    }
+
+    pub(crate) fn booted_at(&self) -> Option<Micros> {
+        (self.booted_at > 0.0).then(|| Micros::at(self.booted_at))
+    }
+
     fn entry(&self, id: ServerId) -> ServerEntry {
         ServerEntry {
             id,
@@ -93,6 +105,29 @@
         self.hosts.get(&id)
     }
 
+    /// All but those that are gone.
+    pub(crate) fn listed(&self) -> impl Iterator<Item = (ServerId, &Known)> {
+        self.hosts.iter().filter(|(_, k)| k.standing() != Standing::Gone).map(|(id, k)| (*id, k))
+    }
+
+    /// Those that take work.
+    pub(crate) fn ready(&self) -> impl Iterator<Item = ServerId> + '_ {
+        self.hosts.iter().filter(|(_, k)| k.takes_work()).map(|(id, _)| *id)
+    }
+
+    /// Holds these for draining by the word of others, and no more those that were before; gives what changed.
+    pub(crate) fn drained_elsewhere(&mut self, hosts: BTreeSet<ServerId>) -> Vec<ServerEntry> {
+        let mut changed = Vec::new();
+        for (id, known) in &mut self.hosts {
+            let so = hosts.contains(id);
+            if known.drained_elsewhere != so {
+                known.drained_elsewhere = so;
+                changed.push(known.entry(*id));
+            }
+        }
+        changed
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.hosts.len()
     }
@@ -124,7 +159,8 @@
             if moved && !gone {
                 change.dial.push(id);
             }
-            let known = Known { host, role, kind: kind as u16, cell, zone, said, booted_at };
+            let kind = kind as u16;
+            let known = Known { host, role, kind, cell, zone, said, booted_at, drained_elsewhere: false };
             if was_open && !known.takes_work() {
                 change.closed.push(id);
             }
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -98,7 +98,7 @@
             }
         }
         if !self.may_take(now, wanted.class) {
-            return Err(self.sent_elsewhere());
+            return Err(self.sent_elsewhere(now));
         }
         if self.requests.len() >= self.settings.requests.in_hand {
             return Err(too_many("the dispatcher has as many requests in hand as it may").into());
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 mod callers;
 mod carry;
 mod contexts;
+mod evidence;
 mod fleet;
 mod intake;
 mod keys;
@@ -30,6 +31,7 @@
 mod types;
 
 pub use callers::CLOSE_UNPROVEN;
+pub use evidence::Seen;
 pub use machine::{decide, Counts, Machine, Traced};
 pub use settings::{Settings, SettingsError};
 pub use timers::Timers;
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -12,6 +12,7 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 
 use crate::contexts::Contexts;
+use crate::evidence::{self, Evidence};
 use crate::fleet::Fleet;
 use crate::keys::Keys;
 use crate::leases::Leases;
@@ -94,6 +95,7 @@
     pub(crate) leases: Leases,
     pub(crate) peers: Peers,
     pub(crate) lent: Lent,
+    pub(crate) evidence: Evidence,
     pub(crate) timers: Timers<Timer>,
     pub(crate) probes: BTreeMap<u64, Probe>,
     pub(crate) next_probe: u64,
@@ -129,6 +131,7 @@
             leases: Leases::default(),
             peers: Peers::default(),
             lent: Lent::default(),
+            evidence: Evidence::default(),
             timers: Timers::default(),
             probes: BTreeMap::new(),
             next_probe: 1,
@@ -178,6 +181,9 @@
             self.timers.set(now.after(SWEEP_S), Timer::Sweep);
             self.open_accounts(now);
             self.open_leases(now);
+            if self.settings.cluster.is_some() {
+                self.timers.set(now.after(evidence::LOOK_S), Timer::Evidence);
+            }
         }
         self.follow_part(now);
         for timer in self.timers.take_due(now) {
@@ -211,6 +217,8 @@
             Input::LinkText { link, text } => self.on_engine_text(now, link, &text, out),
             Input::LinkUnsent { link, attempt } => self.on_unsent(now, link, &attempt, out),
             Input::Standing { standing, there, until } => self.on_standing(standing, there, until),
+            Input::Heard { at, of, heard } => self.on_heard(now, at, of, &heard, out),
+            Input::ListLost(lost) => self.on_list_lost(lost, out),
             Input::Part { lent, until } => self.on_part(now, lent, until),
             Input::Tick => {}
             Input::Stop => {
@@ -288,6 +296,7 @@
             Timer::Caller { session } => self.on_caller_time(now, session),
             Timer::Sweep => self.sweep(now, out),
             Timer::Ledger => self.on_ledger_time(now, out),
+            Timer::Evidence => self.look_at_hosts(now, out),
         }
     }
 
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -40,30 +40,43 @@
         Some(fresh.map_or(Standing::Alone, |(standing, _)| standing))
     }
 
+    /// What it does with such work now; `None` where it is to know of nobody.
+    pub(crate) fn duty(&self, now: Micros, work: Work) -> Option<Duty> {
+        Some(Duty::of(self.standing(now)?, self.reaches_hosts(now), work))
+    }
+
     /// Whether a request of this class may be begun, or sent for the first time, now.
     pub(crate) fn may_take(&self, now: Micros, class: u16) -> bool {
         let Some(class) = self.settings.classes.get(usize::from(class)) else { return false };
-        self.standing(now).is_none_or(|standing| Duty::of(standing, work(class.effect)).takes)
+        self.duty(now, work(class.effect)).is_none_or(|duty| duty.takes)
     }
 
     /// The refusal of what may not be taken, with where else to try: all others that are there, or, where none is
     /// known to be, all that there should be.
-    pub(crate) fn sent_elsewhere(&self) -> Denied {
+    pub(crate) fn sent_elsewhere(&self, now: Micros) -> Denied {
         let others =
             self.settings.cluster.iter().flat_map(|c| &c.roster).filter(|p| p.name != self.settings.name);
         let all: Vec<_> = others.filter_map(|p| Some((&p.name, p.clients.as_ref()?))).collect();
         let there = |(name, _): &&(&String, &String)| self.peers.there.contains(name);
         let known: Vec<String> = all.iter().filter(there).map(|(_, at)| (*at).clone()).collect();
-        let elsewhere =
-            if known.is_empty() { all.iter().map(|(_, at)| (*at).clone()).collect() } else { known };
-        let message = "this dispatcher is cut off from its peers and takes nothing that must not run twice";
+        // Where hosts fail for all there is nowhere to go.
+        let hosts = self.reaches_hosts(now);
+        let elsewhere = match known.is_empty() {
+            _ if !hosts && self.all_fail_elsewhere() => vec![],
+            true => all.iter().map(|(_, at)| (*at).clone()).collect(),
+            false => known,
+        };
+        let message = match hosts {
+            true => "this dispatcher is cut off from its peers and takes nothing that must not run twice",
+            false => "this dispatcher reaches no model host",
+        };
         let bad = BadRequest { status: 503, code: "cut_off", message: message.to_string(), param: None };
         Denied { bad, retry_after_s: Some(COME_BACK_S), elsewhere }
     }
 
     /// Whether callers should come, by what is known of peers and hosts.
     pub fn is_ready(&self, now: Micros) -> bool {
-        let peers = self.standing(now).is_none_or(|standing| Duty::of(standing, Work::Safe).ready);
+        let peers = self.duty(now, Work::Safe).is_none_or(|duty| duty.ready);
         peers && !self.stopping && self.counts().open_links > 0
     }
 }
--- a/crates/core/src/shares.rs
+++ b/crates/core/src/shares.rs
@@ -1,7 +1,7 @@
 //! This dispatcher's part of what all share, where it is lent one by its peers: checked at each step, by time.
 
 use bitternlatch_agreement::base;
-use bitternlatch_membership::{Duty, Share, Work};
+use bitternlatch_membership::{Share, Work};
 use bitternlatch_policy::interface::Event;
 
 use crate::machine::Machine;
@@ -33,10 +33,10 @@
     /// Lets a part that has ended end, at the moment at which it did, before anything is done: this process may have stood
     /// still since. What others let go of counts from the step in which it is heard of.
     pub(crate) fn follow_part(&mut self, now: Micros) {
-        let Some(standing) = self.standing(now) else { return };
+        let Some(duty) = self.duty(now, Work::Safe) else { return };
         let careful = base(self.sharers());
         let ended = now >= self.lent.until;
-        let may = !ended && Duty::of(standing, Work::Safe).share == Share::Lent;
+        let may = !ended && duty.share == Share::Lent;
         let spends = if may { careful + self.lent.lent } else { careful };
         if spends == self.lent.spends {
             return;
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -27,6 +27,8 @@
     Sweep,
     /// Looks at what to ask the ledger for.
     Ledger,
+    /// Looks at what to tell peers of hosts.
+    Evidence,
 }
 
 /// What is due when; of what falls on one time, what was set first comes first.
--- a/crates/core/src/types.rs
+++ b/crates/core/src/types.rs
@@ -1,5 +1,6 @@
 //! Ids, the clock, and what goes into and comes out of the machine.
 
+use bitternlatch_agreement::Hearsay;
 use bitternlatch_budget::charge::Entry;
 use bitternlatch_budget::ledger::{Part, Want};
 use bitternlatch_identity::Caller;
@@ -8,6 +9,8 @@
 use bitternlatch_policy::interface::ServerId;
 use serde::{Deserialize, Serialize};
 
+use crate::evidence::Seen;
+
 /// Microseconds on a clock that never goes back; the programs start it at the Unix time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Micros(pub u64);
@@ -120,6 +123,14 @@
         lent: f64,
         until: Micros,
     },
+    /// What peers see of hosts, told at a time, and how many of them tell anything.
+    Heard {
+        at: Micros,
+        of: u16,
+        heard: Vec<Hearsay>,
+    },
+    /// Whether the list of hosts cannot be read any more, or can again.
+    ListLost(bool),
     /// The time alone.
     Tick,
     /// Take nothing new, answer what is in hand, then say [`Output::Stopped`].
@@ -171,6 +182,8 @@
         number: u64,
         tenants: Vec<Want>,
     },
+    /// All that this dispatcher sees of hosts, for its peers.
+    Seen(Vec<Seen>),
     /// What a request was charged; before its final answer, and again when more is known.
     Charge(Entry),
     Log {
--- /dev/null
+++ b/crates/core/tests/evidence.rs
@@ -0,0 +1,176 @@
+//! What is seen of hosts and told to peers, and what peers tell: in the machine.
+mod common;
+
+use bitternlatch_agreement::{Hearsay, Host, Trait};
+use bitternlatch_core::{Input, Micros, Output, Settings};
+use bitternlatch_inventory::host_id;
+use bitternlatch_membership::Standing;
+use bitternlatch_policy::interface::{Event, Sight};
+use common::{four, hosts, Bench, SETTINGS};
+use std::time::Duration;
+
+fn cluster() -> Bench {
+    let mut text = format!("{SETTINGS}[cluster]\nname = \"hall\"\nsecret = \"secret\"\n");
+    for i in 1..=3 {
+        let (name, port) = (format!("d{i}"), 7000 + i);
+        text += &format!(
+            "[[cluster.roster]]\nname = \"{name}\"\naddress = \"127.0.0.1:{port}\"\nclients = \"c{i}\"\n"
+        );
+    }
+    let mut bench = Bench::with(Settings::parse("test", &text).expect("settings"), 5);
+    bench.step(Input::Hosts(four()));
+    bench.open_all(1000.0);
+    stand(&mut bench, Standing::Whole);
+    bench
+}
+
+fn stand(bench: &mut Bench, standing: Standing) {
+    let until = Micros(bench.now.0 + 3_600_000_000);
+    bench.step(Input::Standing { standing, there: vec!["d2".into()], until });
+}
+
+/// What was told to peers last, without the times.
+fn told(bench: &Bench) -> Option<Vec<(u32, Trait)>> {
+    let last = |o: &Output| match o {
+        Output::Seen(seen) => Some(seen.iter().map(|(host, what, _)| (host.0, *what)).collect()),
+        _ => None,
+    };
+    bench.out.iter().rev().find_map(last)
+}
+
+fn hear(bench: &mut Bench, host: &str, what: Trait, voices: u8, at: Micros) {
+    let heard = vec![Hearsay { host: Host(host_id(host)), what, voices, age: Duration::from_millis(500) }];
+    bench.step(Input::Heard { at, of: 2, heard });
+}
+
+/// The end of an ask of this class that is refused: code, and where else to try.
+fn refused(bench: &mut Bench, class: &str, key: &str) -> Option<(String, Vec<String>)> {
+    let session = bench.open(key.bytes().fold(7, |n, b| n * 31 + u64::from(b)));
+    bench.ask(session, class, key, "words");
+    let error = bench.heard(session).pop()?.error?;
+    let elsewhere = error["elsewhere"].as_array().into_iter().flatten().filter_map(|v| v.as_str());
+    Some((error["code"].as_str()?.to_string(), elsewhere.map(str::to_string).collect()))
+}
+
+#[test]
+fn failing_cold_and_draining_hosts_are_told_and_told_no_more_when_they_are_not() {
+    let mut bench = cluster();
+    bench.pass(1.0);
+    assert_eq!(told(&bench), None, "nothing to tell");
+    let list = "r1,127.0.0.1,1,reader,\nr2,127.0.0.1,2,reader,draining\nw1,127.0.0.1,3,writer,\nw2,127.0.0.1,4,writer,\n";
+    bench.step(Input::Hosts(hosts(list)));
+    bench.pass(0.3);
+    assert_eq!(told(&bench), Some(vec![(host_id("r2"), Trait::Draining)]));
+    bench.step(Input::Hosts(four()));
+    bench.pass(0.3);
+    assert_eq!(told(&bench), Some(vec![]));
+    let session = bench.open(1);
+    let write = bench.begin_write(session, "booking", "k", "q");
+    bench.step(Input::LinkClosed { link: write.link, why: "reset".into() });
+    bench.pass(0.3);
+    assert_eq!(told(&bench), Some(vec![]), "a short break");
+    bench.pass(0.7);
+    assert_eq!(told(&bench), Some(vec![(write.link.host, Trait::Failing)]));
+    // It comes up anew, started a moment ago.
+    bench.pass(3.0);
+    bench.open_all(1.0);
+    bench.pass(0.3);
+    assert_eq!(told(&bench), Some(vec![(write.link.host, Trait::Cold)]));
+    bench.pass(20.0);
+    assert_eq!(told(&bench), Some(vec![]));
+}
+
+#[test]
+fn failures_in_a_row_are_told_and_a_success_ends_them() {
+    let mut bench = cluster();
+    let session = bench.open(1);
+    for n in 0..6 {
+        bench.ask(session, "query", &format!("k{n}"), "words");
+        while let Some(read) = bench.told.pop() {
+            bench.error(&read, 500, None);
+        }
+        bench.heard(session);
+    }
+    bench.pass(0.3);
+    let failing = told(&bench).expect("something seen");
+    assert!(!failing.is_empty() && failing.iter().all(|(_, what)| *what == Trait::Failing), "{failing:?}");
+    bench.pass(4.0);
+    assert_eq!(told(&bench), Some(vec![]), "it is not seen for ever");
+}
+
+#[test]
+fn what_peers_tell_reaches_the_module_with_its_age_unless_it_is_old_or_of_a_stranger() {
+    let mut bench = cluster();
+    bench.machine.keep_trace();
+    let sent = bench.now;
+    bench.now = Micros(sent.0 + 1_000_000);
+    hear(&mut bench, "r1", Trait::Failing, 2, sent);
+    hear(&mut bench, "nobody", Trait::Failing, 2, sent);
+    // This process stood still for a minute with the message in its queue.
+    bench.now = Micros(sent.0 + 60_000_000);
+    hear(&mut bench, "r1", Trait::Failing, 2, sent);
+    let trace = bench.machine.take_trace();
+    let heard: Vec<_> = trace.iter().filter(|t| matches!(t.event, Event::Hearsay { .. })).collect();
+    assert_eq!(heard.len(), 1, "{heard:?}");
+    let Event::Hearsay { server, sight, voices, of, age_s } = heard[0].event else { panic!("{heard:?}") };
+    assert_eq!((server, sight, voices, of), (host_id("r1"), Sight::Failing, 2, 2));
+    assert!((age_s - 1.5).abs() < 1e-9, "{age_s}");
+}
+
+#[test]
+fn one_that_reaches_no_host_sends_callers_to_peers_at_once_and_is_not_ready() {
+    let mut bench = cluster();
+    let links: Vec<_> = ["r1", "r2", "w1", "w2"].map(host_id).to_vec();
+    for host in &links {
+        let link = bitternlatch_core::LinkId { host: *host, epoch: 1 };
+        bench.step(Input::LinkClosed { link, why: "no route".into() });
+    }
+    bench.pass(0.5);
+    assert_ne!(refused(&mut bench, "query", "a").map(|r| r.0), Some("cut_off".into()), "a short break");
+    bench.pass(1.5);
+    let expected = Some(("cut_off".to_string(), vec!["c2".to_string()]));
+    assert_eq!(refused(&mut bench, "query", "b"), expected);
+    assert!(!bench.machine.is_ready(bench.now));
+    // Peers say that all of them fail there too: there is nowhere to go.
+    for host in ["r1", "r2", "w1", "w2"] {
+        let now = bench.now;
+        hear(&mut bench, host, Trait::Failing, 1, now);
+    }
+    assert_eq!(refused(&mut bench, "query", "c"), Some(("cut_off".to_string(), vec![])));
+    // Alone it cannot tell whose fault it is.
+    stand(&mut bench, Standing::Alone);
+    assert_ne!(refused(&mut bench, "query", "d").map(|r| r.0), Some("cut_off".into()));
+    stand(&mut bench, Standing::Whole);
+    bench.pass(3.0);
+    bench.open_all(1000.0);
+    bench.pass(0.3);
+    assert_eq!(refused(&mut bench, "query", "e"), None);
+    assert!(bench.machine.is_ready(bench.now));
+}
+
+#[test]
+fn one_that_cannot_read_its_list_keeps_the_drains_that_any_peer_tells_of() {
+    let mut bench = cluster();
+    let now = bench.now;
+    let goes_to_r1 = |bench: &mut Bench, from: u32| {
+        let session = bench.open(u64::from(from));
+        let mut first = 0;
+        for n in 0..20 {
+            bench.ask(session, "query", &format!("{from}/{n}"), "words");
+            let read = bench.take();
+            first += usize::from(read.link.host == host_id("r1"));
+            bench.read_done(&read);
+            let write = bench.take();
+            bench.end(&write, 10, 1);
+            bench.heard(session);
+        }
+        first
+    };
+    hear(&mut bench, "r1", Trait::Draining, 1, now);
+    assert!(goes_to_r1(&mut bench, 1) > 0, "one voice against the own list");
+    bench.step(Input::ListLost(true));
+    hear(&mut bench, "r1", Trait::Draining, 1, now);
+    assert_eq!(goes_to_r1(&mut bench, 2), 0);
+    bench.step(Input::ListLost(false));
+    assert!(goes_to_r1(&mut bench, 3) > 0);
+}
--- a/crates/inventory/src/last_good.rs
+++ b/crates/inventory/src/last_good.rs
@@ -57,6 +57,11 @@
         &self.hosts
     }
 
+    /// Whether the file as it was offered last is broken, and an earlier one counts.
+    pub fn is_broken(&self) -> bool {
+        self.told.is_some()
+    }
+
     /// Takes what the file holds now.
     pub fn offer(&mut self, file: &str, text: &str) -> Offer {
         let mark = xxhash_rust::xxh3::xxh3_64(text.as_bytes());
--- a/crates/membership/src/standing.rs
+++ b/crates/membership/src/standing.rs
@@ -58,13 +58,18 @@
 }
 
 impl Duty {
-    /// The table of the design note. Drains are kept in every standing, as the list that tells of them has its own
-    /// way in. What has no effect is always served: it harms nobody twice.
-    pub fn of(standing: Standing, work: Work) -> Duty {
+    /// The table of the design note. Drains are kept in every standing: the list that tells of them has its own way in,
+    /// and where it cannot be read the word of any peer counts. What has no effect is served wherever that harms nobody.
+    /// `hosts` tells whether any model host is reached.
+    pub fn of(standing: Standing, hosts: bool, work: Work) -> Duty {
         use Standing::{Alone, CutOff, Majority, Whole};
         use Work::{Keyed, Safe, Unsafe};
         let duty = |takes, share, ready, names_others| Duty { takes, share, ready, names_others };
         match (standing, work) {
+            // Peers are heard and hosts are not: it is this one that is cut off from them, and others may do better.
+            (Whole | Majority | CutOff, Safe | Keyed | Unsafe) if !hosts => {
+                duty(false, Share::Careful, false, true)
+            }
             (Whole | Majority, Safe | Keyed | Unsafe) => duty(true, Share::Lent, true, true),
             (CutOff, Safe) => duty(true, Share::Careful, true, true),
             // A key seen elsewhere may be running there: one that cannot ask does not run it again.
@@ -96,11 +101,17 @@
     #[test]
     fn who_cannot_know_takes_nothing_that_could_harm_and_goes_on_with_what_cannot() {
         for standing in [Standing::Alone, Standing::CutOff, Standing::Majority, Standing::Whole] {
-            assert!(Duty::of(standing, Work::Safe).takes);
+            assert!(Duty::of(standing, true, Work::Safe).takes);
+            // Alone it cannot tell whose fault it is, and a host may come in time.
+            assert_eq!(Duty::of(standing, false, Work::Safe).takes, standing == Standing::Alone);
+            assert!(
+                !Duty::of(standing, false, Work::Unsafe).takes
+                    && !Duty::of(standing, false, Work::Safe).ready
+            );
             let knows = standing >= Standing::Majority;
             for work in [Work::Keyed, Work::Unsafe] {
-                assert_eq!(Duty::of(standing, work).takes, knows);
-                assert_eq!(Duty::of(standing, work).share == Share::Lent, knows);
+                assert_eq!(Duty::of(standing, true, work).takes, knows);
+                assert_eq!(Duty::of(standing, true, work).share == Share::Lent, knows);
             }
         }
     }
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -11,7 +11,7 @@
 use bitternlatch_budget::ledger::ToLedger;
 use bitternlatch_core::record::{self, Writer};
 use bitternlatch_core::settings::Engines;
-use bitternlatch_core::{Input, Level, LinkId, Machine, Micros, Output, SessionId, Settings};
+use bitternlatch_core::{Input, Level, LinkId, Machine, Micros, Output, Seen, SessionId, Settings};
 use bitternlatch_identity::Caller;
 use bitternlatch_journal::held::{Charge, Held};
 use bitternlatch_protocol::client::{renewal, Renewal};
@@ -153,6 +153,8 @@
     recorder: Option<Recorder>,
     charges: Option<Charges>,
     ledger: Option<LedgerLink>,
+    /// Where what is seen of hosts is told.
+    peers: Option<Box<dyn Fn(Vec<Seen>)>>,
     /// Answers that wait for their charge.
     held: Held<SessionId, Output>,
     stopping: bool,
@@ -179,6 +181,7 @@
             recorder: None,
             charges: None,
             ledger: None,
+            peers: None,
             held: Held::new(CHARGE_WAIT_S),
             stopping: false,
         }
@@ -199,6 +202,11 @@
         self.ledger = Some(ledger);
     }
 
+    /// Tells peers what is seen of hosts.
+    pub fn tell_peers(&mut self, tell: Box<dyn Fn(Vec<Seen>)>) {
+        self.peers = Some(tell);
+    }
+
     /// Records every step from now on.
     pub fn record(&mut self, recorder: Recorder) {
         self.recorder = Some(recorder);
@@ -351,6 +359,11 @@
                     ledger.ask(&ToLedger::Ask { holder, number, tenants });
                 }
             }
+            Output::Seen(seen) => {
+                if let Some(tell) = &self.peers {
+                    tell(seen);
+                }
+            }
             // Put on its way before; see carry_in_order.
             Output::Charge(_) => {}
             Output::Log { level, text } => match level {
--- a/crates/net/src/watch.rs
+++ b/crates/net/src/watch.rs
@@ -34,34 +34,49 @@
     let look = move || {
         let name = path.display().to_string();
         let mut told = String::new();
+        let mut lost = false;
         loop {
             std::thread::sleep(every);
-            let text = match read_list(&path) {
-                Ok(text) => text,
+            let mut inputs = Vec::new();
+            match read_list(&path) {
+                Ok(text) => {
+                    told.clear();
+                    inputs.extend(offer(&mut good, &name, &text));
+                }
                 Err(why) => {
                     if told != why {
                         tracing::error!(error = %why, "the host list cannot be read; the last good one stays");
                         told = why;
                     }
-                    continue;
-                }
-            };
-            told.clear();
-            match good.offer(&name, &text) {
-                Offer::Nothing => {}
-                Offer::Broken(e) => {
-                    tracing::error!(error = %e, "the host list is broken; the last good one stays")
                 }
-                Offer::Taken(change) => {
-                    tracing::info!(added = ?change.added, removed = ?change.removed, changed = ?change.changed,
-                        "a new host list counts");
-                    let list = good.hosts().values().cloned().collect();
-                    if to.send(Event::Input(Input::Hosts(list))).is_err() {
-                        return;
-                    }
+            }
+            let now_lost = !told.is_empty() || good.is_broken();
+            if now_lost != lost {
+                lost = now_lost;
+                inputs.push(Input::ListLost(lost));
+            }
+            for input in inputs {
+                if to.send(Event::Input(input)).is_err() {
+                    return;
                 }
             }
         }
     };
     std::thread::Builder::new().name("inventory".into()).spawn(look).map(|_| ())
 }
+
+/// The list that counts from now on, if this text changes it.
+fn offer(good: &mut LastGood, name: &str, text: &str) -> Option<Input> {
+    match good.offer(name, text) {
+        Offer::Nothing => None,
+        Offer::Broken(e) => {
+            tracing::error!(error = %e, "the host list is broken; the last good one stays");
+            None
+        }
+        Offer::Taken(change) => {
+            tracing::info!(added = ?change.added, removed = ?change.removed, changed = ?change.changed,
+                "a new host list counts");
+            Some(Input::Hosts(good.hosts().values().cloned().collect()))
+        }
+    }
+}
--- a/crates/peer-net/src/plane.rs
+++ b/crates/peer-net/src/plane.rs
@@ -8,9 +8,9 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use bitternlatch_agreement::{Output, Part, Together, Told as Agreed};
+use bitternlatch_agreement::{Hearsay, Output, Part, Together, Told as Agreed};
 use bitternlatch_core::settings::Cluster;
-use bitternlatch_core::Micros;
+use bitternlatch_core::{Micros, Seen};
 use bitternlatch_membership::{Event, Membership, Peer, Roster, Secret, Standing, DATAGRAM_MOST};
 use bitternlatch_net::clock::Clock;
 use bitternlatch_net::lock;
@@ -40,12 +40,19 @@
         lent: f64,
         until: Micros,
     },
+    /// What peers see of hosts, and how many of them tell anything.
+    Heard {
+        at: Micros,
+        of: u16,
+        heard: Vec<Hearsay>,
+    },
     /// Another process under this name started later.
     Fenced,
 }
 
 /// One dispatcher's part in the cluster, running.
 pub struct Plane {
+    whole: Arc<Mutex<Together>>,
     stop: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
@@ -56,6 +63,8 @@
     whole: Arc<Mutex<Together>>,
     stop: Arc<AtomicBool>,
     name: String,
+    /// The number of this start.
+    run: u64,
 }
 
 fn read_secret(path: &Path) -> Result<Vec<u8>, String> {
@@ -123,11 +132,22 @@
         let view = move || Shown::of(&cluster_name, &own, &lock(&seen), now(&clock));
         thread("views").spawn(move || views::serve(&listener, view)).map_err(no_thread)?;
         let stop = Arc::new(AtomicBool::new(false));
-        let plane = Loop { socket, clock, whole, stop: Arc::clone(&stop), name: name.to_string() };
+        let ear = Arc::clone(&whole);
+        let (ended, name) = (Arc::clone(&stop), name.to_string());
+        let plane = Loop { socket, clock, whole, stop: ended, name, run: process };
         let run = move || plane.run(&mut told);
         let thread = thread("peers").spawn(run).map_err(no_thread)?;
         tracing::info!(cluster = cluster.name, %address, start = process, "in the cluster");
-        Ok(Plane { stop, thread: Some(thread) })
+        Ok(Plane { whole: ear, stop, thread: Some(thread) })
+    }
+
+    /// Takes what the dispatcher sees of hosts, for its peers; from any thread.
+    pub fn ear(&self) -> impl Fn(Vec<Seen>) + 'static {
+        let whole = Arc::clone(&self.whole);
+        move |seen| {
+            let dated = seen.into_iter().map(|(host, what, at)| ((host, what), Duration::from_micros(at.0)));
+            lock(&whole).shares.sees(dated.collect());
+        }
     }
 
     /// Says farewell to the peers and ends.
@@ -213,6 +233,9 @@
             match output {
                 // A datagram that cannot be sent is as good as lost, which the protocol bears.
                 Output::Send(to, bytes) => drop(self.socket.send_to(&bytes, to)),
+                Output::Agreed(Agreed::Heard { of, heard }) => {
+                    told(Told::Heard { at: self.clock.now(), of, heard })
+                }
                 Output::Agreed(agreed) => self.log_agreed(&agreed),
                 Output::Member(event) => {
                     self.log(&event);
@@ -231,6 +254,7 @@
             let before_until_us = micros(said.until).0;
             tracing::info!(
                 me = self.name,
+                run = self.run,
                 at_us = micros(at).0,
                 lent,
                 before_until_us,
@@ -243,7 +267,7 @@
     fn log_agreed(&self, agreed: &Agreed) {
         let me = self.name.as_str();
         match agreed {
-            Agreed::Say(..) => {}
+            Agreed::Say(..) | Agreed::Heard { .. } => {}
             Agreed::Steward(true) => tracing::info!(me, "lends parts of what all share"),
             Agreed::Steward(false) => tracing::info!(me, "lends parts no more"),
             Agreed::OtherRoster(name) => {
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -54,6 +54,9 @@
 const FAILURE_COST_S: f64 = 0.1;
 /// The same where the server has just failed this very request: failures come in spells, attempts run out.
 const AGAIN_COST_S: f64 = 1.0;
+/// Mean loss of a server that others have seen failing, and how long others' word of a drain counts.
+const HEARSAY_LOSS_S: f64 = 0.25;
+const HEARSAY_S: f64 = 1.0;
 /// What a server's mean loss counts, as failures come in spells; and for what may not be tried again.
 const LOSS_CARE: f64 = 4.0;
 const UNSAFE_CARE: f64 = 40.0;
@@ -126,6 +129,7 @@
     seen_at: f64, // When that report came, and the tokens that this router held there then.
     seen_tokens: f64,
     full_until: f64,
+    closed_until: f64, // Others' lists have it draining.
     probed_at: f64,
     probe_out: bool,
 }
@@ -294,6 +298,9 @@
                 self.take_report(now, server, &report);
                 self.on_probe(now, server, outcome, elapsed_s, out);
             }
+            Event::Hearsay { server, sight, voices, of, age_s } => {
+                self.on_hearsay(now, server, (sight, voices, of, sane(age_s)))
+            }
             Event::Share { part, since } => self.on_share(part, since),
             Event::PlaceAnswer { .. } | Event::PeerMessage { .. } => {}
         }
@@ -624,7 +631,7 @@
     }
 
     fn usable(&self, s: &Server, job: &Job, now: f64) -> bool {
-        if !s.ready() || now < s.full_until {
+        if !s.ready() || now < s.full_until.max(s.closed_until) {
             return false;
         }
         let Some((first, since)) = job.may_have_run else { return true };
@@ -817,6 +824,21 @@
         }
     }
 
+    /// What others have seen. One voice condemns no server, and what was heard here since counts more.
+    /// Failing costs time as an own failure does, young is as by the list, draining closes it while told.
+    /// Harm: where two are wrong together it is passed by for a while, by a price or for a second.
+    fn on_hearsay(&mut self, now: f64, id: ServerId, (sight, voices, of, age_s): (Sight, u32, u32, f64)) {
+        let Some(s) = self.servers.get_mut(&id).filter(|_| voices >= 2) else { return };
+        match sight {
+            Sight::Failing if s.heard < now - age_s => {
+                s.loss = (fade(s.loss, now, FADE_HALF_S).max(HEARSAY_LOSS_S), now);
+            }
+            Sight::Cold if s.entry.booted_at <= 0.0 => s.entry.booted_at = now - age_s,
+            Sight::Draining if 2 * voices > of => s.closed_until = now + HEARSAY_S,
+            _ => {}
+        }
+    }
+
     fn learn_read(&mut self, now: f64, end: &AttemptEnd, job: &Job, took: f64) {
         let hit = sane(end.prefix_hit_tokens).min(job.ask.prompt_tokens);
         for (key, tokens) in Self::keys(&job.ask).into_iter().filter(|(key, n)| key.1 != 0 && *n > 0.0) {
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -240,6 +240,17 @@
     pub report: Vec<f64>,
 }
 
+/// What other dispatchers have seen of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Sight {
+    /// Its last attempts failed, or it cannot be reached.
+    Failing,
+    /// It was started lately.
+    Cold,
+    /// Their list has it draining, or it said so itself.
+    Draining,
+}
+
 /// What a router is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -277,6 +288,14 @@
         from: u32,
         data: Vec<u8>,
     },
+    /// Seen by so many others of those that told anything, the latest of them so long ago.
+    Hearsay {
+        server: ServerId,
+        sight: Sight,
+        voices: u32,
+        of: u32,
+        age_s: f64,
+    },
     /// This router's part of what all share, from 0 to 1, and since when; before the first, an even one.
     Share {
         part: f64,
--- a/crates/policy/tests/common/fleet.rs
+++ b/crates/policy/tests/common/fleet.rs
@@ -21,6 +21,14 @@
     running: BTreeMap<Attempt, f64>,   // With the tokens held.
     kept: BTreeSet<u64>,
     taken: u32,
+    trouble: Option<Trouble>,
+}
+
+/// What goes wrong with a server: it takes requests and says nothing, or an error at once.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Trouble {
+    Silent,
+    Errors,
 }
 
 enum Happening {
@@ -41,6 +49,9 @@
     asks: BTreeMap<RequestId, (Request, f64, u16)>, // With the time of arrival and the attempts made.
     /// Waits for the first token; infinite where none came.
     pub waits: BTreeMap<RequestId, f64>,
+    /// Last failures at each server that no success has followed, by router.
+    failed: BTreeMap<(ServerId, usize), f64>,
+    swallowed: BTreeMap<Attempt, ServerId>,
 }
 
 impl Fleet {
@@ -48,7 +59,8 @@
         let routers = (0..settings.dispatchers).map(|me| Router::new(settings.clone(), u64::from(me)));
         let routers = routers.collect();
         let (servers, due, asks) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        Fleet { now, settings, routers, servers, due, count: 0, asks, waits: BTreeMap::new() }
+        let (waits, failed, swallowed) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Fleet { now, settings, routers, servers, due, count: 0, asks, waits, failed, swallowed }
     }
 
     /// Tells all routers of these servers.
@@ -56,7 +68,8 @@
         for e in entries {
             let kind = self.settings.kinds[usize::from(e.kind)].clone();
             let (waiting, running, kept) = (VecDeque::new(), BTreeMap::new(), BTreeSet::new());
-            let model = Model { kind, booted_at: e.booted_at, waiting, running, kept, taken: 0 };
+            let model =
+                Model { kind, booted_at: e.booted_at, waiting, running, kept, taken: 0, trouble: None };
             self.servers.entry(e.id).or_insert(model);
         }
         for router in 0..self.routers.len() {
@@ -134,6 +147,14 @@
         let now = self.now;
         let s = self.servers.get_mut(&server).expect("a known server");
         s.taken += 1;
+        match s.trouble {
+            Some(Trouble::Silent) => {
+                self.swallowed.insert(attempt, server);
+                return;
+            }
+            Some(Trouble::Errors) => return self.answer(server, attempt, Outcome::Error, now, 0.0),
+            None => {}
+        }
         s.waiting.push_back((attempt, now));
         self.start(server);
     }
@@ -199,7 +220,7 @@
             let waits = s.waiting.iter().position(|w| w.0 == attempt).map(|i| s.waiting.remove(i)).is_some();
             (waits || s.running.remove(&attempt).is_some()).then_some(*id)
         });
-        if let Some(server) = at {
+        if let Some(server) = at.or_else(|| self.swallowed.remove(&attempt)) {
             self.answer(server, attempt, Outcome::Cancelled, self.now, 0.0);
             self.start(server);
         }
@@ -209,11 +230,35 @@
         let (me, request, attempt) = of;
         let (finished, elapsed_s) = (outcome == Outcome::Served, self.now - came);
         let report = self.report(server);
+        match outcome {
+            Outcome::Error | Outcome::Cancelled => self.failed.insert((server, me), self.now),
+            _ => self.failed.remove(&(server, me)),
+        };
         let end =
             AttemptEnd { request, attempt, server, outcome, elapsed_s, finished, prefix_hit_tokens, report };
         self.plan(self.now + WAY_S, Happening::Tell(me, Event::AttemptEnded(end)));
     }
 
+    pub fn trouble(&mut self, server: ServerId, trouble: Trouble) {
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.trouble = Some(trouble);
+        }
+    }
+
+    /// Tells each router how many others have failed at a server of late, up to so many.
+    pub fn hearsay(&mut self, server: ServerId, most: usize) {
+        let lately = |(_, at): &(&(ServerId, usize), &f64)| self.now - **at < 3.0;
+        let failed = self.failed.range((server, 0)..(server + 1, 0)).filter(lately);
+        let failed: Vec<(usize, f64)> = failed.map(|((_, me), at)| (*me, *at)).collect();
+        for me in 0..self.routers.len() {
+            let others = || failed.iter().filter(|f| f.0 != me).map(|f| f.1);
+            let Some(last) = others().max_by(f64::total_cmp) else { continue };
+            let (voices, of) = (others().count().min(most) as u32, self.routers.len() as u32 - 1);
+            let (sight, age_s) = (Sight::Failing, self.now - last);
+            self.tell(me, Event::Hearsay { server, sight, voices, of, age_s });
+        }
+    }
+
     /// Requests that wait at a server, and those that it has been sent.
     pub fn waiting_and_taken(&self, server: ServerId) -> (usize, u32) {
         self.servers.get(&server).map_or((0, 0), |s| (s.waiting.len(), s.taken))
--- /dev/null
+++ b/crates/policy/tests/hearsay.rs
@@ -0,0 +1,116 @@
+//! What others have seen of a server: it saves attempts and late answers, and one voice alone changes nothing.
+mod common;
+#[path = "common/fleet.rs"]
+mod fleet;
+
+use bitternlatch_policy::interface::*;
+use common::*;
+use fleet::{Fleet, Trouble};
+
+const ROUTERS: u32 = 100;
+const RATE: f64 = 60.0;
+const READERS: u32 = 20;
+const BROKEN: ServerId = 4;
+
+/// A draw from 0 to 1.
+fn draw(seed: u64, n: u64) -> f64 {
+    let z = (seed ^ n.wrapping_mul(0x9E37_79B9_7F4A_7C15)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    let z = (z ^ (z >> 29)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    (z >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// Attempts at a reader that fails after five seconds of twenty, and the share of all requests that waited a second or more;
+/// `most` voices are told to the others three times a second.
+fn day(seed: u64, trouble: Trouble, most: usize) -> (u32, f64) {
+    let mut fleet = Fleet::new(Settings { dispatchers: ROUTERS, ..settings(Effect::Safe) }, T0);
+    let readers = (1..READERS + 1).map(|id| server(id, 0, (id % 2) as u16));
+    let list: Vec<_> = readers.chain((101..131).map(|id| server(id, 1, (id % 2) as u16))).collect();
+    fleet.list(T0, ListForm::Full, &list);
+    let (mut at, mut id) = (T0 + 0.1, 0u32);
+    while at < T0 + 20.0 {
+        id += 1;
+        let n = u64::from(id) * 8;
+        at += -draw(seed, n).max(1e-9).ln() / RATE;
+        let router = (draw(seed, n + 1) * f64::from(ROUTERS)) as usize;
+        let prefix = 1 + (40.0 * draw(seed, n + 2).powi(2)) as u64;
+        let session = 1 + (draw(seed, n + 3) * 400.0) as u64;
+        fleet.arrive(at, router, Request { prefix, session, ..ask(id) });
+    }
+    fleet.run(T0 + 5.0);
+    fleet.trouble(BROKEN, trouble);
+    let before = fleet.waiting_and_taken(BROKEN).1;
+    for tick in 0..50 {
+        fleet.run(T0 + 5.0 + 0.3 * f64::from(tick));
+        if most > 0 {
+            fleet.hearsay(BROKEN, most);
+        }
+    }
+    fleet.run(T0 + 40.0);
+    let late = fleet.waits.values().filter(|w| **w >= 1.0).count() as f64;
+    (fleet.waiting_and_taken(BROKEN).1 - before, late / fleet.waits.len() as f64)
+}
+
+fn over_seeds(trouble: Trouble, most: usize) -> (u32, f64) {
+    let days = (1..4).map(|seed| day(seed, trouble, most));
+    days.fold((0, 0.0), |sum, day| (sum.0 + day.0, sum.1 + day.1 / 3.0))
+}
+
+#[test]
+fn the_word_of_others_saves_attempts_and_late_answers_at_a_silent_reader() {
+    let (alone, told) = (over_seeds(Trouble::Silent, 0), over_seeds(Trouble::Silent, usize::MAX));
+    assert!(2 * told.0 < alone.0, "{told:?} against {alone:?}");
+    assert!(2.0 * told.1 < alone.1, "{told:?} against {alone:?}");
+}
+
+#[test]
+fn the_word_of_others_saves_attempts_at_a_reader_that_answers_with_errors() {
+    let (alone, told) = (over_seeds(Trouble::Errors, 0), over_seeds(Trouble::Errors, usize::MAX));
+    assert!(2 * told.0 < alone.0, "{told:?} against {alone:?}");
+}
+
+#[test]
+fn one_voice_changes_nothing() {
+    assert_eq!(day(1, Trouble::Silent, 1), day(1, Trouble::Silent, 0));
+}
+
+/// How many of forty requests, a tenth of a second apart, go to the first of two readers, with something told of it before each but
+/// the first few.
+fn sent_to_first(said: Option<(Sight, u32, u32, f64)>) -> usize {
+    let list: Vec<_> = [1, 2].map(|id| server(id, 0, 0)).into_iter().chain([server(11, 1, 0)]).collect();
+    let mut desk = Desk::with_fleet(settings(Effect::Safe), list);
+    let mut first = 0;
+    for id in 1..46 {
+        if let Some((sight, voices, of, age_s)) = said.filter(|_| id > 5) {
+            desk.tell(Event::Hearsay { server: 1, sight, voices, of, age_s });
+        }
+        first += usize::from(id > 5)
+            * usize::from(desk.serve(Request { session: 0, prefix: 0, ..ask(id) }, 0.0) == 1);
+        desk.pass(0.1);
+    }
+    first
+}
+
+#[test]
+fn a_drain_that_most_others_tell_of_closes_a_server_and_that_of_a_few_does_not() {
+    let usual = sent_to_first(None);
+    assert!(usual > 5, "{usual}");
+    let told = |voices, of| sent_to_first(Some((Sight::Draining, voices, of, 0.0)));
+    assert_eq!(told(3, 5), 0);
+    assert_eq!(told(2, 5), usual, "fewer than half");
+    assert_eq!(told(1, 1), usual, "one voice");
+}
+
+#[test]
+fn a_server_that_others_saw_start_is_taken_for_cold() {
+    let usual = sent_to_first(None);
+    let cold = sent_to_first(Some((Sight::Cold, 2, 2, 1.0)));
+    assert!(cold < usual, "{cold} against {usual}");
+}
+
+#[test]
+fn what_was_heard_of_a_server_since_counts_more_than_an_older_failure_elsewhere() {
+    let old = sent_to_first(Some((Sight::Failing, 5, 5, 30.0)));
+    let new = sent_to_first(Some((Sight::Failing, 5, 5, 0.0)));
+    assert_eq!(old, sent_to_first(None));
+    assert!(new < old, "{new} against {old}");
+}
--- a/programs/badday/src/parted.rs
+++ b/programs/badday/src/parted.rs
@@ -1,6 +1,6 @@
 //! Dispatchers that know each other on a day: what lies between them, and what happens to their processes.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
@@ -11,7 +11,7 @@
 use serde::Deserialize;
 
 use crate::between::{Between, Rule};
-use crate::process::Dispatcher;
+use crate::process::{own_address, Dispatcher};
 
 /// Which datagrams a trouble concerns, seen from its group.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
@@ -145,18 +145,11 @@
     pub truths: Truths,
 }
 
-/// Each listens on a loopback host of its own, which nothing else is given.
-fn address(number: usize) -> SocketAddrV4 {
-    let process = std::process::id();
-    let (high, low) = (128 + (process >> 8) % 64, process % 256);
-    SocketAddrV4::new(Ipv4Addr::new(127, high as u8, low as u8, number as u8 + 1), 7811)
-}
-
 impl Joined {
     /// # Errors
     /// Where the secret cannot be written or the system gives no socket.
     pub fn make(dir: &Path, count: usize, seed: u64) -> std::io::Result<Joined> {
-        let addresses: Vec<SocketAddrV4> = (0..count).map(address).collect();
+        let addresses: Vec<SocketAddrV4> = (0..count).map(|_| own_address(7811)).collect();
         let named = addresses.iter().enumerate().map(|(i, at)| (format!("dispatch-{}", i + 1), *at));
         let between = Between::start(&named.collect::<Vec<_>>(), seed)?;
         std::fs::write(dir.join("secret"), "known to the day's dispatchers alone\n")?;
--- a/programs/badday/src/process.rs
+++ b/programs/badday/src/process.rs
@@ -2,9 +2,10 @@
 
 use std::fs::File;
 use std::io::{self, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use bitternlatch_net::dial::{get, Manner};
@@ -27,12 +28,22 @@
     child: Option<Child>,
 }
 
-/// An address that is free now.
+/// An address that nothing else on this machine is given: a loopback host of its own, by this process's number and a count. A port that
+/// is merely free now may be taken by any connection that goes out before it is listened on.
+pub fn own_address(port: u16) -> SocketAddrV4 {
+    static GIVEN: AtomicU32 = AtomicU32::new(0);
+    let (process, n) = (std::process::id(), GIVEN.fetch_add(1, Ordering::SeqCst));
+    let (high, low) = (64 + (process >> 8) % 128, process % 256);
+    let host = Ipv4Addr::new(127, high as u8, low as u8, (n % 250) as u8 + 1);
+    SocketAddrV4::new(host, port + (n / 250) as u16)
+}
+
+/// One to listen on for connections.
 ///
 /// # Errors
-/// Where the system has none.
+/// Where it cannot be listened on.
 pub fn free_address() -> io::Result<String> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.to_string())
+    Ok(TcpListener::bind(own_address(7711))?.local_addr()?.to_string())
 }
 
 impl Dispatcher {
--- a/programs/badday/src/views.rs
+++ b/programs/badday/src/views.rs
@@ -30,6 +30,7 @@
     peer: Option<String>,
     state: Option<String>,
     standing: Option<String>,
+    run: Option<u64>,
     lent: Option<f64>,
     before_until_us: Option<u64>,
 }
@@ -41,8 +42,17 @@
     pub downs: Vec<(u64, usize, usize)>,
     /// When, by whom, what.
     pub standings: Vec<(u64, usize, String)>,
-    /// By member, in order: since when, how much it was lent, and until when that before it counted.
-    pub parts: BTreeMap<usize, Vec<(u64, f64, u64)>>,
+    /// By member, in order.
+    pub parts: BTreeMap<usize, Vec<PartLine>>,
+}
+
+/// What a process was lent, since when, and until when the part before it would have counted.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PartLine {
+    at: u64,
+    run: u64,
+    lent: f64,
+    before_until: u64,
 }
 
 fn number(name: &str) -> Option<usize> {
@@ -64,7 +74,7 @@
     }
     said.downs.sort_unstable();
     said.standings.sort();
-    said.parts.values_mut().for_each(|parts| parts.sort_by_key(|p| p.0));
+    said.parts.values_mut().for_each(|parts| parts.sort_by_key(|p| p.at));
     Ok(said)
 }
 
@@ -74,8 +84,8 @@
         if let Some(standing) = line.standing {
             self.standings.push((at, me, standing));
         }
-        if let (Some(lent), Some(until)) = (line.lent, line.before_until_us) {
-            self.parts.entry(me).or_default().push((at, lent, until));
+        if let (Some(run), Some(lent), Some(before_until)) = (line.run, line.lent, line.before_until_us) {
+            self.parts.entry(me).or_default().push(PartLine { at, run, lent, before_until });
         }
         let peer = line.peer.as_deref().and_then(number);
         if let (Some("Down"), Some(peer)) = (line.state.as_deref(), peer) {
@@ -87,9 +97,9 @@
     fn most_lent(&self, truths: &[Truth]) -> (f64, u64) {
         let mut changes: Vec<(u64, f64)> = Vec::new();
         for (member, parts) in &self.parts {
-            for (i, (at, lent, _)) in parts.iter().enumerate() {
-                let end = part_ends(*at, parts.get(i + 1), *member, truths);
-                changes.extend([(*at, *lent), (end.max(*at), -lent)]);
+            for (i, part) in parts.iter().enumerate() {
+                let end = part_ends(part, parts.get(i + 1), *member, truths);
+                changes.extend([(part.at, part.lent), (end.max(part.at), -part.lent)]);
             }
         }
         // What ends at a moment has ended when another begins at it.
@@ -122,15 +132,16 @@
 
 /// When a part that was lent at a time ended: with the next line of its process, or by the time that this line names; one whose
 /// process was killed a part's life after that. The last of the day ends with it.
-fn part_ends(at: u64, next: Option<&(u64, f64, u64)>, member: usize, truths: &[Truth]) -> u64 {
-    let Some((next, _, until)) = next else { return u64::MAX };
-    if *until > at {
-        return *next.min(until);
+fn part_ends(part: &PartLine, next: Option<&PartLine>, member: usize, truths: &[Truth]) -> u64 {
+    let Some(next) = next else { return u64::MAX };
+    if next.run == part.run {
+        return next.at.min(next.before_until);
     }
+    let between = part.at..next.at;
     let killed =
-        |t: &&Truth| matches!(t.what, Happened::Away(i) if i == member) && (at..*next).contains(&t.from_us);
+        |t: &&Truth| matches!(t.what, Happened::Away(i) if i == member) && between.contains(&t.from_us);
     let killed = truths.iter().find(killed).map(|t| t.from_us + PART_US);
-    killed.map_or(*next, |end| end.min(*next))
+    killed.map_or(next.at, |end| end.min(next.at))
 }
 
 /// What members believed without cause, or failed to see; up to `end`, when they were told to stop.
@@ -213,17 +224,18 @@
     #[test]
     fn parts_may_not_add_up_to_more_than_there_is() {
         let mut said = whole(2);
-        let lent = [(0, vec![(2 * S, 0.9, 0), (5 * S, 0.0, 4 * S)]), (1, vec![(4 * S, 0.9, 0)])];
-        said.parts = lent.into_iter().collect();
+        let line = |at, run, lent, before_until| PartLine { at, run, lent, before_until };
+        said.parts.insert(0, vec![line(2 * S, 1, 0.9, 0), line(5 * S, 1, 0.0, 4 * S)]);
+        said.parts.insert(1, vec![line(4 * S, 1, 0.9, 0)]);
         assert!(judge(&said, &[], 2, 60 * S).is_empty(), "the first one's had ended by its time");
-        said.parts.insert(1, vec![(4 * S - 1, 0.9, 0)]);
+        said.parts.insert(1, vec![line(4 * S - 1, 1, 0.9, 0)]);
         let wrong = judge(&said, &[], 2, 60 * S);
         assert!(wrong.len() == 1 && wrong[0].contains("lent 1.8000"), "{wrong:?}");
-        // Killed at the third second: no line tells of its end.
-        said.parts.insert(0, vec![(2 * S, 0.9, 0), (9 * S, 0.0, 0)]);
+        // Killed at the third second: no line tells of its end, and the next start had a part of nothing before.
+        said.parts.insert(0, vec![line(2 * S, 1, 0.9, 0), line(9 * S, 2, 0.5, 10 * S)]);
         let killed = [Truth { from_us: 3 * S, to_us: 8 * S, what: Happened::Away(0) }];
         assert!(!judge(&said, &killed, 2, 60 * S).is_empty());
-        said.parts.insert(1, vec![(3 * S + PART_US, 0.9, 0)]);
+        said.parts.insert(1, vec![line(3 * S + PART_US, 1, 0.9, 0), line(9 * S, 1, 0.4, 9 * S)]);
         assert!(judge(&said, &killed, 2, 60 * S).is_empty());
     }
 
--- a/programs/badday/tests/common/mod.rs
+++ b/programs/badday/tests/common/mod.rs
@@ -3,15 +3,14 @@
 
 pub mod cluster;
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::SocketAddrV4;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use bitternlatch_badday::between::{Between, Rule};
 use bitternlatch_badday::client::{Came, Client};
 use bitternlatch_badday::day::Day;
-use bitternlatch_badday::process::Dispatcher;
+use bitternlatch_badday::process::{own_address, Dispatcher};
 use bitternlatch_net::dial::Manner;
 use bitternlatch_protocol::client::ServerEvent;
 use bitternlatch_standin::capture::{Capture, Line};
@@ -179,15 +178,9 @@
 /// Nothing passes.
 pub const CUT: Rule = Rule { cut: true, lost: 0.0, twice: 0.0, delay_s: 0.0, jitter_s: 0.0 };
 
-/// Addresses that are free for datagrams and connections both: each of a loopback host of its own, so that nothing else
-/// that asks for any free port is given one of them meanwhile.
+/// Addresses for datagrams and connections both.
 pub fn free_for_peers(count: usize) -> Vec<SocketAddrV4> {
-    static GIVEN: AtomicU32 = AtomicU32::new(1);
-    let process = std::process::id();
-    let (high, low) = (64 + (process >> 8) % 64, process % 256);
-    let next = || GIVEN.fetch_add(1, Ordering::SeqCst);
-    let host = |n: u32| Ipv4Addr::new(127, high as u8, low as u8, (n % 250) as u8 + 1);
-    (0..count).map(|_| next()).map(|n| SocketAddrV4::new(host(n), 7811 + (n / 250) as u16)).collect()
+    (0..count).map(|_| own_address(7811)).collect()
 }
 
 /// A `[cluster]` table: its secret's file, where it listens, its roster of names, addresses and clients' addresses.
--- a/programs/dispatch/src/lib.rs
+++ b/programs/dispatch/src/lib.rs
@@ -181,6 +181,9 @@
     let fenced = Arc::new(AtomicBool::new(false));
     let plane = join(&settings, base, &to, &fenced)?;
     let mut driver = Driver::new(settings, seed, (to, from), ready);
+    if let Some(plane) = &plane {
+        driver.tell_peers(Box::new(plane.ear()));
+    }
     if let Some(ledger) = ledger {
         driver.borrow(ledger);
     }
@@ -222,6 +225,9 @@
         Told::Part { lent, until } => {
             let _ = to.try_send(Event::Input(Input::Part { lent, until }));
         }
+        Told::Heard { at, of, heard } => {
+            let _ = to.try_send(Event::Input(Input::Heard { at, of, heard }));
+        }
         Told::Fenced => {
             fenced.store(true, Ordering::SeqCst);
             let _ = to.send(Event::Input(Input::Stop));
--- a/programs/drill/src/encode.rs
+++ b/programs/drill/src/encode.rs
@@ -131,7 +131,10 @@
             out.extend(elapsed_s.to_le_bytes());
             report(&mut out, values);
         }
-        Event::PlaceAnswer { .. } | Event::PeerMessage { .. } | Event::Share { .. } => return None,
+        Event::PlaceAnswer { .. }
+        | Event::PeerMessage { .. }
+        | Event::Share { .. }
+        | Event::Hearsay { .. } => return None,
     }
     Some((list, out))
 }
--- a/programs/measure/src/cluster.rs
+++ b/programs/measure/src/cluster.rs
@@ -1,11 +1,11 @@
 //! What it costs a dispatcher to know so many others: first token, memory and processor time beside one that knows of nobody.
 //! The others are members on real sockets in this process.
 
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bitternlatch_badday::client::Client;
-use bitternlatch_badday::process::Dispatcher;
+use bitternlatch_badday::process::{own_address, Dispatcher};
 use bitternlatch_core::settings::{Cluster, Peer};
 use bitternlatch_peer_net::{ask as ask_view, Plane};
 use bitternlatch_standin::capture::Capture;
@@ -16,29 +16,22 @@
 const JOINED_WITHIN: Duration = Duration::from_secs(120);
 const IDLE: Duration = Duration::from_secs(10);
 
-/// Loopback hosts of this process's own, one a member.
-fn address(number: usize) -> SocketAddrV4 {
-    let (own, n) = (std::process::id(), number as u32);
-    SocketAddrV4::new(Ipv4Addr::new(127, 192 + (own % 32) as u8, (n / 200) as u8, (n % 200) as u8 + 1), 7811)
-}
-
 fn roster(members: usize) -> Vec<Peer> {
-    let peer = |n: usize| Peer { name: format!("dispatch-{n}"), address: address(n), clients: None };
+    let peer = |n: usize| Peer { name: format!("dispatch-{n}"), address: own_address(7811), clients: None };
     (1..=members).map(peer).collect()
 }
 
 /// The others; the first of the roster is the dispatcher that is measured.
-fn others(members: usize, secret: &str) -> Result<Vec<Plane>, String> {
-    let roster = roster(members);
+fn others(roster: &[Peer], secret: &str) -> Result<Vec<Plane>, String> {
     let join = |peer: &Peer| {
-        let (name, secret, roster) = ("measured".to_string(), secret.to_string(), roster.clone());
+        let (name, secret, roster) = ("measured".to_string(), secret.to_string(), roster.to_vec());
         let cluster = Cluster { name, secret, kept: None, address: None, roster };
         Plane::join(&cluster, &peer.name, std::path::Path::new(""), |_| ())
     };
     roster.iter().skip(1).map(join).collect()
 }
 
-fn table(members: usize, secret: &str) -> toml::Value {
+fn table(roster: &[Peer], secret: &str) -> toml::Value {
     let line = |peer: &Peer| {
         let address = peer.address.to_string().into();
         toml::Table::from_iter([
@@ -46,7 +39,7 @@
             ("address".to_string(), address),
         ])
     };
-    let roster: Vec<toml::Value> = roster(members).iter().map(line).map(Into::into).collect();
+    let roster: Vec<toml::Value> = roster.iter().map(line).map(Into::into).collect();
     toml::Table::from_iter([
         ("name".to_string(), "measured".into()),
         ("secret".to_string(), secret.into()),
@@ -55,8 +48,8 @@
     .into()
 }
 
-fn until_whole(members: usize) -> Result<(), String> {
-    let (began, at) = (Instant::now(), SocketAddr::V4(address(1)));
+fn until_whole(roster: &[Peer]) -> Result<(), String> {
+    let (began, at, members) = (Instant::now(), SocketAddr::V4(roster[0].address), roster.len());
     while began.elapsed() < JOINED_WITHIN {
         if ask_view(at, Duration::from_secs(5))
             .is_ok_and(|v| v.standing == "whole" && v.members.len() == members - 1)
@@ -87,11 +80,12 @@
     let secret = dir.join("secret").display().to_string();
     std::fs::write(&secret, "known to the members of this measurement\n").map_err(|e| e.to_string())?;
     let (_hosts, list) = stand_ins(None)?;
-    let planes = others(members, &secret)?;
+    let roster = roster(members);
+    let planes = others(&roster, &secret)?;
     let alone = dispatcher(&list, |_| ())?;
     let knows =
-        dispatcher(&list, |settings| drop(settings.insert("cluster".into(), table(members, &secret))))?;
-    until_whole(members)?;
+        dispatcher(&list, |settings| drop(settings.insert("cluster".into(), table(&roster, &secret))))?;
+    until_whole(&roster)?;
     println!("{members} members; {requests} requests each by turns");
     let connect = |one: &Dispatcher| {
         Client::connect(&one.address, "m", "d", Capture::none()).map_err(|e| e.to_string())
