--- a/programs/measure/src/main.rs
+++ b/programs/measure/src/main.rs
@@ -5,6 +5,7 @@
 mod decision;
 mod latency;
 mod members;
+mod plot;
 mod relay;
 mod rig;
 mod secured;
@@ -84,6 +85,9 @@
         /// Seconds of loss in each run.
         #[arg(long, default_value_t = 60)]
         lossy_s: u64,
+        /// Also draws when failures were missed and halves agreed, into this folder.
+        #[arg(long)]
+        svg: Option<std::path::PathBuf>,
     },
 }
 
@@ -106,9 +110,8 @@
                 Ok(())
             }
             What::Cluster { members, requests } => cluster::measure(members, requests),
-            What::Members { sizes, seeds, lossy_s } => {
-                members::measure(&sizes, seeds, lossy_s);
-                Ok(())
+            What::Members { sizes, seeds, lossy_s, svg } => {
+                members::measure(&sizes, seeds, lossy_s, svg.as_deref())
             }
         },
     };
--- a/programs/measure/src/members.rs
+++ b/programs/measure/src/members.rs
@@ -1,11 +1,13 @@
 //! Membership in simulated time, by the code that serves: how soon a failed one is missed, how often one that is there,
 //! how soon all agree again, and what it costs on the wire.
 
+use std::path::Path;
 use std::time::Duration;
 
 use bitternlatch_membership::simulated::{ms, World};
 use bitternlatch_membership::{Event, State};
 
+use crate::plot::{draw, shares, Figure};
 use crate::rig;
 
 /// What was seen in all runs of one size.
@@ -22,6 +24,8 @@
     unheard: usize,
 }
 
+/// Points of a drawn line.
+const POINTS: usize = 120;
 const QUIET: Duration = Duration::from_secs(20);
 const KILLED: Duration = Duration::from_secs(15);
 const PARTED: Duration = Duration::from_secs(10);
@@ -80,7 +84,11 @@
 }
 
 /// Runs each size with so many seeds, side by side, and prints a line for each.
-pub fn measure(sizes: &[usize], seeds: u64, lossy_s: u64) {
+///
+/// # Errors
+/// Where a figure cannot be drawn.
+pub fn measure(sizes: &[usize], seeds: u64, lossy_s: u64, svg: Option<&Path>) -> Result<(), String> {
+    let (mut missed, mut healed) = (Vec::new(), Vec::new());
     println!("simulated; {seeds} seeds; removals of living members by a peer, in {lossy_s} s of loss a seed");
     println!(
         "{:>5} {:>9} {:>9} {:>8} {:>10} {:>9} {:>9} {:>8} {:>9} {:>9} {:>8}",
@@ -112,8 +120,18 @@
             let lanes: Vec<_> = (0..threads).map(|lane| scope.spawn(move || one(lane))).collect();
             lanes.into_iter().filter_map(|lane| lane.join().ok()).collect()
         });
+        let all = |of: fn(&Seen) -> &Vec<f64>| lanes.iter().flat_map(|s| of(s).iter().copied()).collect();
+        missed.push((format!("{size} members"), shares(all(|s| &s.missed_s), POINTS)));
+        healed.push((format!("{size} members"), shares(all(|s| &s.healed_s), POINTS)));
         print_line(*size, seeds, lanes);
     }
+    let Some(dir) = svg else { return Ok(()) };
+    let title = format!("A killed member is missed (simulated, {seeds} seeds)");
+    let figure = Figure { title: &title, x: "seconds after the kill", y: "share of the others" };
+    draw(&dir.join("members-missed.svg"), &figure, &missed)?;
+    let title = format!("Halves apart for 10 s agree again (simulated, {seeds} seeds)");
+    let figure = Figure { title: &title, x: "seconds after healing", y: "share of the runs" };
+    draw(&dir.join("members-healed.svg"), &figure, &healed)
 }
 
 fn print_line(size: usize, seeds: u64, lanes: Vec<Seen>) {
