Members may be given seeds: the proven roster over TCP, past slow and half-open links

A roster had to stand in every member's settings. `[cluster] seeds` names a few members that have one; it is asked for over TCP at the start, bears a proof over the asker's own number, is bounded, kept for a time when no seed answers, and is written into the recorded settings, so that records replay alike.

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -492,6 +492,14 @@
         assert!(twice.is_some_and(|f| f.contains("cluster.roster.1.address: 127.0.0.1:7811 is also")));
         assert!(fault(&(one.clone() + &one)).is_some_and(|f| f.contains("'d1' is also the name")));
         assert!(fault(&peer("d1", "127.0.0.1:0")).is_some_and(|f| f.contains("cannot be sent to")));
+        let seeds = |of: &str| format!("seeds = [{of}]\n");
+        assert_eq!(fault(&seeds("\"127.0.0.1:7811\"")), None);
+        assert!(fault(&seeds("\"127.0.0.1:0\"")).is_some_and(|f| f.contains("cluster.seeds.0: 127.0.0.1:0")));
+        assert!(
+            fault(&seeds(&"\"127.0.0.1:7811\",".repeat(17))).is_some_and(|f| f.contains("16 at the most"))
+        );
+        assert!(fault(&(seeds("\"127.0.0.1:7811\"") + &one)).is_some_and(|f| f.contains("keep one of them")));
+        assert!(fault("").is_some_and(|f| f.contains("cluster.roster")));
     }
 
     #[test]
--- a/crates/core/src/settings/cluster.rs
+++ b/crates/core/src/settings/cluster.rs
@@ -7,6 +7,9 @@
 
 use super::check::Check;
 
+/// Seeds that are asked at a start.
+const SEEDS_MOST: usize = 16;
+
 /// Off without this table. Peers speak datagrams and, for whole views, TCP at the same addresses.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -20,7 +23,11 @@
     /// Where this one listens, if not where the roster says that peers send: behind a forwarder.
     pub address: Option<SocketAddrV4>,
     /// All members, this one among them.
+    #[serde(default)]
     pub roster: Vec<Peer>,
+    /// Instead of a roster: where some members are heard that have one, and are asked for it at the start.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddrV4>,
 }
 
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -37,6 +44,12 @@
     pub(super) fn check(&self, own: &str, c: &mut Check) {
         c.name("cluster.name", &self.name);
         c.name("cluster.secret", &self.secret);
+        if !self.seeds.is_empty() {
+            return match self.roster.is_empty() {
+                true => self.check_seeds(c),
+                false => c.fail("cluster.seeds", "a roster is given as well; keep one of them".to_string()),
+            };
+        }
         c.some("cluster.roster", self.roster.len());
         c.unique("cluster.roster", self.roster.iter().map(|p| p.name.as_str()));
         if self.roster.iter().all(|p| p.name != own) {
@@ -57,6 +70,15 @@
         }
     }
 
+    fn check_seeds(&self, c: &mut Check) {
+        if self.seeds.len() > SEEDS_MOST {
+            c.fail("cluster.seeds", format!("{} of them; {SEEDS_MOST} at the most", self.seeds.len()));
+        }
+        for (i, seed) in self.seeds.iter().enumerate().filter(|(_, s)| s.port() == 0) {
+            c.fail(&format!("cluster.seeds.{i}"), format!("{seed} cannot be connected to"));
+        }
+    }
+
     /// Where this one listens.
     pub fn own_address(&self, own: &str) -> Option<SocketAddrV4> {
         self.address.or_else(|| self.roster.iter().find(|p| p.name == own).map(|p| p.address))
--- a/crates/membership/src/seal.rs
+++ b/crates/membership/src/seal.rs
@@ -22,6 +22,7 @@
 const WINDOW: u64 = 64;
 
 /// What all members of one cluster know.
+#[derive(Clone)]
 pub struct Secret {
     cluster: u32,
     key: [u8; 32],
@@ -34,6 +35,16 @@
         Secret { cluster: NameKey::of(cluster).0, key }
     }
 
+    /// Proves a text, as an answer to a question that bore this number; no datagram's tag is one of these, as datagrams begin with
+    /// their version.
+    pub fn proof(&self, number: &[u8], text: &[u8]) -> [u8; TAG] {
+        let length = (number.len() as u64).to_le_bytes();
+        let hash = self.tag(&[&[0xFF][..], &length, number, text].concat());
+        let mut proof = [0; TAG];
+        proof.copy_from_slice(&hash.as_bytes()[..TAG]);
+        proof
+    }
+
     fn tag(&self, bytes: &[u8]) -> blake3::Hash {
         blake3::keyed_hash(&self.key, bytes)
     }
--- a/crates/peer-net/src/lib.rs
+++ b/crates/peer-net/src/lib.rs
@@ -3,8 +3,10 @@
 //! What is said and who is there is decided in `bitternlatch-membership`; here are sockets, the clock and files.
 
 mod plane;
+mod seeds;
 mod start;
 mod views;
 
 pub use plane::{Plane, Told};
+pub use seeds::roster;
 pub use views::{ask, Line, Shown};
--- a/crates/peer-net/src/plane.rs
+++ b/crates/peer-net/src/plane.rs
@@ -15,6 +15,7 @@
 use bitternlatch_net::clock::Clock;
 use bitternlatch_net::lock;
 
+use crate::seeds;
 use crate::start;
 use crate::views::{self, Shown};
 
@@ -68,7 +69,7 @@
     kept: Option<PathBuf>,
 }
 
-fn read_secret(path: &Path) -> Result<Vec<u8>, String> {
+pub(crate) fn read_secret(path: &Path) -> Result<Vec<u8>, String> {
     let shown = path.display();
     let size = std::fs::metadata(path).map_err(|e| format!("{shown}: {e}"))?.len();
     if !SECRET_BYTES.contains(&size) {
@@ -125,14 +126,16 @@
         let process = start::number(kept.as_deref())?;
         let seed = getrandom::u64().map_err(|e| format!("no randomness: {e}"))?;
         let clock = Clock::start();
-        let member = Membership::new(name, process, roster, secret, seed, now(&clock));
+        let member = Membership::new(name, process, roster, secret.clone(), seed, now(&clock));
         let whole = Together::new(member, seed.rotate_left(32), now(&clock));
         let whole = Arc::new(Mutex::new(whole));
         let thread = |what: &str| std::thread::Builder::new().name(what.into());
         let no_thread = |e| format!("cluster: no thread: {e}");
         let (seen, cluster_name, own) = (Arc::clone(&whole), cluster.name.clone(), name.to_string());
         let view = move || Shown::of(&cluster_name, &own, &lock(&seen), now(&clock));
-        thread("views").spawn(move || views::serve(&listener, view)).map_err(no_thread)?;
+        let (own_roster, proven) = (cluster.clone(), secret.clone());
+        let other = move |question: &str| seeds::answer(&own_roster, &proven, question);
+        thread("views").spawn(move || views::serve(&listener, view, other)).map_err(no_thread)?;
         let stop = Arc::new(AtomicBool::new(false));
         let ear = Arc::clone(&whole);
         let (ended, name) = (Arc::clone(&stop), name.to_string());
--- /dev/null
+++ b/crates/peer-net/src/seeds.rs
@@ -0,0 +1,173 @@
+//! The whole roster from a peer that has it, over TCP: for members that are given a few addresses to begin with.
+//!
+//! The one that asks sends a number of its own; the answer bears a proof over both by the cluster's secret, so that neither a
+//! stranger nor an old answer passes. What was told last is kept beside the start's number, for a time when no seed answers:
+//! all restarted at once would else wait for each other.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, SocketAddrV4, TcpStream};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use bitternlatch_core::settings::{Cluster, Peer};
+use bitternlatch_membership::Secret;
+use serde::{Deserialize, Serialize};
+
+use crate::plane::read_secret;
+
+/// How long seeds are asked, one after the other, again and again; and the wait for one.
+const ASK_FOR: Duration = Duration::from_secs(5);
+const ONE_SEED: Duration = Duration::from_millis(500);
+const AGAIN: Duration = Duration::from_millis(200);
+/// Longest answer, bytes: a thousand members take some 150 KB.
+const ANSWER_BYTES: u64 = 1 << 20;
+const NONCE: usize = 16;
+
+#[derive(Serialize, Deserialize)]
+struct Told {
+    cluster: String,
+    roster: Vec<Line>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Line {
+    name: String,
+    address: SocketAddrV4,
+    clients: Option<String>,
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+/// The answer to a question for the roster, if it is one: `roster 1 NAME NONCE`.
+pub(crate) fn answer(cluster: &Cluster, secret: &Secret, question: &str) -> Option<String> {
+    let words: Vec<&str> = question.split_whitespace().collect();
+    let ["roster", "1", _name, nonce] = words[..] else { return None };
+    if nonce.len() != 2 * NONCE || cluster.roster.is_empty() {
+        return None;
+    }
+    let line = |p: &Peer| Line { name: p.name.clone(), address: p.address, clients: p.clients.clone() };
+    let told = Told { cluster: cluster.name.clone(), roster: cluster.roster.iter().map(line).collect() };
+    let text = serde_json::to_string(&told).ok()?;
+    let proof = hex(&secret.proof(nonce.as_bytes(), text.as_bytes()));
+    Some(format!("{text}\n{proof}\n"))
+}
+
+fn ask(seed: SocketAddrV4, name: &str, nonce: &str) -> io::Result<String> {
+    let mut stream = TcpStream::connect_timeout(&SocketAddr::V4(seed), ONE_SEED)?;
+    stream.set_read_timeout(Some(ONE_SEED))?;
+    stream.set_write_timeout(Some(ONE_SEED))?;
+    writeln!(stream, "roster 1 {name} {nonce}")?;
+    let mut text = String::new();
+    stream.take(ANSWER_BYTES).read_to_string(&mut text)?;
+    Ok(text)
+}
+
+/// What an answer says, if its proof fits.
+fn read(cluster: &str, secret: &Secret, nonce: &str, answer: &str) -> Result<Vec<Peer>, String> {
+    let (text, proof) = answer.trim_end().split_once('\n').ok_or("this is no roster")?;
+    if proof != hex(&secret.proof(nonce.as_bytes(), text.as_bytes())) {
+        return Err("the proof does not fit: another secret, or an old answer".to_string());
+    }
+    parse(cluster, text)
+}
+
+fn parse(cluster: &str, text: &str) -> Result<Vec<Peer>, String> {
+    let told: Told = serde_json::from_str(text).map_err(|e| format!("this is no roster: {e}"))?;
+    if told.cluster != cluster {
+        return Err(format!("it belongs to the cluster '{}'", told.cluster));
+    }
+    let peer = |l: Line| Peer { name: l.name, address: l.address, clients: l.clients };
+    Ok(told.roster.into_iter().map(peer).collect())
+}
+
+/// Beside the start's number.
+fn kept(cluster: &Cluster, base: &Path) -> Option<PathBuf> {
+    let path = base.join(cluster.kept.as_ref()?);
+    let mut name = path.file_name()?.to_os_string();
+    name.push(".roster");
+    Some(path.with_file_name(name))
+}
+
+fn keep(path: &Path, cluster: &str, roster: &[Peer]) -> io::Result<()> {
+    let line = |p: &Peer| Line { name: p.name.clone(), address: p.address, clients: p.clients.clone() };
+    let told = Told { cluster: cluster.to_string(), roster: roster.iter().map(line).collect() };
+    // Whole or not at all.
+    let beside = path.with_extension("roster-new");
+    std::fs::write(&beside, serde_json::to_string(&told)?)?;
+    std::fs::rename(&beside, path)
+}
+
+/// The roster, from the first seed that tells one, or as it was told last; and whose word it is.
+///
+/// # Errors
+/// Where neither is to be had, with what each seed said.
+pub fn roster(cluster: &Cluster, name: &str, base: &Path) -> Result<(Vec<Peer>, String), String> {
+    let secret = Secret::new(&cluster.name, &read_secret(&base.join(&cluster.secret))?);
+    let kept = kept(cluster, base);
+    let (began, mut faults) = (Instant::now(), Vec::new());
+    while began.elapsed() < ASK_FOR {
+        faults.clear();
+        for seed in &cluster.seeds {
+            let mut random = [0; NONCE];
+            getrandom::fill(&mut random).map_err(|e| format!("no randomness: {e}"))?;
+            let nonce = hex(&random);
+            let told = ask(*seed, name, &nonce).map_err(|e| e.to_string());
+            match told.and_then(|answer| read(&cluster.name, &secret, &nonce, &answer)) {
+                Ok(roster) => {
+                    if let Some(Err(error)) = kept.as_ref().map(|path| keep(path, &cluster.name, &roster)) {
+                        tracing::warn!(%error, "the roster cannot be kept");
+                    }
+                    return Ok((roster, format!("seed {seed}")));
+                }
+                Err(why) => faults.push(format!("{seed}: {why}")),
+            }
+        }
+        std::thread::sleep(AGAIN);
+    }
+    let faults = faults.join("; ");
+    let last = kept.as_ref().and_then(|path| std::fs::read_to_string(path).ok());
+    match last.map(|text| parse(&cluster.name, &text)) {
+        Some(Ok(roster)) => {
+            tracing::warn!(seeds = faults, "no seed tells the roster; the last one told counts");
+            Ok((roster, "the last one told".to_string()))
+        }
+        Some(Err(why)) => Err(format!("cluster.seeds: {faults}; and the kept roster: {why}")),
+        None => Err(format!("cluster.seeds: none tells the roster: {faults}")),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn cluster() -> Cluster {
+        let peer = |n: u16| Peer {
+            name: format!("d{n}"),
+            address: SocketAddrV4::new([127, 0, 0, 1].into(), 7000 + n),
+            clients: Some(format!("c{n}")),
+        };
+        let roster = vec![peer(1), peer(2)];
+        let (name, secret) = ("hall".to_string(), String::new());
+        Cluster { name, secret, kept: None, address: None, roster, seeds: vec![] }
+    }
+
+    #[test]
+    fn an_answer_is_taken_for_its_own_question_secret_and_cluster_alone() {
+        let (cluster, secret) = (cluster(), Secret::new("hall", b"s"));
+        let nonce = "0".repeat(2 * NONCE);
+        let told = answer(&cluster, &secret, &format!("roster 1 d2 {nonce}")).expect("an answer");
+        assert_eq!(read("hall", &secret, &nonce, &told), Ok(cluster.roster.clone()));
+        let fails =
+            |secret: &Secret, name: &str, nonce: &str, told: &str| read(name, secret, nonce, told).is_err();
+        assert!(fails(&secret, "hall", &"1".repeat(2 * NONCE), &told), "an old answer");
+        assert!(fails(&Secret::new("hall", b"t"), "hall", &nonce, &told), "a stranger's");
+        assert!(fails(&secret, "yard", &nonce, &told), "another cluster's");
+        assert!(fails(&secret, "hall", &nonce, &told.replace("7001", "7009")), "changed on the way");
+        assert!(fails(&secret, "hall", &nonce, ""));
+        for question in ["members 1", "roster 1 d2", "roster 2 d2 00", "roster 1 d2 00", ""] {
+            assert_eq!(answer(&cluster, &secret, question), None, "{question}");
+        }
+    }
+}
--- a/crates/peer-net/src/views.rs
+++ b/crates/peer-net/src/views.rs
@@ -8,10 +8,10 @@
 use bitternlatch_agreement::{base, Together};
 use serde::{Deserialize, Serialize};
 
-/// The one question there is.
+/// The question for a view.
 const QUESTION: &str = "members 1";
 /// Longest question and longest answer, bytes: a thousand members take some 250 KB.
-const QUESTION_BYTES: u64 = 64;
+const QUESTION_BYTES: u64 = 256;
 const ANSWER_BYTES: u64 = 1 << 20;
 /// Longest that one asker is waited for; askers are served one after the other.
 const ASKER: Duration = Duration::from_millis(500);
@@ -81,11 +81,15 @@
 }
 
 /// Answers askers one after the other until the process ends.
-pub(crate) fn serve(listener: &TcpListener, view: impl Fn() -> Shown) {
+pub(crate) fn serve(
+    listener: &TcpListener,
+    view: impl Fn() -> Shown,
+    other: impl Fn(&str) -> Option<String>,
+) {
     for stream in listener.incoming() {
         match stream {
             Ok(stream) => {
-                if let Err(e) = answer(stream, &view) {
+                if let Err(e) = answer(stream, &view, &other) {
                     tracing::debug!(error = %e, "an asker for the view was not answered");
                 }
             }
@@ -95,13 +99,18 @@
     }
 }
 
-fn answer(mut stream: TcpStream, view: &impl Fn() -> Shown) -> io::Result<()> {
+fn answer(
+    mut stream: TcpStream,
+    view: &impl Fn() -> Shown,
+    other: &impl Fn(&str) -> Option<String>,
+) -> io::Result<()> {
     stream.set_read_timeout(Some(ASKER))?;
     stream.set_write_timeout(Some(ASKER))?;
     let mut question = String::new();
     BufReader::new((&stream).take(QUESTION_BYTES)).read_line(&mut question)?;
     if question.trim() != QUESTION {
-        return stream.write_all(b"{\"error\":\"the question is 'members 1'\"}\n");
+        let wrong = || "{\"error\":\"the question is 'members 1'\"}\n".to_string();
+        return stream.write_all(other(question.trim()).unwrap_or_else(wrong).as_bytes());
     }
     let mut text = serde_json::to_string(&view())?;
     text.push('\n');
--- a/programs/badday/src/between.rs
+++ b/programs/badday/src/between.rs
@@ -1,9 +1,10 @@
 //! What lies between dispatchers: whatever is sent to one of them passes a socket of this program's own, which drops,
-//! delays and doubles as it is told. Who sent it stands in its envelope.
+//! delays and doubles as it is told. Who sent it stands in its envelope. Connections pass another, which reads who asks from the
+//! first line: cut ones stay open and silent, slow ones trickle.
 
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket};
+use std::net::{SocketAddr, SocketAddrV4, TcpListener, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
@@ -14,6 +15,9 @@
 use rand_core::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 
+use crate::links;
+use crate::process::own_address;
+
 /// Datagrams that may be under way on one path; past it new ones are lost, as in a full queue.
 const UNDER_WAY: usize = 4096;
 const LOOK_EVERY: Duration = Duration::from_millis(20);
@@ -29,6 +33,8 @@
     /// Seconds: always, and up to so much more, by which datagrams overtake each other.
     pub delay_s: f64,
     pub jitter_s: f64,
+    /// Bytes a second that a slow link carries; 0 is no bound. What does not fit waits its turn.
+    pub bytes_s: f64,
 }
 
 /// All paths between some members, by number.
@@ -40,7 +46,7 @@
 }
 
 /// By sender and receiver.
-type Rules = Arc<Mutex<BTreeMap<(usize, usize), Rule>>>;
+pub(crate) type Rules = Arc<Mutex<BTreeMap<(usize, usize), Rule>>>;
 
 /// What lies before one member.
 struct Relay {
@@ -51,6 +57,8 @@
     stop: Arc<AtomicBool>,
     random: Xoshiro256PlusPlus,
     under_way: BTreeMap<(Instant, u64), Vec<u8>>,
+    /// When the slow link from each sender is free again.
+    busy: BTreeMap<Option<usize>, Instant>,
     count: u64,
 }
 
@@ -64,7 +72,9 @@
         let (stop, rules) = (Arc::<AtomicBool>::default(), Rules::default());
         let mut between = Between { fronts: vec![], rules, stop, threads: vec![] };
         for (to, (_, address)) in members.iter().enumerate() {
-            let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+            let front = own_address(7911);
+            let socket = UdpSocket::bind(front)?;
+            let listener = TcpListener::bind(front)?;
             if let SocketAddr::V4(front) = socket.local_addr()? {
                 between.fronts.push(front);
             }
@@ -76,8 +86,17 @@
                 stop: Arc::clone(&between.stop),
                 random: Xoshiro256PlusPlus::seed_from_u64(seed ^ to as u64),
                 under_way: BTreeMap::new(),
+                busy: BTreeMap::new(),
                 count: 0,
             };
+            let door = links::Door {
+                to: (to, *address),
+                names: names.clone(),
+                rules: Arc::clone(&between.rules),
+                stop: Arc::clone(&between.stop),
+            };
+            let thread = std::thread::Builder::new().name(format!("links to {to}"));
+            between.threads.push(thread.spawn(move || door.run(&listener))?);
             let thread = std::thread::Builder::new().name(format!("before {to}"));
             between.threads.push(thread.spawn(move || relay.run())?);
         }
@@ -152,7 +171,12 @@
                 continue;
             }
             self.count += 1;
-            let at = Instant::now() + Duration::from_secs_f64((rule.delay_s + late).max(0.0));
+            let now = Instant::now();
+            let free = self.busy.get(&from).copied().unwrap_or(now).max(now);
+            let on_link = if rule.bytes_s > 0.0 { datagram.len() as f64 / rule.bytes_s } else { 0.0 };
+            let free = free + Duration::from_secs_f64(on_link);
+            self.busy.insert(from, free);
+            let at = free + Duration::from_secs_f64((rule.delay_s + late).max(0.0));
             self.under_way.insert((at, self.count), datagram.to_vec());
         }
     }
--- a/programs/badday/src/lib.rs
+++ b/programs/badday/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod clients;
 pub mod day;
+mod links;
 pub mod parted;
 pub mod process;
 pub mod run;
--- a/programs/badday/src/parted.rs
+++ b/programs/badday/src/parted.rs
@@ -45,6 +45,9 @@
     pub delay_s: f64,
     #[serde(default)]
     pub jitter_s: f64,
+    /// A slow link: bytes a second; 0 is no bound.
+    #[serde(default)]
+    pub bytes_s: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
@@ -56,6 +59,10 @@
     Kill,
     /// The same, and the folder's last start is gone.
     KillAndEmpty,
+    /// The same, and the folder is as it was at the day's begin.
+    KillAndSetBack,
+    /// The same, and the folder's last start was made by a clock that was an hour ahead; it is right again.
+    KillAndClockAhead,
 }
 
 /// `[[process]]`: what happens to one dispatcher's process.
@@ -77,6 +84,7 @@
             twice: self.twice,
             delay_s: self.delay_s,
             jitter_s: self.jitter_s,
+            bytes_s: self.bytes_s,
         }
     }
 
@@ -100,6 +108,9 @@
 /// With its place and cause.
 pub(crate) fn check(between: &[BetweenFault], process: &[ProcessFault], count: usize) -> Result<(), String> {
     for (i, b) in between.iter().enumerate() {
+        if !b.bytes_s.is_finite() || b.bytes_s < 0.0 {
+            return Err(format!("between.{i}.bytes_s: {} is no number of bytes", b.bytes_s));
+        }
         let shares = [b.lost, b.twice].iter().all(|s| (0.0..=1.0).contains(s));
         let times = [b.at_s, b.for_s, b.delay_s, b.jitter_s].iter().all(|t| (0.0..=600.0).contains(t));
         if !shares || !times {
@@ -241,6 +252,23 @@
     lock(truths).push(Truth { from_us, to_us: unix_us(), what });
 }
 
+/// What happened to the folder while its process was away. Where it has no start yet there is nothing to change.
+fn change_kept(what: What, path: &Path, first: Option<&str>) {
+    let done = match (what, first) {
+        (What::Pause | What::Kill, _) => Ok(()),
+        (What::KillAndEmpty, _) => std::fs::remove_file(path),
+        (What::KillAndSetBack, Some(first)) => std::fs::write(path, first),
+        (What::KillAndClockAhead, _) => {
+            let ahead = unix_us() / 1000 + 3_600_000;
+            std::fs::write(path, ahead.to_string())
+        }
+        (What::KillAndSetBack, None) => Ok(()),
+    };
+    if let Err(error) = done {
+        eprintln!("{}: {error}; it is as it was", path.display());
+    }
+}
+
 fn play(
     fault: &ProcessFault,
     start: Instant,
@@ -249,24 +277,24 @@
     dir: &Path,
     truths: &Truths,
 ) {
+    let i = fault.dispatcher - 1;
+    let kept = lock(all).get(i).map(|one| dir.join(format!("{}.start", one.name)));
+    let first = kept.and_then(|path| std::fs::read_to_string(path).ok());
     wait_until(start, fault.at_s);
-    let (i, began) = (fault.dispatcher - 1, unix_us());
+    let began = unix_us();
     if let Some(one) = lock(all).get_mut(i) {
         match fault.what {
             What::Pause => one.pause(),
-            What::Kill | What::KillAndEmpty => one.kill(),
+            _ => one.kill(),
         }
     }
     wait_until(start, fault.at_s + fault.for_s);
     if let Some(one) = lock(all).get_mut(i) {
-        if fault.what == What::KillAndEmpty {
-            // Where it has none yet there is nothing to take away.
-            let _ = std::fs::remove_file(dir.join(format!("{}.start", one.name)));
-        }
+        change_kept(fault.what, &dir.join(format!("{}.start", one.name)), first.as_deref());
         match fault.what {
             What::Pause => one.go_on(),
             // Should it not start again, its clients find the others.
-            What::Kill | What::KillAndEmpty => drop(one.start(image)),
+            _ => drop(one.start(image)),
         }
     }
     note(truths, began, Happened::Away(i));
--- a/programs/badday/tests/cluster.rs
+++ b/programs/badday/tests/cluster.rs
@@ -65,7 +65,14 @@
 #[test]
 fn lost_late_and_doubled_datagrams_keep_no_member_away_for_long() {
     let cluster = cluster("cluster-lossy", 4);
-    cluster.between.all(Rule { cut: false, lost: 0.3, twice: 0.3, delay_s: 0.002, jitter_s: 0.02 });
+    cluster.between.all(Rule {
+        cut: false,
+        lost: 0.3,
+        twice: 0.3,
+        delay_s: 0.002,
+        jitter_s: 0.02,
+        bytes_s: 0.0,
+    });
     cluster.dispatchers[3].pause();
     cluster.until("its loss", || (0..3).all(|at| cluster.state(3, at) == "down"));
     cluster.dispatchers[3].go_on();
--- a/programs/badday/tests/common/mod.rs
+++ b/programs/badday/tests/common/mod.rs
@@ -176,7 +176,7 @@
 }
 
 /// Nothing passes.
-pub const CUT: Rule = Rule { cut: true, lost: 0.0, twice: 0.0, delay_s: 0.0, jitter_s: 0.0 };
+pub const CUT: Rule = Rule { cut: true, lost: 0.0, twice: 0.0, delay_s: 0.0, jitter_s: 0.0, bytes_s: 0.0 };
 
 /// Addresses for datagrams and connections both.
 pub fn free_for_peers(count: usize) -> Vec<SocketAddrV4> {
--- a/programs/badday/tests/shares.rs
+++ b/programs/badday/tests/shares.rs
@@ -106,11 +106,25 @@
         until(&cluster, &[0, 1, 2, 3, 4], even(5, 5));
     }
     // Lost, late and doubled, while one after the other is cut off.
-    cluster.between.all(Rule { cut: false, lost: 0.3, twice: 0.3, delay_s: 0.002, jitter_s: 0.3 });
+    cluster.between.all(Rule {
+        cut: false,
+        lost: 0.3,
+        twice: 0.3,
+        delay_s: 0.002,
+        jitter_s: 0.3,
+        bytes_s: 0.0,
+    });
     for i in 0..5 {
         cluster.between.part(&[i], CUT);
         std::thread::sleep(Duration::from_millis(700));
-        cluster.between.all(Rule { cut: false, lost: 0.3, twice: 0.3, delay_s: 0.002, jitter_s: 0.3 });
+        cluster.between.all(Rule {
+            cut: false,
+            lost: 0.3,
+            twice: 0.3,
+            delay_s: 0.002,
+            jitter_s: 0.3,
+            bytes_s: 0.0,
+        });
     }
     cluster.between.all(Rule::default());
     until(&cluster, &[0, 1, 2, 3, 4], even(5, 5));
--- a/programs/dispatch/src/lib.rs
+++ b/programs/dispatch/src/lib.rs
@@ -89,7 +89,7 @@
     }
     check_rights(&args.config, &settings)?;
     let secured = Secured::load(&args.config, &settings)?;
-    if let Some(cluster) = &settings.cluster {
+    if let Some(cluster) = settings.cluster.as_ref().filter(|c| c.seeds.is_empty()) {
         let base = args.config.parent().unwrap_or(Path::new(""));
         Plane::check(cluster, &settings.name, base)?;
     }
@@ -97,9 +97,35 @@
         println!("{shown}: good; {} hosts in {}", good.hosts().len(), list.display());
         return Ok(());
     }
+    let (settings, text) = with_roster(&args.config, settings, text)?;
     serve(args, settings, text, list, good, secured)
 }
 
+/// With the roster in place of the seeds, asked for now: what is recorded has to say whom this dispatcher knew.
+fn with_roster(config: &Path, settings: Settings, text: String) -> Result<(Settings, String), String> {
+    let Some(cluster) = settings.cluster.as_ref().filter(|c| !c.seeds.is_empty()) else {
+        return Ok((settings, text));
+    };
+    let base = config.parent().unwrap_or(Path::new(""));
+    let (roster, by) = bitternlatch_peer_net::roster(cluster, &settings.name, base)?;
+    let mut table: toml::Table = toml::from_str(&text).map_err(|e| e.to_string())?;
+    let line = |p: &bitternlatch_core::settings::Peer| {
+        let clients = p.clients.iter().map(|c| ("clients".to_string(), c.clone().into()));
+        let named = [("name", p.name.clone()), ("address", p.address.to_string())];
+        let named = named.map(|(key, value)| (key.to_string(), toml::Value::from(value)));
+        toml::Value::from(toml::Table::from_iter(named.into_iter().chain(clients)))
+    };
+    if let Some(cluster) = table.get_mut("cluster").and_then(toml::Value::as_table_mut) {
+        cluster.remove("seeds");
+        cluster.insert("roster".into(), roster.iter().map(line).collect::<Vec<_>>().into());
+    }
+    let text = table.to_string();
+    let shown = format!("{} with the roster of {by}", config.display());
+    let settings = Settings::parse(&shown, &text).map_err(|e| e.to_string())?;
+    tracing::info!(by, members = roster.len(), "the roster");
+    Ok((settings, text))
+}
+
 /// Certificates and keys of both sides, where links are secured.
 struct Secured {
     server: Option<Arc<tls::Server>>,
--- a/programs/measure/src/cluster.rs
+++ b/programs/measure/src/cluster.rs
@@ -25,7 +25,7 @@
 fn others(roster: &[Peer], secret: &str) -> Result<Vec<Plane>, String> {
     let join = |peer: &Peer| {
         let (name, secret, roster) = ("measured".to_string(), secret.to_string(), roster.to_vec());
-        let cluster = Cluster { name, secret, kept: None, address: None, roster };
+        let cluster = Cluster { name, secret, kept: None, address: None, roster, seeds: vec![] };
         Plane::join(&cluster, &peer.name, std::path::Path::new(""), |_| ())
     };
     roster.iter().skip(1).map(join).collect()
