Words of failures are not believed where more than a quarter of a role's servers fail

Guess: resets hit all servers, two voices each condemn most, and the few that nobody has tried lately are crowded. Checked in simulated time: one reset in five attempts at every server, 100 routers: late answers 0.2% without words, 2 to 3% with them; with the guard 0.2% again, and what words save at one broken reader is unchanged. At fault: `on_hearsay` in `choice.rs`, which priced every server it was told of.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -57,6 +57,8 @@
 /// Mean loss of a server that others have seen failing, and how long others' word of a drain counts.
 const HEARSAY_LOSS_S: f64 = 0.25;
 const HEARSAY_S: f64 = 1.0;
+/// Seconds for which a server counts as told to fail, and the share of its like of which that is believed.
+const HEARSAY_FEW: (f64, f64) = (3.0, 0.25);
 /// What a server's mean loss counts, as failures come in spells; and for what may not be tried again.
 const LOSS_CARE: f64 = 4.0;
 const UNSAFE_CARE: f64 = 40.0;
@@ -130,6 +132,7 @@
     seen_tokens: f64,
     full_until: f64,
     closed_until: f64, // Others' lists have it draining.
+    told_failing: f64, // When others told last that it fails.
     probed_at: f64,
     probe_out: bool,
 }
@@ -831,7 +834,12 @@
         let Some(s) = self.servers.get_mut(&id).filter(|_| voices >= 2) else { return };
         match sight {
             Sight::Failing if s.heard < now - age_s => {
-                s.loss = (fade(s.loss, now, FADE_HALF_S).max(HEARSAY_LOSS_S), now);
+                s.told_failing = now;
+                if self.few_fail(now, id) {
+                    self.servers.get_mut(&id).into_iter().for_each(|s| {
+                        s.loss = (fade(s.loss, now, FADE_HALF_S).max(HEARSAY_LOSS_S), now);
+                    });
+                }
             }
             Sight::Cold if s.entry.booted_at <= 0.0 => s.entry.booted_at = now - age_s,
             Sight::Draining if 2 * voices > of => s.closed_until = now + HEARSAY_S,
@@ -839,6 +847,15 @@
         }
     }
 
+    /// Whether few of a server's like are told to fail. Where many are it is the way to them, which is no
+    /// reason to crowd those that nobody has tried of late.
+    fn few_fail(&self, now: f64, id: ServerId) -> bool {
+        let Some(role) = self.servers.get(&id).map(|s| s.role) else { return false };
+        let like = || self.servers.values().filter(|s| s.role == role && s.ready());
+        let failing = like().filter(|s| now - s.told_failing < HEARSAY_FEW.0).count();
+        failing <= 1 || failing as f64 <= HEARSAY_FEW.1 * like().count() as f64
+    }
+
     fn learn_read(&mut self, now: f64, end: &AttemptEnd, job: &Job, took: f64) {
         let hit = sane(end.prefix_hit_tokens).min(job.ask.prompt_tokens);
         for (key, tokens) in Self::keys(&job.ask).into_iter().filter(|(key, n)| key.1 != 0 && *n > 0.0) {
--- a/crates/policy/tests/common/fleet.rs
+++ b/crates/policy/tests/common/fleet.rs
@@ -29,6 +29,8 @@
 pub enum Trouble {
     Silent,
     Errors,
+    /// One attempt in so many is reset.
+    Resets(u64),
 }
 
 enum Happening {
@@ -153,7 +155,12 @@
                 return;
             }
             Some(Trouble::Errors) => return self.answer(server, attempt, Outcome::Error, now, 0.0),
-            None => {}
+            Some(Trouble::Resets(one_in))
+                if (u64::from(attempt.1) * 7919 + u64::from(attempt.2) * 104_729) % one_in == 0 =>
+            {
+                return self.answer(server, attempt, Outcome::Reset, now, 0.0);
+            }
+            Some(Trouble::Resets(_)) | None => {}
         }
         s.waiting.push_back((attempt, now));
         self.start(server);
@@ -231,7 +238,9 @@
         let (finished, elapsed_s) = (outcome == Outcome::Served, self.now - came);
         let report = self.report(server);
         match outcome {
-            Outcome::Error | Outcome::Cancelled => self.failed.insert((server, me), self.now),
+            Outcome::Error | Outcome::Cancelled | Outcome::Reset => {
+                self.failed.insert((server, me), self.now)
+            }
             _ => self.failed.remove(&(server, me)),
         };
         let end =
--- a/crates/policy/tests/hearsay.rs
+++ b/crates/policy/tests/hearsay.rs
@@ -19,9 +19,9 @@
     (z >> 11) as f64 / (1u64 << 53) as f64
 }
 
-/// Attempts at a reader that fails after five seconds of twenty, and the share of all requests that waited a second or more;
-/// `most` voices are told to the others three times a second.
-fn day(seed: u64, trouble: Trouble, most: usize) -> (u32, f64) {
+/// Attempts at one reader, when it and maybe others have trouble after five seconds of twenty, and the share of all requests that
+/// waited a second or more; up to `most` voices are told to the others three times a second.
+fn day(seed: u64, trouble: Trouble, at_all: bool, most: usize) -> (u32, f64) {
     let mut fleet = Fleet::new(Settings { dispatchers: ROUTERS, ..settings(Effect::Safe) }, T0);
     let readers = (1..READERS + 1).map(|id| server(id, 0, (id % 2) as u16));
     let list: Vec<_> = readers.chain((101..131).map(|id| server(id, 1, (id % 2) as u16))).collect();
@@ -37,12 +37,13 @@
         fleet.arrive(at, router, Request { prefix, session, ..ask(id) });
     }
     fleet.run(T0 + 5.0);
-    fleet.trouble(BROKEN, trouble);
+    let troubled: Vec<ServerId> = list.iter().map(|e| e.id).filter(|id| at_all || *id == BROKEN).collect();
+    troubled.iter().for_each(|id| fleet.trouble(*id, trouble));
     let before = fleet.waiting_and_taken(BROKEN).1;
     for tick in 0..50 {
         fleet.run(T0 + 5.0 + 0.3 * f64::from(tick));
         if most > 0 {
-            fleet.hearsay(BROKEN, most);
+            troubled.iter().for_each(|id| fleet.hearsay(*id, most));
         }
     }
     fleet.run(T0 + 40.0);
@@ -51,7 +52,7 @@
 }
 
 fn over_seeds(trouble: Trouble, most: usize) -> (u32, f64) {
-    let days = (1..4).map(|seed| day(seed, trouble, most));
+    let days = (1..4).map(|seed| day(seed, trouble, false, most));
     days.fold((0, 0.0), |sum, day| (sum.0 + day.0, sum.1 + day.1 / 3.0))
 }
 
@@ -68,9 +69,19 @@
     assert!(2 * told.0 < alone.0, "{told:?} against {alone:?}");
 }
 
+/// It is the way to them then: while every word was believed, 2 to 3 in 100 came late here in place of 2 in 1,000.
+#[test]
+fn words_of_failures_at_most_servers_crowd_nobody() {
+    for seed in 1..4 {
+        let late = |most| day(seed, Trouble::Resets(5), true, most).1;
+        let (alone, told) = (late(0), late(usize::MAX));
+        assert!(told <= alone + 0.005, "seed {seed}: {told} against {alone}");
+    }
+}
+
 #[test]
 fn one_voice_changes_nothing() {
-    assert_eq!(day(1, Trouble::Silent, 1), day(1, Trouble::Silent, 0));
+    assert_eq!(day(1, Trouble::Silent, false, 1), day(1, Trouble::Silent, false, 0));
 }
 
 /// How many of forty requests, a tenth of a second apart, go to the first of two readers, with something told of it before each but
