What the plane tells is the core's inputs; arrivals of simulated fleets in one place

Twins found by reading the change again: the plane's words mirrored three inputs of the core, two tests drew the same arrivals.

--- a/crates/peer-net/src/plane.rs
+++ b/crates/peer-net/src/plane.rs
@@ -8,10 +8,10 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use bitternlatch_agreement::{Hearsay, Output, Part, Together, Told as Agreed};
+use bitternlatch_agreement::{Output, Part, Together, Told as Agreed};
 use bitternlatch_core::settings::Cluster;
-use bitternlatch_core::{Micros, Seen};
-use bitternlatch_membership::{Event, Membership, Peer, Roster, Secret, Standing, DATAGRAM_MOST};
+use bitternlatch_core::{Input, Micros, Seen};
+use bitternlatch_membership::{Event, Membership, Peer, Roster, Secret, DATAGRAM_MOST};
 use bitternlatch_net::clock::Clock;
 use bitternlatch_net::lock;
 
@@ -31,22 +31,8 @@
 /// What the dispatcher is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Told {
-    Standing {
-        standing: Standing,
-        there: Vec<String>,
-        until: Micros,
-    },
-    /// Lent to this one of what all share, beside its careful part.
-    Part {
-        lent: f64,
-        until: Micros,
-    },
-    /// What peers see of hosts, and how many of them tell anything.
-    Heard {
-        at: Micros,
-        of: u16,
-        heard: Vec<Hearsay>,
-    },
+    /// Of standing, parts and hosts: one that is not taken in time is followed by another.
+    Input(Input),
     /// Another process under this name started later.
     Fenced,
 }
@@ -196,12 +182,12 @@
                 tell_at = at + TELL_EVERY;
                 let until = micros(at + COUNTS_FOR);
                 let (standing, there) = (whole.member.standing(), whole.member.there());
-                told(Told::Standing { standing, there, until });
+                told(Told::Input(Input::Standing { standing, there, until }));
             }
             let part = whole.shares.part();
             if part != told_part {
                 told_part = part;
-                told(Told::Part { lent: part.lent, until: micros(part.until) });
+                told(Told::Input(Input::Part { lent: part.lent, until: micros(part.until) }));
             }
             said = self.log_part(at, part, said);
             let stop = self.stop.load(Ordering::SeqCst);
@@ -239,7 +225,7 @@
                 // A datagram that cannot be sent is as good as lost, which the protocol bears.
                 Output::Send(to, bytes) => drop(self.socket.send_to(&bytes, to)),
                 Output::Agreed(Agreed::Heard { of, heard }) => {
-                    told(Told::Heard { at: self.clock.now(), of, heard })
+                    told(Told::Input(Input::Heard { at: self.clock.now(), of, heard }))
                 }
                 Output::Agreed(agreed) => self.log_agreed(&agreed),
                 Output::Member(event) => {
--- a/crates/policy/tests/common/fleet.rs
+++ b/crates/policy/tests/common/fleet.rs
@@ -56,7 +56,30 @@
     swallowed: BTreeMap<Attempt, ServerId>,
 }
 
+/// A draw from 0 to 1.
+pub fn draw(seed: u64, n: u64) -> f64 {
+    let z = (seed ^ n.wrapping_mul(0x9E37_79B9_7F4A_7C15)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    let z = (z ^ (z >> 29)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    (z >> 11) as f64 / (1u64 << 53) as f64
+}
+
 impl Fleet {
+    /// So many requests a second for some time, each at any router, with a few prefixes much in use and many sessions; `ask` makes one
+    /// of its number.
+    pub fn arrivals(&mut self, seed: u64, rate: f64, for_s: f64, ask: impl Fn(RequestId) -> Request) {
+        let until = self.now + for_s;
+        let (mut at, mut id) = (self.now + 0.1, 0u32);
+        while at < until {
+            id += 1;
+            let n = u64::from(id) * 8;
+            at += -draw(seed, n).max(1e-9).ln() / rate;
+            let router = (draw(seed, n + 1) * f64::from(self.settings.dispatchers)) as usize;
+            let prefix = 1 + (40.0 * draw(seed, n + 2).powi(2)) as u64;
+            let session = 1 + (draw(seed, n + 3) * 400.0) as u64;
+            self.arrive(at, router, Request { prefix, session, ..ask(id) });
+        }
+    }
+
     pub fn new(settings: Settings, now: f64) -> Fleet {
         let routers = (0..settings.dispatchers).map(|me| Router::new(settings.clone(), u64::from(me)));
         let routers = routers.collect();
--- a/programs/badday/src/day.rs
+++ b/programs/badday/src/day.rs
@@ -58,6 +58,10 @@
     /// Whether they know each other.
     #[serde(default)]
     pub cluster: bool,
+    /// What happens between them and to their processes is played, but they are told of nobody: the same day for a program
+    /// that knows no peers.
+    #[serde(default)]
+    pub strangers: bool,
     #[serde(default)]
     pub restarts: Vec<Restart>,
 }
--- a/programs/badday/src/run.rs
+++ b/programs/badday/src/run.rs
@@ -82,7 +82,8 @@
         true => Some(Joined::make(dir, day.dispatchers.count, day.seed).map_err(fail("the cluster"))?),
         false => None,
     };
-    joined.iter().for_each(|joined| joined.settle(&mut dispatchers));
+    let settled = joined.iter().filter(|_| !day.dispatchers.strangers);
+    settled.for_each(|joined| joined.settle(&mut dispatchers));
     for one in &mut dispatchers {
         one.start(image).map_err(fail("a dispatcher"))?;
     }
@@ -120,8 +121,10 @@
         }
     }
     let views = match joined {
-        Some(_) => views::judge(&views::read(dir)?, &truths, day.dispatchers.count, told_to_stop),
-        None => Vec::new(),
+        Some(_) if !day.dispatchers.strangers => {
+            views::judge(&views::read(dir)?, &truths, day.dispatchers.count, told_to_stop)
+        }
+        _ => Vec::new(),
     };
     let facts = facts(day, &settings, began, &noted);
     let file = File::create(dir.join("facts.json")).map_err(fail("facts.json"))?;
--- a/programs/dispatch/src/lib.rs
+++ b/programs/dispatch/src/lib.rs
@@ -244,15 +244,9 @@
     let (to, fenced) = (to.clone(), Arc::clone(fenced));
     // Without a loop the process is ending.
     let told = move |told: Told| match told {
-        Told::Standing { standing, there, until } => {
+        Told::Input(input) => {
             // A loop that is behind gets the next one; what it has is no longer believed then.
-            let _ = to.try_send(Event::Input(Input::Standing { standing, there, until }));
-        }
-        Told::Part { lent, until } => {
-            let _ = to.try_send(Event::Input(Input::Part { lent, until }));
-        }
-        Told::Heard { at, of, heard } => {
-            let _ = to.try_send(Event::Input(Input::Heard { at, of, heard }));
+            let _ = to.try_send(Event::Input(input));
         }
         Told::Fenced => {
             fenced.store(true, Ordering::SeqCst);
