Troubles between pairs; a third that hears both, late words of an old start, a lost farewell

Hard cases of the issue that only simulated time or nothing had shown, over real processes: two that do not hear each other and a third that hears both, what a process said before its restart and comes after it, a leaver whose farewell is lost.

--- a/programs/badday/src/parted.rs
+++ b/programs/badday/src/parted.rs
@@ -33,6 +33,9 @@
     pub for_s: f64,
     /// From 1; all of them, for trouble between each two.
     pub group: Vec<usize>,
+    /// The others that it concerns; all that are not in the group, where none is named.
+    #[serde(default)]
+    pub with: Vec<usize>,
     #[serde(default)]
     pub way: Way,
     #[serde(default)]
@@ -94,10 +97,12 @@
         if self.group.len() == count {
             return true;
         }
+        let other = |i: usize| !within(i) && (self.with.is_empty() || self.with.contains(&(i + 1)));
+        let (out, back) = (within(from) && other(to), other(from) && within(to));
         match self.way {
-            Way::Both => within(from) != within(to),
-            Way::Out => within(from) && !within(to),
-            Way::In => !within(from) && within(to),
+            Way::Both => out || back,
+            Way::Out => out,
+            Way::In => back,
         }
     }
 }
@@ -116,7 +121,7 @@
         if !shares || !times {
             return Err(format!("between.{i}: shares are 0 to 1, times 0 to 600 s"));
         }
-        if b.group.is_empty() || b.group.iter().any(|n| !(1..=count).contains(n)) {
+        if b.group.is_empty() || b.group.iter().chain(&b.with).any(|n| !(1..=count).contains(n)) {
             return Err(format!("between.{i}.group: dispatchers 1 to {count} are expected"));
         }
     }
@@ -304,6 +309,21 @@
 mod tests {
     use crate::day::Day;
 
+    #[test]
+    fn a_trouble_concerns_a_pair_or_a_group_and_the_rest() {
+        let concerned = |text: &str| {
+            let fault: super::BetweenFault =
+                toml::from_str(&format!("at_s = 1\nfor_s = 1\n{text}")).expect(text);
+            let ways =
+                (0..3).flat_map(|from| (0..3).map(move |to| (from, to))).filter(|(from, to)| from != to);
+            ways.filter(|(from, to)| fault.concerns(*from, *to, 3)).collect::<Vec<_>>()
+        };
+        assert_eq!(concerned("group = [1]"), [(0, 1), (0, 2), (1, 0), (2, 0)]);
+        assert_eq!(concerned("group = [1]\nwith = [3]"), [(0, 2), (2, 0)]);
+        assert_eq!(concerned("group = [1]\nwith = [3]\nway = \"in\""), [(2, 0)]);
+        assert_eq!(concerned("group = [1, 2, 3]").len(), 6);
+    }
+
     #[test]
     fn troubles_that_would_not_be_played_are_refused_with_their_place() {
         let fault = |cluster: bool, more: &str| {
--- a/programs/badday/tests/cluster.rs
+++ b/programs/badday/tests/cluster.rs
@@ -62,6 +62,49 @@
     assert!(!cluster.dispatchers.iter().any(down));
 }
 
+#[test]
+fn a_third_that_hears_both_keeps_two_together_that_do_not_hear_each_other() {
+    let cluster = cluster("cluster-third", 3);
+    cluster.between.set(0, 1, CUT);
+    cluster.between.set(1, 0, CUT);
+    std::thread::sleep(Duration::from_secs(6)); // Nothing is to happen, so nothing can be waited for.
+    assert!((0..3).all(|at| cluster.standing(at) == "whole"));
+    let down = |d: &Dispatcher| d.log().expect("a log").contains("\"state\":\"Down\"");
+    assert!(!cluster.dispatchers.iter().any(down));
+}
+
+#[test]
+fn what_a_process_said_before_it_was_restarted_counts_for_nothing_when_it_comes() {
+    let mut cluster = cluster("cluster-late", 3);
+    let late = Rule { delay_s: 6.0, ..Rule::default() };
+    cluster.between.set(2, 0, late);
+    cluster.between.set(2, 1, late);
+    std::thread::sleep(Duration::from_millis(600)); // So that something is under way.
+    cluster.dispatchers[2].kill();
+    cluster.between.all(Rule::default());
+    cluster.dispatchers[2].start(&image()).expect("a process");
+    cluster.all_whole();
+    let start = cluster.view(2).expect("a view").start;
+    let old = |at: usize| cluster.view(at).and_then(|v| v.dropped.get("old_start").copied()).unwrap_or(0);
+    cluster.until("what is late", || (0..2).all(|at| old(at) > 0));
+    cluster.all_whole();
+    let told = cluster.view(2).expect("a view");
+    assert_eq!((told.start, told.fenced_by), (start, None));
+}
+
+#[test]
+fn a_leaver_whose_farewell_is_lost_is_missed_as_one_that_failed() {
+    let mut cluster = cluster("cluster-unheard", 3);
+    cluster.between.part(&[0], CUT);
+    cluster.dispatchers[0].terminate();
+    assert!(cluster.dispatchers[0].ended(SOON));
+    cluster.until("its loss", || (1..3).all(|at| cluster.state(0, at) == "down"));
+    assert!((1..3).all(|at| cluster.standing(at) == "majority"));
+    cluster.between.part(&[0], Rule::default());
+    cluster.dispatchers[0].start(&image()).expect("a process");
+    cluster.all_whole();
+}
+
 #[test]
 fn lost_late_and_doubled_datagrams_keep_no_member_away_for_long() {
     let cluster = cluster("cluster-lossy", 4);
