--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -10,12 +10,16 @@
 mod doubt;
 mod machine;
 mod member;
+mod roster;
 mod seal;
 pub mod simulated;
 mod standing;
+mod view;
 mod watch;
 
-pub use machine::{Dropping, Event, MemberView, Membership, Output, Peer, Roster, RosterError, State, View};
+pub use machine::{Event, Membership, Output};
 pub use member::{Id, NameKey, Start};
+pub use roster::{Peer, Roster, RosterError};
 pub use seal::{sender, Dropped, Secret, DATAGRAM_MOST, SAID_MOST};
 pub use standing::{Duty, Share, Standing, Work};
+pub use view::{Dropping, MemberView, State, View};
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -13,12 +13,12 @@
 
 use crate::doubt::Doubts;
 use crate::member::{Id, NameKey, Start};
+use crate::roster::Roster;
 use crate::seal::{word, Dropped, From, Kind, Opener, Sealer, Secret, SAID_MOST};
 use crate::standing::Standing;
+use crate::view::{Dropping, MemberView, State, View};
 use crate::watch::Watched;
 
-/// Members that a roster may name.
-const ROSTER_MOST: usize = 1000;
 /// Time between two probes, and within it until others are asked to probe too.
 const PROBE_EVERY: Duration = Duration::from_millis(250);
 const PROBE_WAIT: Duration = Duration::from_millis(100);
@@ -45,92 +45,6 @@
 /// How long a better standing must hold before it counts; a worse one counts at once.
 const SETTLE: Duration = Duration::from_secs(1);
 
-/// One line of the roster.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Peer {
-    pub name: String,
-    pub address: SocketAddrV4,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum RosterError {
-    #[error("'{0}' is not in the roster")]
-    Missing(String),
-    #[error("'{0}' stands in the roster twice")]
-    Twice(String),
-    #[error("the names '{0}' and '{1}' have the same short form; change one")]
-    Alike(String, String),
-    #[error("{0} members; 1 to {ROSTER_MOST} are expected")]
-    Size(usize),
-}
-
-/// The members that there should be.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Roster(BTreeMap<NameKey, Peer>);
-
-impl Roster {
-    /// # Errors
-    /// Where names are missing, double, or meet in their short form.
-    pub fn new(own: &str, peers: &[Peer]) -> Result<Roster, RosterError> {
-        if peers.is_empty() || peers.len() > ROSTER_MOST {
-            return Err(RosterError::Size(peers.len()));
-        }
-        let mut by_key: BTreeMap<NameKey, Peer> = BTreeMap::new();
-        for peer in peers {
-            match by_key.insert(NameKey::of(&peer.name), peer.clone()) {
-                Some(other) if other.name == peer.name => return Err(RosterError::Twice(other.name)),
-                Some(other) => return Err(RosterError::Alike(other.name, peer.name.clone())),
-                None => {}
-            }
-        }
-        match by_key.contains_key(&NameKey::of(own)) {
-            true => Ok(Roster(by_key)),
-            false => Err(RosterError::Missing(own.to_string())),
-        }
-    }
-}
-
-/// What is known of one member.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum State {
-    /// Nothing was ever heard of it.
-    Unheard,
-    Alive,
-    /// A probe went unanswered, here or elsewhere; it still counts as there.
-    Suspect,
-    /// Failed, or left.
-    Down,
-}
-
-impl State {
-    pub fn is_there(self) -> bool {
-        matches!(self, State::Alive | State::Suspect)
-    }
-}
-
-/// One line of a view.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct MemberView {
-    pub name: String,
-    pub address: SocketAddrV4,
-    pub start: Option<Start>,
-    pub state: State,
-    /// On the same clock as the calls.
-    pub since: Duration,
-    pub evidence: &'static str,
-}
-
-/// All that one member knows.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct View {
-    pub me: Id,
-    pub standing: Standing,
-    /// The later start under the same name to which this process has given way.
-    pub fenced_by: Option<Start>,
-    pub members: Vec<MemberView>,
-    pub dropped: Dropping,
-}
-
 /// What has changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
@@ -160,9 +74,6 @@
     },
 }
 
-/// How many datagrams were dropped, by cause.
-pub type Dropping = BTreeMap<Dropped, u64>;
-
 struct Row {
     id: Option<Id>,
     state: State,
