Agreement is stepped with datagrams too; twins of a question, a table and a part made one

At fault: `Together::datagram` did nothing that was due of agreement, so that dense datagrams could keep a steward or borrower from its beat; it is done in the one place that carries outputs, and no more by one that has given way to a later start. A test that hears noise without a pause shows it.

Without a change in behaviour: stewardships begin and end in one place (`look`); one way to say something to itself or another; the project's generator for chance; one question over TCP for views and rosters; `Cluster` and `Peer` are written by their own types in place of four tables by hand; the time on a slow link, the tests' folders and a rule stand once; suspects found by a probe are read from the events of that step.

--- a/crates/agreement/src/shares.rs
+++ b/crates/agreement/src/shares.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use bitternlatch_membership::NameKey;
+use rand_core::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
 
 use crate::hearsay::{latest, Gathered};
 use crate::{usable, Ballot, Hearsay, Host, Lender, Message, Number, Process, Sight, Trait, Verdict, LOAN};
@@ -64,7 +66,7 @@
     steward: Option<NameKey>,
     misses: u32,
     turn: usize,
-    seed: u64,
+    random: Xoshiro256PlusPlus,
     others: BTreeSet<NameKey>,
     left: bool,
 }
@@ -91,7 +93,7 @@
             steward: None,
             misses: 0,
             turn: seed as usize % 1024,
-            seed,
+            random: Xoshiro256PlusPlus::seed_from_u64(seed),
             others: BTreeSet::new(),
             left: false,
         }
@@ -129,13 +131,13 @@
         }
         self.beat_at = now + BEAT;
         if self.ballot.stands(now) {
-            let wait = Duration::from_millis(self.chance() % 400);
+            let wait = Duration::from_millis(self.random.next_u64() % 400);
             match self.ballot.give_up(now, wait) {
-                Some(number) => self.say_voters(now, Message::Released { number }, out),
+                Some(number) => self.say_voters(now, &Message::Released { number }, out),
                 None => {
                     let number = self.number();
                     self.ballot.ask(now, number);
-                    self.say_voters(now, Message::Vote { number, roster: self.digest }, out);
+                    self.say_voters(now, &Message::Vote { number, roster: self.digest }, out);
                 }
             }
         }
@@ -158,7 +160,7 @@
             return;
         }
         if let Some(number) = self.ballot.step_down(now) {
-            self.say_voters(now, Message::Released { number }, out);
+            self.say_voters(now, &Message::Released { number }, out);
         }
         self.part = Part::default();
         if let Some(steward) = self.steward.filter(|s| *s != self.own.name) {
@@ -179,14 +181,14 @@
                     Verdict::Granted => Message::Granted { number },
                     Verdict::Refused(holder) => Message::Refused { number, holder },
                 };
-                self.say(now, from, answer, out);
+                self.say(now, from.name, answer, out);
             }
             Message::Granted { number } => self.ballot.on_granted(now, from.name, number),
             Message::Released { number } => self.ballot.on_released(now, from, number),
             Message::Borrow { number, roster, seen } => {
                 let same = self.same_roster(from, roster, out);
-                let answer = self.lend(now, from, number, same.then_some(&seen));
-                self.say(now, from, answer, out);
+                let answer = self.lend(now, from, number, same.then_some(&seen), out);
+                self.say(now, from.name, answer, out);
             }
             Message::Lent { number, millionths, of, heard } => {
                 if self.on_lent(number, millionths) {
@@ -204,14 +206,17 @@
     }
 
     /// As steward; checked now, by this process's own clock, whatever it believed a moment ago.
-    fn lend(&mut self, now: Duration, to: Process, number: Number, seen: Option<&Vec<Sight>>) -> Message {
-        let since = self.ballot.stewards_since(now);
+    fn lend(
+        &mut self,
+        now: Duration,
+        to: Process,
+        number: Number,
+        seen: Option<&Vec<Sight>>,
+        out: &mut Vec<Told>,
+    ) -> Message {
+        self.look(now, out);
         let not_here = Message::NotHere { number, holder: self.ballot.holder(now) };
-        let Some((since, seen)) = since.zip(seen) else { return not_here };
-        if self.lender.as_ref().is_none_or(|(of, _)| *of != since) {
-            self.begin_lending(since);
-        }
-        let Some((_, lender)) = &mut self.lender else { return not_here };
+        let (Some((_, lender)), Some(seen)) = (&mut self.lender, seen) else { return not_here };
         let Some(millionths) = lender.lend(now, to, number) else { return not_here };
         self.gathered.keep(|who| lender.counts(who));
         self.gathered.told(now, to, seen);
@@ -219,11 +224,6 @@
         Message::Lent { number, millionths, of, heard }
     }
 
-    fn begin_lending(&mut self, since: Duration) {
-        self.lender = Some((since, Lender::new(WHOLE - CAREFUL, since)));
-        self.gathered = Gathered::default();
-    }
-
     /// As borrower. The answer to the latest question counts: it tells of those that came since.
     fn on_lent(&mut self, number: Number, millionths: u32) -> bool {
         let Some(asked) = self.asked.remove(&number) else { return false };
@@ -268,25 +268,20 @@
             age: now.saturating_sub(*since),
         });
         let question = Message::Borrow { number, roster: self.digest, seen: latest(seen.collect()) };
-        match to == self.own.name {
-            true => self.take(now, self.own, question, out),
-            false => out.push(Told::Say(to, question.write())),
-        }
+        self.say(now, to, question, out);
     }
 
-    fn say(&mut self, now: Duration, to: Process, message: Message, out: &mut Vec<Told>) {
-        match to == self.own {
-            true => self.take(now, to, message, out),
-            false => out.push(Told::Say(to.name, message.write())),
+    /// What it says to itself it hears at once.
+    fn say(&mut self, now: Duration, to: NameKey, message: Message, out: &mut Vec<Told>) {
+        match to == self.own.name {
+            true => self.take(now, self.own, message, out),
+            false => out.push(Told::Say(to, message.write())),
         }
     }
 
-    fn say_voters(&mut self, now: Duration, message: Message, out: &mut Vec<Told>) {
+    fn say_voters(&mut self, now: Duration, message: &Message, out: &mut Vec<Told>) {
         for voter in self.ballot.voters().to_vec() {
-            match voter == self.own.name {
-                true => self.take(now, self.own, message.clone(), out),
-                false => out.push(Told::Say(voter, message.write())),
-            }
+            self.say(now, voter, message.clone(), out);
         }
     }
 
@@ -300,16 +295,18 @@
         same
     }
 
-    /// Tells of a change; forgets what was lent under a stewardship that is over.
+    /// Begins and ends lending with each stewardship, and tells of it; what was lent under one that is over is forgotten, also
+    /// where another has begun since.
     fn look(&mut self, now: Duration, out: &mut Vec<Told>) {
         let stewards = self.ballot.stewards_since(now);
         let lends = self.lender.as_ref().map(|(since, _)| *since);
-        if let (Some(_), None) = (lends, stewards) {
-            self.lender = None;
-            out.push(Told::Steward(false));
-        } else if let (None, Some(since)) = (lends, stewards) {
-            self.begin_lending(since);
-            out.push(Told::Steward(true));
+        if lends == stewards {
+            return;
+        }
+        self.lender = stewards.map(|since| (since, Lender::new(WHOLE - CAREFUL, since)));
+        self.gathered = Gathered::default();
+        if lends.is_some() != stewards.is_some() {
+            out.push(Told::Steward(stewards.is_some()));
         }
     }
 
@@ -317,12 +314,4 @@
         self.next += 1;
         Number(self.next)
     }
-
-    /// SplitMix64.
-    fn chance(&mut self) -> u64 {
-        self.seed = self.seed.wrapping_add(0x9E37_79B9_7F4A_7C15);
-        let z = (self.seed ^ (self.seed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        let z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        z ^ (z >> 31)
-    }
 }
--- a/crates/agreement/src/together.rs
+++ b/crates/agreement/src/together.rs
@@ -43,9 +43,6 @@
     /// Does what is due.
     pub fn wake(&mut self, now: Duration, out: &mut Vec<Output>) {
         self.member.wake(now, &mut self.swim);
-        let mut told = Vec::new();
-        self.shares.wake(now, &mut told);
-        self.tell(told, out);
         self.carry(now, out);
     }
 
@@ -58,8 +55,13 @@
         self.carry(now, out);
     }
 
+    /// Carries out what the member wants, and does what is due of agreement: with datagrams too, as they may come so densely that
+    /// nothing else wakes it. One that has given way to a later start agrees on nothing more.
     fn carry(&mut self, now: Duration, out: &mut Vec<Output>) {
         let mut told = Vec::new();
+        if self.member.wake_at().is_some() {
+            self.shares.wake(now, &mut told);
+        }
         for output in std::mem::take(&mut self.swim) {
             match output {
                 Swim::Send(to, bytes) => out.push(Output::Send(to, bytes)),
@@ -86,3 +88,23 @@
         }));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use bitternlatch_membership::simulated::{address, ms, name, roster};
+    use bitternlatch_membership::{Roster, Secret};
+
+    use super::*;
+
+    #[test]
+    fn datagrams_that_come_densely_keep_nothing_that_is_due_from_being_done() {
+        let all = Roster::new(&name(0), &roster(1)).expect("a roster");
+        let member = Membership::new(&name(0), 1, all, Secret::new("hall", b"secret"), 1, ms(0));
+        let mut whole = Together::new(member, 1, ms(0));
+        // Noise, and never a moment in which nothing is heard.
+        for at in 0..500 {
+            whole.datagram(ms(10 * at), address(1), b"noise", &mut Vec::new());
+        }
+        assert!((whole.shares.part().lent - 0.9).abs() < 1e-9, "its own steward: {:?}", whole.shares.part());
+    }
+}
--- a/crates/core/src/settings/cluster.rs
+++ b/crates/core/src/settings/cluster.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use super::check::Check;
 
@@ -11,7 +11,7 @@
 const SEEDS_MOST: usize = 16;
 
 /// Off without this table. Peers speak datagrams and, for whole views, TCP at the same addresses.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Cluster {
     /// Of all dispatchers that belong together; others' datagrams are dropped.
@@ -30,7 +30,7 @@
     pub seeds: Vec<SocketAddrV4>,
 }
 
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Peer {
     pub name: String,
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -260,12 +260,13 @@
             self.hail();
         }
         // What is suspected from here on was found by an own probe; what comes in datagrams is others' to ask.
-        let suspects: Vec<NameKey> =
-            self.rows.iter().filter(|(_, r)| r.state == State::Suspect).map(|(n, _)| *n).collect();
+        let from = out.len();
         self.settle(now, out);
-        let found =
-            self.rows.iter().filter(|(name, r)| r.state == State::Suspect && !suspects.contains(name));
-        found.for_each(|(name, _)| self.doubts.begin(now, *name));
+        for told in &out[from..] {
+            if let Output::Event(Event::Member { name, state: State::Suspect, .. }) = told {
+                self.doubts.begin(now, *name);
+            }
+        }
         self.ask_suspects(now, out);
     }
 
--- a/crates/peer-net/src/seeds.rs
+++ b/crates/peer-net/src/seeds.rs
@@ -4,8 +4,8 @@
 //! stranger nor an old answer passes. What was told last is kept beside the start's number, for a time when no seed answers:
 //! all restarted at once would else wait for each other.
 
-use std::io::{self, Read, Write};
-use std::net::{SocketAddr, SocketAddrV4, TcpStream};
+use std::io;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
@@ -14,26 +14,18 @@
 use serde::{Deserialize, Serialize};
 
 use crate::plane::read_secret;
+use crate::views::put;
 
 /// How long seeds are asked, one after the other, again and again; and the wait for one.
 const ASK_FOR: Duration = Duration::from_secs(5);
 const ONE_SEED: Duration = Duration::from_millis(500);
 const AGAIN: Duration = Duration::from_millis(200);
-/// Longest answer, bytes: a thousand members take some 150 KB.
-const ANSWER_BYTES: u64 = 1 << 20;
 const NONCE: usize = 16;
 
 #[derive(Serialize, Deserialize)]
 struct Told {
     cluster: String,
-    roster: Vec<Line>,
-}
-
-#[derive(Serialize, Deserialize)]
-struct Line {
-    name: String,
-    address: SocketAddrV4,
-    clients: Option<String>,
+    roster: Vec<Peer>,
 }
 
 fn hex(bytes: &[u8]) -> String {
@@ -47,23 +39,12 @@
     if nonce.len() != 2 * NONCE || cluster.roster.is_empty() {
         return None;
     }
-    let line = |p: &Peer| Line { name: p.name.clone(), address: p.address, clients: p.clients.clone() };
-    let told = Told { cluster: cluster.name.clone(), roster: cluster.roster.iter().map(line).collect() };
+    let told = Told { cluster: cluster.name.clone(), roster: cluster.roster.clone() };
     let text = serde_json::to_string(&told).ok()?;
     let proof = hex(&secret.proof(nonce.as_bytes(), text.as_bytes()));
     Some(format!("{text}\n{proof}\n"))
 }
 
-fn ask(seed: SocketAddrV4, name: &str, nonce: &str) -> io::Result<String> {
-    let mut stream = TcpStream::connect_timeout(&SocketAddr::V4(seed), ONE_SEED)?;
-    stream.set_read_timeout(Some(ONE_SEED))?;
-    stream.set_write_timeout(Some(ONE_SEED))?;
-    writeln!(stream, "roster 1 {name} {nonce}")?;
-    let mut text = String::new();
-    stream.take(ANSWER_BYTES).read_to_string(&mut text)?;
-    Ok(text)
-}
-
 /// What an answer says, if its proof fits.
 fn read(cluster: &str, secret: &Secret, nonce: &str, answer: &str) -> Result<Vec<Peer>, String> {
     let (text, proof) = answer.trim_end().split_once('\n').ok_or("this is no roster")?;
@@ -78,8 +59,7 @@
     if told.cluster != cluster {
         return Err(format!("it belongs to the cluster '{}'", told.cluster));
     }
-    let peer = |l: Line| Peer { name: l.name, address: l.address, clients: l.clients };
-    Ok(told.roster.into_iter().map(peer).collect())
+    Ok(told.roster)
 }
 
 /// Beside the start's number.
@@ -91,8 +71,7 @@
 }
 
 fn keep(path: &Path, cluster: &str, roster: &[Peer]) -> io::Result<()> {
-    let line = |p: &Peer| Line { name: p.name.clone(), address: p.address, clients: p.clients.clone() };
-    let told = Told { cluster: cluster.to_string(), roster: roster.iter().map(line).collect() };
+    let told = Told { cluster: cluster.to_string(), roster: roster.to_vec() };
     // Whole or not at all.
     let beside = path.with_extension("roster-new");
     std::fs::write(&beside, serde_json::to_string(&told)?)?;
@@ -113,7 +92,8 @@
             let mut random = [0; NONCE];
             getrandom::fill(&mut random).map_err(|e| format!("no randomness: {e}"))?;
             let nonce = hex(&random);
-            let told = ask(*seed, name, &nonce).map_err(|e| e.to_string());
+            let question = format!("roster 1 {name} {nonce}");
+            let told = put(SocketAddr::V4(*seed), &question, ONE_SEED).map_err(|e| e.to_string());
             match told.and_then(|answer| read(&cluster.name, &secret, &nonce, &answer)) {
                 Ok(roster) => {
                     if let Some(Err(error)) = kept.as_ref().map(|path| keep(path, &cluster.name, &roster)) {
@@ -140,6 +120,8 @@
 
 #[cfg(test)]
 mod tests {
+    use std::net::SocketAddrV4;
+
     use super::*;
 
     fn cluster() -> Cluster {
--- a/crates/peer-net/src/views.rs
+++ b/crates/peer-net/src/views.rs
@@ -10,7 +10,7 @@
 
 /// The question for a view.
 const QUESTION: &str = "members 1";
-/// Longest question and longest answer, bytes: a thousand members take some 250 KB.
+/// Longest question and longest answer, bytes: a thousand members take some 250 KB in a view, 150 in a roster.
 const QUESTION_BYTES: u64 = 256;
 const ANSWER_BYTES: u64 = 1 << 20;
 /// Longest that one asker is waited for; askers are served one after the other.
@@ -117,20 +117,22 @@
     stream.write_all(text.as_bytes())
 }
 
+/// Puts one question to a member and gives all that it answers.
+pub(crate) fn put(peer: SocketAddr, question: &str, within: Duration) -> io::Result<String> {
+    let mut stream = TcpStream::connect_timeout(&peer, within)?;
+    stream.set_read_timeout(Some(within))?;
+    stream.set_write_timeout(Some(within))?;
+    writeln!(stream, "{question}")?;
+    let mut text = String::new();
+    stream.take(ANSWER_BYTES).read_to_string(&mut text)?;
+    Ok(text)
+}
+
 /// What a member knows, as it tells it.
 ///
 /// # Errors
 /// Where it cannot be reached within the time, or what it tells cannot be read.
 pub fn ask(peer: SocketAddr, within: Duration) -> Result<Shown, String> {
-    let told = || -> io::Result<String> {
-        let mut stream = TcpStream::connect_timeout(&peer, within)?;
-        stream.set_read_timeout(Some(within))?;
-        stream.set_write_timeout(Some(within))?;
-        writeln!(stream, "{QUESTION}")?;
-        let mut text = String::new();
-        stream.take(ANSWER_BYTES).read_to_string(&mut text)?;
-        Ok(text)
-    };
-    let text = told().map_err(|e| format!("{peer}: {e}"))?;
+    let text = put(peer, QUESTION, within).map_err(|e| format!("{peer}: {e}"))?;
     serde_json::from_str(&text).map_err(|e| format!("{peer}: this is not a view: {e}"))
 }
--- a/programs/badday/src/between.rs
+++ b/programs/badday/src/between.rs
@@ -37,6 +37,14 @@
     pub bytes_s: f64,
 }
 
+impl Rule {
+    /// How long a slow link is busy with so many bytes.
+    pub(crate) fn busy_with(&self, bytes: usize) -> Duration {
+        let seconds = if self.bytes_s > 0.0 { bytes as f64 / self.bytes_s } else { 0.0 };
+        Duration::from_secs_f64(seconds.min(60.0))
+    }
+}
+
 /// All paths between some members, by number.
 pub struct Between {
     fronts: Vec<SocketAddrV4>,
@@ -173,8 +181,7 @@
             self.count += 1;
             let now = Instant::now();
             let free = self.busy.get(&from).copied().unwrap_or(now).max(now);
-            let on_link = if rule.bytes_s > 0.0 { datagram.len() as f64 / rule.bytes_s } else { 0.0 };
-            let free = free + Duration::from_secs_f64(on_link);
+            let free = free + rule.busy_with(datagram.len());
             self.busy.insert(from, free);
             let at = free + Duration::from_secs_f64((rule.delay_s + late).max(0.0));
             self.under_way.insert((at, self.count), datagram.to_vec());
--- a/programs/badday/src/links.rs
+++ b/programs/badday/src/links.rs
@@ -107,8 +107,7 @@
             std::thread::sleep(LOOK_EVERY);
         }
         let rule = self.rule(way);
-        let on_link = if rule.bytes_s > 0.0 { bytes as f64 / rule.bytes_s } else { 0.0 };
-        std::thread::sleep(Duration::from_secs_f64((rule.delay_s + on_link).clamp(0.0, 60.0)));
+        std::thread::sleep(Duration::from_secs_f64(rule.delay_s.clamp(0.0, 60.0)) + rule.busy_with(bytes));
         !self.stop.load(Ordering::SeqCst)
     }
 }
--- a/programs/badday/src/parted.rs
+++ b/programs/badday/src/parted.rs
@@ -6,6 +6,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use bitternlatch_core::settings::{Cluster, Peer};
 use bitternlatch_net::lock;
 use bitternlatch_standin::capture::unix_us;
 use serde::Deserialize;
@@ -178,26 +179,28 @@
     }
 
     /// Gives each its part; `dispatchers` are all of the day, in order.
-    pub fn settle(&self, dispatchers: &mut [Dispatcher]) {
+    ///
+    /// # Errors
+    /// Where one has no relay before it.
+    pub fn settle(&self, dispatchers: &mut [Dispatcher]) -> std::io::Result<()> {
+        let no_relay = || std::io::Error::other("a dispatcher without a relay");
         let line = |(i, one): (usize, &Dispatcher)| {
-            let front = self.between.front(i).map(|at| at.to_string()).unwrap_or_default();
-            toml::Table::from_iter([
-                ("name".to_string(), one.name.clone().into()),
-                ("address".to_string(), front.into()),
-                ("clients".to_string(), one.address.clone().into()),
-            ])
+            let (name, clients) = (one.name.clone(), Some(one.address.clone()));
+            Ok(Peer { name, address: self.between.front(i).ok_or_else(no_relay)?, clients })
         };
-        let roster: Vec<toml::Value> = dispatchers.iter().enumerate().map(line).map(Into::into).collect();
+        let roster = dispatchers.iter().enumerate().map(line).collect::<std::io::Result<Vec<Peer>>>()?;
         for (one, address) in dispatchers.iter_mut().zip(&self.addresses) {
-            let table = toml::Table::from_iter([
-                ("name".to_string(), "day".into()),
-                ("secret".to_string(), "secret".into()),
-                ("kept".to_string(), format!("{}.start", one.name).into()),
-                ("address".to_string(), address.to_string().into()),
-                ("roster".to_string(), roster.clone().into()),
-            ]);
-            one.set("cluster", table.into());
+            let cluster = Cluster {
+                name: "day".to_string(),
+                secret: "secret".to_string(),
+                kept: Some(format!("{}.start", one.name)),
+                address: Some(*address),
+                roster: roster.clone(),
+                seeds: vec![],
+            };
+            one.set("cluster", toml::Value::try_from(cluster).map_err(std::io::Error::other)?);
         }
+        Ok(())
     }
 
     /// Threads that play the troubles at their times, from now on.
--- a/programs/badday/src/run.rs
+++ b/programs/badday/src/run.rs
@@ -82,8 +82,9 @@
         true => Some(Joined::make(dir, day.dispatchers.count, day.seed).map_err(fail("the cluster"))?),
         false => None,
     };
-    let settled = joined.iter().filter(|_| !day.dispatchers.strangers);
-    settled.for_each(|joined| joined.settle(&mut dispatchers));
+    if let Some(joined) = joined.as_ref().filter(|_| !day.dispatchers.strangers) {
+        joined.settle(&mut dispatchers).map_err(fail("the cluster"))?;
+    }
     for one in &mut dispatchers {
         one.start(image).map_err(fail("a dispatcher"))?;
     }
--- a/programs/badday/tests/cluster.rs
+++ b/programs/badday/tests/cluster.rs
@@ -8,11 +8,7 @@
 use bitternlatch_badday::process::Dispatcher;
 use bitternlatch_peer_net::ask;
 use common::cluster::{cluster, cluster_but, LIST, SOON};
-use common::{cluster_table, folder, free_for_peers, image, CUT, SETTINGS};
-
-fn folder_of(name: &str) -> std::path::PathBuf {
-    std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name)
-}
+use common::{cluster_table, folder, folder_of, free_for_peers, image, CUT, SETTINGS};
 
 #[test]
 fn one_that_is_killed_is_missed_and_comes_back_as_a_later_start() {
--- a/programs/badday/tests/common/mod.rs
+++ b/programs/badday/tests/common/mod.rs
@@ -23,9 +23,14 @@
     PathBuf::from(env!("CARGO_BIN_EXE_bitternlatch-badday"))
 }
 
-/// A folder of this test's own, empty.
+/// A folder of this test's own.
+pub fn folder_of(name: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name)
+}
+
+/// The same, empty.
 pub fn folder(name: &str) -> PathBuf {
-    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let dir = folder_of(name);
     let _ = std::fs::remove_dir_all(&dir);
     std::fs::create_dir_all(&dir).expect("a folder");
     dir
--- a/programs/badday/tests/evidence.rs
+++ b/programs/badday/tests/evidence.rs
@@ -2,7 +2,6 @@
 mod common;
 
 use std::net::{SocketAddr, SocketAddrV4};
-use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
@@ -22,7 +21,7 @@
 fn three(name: &str) -> Three {
     let peers = free_for_peers(3);
     let (between, roster) = between(&peers);
-    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let dir = folder_of(name);
     let rig = rig_each(name, FOUR, 3, |i, one| {
         // Once: one that starts meanwhile would find it empty.
         if i == 0 {
--- a/programs/badday/tests/shares.rs
+++ b/programs/badday/tests/shares.rs
@@ -1,13 +1,12 @@
 //! Parts of what all share, lent among several processes of the program, with faults between them and to them.
 mod common;
 
-use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use bitternlatch_badday::between::Rule;
 use bitternlatch_badday::views::lent_at_most;
 use common::cluster::{cluster, cluster_but, Cluster};
-use common::{image, CUT};
+use common::{folder_of, image, CUT};
 
 /// A part's life, by which what a silent one had has certainly ended; it was asked for at the latest when it fell silent.
 const ENDED: Duration = Duration::from_millis(1_500);
@@ -35,10 +34,6 @@
     of.dispatchers.iter().position(|d| d.name == name).expect("a steward")
 }
 
-fn folder_of(name: &str) -> PathBuf {
-    PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name)
-}
-
 #[test]
 fn what_a_killed_one_had_goes_to_the_others_no_earlier_than_it_has_ended() {
     let mut cluster = cluster("shares-killed", 3);
@@ -106,25 +101,12 @@
         until(&cluster, &[0, 1, 2, 3, 4], even(5, 5));
     }
     // Lost, late and doubled, while one after the other is cut off.
-    cluster.between.all(Rule {
-        cut: false,
-        lost: 0.3,
-        twice: 0.3,
-        delay_s: 0.002,
-        jitter_s: 0.3,
-        bytes_s: 0.0,
-    });
+    let rough = Rule { lost: 0.3, twice: 0.3, delay_s: 0.002, jitter_s: 0.3, ..Rule::default() };
+    cluster.between.all(rough);
     for i in 0..5 {
         cluster.between.part(&[i], CUT);
         std::thread::sleep(Duration::from_millis(700));
-        cluster.between.all(Rule {
-            cut: false,
-            lost: 0.3,
-            twice: 0.3,
-            delay_s: 0.002,
-            jitter_s: 0.3,
-            bytes_s: 0.0,
-        });
+        cluster.between.all(rough);
     }
     cluster.between.all(Rule::default());
     until(&cluster, &[0, 1, 2, 3, 4], even(5, 5));
--- a/programs/badday/tests/standing.rs
+++ b/programs/badday/tests/standing.rs
@@ -33,10 +33,6 @@
     three
 }
 
-fn folder_of(name: &str) -> std::path::PathBuf {
-    std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name)
-}
-
 impl Three {
     fn until(&self, of: usize, standing: &str) {
         let at = SocketAddr::V4(self.peers[of]);
--- a/programs/dispatch/src/lib.rs
+++ b/programs/dispatch/src/lib.rs
@@ -109,15 +109,10 @@
     let base = config.parent().unwrap_or(Path::new(""));
     let (roster, by) = bitternlatch_peer_net::roster(cluster, &settings.name, base)?;
     let mut table: toml::Table = toml::from_str(&text).map_err(|e| e.to_string())?;
-    let line = |p: &bitternlatch_core::settings::Peer| {
-        let clients = p.clients.iter().map(|c| ("clients".to_string(), c.clone().into()));
-        let named = [("name", p.name.clone()), ("address", p.address.to_string())];
-        let named = named.map(|(key, value)| (key.to_string(), toml::Value::from(value)));
-        toml::Value::from(toml::Table::from_iter(named.into_iter().chain(clients)))
-    };
+    let roster_value = toml::Value::try_from(&roster).map_err(|e| e.to_string())?;
     if let Some(cluster) = table.get_mut("cluster").and_then(toml::Value::as_table_mut) {
         cluster.remove("seeds");
-        cluster.insert("roster".into(), roster.iter().map(line).collect::<Vec<_>>().into());
+        cluster.insert("roster".into(), roster_value);
     }
     let text = table.to_string();
     let shown = format!("{} with the roster of {by}", config.display());
--- a/programs/measure/src/cluster.rs
+++ b/programs/measure/src/cluster.rs
@@ -21,31 +21,16 @@
     (1..=members).map(peer).collect()
 }
 
-/// The others; the first of the roster is the dispatcher that is measured.
-fn others(roster: &[Peer], secret: &str) -> Result<Vec<Plane>, String> {
-    let join = |peer: &Peer| {
-        let (name, secret, roster) = ("measured".to_string(), secret.to_string(), roster.to_vec());
-        let cluster = Cluster { name, secret, kept: None, address: None, roster, seeds: vec![] };
-        Plane::join(&cluster, &peer.name, std::path::Path::new(""), |_| ())
-    };
-    roster.iter().skip(1).map(join).collect()
+/// What each of them is told.
+fn cluster(roster: &[Peer], secret: &str) -> Cluster {
+    let (name, secret, roster) = ("measured".to_string(), secret.to_string(), roster.to_vec());
+    Cluster { name, secret, kept: None, address: None, roster, seeds: vec![] }
 }
 
-fn table(roster: &[Peer], secret: &str) -> toml::Value {
-    let line = |peer: &Peer| {
-        let address = peer.address.to_string().into();
-        toml::Table::from_iter([
-            ("name".to_string(), peer.name.clone().into()),
-            ("address".to_string(), address),
-        ])
-    };
-    let roster: Vec<toml::Value> = roster.iter().map(line).map(Into::into).collect();
-    toml::Table::from_iter([
-        ("name".to_string(), "measured".into()),
-        ("secret".to_string(), secret.into()),
-        ("roster".to_string(), roster.into()),
-    ])
-    .into()
+/// The others; the first of the roster is the dispatcher that is measured.
+fn others(cluster: &Cluster) -> Result<Vec<Plane>, String> {
+    let join = |peer: &Peer| Plane::join(cluster, &peer.name, std::path::Path::new(""), |_| ());
+    cluster.roster.iter().skip(1).map(join).collect()
 }
 
 fn until_whole(roster: &[Peer]) -> Result<(), String> {
@@ -81,10 +66,11 @@
     std::fs::write(&secret, "known to the members of this measurement\n").map_err(|e| e.to_string())?;
     let (_hosts, list) = stand_ins(None)?;
     let roster = roster(members);
-    let planes = others(&roster, &secret)?;
+    let cluster = cluster(&roster, &secret);
+    let planes = others(&cluster)?;
+    let table = toml::Value::try_from(&cluster).map_err(|e| e.to_string())?;
     let alone = dispatcher(&list, |_| ())?;
-    let knows =
-        dispatcher(&list, |settings| drop(settings.insert("cluster".into(), table(&roster, &secret))))?;
+    let knows = dispatcher(&list, |settings| drop(settings.insert("cluster".into(), table.clone())))?;
     until_whole(&roster)?;
     println!("{members} members; {requests} requests each by turns");
     let connect = |one: &Dispatcher| {
