The simulated network is a crate of its own, for every machine without I/O

Need: overload, lengths and workflows are to be tested over the same network and judge of time as membership; it lay within crates/membership. Draws come in the same order, so courses of events are as before. Measured: cargo test -p bitternlatch-simulated -p bitternlatch-membership, all green.

--- a/crates/membership/src/simulated.rs
+++ b/crates/membership/src/simulated.rs
@@ -1,16 +1,13 @@
 //! Members over a network in simulated time, for tests and measurements: loss, delay, duplicates, cuts, pauses, kills.
 //! One seed, one course of events.
 
-use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
-use crate::{Event, Membership, NameKey, Output, Peer, Roster, Secret, Standing, State};
+pub use bitternlatch_simulated::ms;
+use bitternlatch_simulated::Network;
 
-/// Milliseconds.
-pub fn ms(n: u64) -> Duration {
-    Duration::from_millis(n)
-}
+use crate::{Event, Membership, NameKey, Output, Peer, Roster, Secret, Standing, State};
 
 /// Where a member is heard.
 pub fn address(i: usize) -> SocketAddrV4 {
@@ -36,22 +33,14 @@
 
 /// Members, what is under way between them, and what they told.
 pub struct World {
-    pub now: Duration,
+    pub net: Network<Vec<u8>>,
     pub nodes: Vec<Node>,
     pub events: Vec<(Duration, usize, Event)>,
-    /// Whether a datagram from one to another passes.
-    pub passes: Box<dyn Fn(usize, usize) -> bool>,
-    /// Share that is lost, and that comes twice.
-    pub loss: f64,
-    pub twice: f64,
     pub longest: usize,
     pub bytes: u64,
     /// Everything ever sent, where kept.
     pub kept: Option<Vec<(usize, usize, Vec<u8>)>>,
-    way: BTreeMap<(Duration, u64), (usize, usize, Vec<u8>)>,
-    count: u64,
     starts: u64,
-    draws: u64,
 }
 
 impl World {
@@ -59,19 +48,13 @@
     pub fn new(of: usize, seed: u64) -> World {
         let node = || Node { member: None, paused: false, inbox: vec![] };
         let mut world = World {
-            now: ms(0),
+            net: Network::new(seed),
             nodes: (0..of).map(|_| node()).collect(),
             events: vec![],
-            passes: Box::new(|_, _| true),
-            loss: 0.0,
-            twice: 0.0,
             longest: 0,
             bytes: 0,
             kept: None,
-            way: BTreeMap::new(),
-            count: 0,
             starts: 0,
-            draws: seed,
         };
         (0..of).for_each(|i| world.start(i));
         world
@@ -84,14 +67,14 @@
 
     /// Starts one at an address, under the name of another.
     pub fn start_as(&mut self, i: usize, named: usize) {
-        let seed = self.draw_bits();
+        let seed = self.net.draw_bits();
         self.starts += 1;
         let mut peers = roster(self.nodes.len());
         peers[named].address = address(i);
         // Names are made to differ, and the own one is among them.
         let Ok(all) = Roster::new(&name(named), &peers) else { return };
         let secret = Secret::new("hall", b"secret");
-        let member = Membership::new(&name(named), self.starts, all, secret, seed, self.now);
+        let member = Membership::new(&name(named), self.starts, all, secret, seed, self.net.now);
         self.nodes[i] = Node { member: Some(member), paused: false, inbox: vec![] };
     }
 
@@ -100,21 +83,9 @@
         self.nodes[i].member = None;
     }
 
-    /// From 0 to 1.
-    pub fn draw(&mut self) -> f64 {
-        (self.draw_bits() >> 11) as f64 / (1u64 << 53) as f64
-    }
-
-    fn draw_bits(&mut self) -> u64 {
-        self.draws = self.draws.wrapping_add(0x9E37_79B9_7F4A_7C15);
-        let z = (self.draws ^ (self.draws >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        let z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        z ^ (z >> 31)
-    }
-
     /// Brings a datagram to a member now.
     pub fn deliver(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
-        let (now, node) = (self.now, &mut self.nodes[to]);
+        let (now, node) = (self.net.now, &mut self.nodes[to]);
         match &mut node.member {
             Some(_) if node.paused => node.inbox.push((from, bytes)),
             Some(member) => {
@@ -138,7 +109,7 @@
     pub fn carry(&mut self, me: usize, out: Vec<Output>) {
         for output in out {
             match output {
-                Output::Event(event) => self.events.push((self.now, me, event)),
+                Output::Event(event) => self.events.push((self.net.now, me, event)),
                 Output::Said { .. } => {}
                 Output::Send(to, bytes) => self.send(me, usize::from(to.port()) - 10_000, bytes),
             }
@@ -151,40 +122,33 @@
         if let Some(kept) = &mut self.kept {
             kept.push((from, to, bytes.clone()));
         }
-        let copies = if self.draw() < self.twice { 2 } else { 1 };
-        for _ in 0..copies {
-            if (self.passes)(from, to) && self.draw() >= self.loss {
-                let after = Duration::from_micros(200 + (self.draw() * 3000.0) as u64);
-                self.count += 1;
-                self.way.insert((self.now + after, self.count), (from, to, bytes.clone()));
-            }
-        }
+        self.net.send(from, to, bytes);
     }
 
     /// Lets time pass.
     pub fn run(&mut self, until: Duration) {
         loop {
-            let datagram = self.way.keys().next().map(|k| k.0);
+            let datagram = self.net.next_at();
             let awake = self.nodes.iter().enumerate().filter(|(_, n)| !n.paused);
             let timers = awake.filter_map(|(i, n)| Some((n.member.as_ref()?.wake_at()?, i)));
             let timer = timers.min();
             let next = [datagram, timer.map(|t| t.0)].into_iter().flatten().min();
             let Some(next) = next.filter(|at| *at <= until) else { break };
-            self.now = self.now.max(next);
+            self.net.now = self.net.now.max(next);
             if datagram == Some(next) {
-                if let Some((_, (from, to, bytes))) = self.way.pop_first() {
+                if let Some((from, to, bytes)) = self.net.arrive() {
                     self.deliver(from, to, bytes);
                 }
             } else if let Some((_, i)) = timer {
                 let mut out = vec![];
-                let now = self.now;
+                let now = self.net.now;
                 if let Some(member) = &mut self.nodes[i].member {
                     member.wake(now, &mut out);
                 }
                 self.carry(i, out);
             }
         }
-        self.now = until;
+        self.net.now = until;
     }
 
     /// None where its process is not there.
--- a/crates/membership/tests/cluster.rs
+++ b/crates/membership/tests/cluster.rs
@@ -25,7 +25,7 @@
     world.nodes[4].paused = true;
     world.run(ms(13_000));
     assert!((0..4).all(|at| world.state(4, at) == Some(State::Down)));
-    let woken = world.now;
+    let woken = world.net.now;
     world.go_on(4);
     world.run(ms(20_000));
     assert!(world.all_whole());
@@ -39,11 +39,11 @@
 fn halves_know_that_they_are_no_majority_and_find_each_other_again() {
     let mut world = World::new(6, 3);
     world.run(ms(3_000));
-    world.passes = Box::new(|from, to| (from < 2) == (to < 2));
+    world.net.passes = Box::new(|from, to| (from < 2) == (to < 2));
     world.run(ms(12_000));
     assert!((0..2).all(|at| world.standing(at) == Some(Standing::CutOff)));
     assert!((2..6).all(|at| world.standing(at) == Some(Standing::Majority)));
-    world.passes = Box::new(|_, _| true);
+    world.net.passes = Box::new(|_, _| true);
     world.run(ms(25_000));
     assert!(world.all_whole(), "{:?}", (0..6).map(|i| world.standing(i)).collect::<Vec<_>>());
 }
@@ -52,7 +52,7 @@
 fn one_that_hears_nobody_is_alone_and_not_the_last_one_alive() {
     let mut world = World::new(4, 4);
     world.run(ms(3_000));
-    world.passes = Box::new(|from, to| from != 0 && to != 0);
+    world.net.passes = Box::new(|from, to| from != 0 && to != 0);
     world.run(ms(12_000));
     assert_eq!(world.standing(0), Some(Standing::Alone));
     assert!((1..4).all(|at| world.standing(at) == Some(Standing::Majority)));
@@ -66,12 +66,12 @@
     for seed in 0..60 {
         let mut world = World::new(5, seed);
         world.run(ms(5_007));
-        world.passes = Box::new(|from, to| (from == 1) == (to == 1));
-        (world.loss, world.twice) = (0.6, 0.4);
+        world.net.passes = Box::new(|from, to| (from == 1) == (to == 1));
+        (world.net.loss, world.net.twice) = (0.6, 0.4);
         world.run(ms(6_407));
-        (world.loss, world.twice) = (0.0, 0.0);
+        (world.net.loss, world.net.twice) = (0.0, 0.0);
         let apart = |i: usize| i == 0 || i == 4;
-        world.passes = Box::new(move |from, to| apart(from) == apart(to));
+        world.net.passes = Box::new(move |from, to| apart(from) == apart(to));
         world.run(ms(16_407));
         let came_back =
             |who: usize| world.events.iter().any(|e| e.1 == who && matches!(e.2, Event::CameBack(_)));
@@ -86,7 +86,7 @@
 fn a_third_that_hears_both_keeps_all_three_together() {
     let mut world = World::new(3, 5);
     world.run(ms(3_000));
-    world.passes = Box::new(|from, to| from + to != 1); // Members 0 and 1 do not hear each other.
+    world.net.passes = Box::new(|from, to| from + to != 1); // Members 0 and 1 do not hear each other.
     world.run(ms(60_000));
     assert!(world.all_whole());
     assert!(world.downs(0, ms(0)).is_empty() && world.downs(1, ms(0)).is_empty());
@@ -96,7 +96,7 @@
 fn lost_and_doubled_datagrams_remove_nobody() {
     for (loss, seed) in [(0.05, 6), (0.05, 7), (0.05, 8)] {
         let mut world = World::new(10, seed);
-        (world.loss, world.twice) = (loss, 0.2);
+        (world.net.loss, world.net.twice) = (loss, 0.2);
         world.run(ms(120_000));
         let downs: usize = (0..10).map(|i| world.downs(i, ms(0)).len()).sum();
         assert_eq!(downs, 0);
@@ -139,7 +139,7 @@
 fn a_farewell_is_believed_at_once() {
     let mut world = World::new(5, 11);
     world.run(ms(3_000));
-    let (now, mut out) = (world.now, vec![]);
+    let (now, mut out) = (world.net.now, vec![]);
     world.nodes[1].member.as_mut().expect("alive").leave(now, &mut out);
     world.carry(1, out);
     world.kill(1);
--- a/crates/membership/tests/properties.rs
+++ b/crates/membership/tests/properties.rs
@@ -34,21 +34,21 @@
 fn take(world: &mut World, step: &Step) {
     match *step {
         Step::Network(side, lost, twice) => {
-            world.passes = Box::new(move |from, to| side >> from & 1 == side >> to & 1);
-            (world.loss, world.twice) = (f64::from(lost) / 10.0, f64::from(twice) / 10.0);
+            world.net.passes = Box::new(move |from, to| side >> from & 1 == side >> to & 1);
+            (world.net.loss, world.net.twice) = (f64::from(lost) / 10.0, f64::from(twice) / 10.0);
         }
         Step::Kill(i) => world.kill(i),
         Step::Start(i) => world.start(i),
         Step::Pause(i) => world.nodes[i].paused = true,
         Step::GoOn(i) => world.go_on(i),
-        Step::Run(ms_) => world.run(world.now + ms(ms_)),
+        Step::Run(ms_) => world.run(world.net.now + ms(ms_)),
     }
 }
 
 /// Everything works, and all processes run.
 fn heal(world: &mut World) {
-    world.passes = Box::new(|_, _| true);
-    (world.loss, world.twice) = (0.0, 0.0);
+    world.net.passes = Box::new(|_, _| true);
+    (world.net.loss, world.net.twice) = (0.0, 0.0);
     for i in 0..MEMBERS {
         match world.nodes[i].member.is_some() {
             true => world.go_on(i),
@@ -65,7 +65,7 @@
         let mut world = World::new(MEMBERS, seed);
         steps.iter().for_each(|s| take(&mut world, s));
         heal(&mut world);
-        let healed = world.now;
+        let healed = world.net.now;
         world.run(healed + ms(30_000));
         let standings: Vec<_> = (0..MEMBERS).map(|i| world.standing(i)).collect();
         prop_assert!(world.all_whole(), "{:?}", standings);
@@ -89,8 +89,8 @@
         let mut world = World::new(MEMBERS, seed);
         steps.iter().for_each(|s| take(&mut world, s));
         heal(&mut world);
-        world.passes = Box::new(move |from, to| side >> from & 1 == side >> to & 1);
-        world.run(world.now + ms(10_000));
+        world.net.passes = Box::new(move |from, to| side >> from & 1 == side >> to & 1);
+        world.run(world.net.now + ms(10_000));
         let majority = |i: &usize| world.standing(*i).is_some_and(|s| s >= Standing::Majority);
         let sides: std::collections::BTreeSet<u8> = (0..MEMBERS).filter(majority).map(|i| side >> i & 1).collect();
         prop_assert!(sides.len() <= 1, "{:?}", sides);
--- a/programs/measure/src/members.rs
+++ b/programs/measure/src/members.rs
@@ -40,7 +40,7 @@
     let before = world.bytes;
     world.run(QUIET + ms(5_000));
     seen.bytes_s += (world.bytes - before) as f64 / 5.0 / size as f64;
-    let killed = world.now;
+    let killed = world.net.now;
     world.kill(size - 1);
     world.run(killed + KILLED);
     let downs = world.downs(size - 1, killed);
@@ -52,15 +52,15 @@
 fn parted(size: usize, seed: u64, seen: &mut Seen) {
     let mut world = World::new(size, seed);
     world.run(QUIET);
-    world.passes = Box::new(move |from, to| (2 * from < size) == (2 * to < size));
+    world.net.passes = Box::new(move |from, to| (2 * from < size) == (2 * to < size));
     world.run(QUIET + PARTED);
-    world.passes = Box::new(|_, _| true);
-    let healed = world.now;
-    while world.now < healed + HEALED && !world.all_whole() {
-        world.run(world.now + ms(100));
+    world.net.passes = Box::new(|_, _| true);
+    let healed = world.net.now;
+    while world.net.now < healed + HEALED && !world.all_whole() {
+        world.run(world.net.now + ms(100));
     }
     match world.all_whole() {
-        true => seen.healed_s.push((world.now - healed).as_secs_f64()),
+        true => seen.healed_s.push((world.net.now - healed).as_secs_f64()),
         false => seen.unhealed += 1,
     }
 }
@@ -68,8 +68,8 @@
 fn lossy(size: usize, seed: u64, loss: f64, for_s: u64) -> usize {
     let mut world = World::new(size, seed);
     world.run(QUIET);
-    world.loss = loss;
-    let began = world.now;
+    world.net.loss = loss;
+    let began = world.net.now;
     world.run(began + Duration::from_secs(for_s));
     let down = |e: &&(Duration, usize, Event)| {
         matches!(e.2, Event::Member { state: State::Down, .. }) && e.0 >= began
