--- a/crates/replica/src/error.rs
+++ b/crates/replica/src/error.rs
@@ -1,19 +1,119 @@
 //! What can be wrong, and what an operator can do.
 
+use bitternlatch_agreement::KeepError;
+
+use crate::Version;
+
 /// Errors of registers.
-#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ReplicaError {
     #[error("not a message about registers")]
     Unreadable,
+    #[error("a message of another version: {0}")]
+    OtherVersion(u8),
+    /// Certainly not written.
+    #[error("the register holds another version")]
+    Conflict { latest: Option<Version> },
+    /// Certainly not written.
+    #[error("the register is at epoch {epoch} already")]
+    EpochPassed { epoch: u64 },
+    /// Certainly not written.
+    #[error("a majority of the copies cannot be reached")]
+    NoMajority,
+    /// Certainly not written.
+    #[error("too many copies are still catching up")]
+    CatchingUp,
+    /// Certainly not written.
+    #[error("a majority of the copies has lost what it held; what the register held cannot be known")]
+    Lost,
+    /// May or may not be written, as with [`ReplicaError::TimedOut`].
+    #[error("a majority of the copies cannot keep it: {0}")]
+    NotKept(KeepError),
+    /// Certainly not written.
+    #[error("a value of {bytes} bytes is longer than {most}")]
+    TooLong { bytes: usize, most: usize },
+    /// Certainly not written.
+    #[error("too many questions in hand")]
+    Busy,
+    /// May or may not be written.
+    #[error("too many registers at a majority of the copies")]
+    Full,
+    /// May or may not be written.
+    #[error("no majority answered in time; whether it is written is not known")]
+    TimedOut,
 }
 
 impl ReplicaError {
     /// What an operator can do.
     pub fn advice(&self) -> &'static str {
         match self {
-            ReplicaError::Unreadable => {
+            ReplicaError::Unreadable => "find out who sends it: the link is proven, so it is one of the roster",
+            ReplicaError::OtherVersion(_) => {
                 "bring all dispatchers to one version; until then each counts the others it can read"
             }
+            ReplicaError::Conflict { .. } => "nothing: another one wrote first; the caller reads and decides anew",
+            ReplicaError::EpochPassed { .. } => "nothing: another one has taken over; the caller has to stop",
+            ReplicaError::NoMajority => {
+                "look at the view of members for who is away, and at the network between them"
+            }
+            ReplicaError::CatchingUp => {
+                "wait some seconds; if it stays so, start the copies that are away, as those that lost their memory need them"
+            }
+            ReplicaError::Lost => {
+                "start the lost copies with the folders they had, if there are any; otherwise a person has to decide what \
+                 was done"
+            }
+            ReplicaError::NotKept(fault) => fault.advice(),
+            ReplicaError::TooLong { .. } => "lower the limit of bytes of whoever writes it",
+            ReplicaError::Busy => "give callers less at a time, or more dispatchers",
+            ReplicaError::Full => "let finished work be let go of, or run more dispatchers",
+            ReplicaError::TimedOut => "nothing: the caller reads the register, which tells whether it was written",
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::Event;
+    use bitternlatch_membership::NameKey;
+
+    #[test]
+    fn every_error_and_event_says_what_to_do() {
+        use ReplicaError::*;
+        let errors = [
+            Unreadable,
+            OtherVersion(9),
+            Conflict { latest: None },
+            EpochPassed { epoch: 1 },
+            NoMajority,
+            CatchingUp,
+            Lost,
+            NotKept(KeepError::Full),
+            TooLong { bytes: 2, most: 1 },
+            Busy,
+            Full,
+            TimedOut,
+        ];
+        let by = NameKey(1);
+        let events = [
+            Event::CaughtUp { registers: 1, fetched: 1 },
+            Event::OlderDisk { by },
+            Event::Emptied { by },
+            Event::Torn,
+            Event::DiskFault(KeepError::NoDisk),
+            Event::DiskWell,
+            Event::CopyLost(by),
+            Event::MajorityLost,
+            Event::OtherVersion(by),
+        ];
+        let said = errors.iter().map(|e| (e.to_string(), e.advice()));
+        let told = events.iter().map(|e| (e.to_string(), e.advice()));
+        let words: std::collections::BTreeSet<String> = said
+            .chain(told)
+            .inspect(|(_, advice)| assert!(advice.len() >= 7))
+            .map(|(text, _)| text)
+            .collect();
+        assert_eq!(words.len(), errors.len() + events.len());
+    }
+}
