Registers by quorum: compare-and-set over CASPaxos, copies that catch up

Need: what was done and what may run has to be held by a majority, and a copy that returns with less than it knew must not vote. Change: an acceptor a register, a proposer that writes again in one round and reads without a write, answers after the disk, lives of memories that others remember, catch-up in checksummed chunks.

--- a/crates/replica/src/error.rs
+++ b/crates/replica/src/error.rs
@@ -43,6 +43,13 @@
     TimedOut,
 }
 
+/// Equal ones hash alike, which is all that is asked of it.
+impl std::hash::Hash for ReplicaError {
+    fn hash<H: std::hash::Hasher>(&self, state: &mut H) {
+        std::mem::discriminant(self).hash(state);
+    }
+}
+
 impl ReplicaError {
     /// What an operator can do.
     pub fn advice(&self) -> &'static str {
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -1,16 +1,27 @@
 //! A register by quorum with epochs, without input or output: copies on a few members, compare-and-set, catch-up of a copy that
 //! returns. Messages, clock, disk's answers and a seed go in; messages, what is to be kept, and answers come out.
+//!
+//! - [`register`]: one copy of one register, an acceptor whose value may change (CASPaxos: Rystsov, 2018).
+//! - [`job`]: one call, the rounds of a proposer.
+//! - [`memory`]: how far a copy's memory can be trusted, and so whether it counts in a majority.
+//! - [`Replica`]: one member's part in all of it.
 
+mod disk;
 mod error;
 mod io;
+mod job;
+mod memory;
+mod message;
 mod placement;
 mod register;
 mod replica;
+mod shelf;
 
 pub use error::ReplicaError;
 pub use io::{Call, Event, Input, Output, Settings};
 pub use register::{RegisterKey, Version};
-pub use replica::Replica;
+pub use replica::{Counts, Replica};
+pub use shelf::{BYTES_MOST, GAP_LASTS, OPEN_GAP_LASTS, REGISTERS_MOST};
 
 /// Longest value, bytes: with all around it it fits into one frame.
 pub const VALUE_MOST: usize = 48 * 1024;
