The model of two writers and three copies goes through every course of a lossy network

Need: random courses miss what is rare. Change: stateright over the proposer and the acceptors that run in service, with doubles, losses, reorderings and one copy that forgets and catches up.

--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -12,6 +12,8 @@
 mod job;
 mod memory;
 mod message;
+#[cfg(test)]
+mod model;
 mod placement;
 mod register;
 mod replica;
