--- a/crates/replica/src/memory.rs
+++ b/crates/replica/src/memory.rs
@@ -27,22 +27,18 @@
     pub life: u64,
     /// Changes that it told of.
     pub count: u64,
-    /// It began with less than was held before.
+    /// It was not the first.
     pub lost: bool,
 }
 
 impl Life {
-    /// Whether there ever was something to remember.
-    fn held(&self) -> bool {
-        self.count > 0 || self.lost
-    }
-
     /// The later of two words about one member.
     fn join(self, other: Life) -> Life {
         let (early, late) = if self.life <= other.life { (self, other) } else { (other, self) };
         match early.life == late.life {
             true => Life { count: early.count.max(late.count), lost: early.lost || late.lost, ..late },
-            false => Life { lost: late.lost || early.held(), ..late },
+            // What was cut off may have held more than anybody heard of.
+            false => Life { lost: true, ..late },
         }
     }
 }
@@ -114,7 +110,7 @@
         match known.life.cmp(&self.life) {
             std::cmp::Ordering::Greater => true,
             std::cmp::Ordering::Equal => known.count > self.count || (known.lost && self.kind == Kind::Fresh),
-            std::cmp::Ordering::Less => self.kind == Kind::Fresh && known.held(),
+            std::cmp::Ordering::Less => self.kind == Kind::Fresh,
         }
     }
 
