Returning copies, full disks and cut-off sides each have a test of their own

Need: each trouble is to be named and its cost known. Change: tests of disks set back, emptied, torn and full, of minorities, gaps, bounds and costs; a look tells the proposer how far ballots are, a promise on a gap outlives the gap's end.

--- a/crates/replica/src/job.rs
+++ b/crates/replica/src/job.rs
@@ -236,10 +236,12 @@
             return Next::Wait;
         }
         let most = majority(self.copies.len());
+        let taken = || self.answers.values().filter_map(|(_, accepted)| accepted.as_ref());
+        // So that the next ballot is not refused.
+        taken().for_each(|a| mint.seen(a.ballot.next()));
         if self.answers.len() < most {
             return Next::Wait;
         }
-        let taken = || self.answers.values().filter_map(|(_, accepted)| accepted.as_ref());
         let latest = taken().max_by_key(|a| a.ballot).cloned();
         let same = |a: &&Accepted| a.own && latest.as_ref().is_some_and(|l| l.ballot == a.ballot);
         let settled = latest.is_none() || taken().filter(same).count() >= most;
--- a/crates/replica/src/replica/calls.rs
+++ b/crates/replica/src/replica/calls.rs
@@ -183,8 +183,8 @@
             Next::Again => {
                 let draw = self.draw();
                 let Some(job) = self.jobs.get_mut(&call) else { return };
-                // Two proposers that met part by chance, over a wider and wider span.
-                let span = 4000u64 << job.tries.min(7);
+                // At once at first, as it may only have been behind; two that met part by chance, over a wider and wider span.
+                let span = if job.tries == 0 { 1 } else { 4000u64 << job.tries.min(7) };
                 self.due.remove(&(job.at.min(job.until), call));
                 job.wait(now + Duration::from_micros(draw % span));
                 self.due.insert((job.at.min(job.until), call));
--- a/crates/replica/src/shelf.rs
+++ b/crates/replica/src/shelf.rs
@@ -55,6 +55,8 @@
         change: impl FnOnce(&mut Copy) -> T,
     ) -> Result<T, NoRoom> {
         let had = self.copies.get(&key).map(Copy::bytes);
+        let version = |copy: &Copy| copy.accepted.as_ref().map(|a| a.state.version);
+        let before = self.copies.get(&key).and_then(version);
         if (had.is_none() && self.copies.len() >= REGISTERS_MOST)
             || (bytes > had.unwrap_or(0) && self.bytes - had.unwrap_or(0) + bytes > BYTES_MOST)
         {
@@ -65,12 +67,13 @@
         self.bytes = self.bytes - had.unwrap_or(0) + copy.bytes();
         let lasts = match &copy.accepted {
             Some(accepted) if accepted.state.body.is_some() => None,
-            Some(_) => Some(OPEN_GAP_LASTS),
-            None => Some(GAP_LASTS),
+            Some(accepted) if before != Some(accepted.state.version) => Some(now + OPEN_GAP_LASTS),
+            // A promise has to be remembered for as long as what it forbids may be under way.
+            _ => Some(self.ends.get(&key).copied().unwrap_or_default().max(now + GAP_LASTS)),
         };
         match lasts {
             None => drop(self.ends.remove(&key)),
-            Some(lasts) => self.end(key, now + lasts),
+            Some(end) => self.end(key, end),
         }
         Ok(done)
     }
--- /dev/null
+++ b/crates/replica/tests/returns.rs
@@ -0,0 +1,295 @@
+//! Copies that return, disks that fail, sides that are cut off: what is done, and what is said about it. And what a call costs.
+
+mod common;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bitternlatch_agreement::{KeepError, Part, Peers, Process};
+use bitternlatch_membership::{NameKey, Standing};
+use bitternlatch_replica::{Event, Input, RegisterKey, Replica, ReplicaError, Settings, Version};
+use bitternlatch_replica::{GAP_LASTS, VALUE_MOST};
+use bitternlatch_simulated::ms;
+use common::{name, Fleet};
+
+fn key(i: u16) -> RegisterKey {
+    let [a, b] = i.to_le_bytes();
+    RegisterKey([a, b, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14])
+}
+
+/// A fleet that has caught up, with time under way of exactly 5 ms, or what is given.
+fn fleet(of: usize, durable: bool, delay: Duration) -> Fleet {
+    let mut fleet = Fleet::new(of, durable, 1);
+    fleet.run(ms(1000));
+    fleet.world.net.delay = (delay, Duration::ZERO);
+    fleet
+}
+
+/// The places of a register's copies, and one that is not among them.
+fn places(fleet: &Fleet, of: RegisterKey) -> (Vec<usize>, Option<usize>) {
+    let copies: Vec<usize> =
+        fleet.host(0).replica.copies(of).iter().map(|name| name.0 as usize - 10).collect();
+    let other = (0..fleet.disks.len()).find(|i| !copies.contains(i));
+    (copies, other)
+}
+
+/// Writes so many times in a row.
+fn write(fleet: &mut Fleet, i: usize, of: RegisterKey, times: usize) -> Version {
+    let read = fleet.read(i, of, ms(3000));
+    let mut on = fleet.found(read).expect("it is read");
+    for _ in 0..times {
+        let call = fleet.write(i, of, on, 1, ms(3000));
+        on = Some(fleet.written(call).expect("it is written"));
+    }
+    on.expect("it was written")
+}
+
+fn cut(fleet: &mut Fleet, off: &[usize]) {
+    let off: BTreeSet<usize> = off.iter().copied().collect();
+    fleet.world.net.passes = Box::new(move |a, b| off.contains(&a) == off.contains(&b));
+}
+
+#[test]
+fn a_disk_set_back_is_named_and_counts_only_after_it_has_fetched_from_both_others() {
+    let mut fleet = fleet(4, true, ms(1));
+    let (copies, other) = places(&fleet, key(1));
+    let [a, b, c] = copies[..] else { panic!("three copies") };
+    write(&mut fleet, b, key(1), 2);
+    fleet.run(ms(2500));
+    fleet.kill(a);
+    let old = fleet.disks[a].clone();
+    fleet.start(a);
+    let on = write(&mut fleet, b, key(1), 2);
+    // The last write is at a and b alone.
+    cut(&mut fleet, &[c]);
+    let last = fleet.write(b, key(1), Some(on), 1, ms(3000));
+    let last = fleet.written(last).expect("two are a majority");
+    fleet.run(ms(2500));
+    fleet.kill(a);
+    fleet.disks[a] = old;
+    cut(&mut fleet, &[b]);
+    fleet.start(a);
+    fleet.run(ms(5000));
+    // Without b nobody knows the last write: a and c do not answer for what they do not know.
+    let read = fleet.read(c, key(1), ms(1000));
+    assert!(!fleet.host(a).replica.counts_for(fleet.world.now_at(a), key(1)));
+    assert_eq!(fleet.found(read), Err(ReplicaError::CatchingUp));
+    fleet.world.net.passes = Box::new(|_, _| true);
+    fleet.run(ms(2500));
+    let read = fleet.read(other.expect("four members"), key(1), ms(1000));
+    assert_eq!(fleet.found(read), Ok(Some(last)));
+    assert!(fleet.host(a).replica.counts_for(fleet.world.now_at(a), key(1)));
+    assert_eq!(fleet.saw(|e| matches!(e, Event::OlderDisk { .. })), 1);
+    assert!(fleet.saw(|e| *e == Event::CopyLost(name(a))) >= 1);
+}
+
+#[test]
+fn a_copy_that_is_emptied_or_torn_is_named_and_catches_up_and_two_at_once_are_said_to_be_lost() {
+    let mut fleet = fleet(4, true, ms(1));
+    let (copies, other) = places(&fleet, key(1));
+    let (a, b, other) = (copies[0], copies[1], other.expect("four members"));
+    let last = write(&mut fleet, other, key(1), 3);
+    fleet.kill(a);
+    fleet.disks[a].clear();
+    fleet.start(a);
+    fleet.run(ms(2000));
+    assert!(fleet.host(a).replica.counts_for(fleet.world.now_at(a), key(1)));
+    assert!(fleet.host(a).replica.held().any(|(held, version, _)| *held == key(1) && version == last));
+    assert_eq!(fleet.saw(|e| matches!(e, Event::Emptied { .. })), 1);
+    fleet.kill(b);
+    fleet.disks[b].values_mut().for_each(|bytes| bytes[2] ^= 1);
+    fleet.start(b);
+    fleet.run(ms(2000));
+    assert!(fleet.host(b).replica.counts_for(fleet.world.now_at(b), key(1)));
+    assert_eq!(fleet.saw(|e| *e == Event::Torn), 1);
+    let read = fleet.read(other, key(1), ms(1000));
+    assert_eq!(fleet.found(read), Ok(Some(last)));
+    for i in [a, b] {
+        fleet.kill(i);
+        fleet.disks[i].clear();
+    }
+    fleet.start(a);
+    fleet.start(b);
+    fleet.run(ms(5000));
+    let read = fleet.read(other, key(1), ms(1000));
+    assert_eq!(fleet.found(read), Err(ReplicaError::Lost));
+    let call = fleet.write(other, key(1), None, 9, ms(1000));
+    assert_eq!(fleet.written(call), Err(ReplicaError::Lost));
+    assert_eq!(fleet.saw(|e| *e == Event::MajorityLost), 2);
+}
+
+#[test]
+fn all_at_once_come_back_with_their_disks_and_go_on() {
+    let mut fleet = fleet(6, true, ms(1));
+    let last = write(&mut fleet, 0, key(1), 3);
+    (0..6).for_each(|i| fleet.kill(i));
+    (0..6).for_each(|i| fleet.start(i));
+    let read = fleet.read(1, key(1), ms(3000));
+    assert_eq!(fleet.found(read), Ok(Some(last)));
+    assert!(fleet.world.now() < ms(2000), "{:?}", fleet.world.now());
+}
+
+#[test]
+fn one_full_disk_does_not_matter_and_two_are_said() {
+    let mut fleet = fleet(4, true, ms(1));
+    let (copies, other) = places(&fleet, key(1));
+    let (a, b, other) = (copies[0], copies[1], other.expect("four members"));
+    write(&mut fleet, other, key(1), 1);
+    fleet.world.act(a, |host, _, _| host.full = true);
+    let on = write(&mut fleet, other, key(1), 2);
+    fleet.world.act(b, |host, _, _| host.full = true);
+    let call = fleet.write(other, key(1), Some(on), 1, ms(1000));
+    assert_eq!(fleet.written(call), Err(ReplicaError::NotKept(KeepError::Full)));
+    assert_eq!(fleet.saw(|e| *e == Event::DiskFault(KeepError::Full)), 2);
+    for i in [a, b] {
+        fleet.world.act(i, |host, _, _| host.full = false);
+    }
+    write(&mut fleet, other, key(1), 1);
+    fleet.run(ms(1000));
+    assert_eq!(fleet.saw(|e| *e == Event::DiskWell), 2);
+    fleet.check().expect("one register");
+}
+
+#[test]
+fn a_minority_says_so_at_once_where_it_knows_and_at_the_end_of_patience_where_it_does_not() {
+    let mut fleet = fleet(5, false, ms(1));
+    let (copies, _) = places(&fleet, key(1));
+    let on = write(&mut fleet, copies[0], key(1), 1);
+    cut(&mut fleet, &[copies[0]]);
+    let asked = fleet.world.now();
+    let call = fleet.write(copies[0], key(1), None, 1, ms(900));
+    assert_eq!(fleet.written(call), Err(ReplicaError::NoMajority));
+    assert!(fleet.world.now() - asked >= ms(900));
+    let call = fleet.write(copies[0], key(1), Some(on), 1, ms(900));
+    // It had the lead and has asked for it to be taken: what became of that it cannot know.
+    let known = fleet.written(call);
+    assert!(matches!(known, Err(ReplicaError::TimedOut | ReplicaError::NoMajority)), "{known:?}");
+    fleet.world.act(copies[0], |host, now, out| {
+        let part = Part { lent: 0.0, until: now };
+        let peers = Peers { standing: Standing::Alone, there: vec![], until: now + ms(900), part };
+        host.input(now, Input::Peers(peers), out);
+    });
+    let asked = fleet.world.now();
+    let read = fleet.read(copies[0], key(1), ms(5000));
+    assert_eq!(fleet.found(read), Err(ReplicaError::NoMajority));
+    assert!(fleet.world.now() - asked < ms(200));
+}
+
+#[test]
+fn a_thousand_registers_are_fetched_over_a_link_that_loses_a_tenth() {
+    let mut fleet = fleet(3, false, ms(1));
+    let mut last = vec![];
+    for i in 0..1000 {
+        last.push(write(&mut fleet, 0, key(i), 1));
+    }
+    fleet.kill(1);
+    fleet.world.net.loss = 0.1;
+    fleet.start(1);
+    let started = fleet.world.now();
+    while !fleet.host(1).replica.counts_for(fleet.world.now_at(1), key(0)) {
+        fleet.run(ms(10));
+        assert!(fleet.world.now() - started < Duration::from_secs(20));
+    }
+    let took = fleet.world.now() - started;
+    let held: BTreeSet<Version> = fleet.host(1).replica.held().map(|(_, version, _)| version).collect();
+    assert!(last.iter().all(|version| held.contains(version)));
+    println!("1000 registers in {took:?}");
+}
+
+/// Frames and bytes of a call, and how long it takes in ways there.
+fn cost(fleet: &mut Fleet, act: impl FnOnce(&mut Fleet)) -> (u64, u64, Duration) {
+    // Beats are told at full seconds.
+    let past = fleet.world.now().as_millis() as u64 % 1000;
+    fleet.run(ms(1500 - past));
+    let sums = |fleet: &Fleet| {
+        let hosts = (0..fleet.disks.len()).map(|i| fleet.host(i));
+        hosts.fold((0, 0), |(n, b), host| (n + host.sent, b + host.bytes))
+    };
+    let (before, at) = (sums(fleet), fleet.world.now());
+    act(fleet);
+    let took = fleet.world.now() - at;
+    fleet.run(ms(40));
+    let after = sums(fleet);
+    (after.0 - before.0, after.1 - before.1, took)
+}
+
+#[test]
+fn who_wrote_last_writes_in_one_round_a_read_takes_one_and_another_writer_two() {
+    let mut fleet = fleet(6, false, ms(5));
+    let (copies, other) = places(&fleet, key(1));
+    let (own, other) = (copies[0], other.expect("six members"));
+    let on = write(&mut fleet, own, key(1), 1);
+    let mut version = Some(on);
+    let mut write_by = |fleet: &mut Fleet, i: usize| {
+        let mut on = version;
+        let costs = cost(fleet, |fleet| {
+            let call = fleet.write(i, key(1), on, 1, ms(1000));
+            on = Some(fleet.written(call).expect("it is written"));
+        });
+        version = on;
+        costs
+    };
+    let again = write_by(&mut fleet, own);
+    let call = fleet.read(other, key(1), ms(1000));
+    assert!(fleet.found(call).is_ok());
+    let by_other = write_by(&mut fleet, other);
+    let other_again = write_by(&mut fleet, other);
+    let read = cost(&mut fleet, |fleet| {
+        let call = fleet.read(other, key(1), ms(1000));
+        assert!(fleet.found(call).is_ok());
+    });
+    println!("frames, bytes, time: again {again:?}, another's first {by_other:?}, its next {other_again:?}, read {read:?}");
+    assert_eq!((again.0, by_other.0, other_again.0, read.0), (4, 12, 6, 6));
+    assert!(again.2 <= ms(11) && other_again.2 <= ms(11) && read.2 <= ms(11));
+    assert!((ms(20)..=ms(21)).contains(&by_other.2), "{by_other:?}");
+}
+
+#[test]
+fn a_register_let_go_of_is_forgotten_by_all_copies_and_may_begin_anew() {
+    let mut fleet = fleet(3, true, ms(1));
+    let on = write(&mut fleet, 0, key(1), 2);
+    let call = fleet.drop(1, key(1), on, ms(1000));
+    let gap = fleet.written(call).expect("let go of");
+    let read = fleet.read(2, key(1), ms(1000));
+    assert_eq!(fleet.found(read), Ok(None));
+    assert_eq!(fleet.host(0).replica.held().count(), 0);
+    let call = fleet.write(2, key(1), Some(on), 1, ms(1000));
+    assert_eq!(fleet.written(call), Err(ReplicaError::Conflict { latest: None }));
+    let call = fleet.write(2, key(1), None, 0, ms(1000));
+    assert_eq!(fleet.written(call), Err(ReplicaError::EpochPassed { epoch: gap.epoch }));
+    fleet.run(GAP_LASTS + ms(2000));
+    assert!(
+        (0..3).all(|i| fleet.host(i).disk.keys().all(|name| name.len() == 1)),
+        "only the record of the memory"
+    );
+    assert!(write(&mut fleet, 2, key(1), 1).count >= 1);
+}
+
+#[test]
+fn what_is_too_long_too_much_or_of_another_version_is_refused_and_counted() {
+    let own = Process { name: name(0), start: 1 };
+    let roster: BTreeSet<NameKey> = (0..3).map(name).collect();
+    let mut replica = Replica::new(own, roster, Settings::default(), 1, Duration::ZERO);
+    let mut step = |input| {
+        let mut out = vec![];
+        replica.step(ms(1), input, &mut out);
+        (format!("{out:?}"), replica.counts())
+    };
+    let call = |n| bitternlatch_replica::Call(n);
+    let until = ms(1000);
+    let value = vec![0; VALUE_MOST + 1];
+    let (said, _) = step(Input::Write { call: call(0), key: key(1), on: None, epoch: 1, value, until });
+    assert!(said.contains("TooLong { bytes: 49153, most: 49152 }"));
+    (1..=4096).for_each(|n| drop(step(Input::Read { call: call(n), key: key(1), until })));
+    let (said, counts) = step(Input::Read { call: call(9999), key: key(1), until });
+    assert!(said.contains("Err(Busy)") && counts.turned_away == 1);
+    let from = Process { name: name(1), start: 1 };
+    let (said, _) = step(Input::Frame { from, said: vec![2, 3, 4] });
+    assert!(said.contains("OtherVersion"));
+    let (said, _) = step(Input::Frame { from, said: vec![2] });
+    let (_, counts) = step(Input::Frame { from, said: vec![1, 99] });
+    assert!(!said.contains("OtherVersion") && counts.other_version == 2 && counts.unreadable == 1);
+    let stranger = Process { name: NameKey(999), start: 1 };
+    let (said, counts) = step(Input::Frame { from: stranger, said: vec![1, 99] });
+    assert!(said == "[]" && counts.unreadable == 1);
+}
