--- a/crates/replica/src/job.rs
+++ b/crates/replica/src/job.rs
@@ -379,3 +379,55 @@
         (Some(State { version: ours, before: version, body: body.clone() }), Answer::Written(ours))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ON: Version = Version { epoch: 1, count: 1, writer: NameKey(9), start: 1 };
+
+    fn job(ask: Ask) -> (Job, Mint) {
+        let mut mint = Mint::new(Process { name: NameKey(9), start: 1 });
+        let copies = (1..=3).map(NameKey).collect();
+        let mut job = Job::new(Call(1), RegisterKey([0; 16]), copies, Duration::MAX, ask, &mut mint);
+        job.begin(None, &mut mint);
+        (job, mint)
+    }
+
+    fn stamp(life: u64, other: u32, known: u64) -> Stamp {
+        Stamp { life, count: 1, lives: vec![(NameKey(other), known)] }
+    }
+
+    fn accepted(round: u64, own: bool) -> Option<Accepted> {
+        let state = State { version: ON, before: None, body: Some(vec![1]) };
+        Some(Accepted { ballot: Ballot { round, by: NameKey(9), start: 1 }, state, own })
+    }
+
+    #[test]
+    fn what_a_copy_has_learnt_is_no_vote_and_is_settled_before_it_is_told() {
+        let (mut job, mut mint) = job(Ask::Read);
+        let look = job.ballot;
+        let next = job.on_promised(NameKey(1), look, stamp(1, 2, 1), accepted(1, true), &mut mint);
+        assert_eq!(next, Next::Wait);
+        let next = job.on_promised(NameKey(2), look, stamp(1, 1, 1), accepted(1, false), &mut mint);
+        assert_eq!(next, Next::Wait);
+        let next = job.on_promised(NameKey(3), look, stamp(1, 1, 1), None, &mut mint);
+        assert_eq!((next, &job.phase), (Next::Ask, &Phase::Preparing));
+    }
+
+    #[test]
+    fn a_vote_of_a_memory_that_has_ended_is_asked_for_again() {
+        let (mut job, mut mint) = job(Ask::Write { on: None, epoch: 1, body: Some(vec![1]) });
+        let ballot = job.ballot;
+        job.on_promised(NameKey(1), ballot, stamp(1, 2, 1), None, &mut mint);
+        let next = job.on_promised(NameKey(2), ballot, stamp(1, 1, 1), None, &mut mint);
+        assert_eq!(next, Next::Ask);
+        assert_eq!(job.on_took(NameKey(1), ballot, stamp(1, 2, 1), &mut mint), Next::Wait);
+        // The second one has heard meanwhile that the first has begun anew, and may have told it what it held before this.
+        assert_eq!(job.on_took(NameKey(2), ballot, stamp(1, 1, 2), &mut mint), Next::Wait);
+        let asked: Vec<NameKey> = job.says().map(|(_, to)| to).unwrap_or_default();
+        assert_eq!(asked, [NameKey(1), NameKey(3)]);
+        let next = job.on_took(NameKey(1), ballot, stamp(2, 2, 1), &mut mint);
+        assert!(matches!(next, Next::Done(Answer::Written(_), Some(_))));
+    }
+}
--- a/crates/replica/src/memory.rs
+++ b/crates/replica/src/memory.rs
@@ -110,7 +110,8 @@
         match known.life.cmp(&self.life) {
             std::cmp::Ordering::Greater => true,
             std::cmp::Ordering::Equal => known.count > self.count || (known.lost && self.kind == Kind::Fresh),
-            std::cmp::Ordering::Less => self.kind == Kind::Fresh,
+            // Whoever is asked has noted this life first, and says so by `lost`.
+            std::cmp::Ordering::Less => false,
         }
     }
 
--- a/crates/replica/tests/returns.rs
+++ b/crates/replica/tests/returns.rs
@@ -96,6 +96,12 @@
     assert!(fleet.host(a).replica.counts_for(fleet.world.now_at(a), key(1)));
     assert!(fleet.host(a).replica.held().any(|(held, version, _)| *held == key(1) && version == last));
     assert_eq!(fleet.saw(|e| matches!(e, Event::Emptied { .. })), 1);
+    // Who told it remembers that it has forgotten, though killed at once.
+    let c = copies[2];
+    fleet.kill(c);
+    fleet.start(c);
+    fleet.run(ms(2000));
+    assert_eq!(fleet.events.iter().filter(|(i, e)| *i == c && *e == Event::CopyLost(name(a))).count(), 1);
     fleet.kill(b);
     fleet.disks[b].values_mut().for_each(|bytes| bytes[2] ^= 1);
     fleet.start(b);
@@ -118,17 +124,76 @@
     assert_eq!(fleet.saw(|e| *e == Event::MajorityLost), 2);
 }
 
+#[test]
+fn two_that_forgot_do_not_take_each_other_for_new_while_who_remembers_is_cut_off() {
+    let mut fleet = fleet(4, false, ms(1));
+    let (copies, _) = places(&fleet, key(1));
+    let (a, b) = (copies[0], copies[1]);
+    write(&mut fleet, a, key(1), 1);
+    cut(&mut fleet, &[a, b]);
+    for i in [a, b] {
+        fleet.kill(i);
+        fleet.start(i);
+    }
+    fleet.run(ms(5000));
+    let read = fleet.read(a, key(1), ms(1000));
+    assert_eq!(fleet.found(read), Err(ReplicaError::CatchingUp));
+    fleet.world.net.passes = Box::new(|_, _| true);
+    fleet.run(ms(5000));
+    let read = fleet.read(a, key(1), ms(1000));
+    assert_eq!(fleet.found(read), Err(ReplicaError::Lost));
+}
+
 #[test]
 fn all_at_once_come_back_with_their_disks_and_go_on() {
     let mut fleet = fleet(6, true, ms(1));
     let last = write(&mut fleet, 0, key(1), 3);
     (0..6).for_each(|i| fleet.kill(i));
     (0..6).for_each(|i| fleet.start(i));
+    // Not even its own disk is believed before somebody was asked.
+    assert!((0..6).all(|i| !fleet.host(i).replica.counts_for(fleet.world.now_at(i), key(1))));
     let read = fleet.read(1, key(1), ms(3000));
     assert_eq!(fleet.found(read), Ok(Some(last)));
     assert!(fleet.world.now() < ms(2000), "{:?}", fleet.world.now());
 }
 
+#[test]
+fn what_was_let_go_of_does_not_come_back_with_an_older_disk() {
+    let mut fleet = fleet(3, true, ms(1));
+    let on = write(&mut fleet, 0, key(1), 1);
+    fleet.run(ms(100));
+    let old = fleet.host(1).disk.clone();
+    let call = fleet.drop(0, key(1), on, ms(1000));
+    fleet.written(call).expect("let go of");
+    fleet.run(GAP_LASTS + ms(2000));
+    fleet.kill(1);
+    fleet.disks[1] = old;
+    fleet.start(1);
+    fleet.run(ms(2000));
+    for i in 0..3 {
+        let read = fleet.read(i, key(1), ms(1000));
+        assert_eq!(fleet.found(read), Ok(None));
+    }
+}
+
+#[test]
+fn what_is_not_on_disk_yet_is_not_read() {
+    let mut fleet = fleet(3, true, ms(1));
+    let on = write(&mut fleet, 0, key(1), 1);
+    for i in 0..3 {
+        fleet.world.act(i, |host, _, _| host.sync = ms(50));
+    }
+    fleet.write(0, key(1), Some(on), 1, ms(3000));
+    fleet.run(ms(10));
+    fleet.read(1, key(1), ms(3000));
+    fleet.run(ms(20));
+    (0..3).for_each(|i| fleet.kill(i));
+    (0..3).for_each(|i| fleet.start(i));
+    let read = fleet.read(2, key(1), ms(3000));
+    assert_eq!(fleet.found(read), Ok(Some(on)));
+    fleet.check().expect("one register");
+}
+
 #[test]
 fn one_full_disk_does_not_matter_and_two_are_said() {
     let mut fleet = fleet(4, true, ms(1));
