Errors of the peers' net have types of their own and say what an operator can do

Cause: peer-net's errors were texts. Change: one enum, each variant with advice, told in one line by the dispatcher; causes of a roster that is not taken are typed too.

--- /dev/null
+++ b/crates/peer-net/src/error.rs
@@ -0,0 +1,139 @@
+//! What can keep a dispatcher from its peers, and what an operator can do.
+
+use std::io;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
+
+use bitternlatch_membership::RosterError;
+
+/// What of a member could not be opened at its address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Opened {
+    Datagrams,
+    Connections,
+}
+
+/// Why a roster that was told, or kept, is not taken.
+#[derive(Debug, thiserror::Error)]
+pub enum NoRoster {
+    #[error("this is no roster")]
+    Shape,
+    #[error("this is no roster: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error("the proof does not fit: another secret, or an old answer")]
+    Proof,
+    #[error("it belongs to the cluster '{0}'")]
+    OtherCluster(String),
+    #[error("{0}")]
+    Unreached(#[from] io::Error),
+}
+
+/// Seeds that told no roster, each with its cause.
+#[derive(Debug)]
+pub struct SeedFaults(pub Vec<(SocketAddrV4, NoRoster)>);
+
+impl std::fmt::Display for SeedFaults {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for (i, (seed, why)) in self.0.iter().enumerate() {
+            write!(f, "{}{seed}: {why}", if i == 0 { "" } else { "; " })?;
+        }
+        Ok(())
+    }
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum PeerNetError {
+    #[error("{}: {why}", path.display())]
+    Secret { path: PathBuf, why: io::Error },
+    #[error("{}: {bytes} bytes; a secret has {least} to {most}", path.display())]
+    SecretSize { path: PathBuf, bytes: u64, least: u64, most: u64 },
+    #[error("cluster.roster: {0}")]
+    Roster(#[from] RosterError),
+    #[error("cluster: no address of its own")]
+    NoAddress,
+    #[error("cluster: no {what:?} at {address}: {why}")]
+    Address { what: Opened, address: SocketAddrV4, why: io::Error },
+    #[error("{}: {why}", path.display())]
+    Start { path: PathBuf, why: io::Error },
+    #[error("{}: not a start's number", path.display())]
+    NoNumber { path: PathBuf },
+    #[error("no randomness: {0}")]
+    Random(#[from] getrandom::Error),
+    #[error("cluster: no thread: {0}")]
+    Thread(io::Error),
+    #[error("cluster.seeds: none tells the roster: {0}")]
+    Seeds(SeedFaults),
+    #[error("cluster.seeds: {seeds}; and the kept roster: {kept}")]
+    KeptRoster { seeds: SeedFaults, kept: NoRoster },
+    #[error("{peer}: {why}")]
+    NoAnswer { peer: SocketAddr, why: io::Error },
+    #[error("{peer}: this is not a view: {why}")]
+    NoView { peer: SocketAddr, why: serde_json::Error },
+}
+
+impl PeerNetError {
+    /// What an operator can do.
+    pub fn advice(&self) -> &'static str {
+        match self {
+            PeerNetError::Secret { why, .. } if why.kind() == io::ErrorKind::NotFound => {
+                "make it once with 'head -c 32 /dev/urandom | base64 > FILE' and give the same file to every member"
+            }
+            PeerNetError::Secret { .. } => "let the process read the file that 'cluster.secret' names",
+            PeerNetError::SecretSize { .. } => {
+                "make it anew with 'head -c 32 /dev/urandom | base64 > FILE' and give the same file to every member"
+            }
+            PeerNetError::Roster(_) => "give all members the same roster, this one in it, each name once",
+            PeerNetError::NoAddress => "name this dispatcher in 'cluster.roster', or set 'cluster.address'",
+            PeerNetError::Address { .. } => {
+                "end the process that holds the address, or set 'cluster.address' to one of this machine"
+            }
+            PeerNetError::Start { .. } => "let the process write the folder of the file that 'cluster.kept' names",
+            PeerNetError::NoNumber { .. } => "remove it to begin anew",
+            PeerNetError::Random(_) => "the system gives no random numbers; look at the machine",
+            PeerNetError::Thread(_) => "raise the bound on threads of this user, or end other processes",
+            PeerNetError::Seeds(_) => "start a member that has a roster first, or name others under 'cluster.seeds'",
+            PeerNetError::KeptRoster { .. } => "remove the kept roster once a seed can be reached",
+            PeerNetError::NoAnswer { .. } => "look whether the process runs, and at the network on the way to it",
+            PeerNetError::NoView { .. } => "ask a member's address of the cluster, of the same version as this program",
+        }
+    }
+
+    /// The error and what to do, in one line.
+    pub fn told(&self) -> String {
+        format!("{self}; {}", self.advice())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_says_what_to_do_and_no_two_the_same() {
+        let io = || io::Error::from(io::ErrorKind::PermissionDenied);
+        let json = || serde_json::from_str::<u8>("x").expect_err("no number");
+        let (path, address) = (PathBuf::from("f"), SocketAddrV4::new([127, 0, 0, 1].into(), 1));
+        let faults = || SeedFaults(vec![(address, NoRoster::Shape), (address, NoRoster::Proof)]);
+        let peer = SocketAddr::V4(address);
+        let all = [
+            PeerNetError::Secret { path: path.clone(), why: io::ErrorKind::NotFound.into() },
+            PeerNetError::Secret { path: path.clone(), why: io() },
+            PeerNetError::SecretSize { path: path.clone(), bytes: 1, least: 16, most: 4096 },
+            PeerNetError::Roster(RosterError::Size(0)),
+            PeerNetError::NoAddress,
+            PeerNetError::Address { what: Opened::Datagrams, address, why: io() },
+            PeerNetError::Start { path: path.clone(), why: io() },
+            PeerNetError::NoNumber { path },
+            PeerNetError::Random(getrandom::Error::UNSUPPORTED),
+            PeerNetError::Thread(io()),
+            PeerNetError::Seeds(faults()),
+            PeerNetError::KeptRoster { seeds: faults(), kept: NoRoster::OtherCluster("x".into()) },
+            PeerNetError::NoAnswer { peer, why: io() },
+            PeerNetError::NoView { peer, why: json() },
+        ];
+        let advice: std::collections::BTreeSet<&str> = all.iter().map(PeerNetError::advice).collect();
+        assert_eq!(advice.len(), all.len());
+        assert!(all.iter().all(|e| e.told().ends_with(e.advice()) && e.told().len() > e.advice().len() + 2));
+        assert!(faults().to_string().contains("; 127.0.0.1:1: the proof"));
+    }
+}
--- a/crates/peer-net/src/plane.rs
+++ b/crates/peer-net/src/plane.rs
@@ -17,6 +17,7 @@
 use bitternlatch_net::lock;
 
 use crate::beside::{Asker, End, Ground, Store};
+use crate::error::{Opened, PeerNetError};
 use crate::links::Links;
 use crate::routes::{Heard, Routes};
 use crate::seeds;
@@ -63,14 +64,14 @@
     kept: Option<PathBuf>,
 }
 
-pub(crate) fn read_secret(path: &Path) -> Result<Vec<u8>, String> {
-    let shown = path.display();
-    let size = std::fs::metadata(path).map_err(|e| format!("{shown}: {e}"))?.len();
-    if !SECRET_BYTES.contains(&size) {
-        let (least, most) = (SECRET_BYTES.start(), SECRET_BYTES.end());
-        return Err(format!("{shown}: {size} bytes; a secret has {least} to {most}"));
+pub(crate) fn read_secret(path: &Path) -> Result<Vec<u8>, PeerNetError> {
+    let unread = |why| PeerNetError::Secret { path: path.to_path_buf(), why };
+    let bytes = std::fs::metadata(path).map_err(unread)?.len();
+    if !SECRET_BYTES.contains(&bytes) {
+        let (path, least, most) = (path.to_path_buf(), *SECRET_BYTES.start(), *SECRET_BYTES.end());
+        return Err(PeerNetError::SecretSize { path, bytes, least, most });
     }
-    std::fs::read(path).map_err(|e| format!("{shown}: {e}"))
+    std::fs::read(path).map_err(unread)
 }
 
 /// What a member needs of its settings and files.
@@ -81,11 +82,10 @@
 }
 
 impl Papers {
-    fn read(cluster: &Cluster, name: &str, base: &Path) -> Result<Papers, String> {
+    fn read(cluster: &Cluster, name: &str, base: &Path) -> Result<Papers, PeerNetError> {
         let peers = cluster.roster.iter().map(|p| Peer { name: p.name.clone(), address: p.address });
-        let roster =
-            Roster::new(name, &peers.collect::<Vec<_>>()).map_err(|e| format!("cluster.roster: {e}"))?;
-        let address = cluster.own_address(name).ok_or("cluster: no address of its own")?;
+        let roster = Roster::new(name, &peers.collect::<Vec<_>>())?;
+        let address = cluster.own_address(name).ok_or(PeerNetError::NoAddress)?;
         let secret = Secret::new(&cluster.name, &read_secret(&base.join(&cluster.secret))?);
         Ok(Papers { roster, secret, address })
     }
@@ -96,7 +96,7 @@
     ///
     /// # Errors
     /// Where not, and why.
-    pub fn check(cluster: &Cluster, name: &str, base: &Path) -> Result<(), String> {
+    pub fn check(cluster: &Cluster, name: &str, base: &Path) -> Result<(), PeerNetError> {
         Papers::read(cluster, name, base).map(|_| ())
     }
 
@@ -110,15 +110,15 @@
         name: &str,
         base: &Path,
         mut told: impl FnMut(Told) + Send + 'static,
-    ) -> Result<Plane, String> {
+    ) -> Result<Plane, PeerNetError> {
         let Papers { roster, secret, address } = Papers::read(cluster, name, base)?;
-        let bad = |what: &str, e: std::io::Error| format!("cluster: {what} {address}: {e}");
-        let socket = UdpSocket::bind(address).map_err(|e| bad("no datagrams at", e))?;
-        let listener = TcpListener::bind(address).map_err(|e| bad("cannot listen on", e))?;
+        let bad = |what| move |why| PeerNetError::Address { what, address, why };
+        let socket = UdpSocket::bind(address).map_err(bad(Opened::Datagrams))?;
+        let listener = TcpListener::bind(address).map_err(bad(Opened::Connections))?;
         // Only now: a start that finds its address taken must not count.
         let kept = cluster.kept.as_ref().map(|k| base.join(k));
         let process = start::number(kept.as_deref())?;
-        let seed = getrandom::u64().map_err(|e| format!("no randomness: {e}"))?;
+        let seed = getrandom::u64()?;
         let clock = Clock::start();
         let member = Membership::new(name, process, roster, secret.clone(), seed, now(&clock));
         let routes = Arc::new(Routes::default());
@@ -126,7 +126,7 @@
         let whole = Together::new(member, seed.rotate_left(32), now(&clock));
         let whole = Arc::new(Mutex::new(whole));
         let thread = |what: &str| std::thread::Builder::new().name(what.into());
-        let no_thread = |e| format!("cluster: no thread: {e}");
+        let no_thread = PeerNetError::Thread;
         let (seen, cluster_name, own) = (Arc::clone(&whole), cluster.name.clone(), name.to_string());
         let view = move || Shown::of(&cluster_name, &own, &lock(&seen), now(&clock));
         let (own_roster, proven) = (cluster.clone(), secret.clone());
@@ -134,7 +134,7 @@
         let doors = Arc::clone(&links);
         let link = move |reader| doors.accept(reader);
         thread("views").spawn(move || views::serve(&listener, view, other, link)).map_err(no_thread)?;
-        let own_socket = socket.try_clone().map_err(|e| bad("no second handle of", e))?;
+        let own_socket = socket.try_clone().map_err(bad(Opened::Datagrams))?;
         let ground = Ground {
             whole: Arc::clone(&whole),
             socket: own_socket,
@@ -170,13 +170,13 @@
         machine: B,
         store: Option<Box<dyn Store>>,
         told: impl FnMut(B::Told) + Send + 'static,
-    ) -> std::io::Result<Asker<B::Ask>>
+    ) -> Result<Asker<B::Ask>, PeerNetError>
     where
         B: Beside + Send + 'static,
         B::Ask: Send + 'static,
         B::Told: 'static,
     {
-        let (asker, end) = self.ground.start(machine, store, told)?;
+        let (asker, end) = self.ground.start(machine, store, told).map_err(PeerNetError::Thread)?;
         self.beside.push(end);
         Ok(asker)
     }
--- a/crates/peer-net/src/seeds.rs
+++ b/crates/peer-net/src/seeds.rs
@@ -13,6 +13,7 @@
 use bitternlatch_membership::Secret;
 use serde::{Deserialize, Serialize};
 
+use crate::error::{NoRoster, PeerNetError, SeedFaults};
 use crate::plane::read_secret;
 use crate::views::put;
 
@@ -46,18 +47,18 @@
 }
 
 /// What an answer says, if its proof fits.
-fn read(cluster: &str, secret: &Secret, nonce: &str, answer: &str) -> Result<Vec<Peer>, String> {
-    let (text, proof) = answer.trim_end().split_once('\n').ok_or("this is no roster")?;
+fn read(cluster: &str, secret: &Secret, nonce: &str, answer: &str) -> Result<Vec<Peer>, NoRoster> {
+    let (text, proof) = answer.trim_end().split_once('\n').ok_or(NoRoster::Shape)?;
     if proof != hex(&secret.proof(nonce.as_bytes(), text.as_bytes())) {
-        return Err("the proof does not fit: another secret, or an old answer".to_string());
+        return Err(NoRoster::Proof);
     }
     parse(cluster, text)
 }
 
-fn parse(cluster: &str, text: &str) -> Result<Vec<Peer>, String> {
-    let told: Told = serde_json::from_str(text).map_err(|e| format!("this is no roster: {e}"))?;
+fn parse(cluster: &str, text: &str) -> Result<Vec<Peer>, NoRoster> {
+    let told: Told = serde_json::from_str(text)?;
     if told.cluster != cluster {
-        return Err(format!("it belongs to the cluster '{}'", told.cluster));
+        return Err(NoRoster::OtherCluster(told.cluster));
     }
     Ok(told.roster)
 }
@@ -82,7 +83,7 @@
 ///
 /// # Errors
 /// Where neither is to be had, with what each seed said.
-pub fn roster(cluster: &Cluster, name: &str, base: &Path) -> Result<(Vec<Peer>, String), String> {
+pub fn roster(cluster: &Cluster, name: &str, base: &Path) -> Result<(Vec<Peer>, String), PeerNetError> {
     let secret = Secret::new(&cluster.name, &read_secret(&base.join(&cluster.secret))?);
     let kept = kept(cluster, base);
     let (began, mut faults) = (Instant::now(), Vec::new());
@@ -90,10 +91,10 @@
         faults.clear();
         for seed in &cluster.seeds {
             let mut random = [0; NONCE];
-            getrandom::fill(&mut random).map_err(|e| format!("no randomness: {e}"))?;
+            getrandom::fill(&mut random)?;
             let nonce = hex(&random);
             let question = format!("roster 1 {name} {nonce}");
-            let told = put(SocketAddr::V4(*seed), &question, ONE_SEED).map_err(|e| e.to_string());
+            let told = put(SocketAddr::V4(*seed), &question, ONE_SEED).map_err(NoRoster::from);
             match told.and_then(|answer| read(&cluster.name, &secret, &nonce, &answer)) {
                 Ok(roster) => {
                     if let Some(Err(error)) = kept.as_ref().map(|path| keep(path, &cluster.name, &roster)) {
@@ -101,20 +102,20 @@
                     }
                     return Ok((roster, format!("seed {seed}")));
                 }
-                Err(why) => faults.push(format!("{seed}: {why}")),
+                Err(why) => faults.push((*seed, why)),
             }
         }
         std::thread::sleep(AGAIN);
     }
-    let faults = faults.join("; ");
+    let seeds = SeedFaults(faults);
     let last = kept.as_ref().and_then(|path| std::fs::read_to_string(path).ok());
     match last.map(|text| parse(&cluster.name, &text)) {
         Some(Ok(roster)) => {
-            tracing::warn!(seeds = faults, "no seed tells the roster; the last one told counts");
+            tracing::warn!(%seeds, "no seed tells the roster; the last one told counts");
             Ok((roster, "the last one told".to_string()))
         }
-        Some(Err(why)) => Err(format!("cluster.seeds: {faults}; and the kept roster: {why}")),
-        None => Err(format!("cluster.seeds: none tells the roster: {faults}")),
+        Some(Err(kept)) => Err(PeerNetError::KeptRoster { seeds, kept }),
+        None => Err(PeerNetError::Seeds(seeds)),
     }
 }
 
@@ -140,7 +141,7 @@
         let (cluster, secret) = (cluster(), Secret::new("hall", b"s"));
         let nonce = "0".repeat(2 * NONCE);
         let told = answer(&cluster, &secret, &format!("roster 1 d2 {nonce}")).expect("an answer");
-        assert_eq!(read("hall", &secret, &nonce, &told), Ok(cluster.roster.clone()));
+        assert_eq!(read("hall", &secret, &nonce, &told).ok(), Some(cluster.roster.clone()));
         let fails =
             |secret: &Secret, name: &str, nonce: &str, told: &str| read(name, secret, nonce, told).is_err();
         assert!(fails(&secret, "hall", &"1".repeat(2 * NONCE), &told), "an old answer");
--- a/crates/peer-net/src/start.rs
+++ b/crates/peer-net/src/start.rs
@@ -8,28 +8,29 @@
 /// Longest file that is read, bytes.
 const FILE_BYTES: u64 = 64;
 
+use crate::error::PeerNetError;
+
 /// The clock's milliseconds, or one more than the start that the file tells of if that is later; written there
 /// before it is used, so that no two starts of one folder have one number.
 ///
 /// # Errors
 /// Where the file cannot be read or written, or holds no number; a start that could pass for an earlier one is none.
-pub(crate) fn number(kept: Option<&Path>) -> Result<u64, String> {
+pub(crate) fn number(kept: Option<&Path>) -> Result<u64, PeerNetError> {
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
     let Some(path) = kept else { return Ok(unix) };
-    let shown = path.display();
+    let bad = |why| PeerNetError::Start { path: path.to_path_buf(), why };
+    let no_number = || PeerNetError::NoNumber { path: path.to_path_buf() };
     let last = match std::fs::metadata(path) {
         Err(e) if e.kind() == ErrorKind::NotFound => 0,
-        Err(e) => return Err(format!("{shown}: {e}")),
-        Ok(about) if about.len() > FILE_BYTES => return Err(format!("{shown}: not a start's number")),
+        Err(e) => return Err(bad(e)),
+        Ok(about) if about.len() > FILE_BYTES => return Err(no_number()),
         Ok(_) => {
-            let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: {e}"))?;
-            text.trim()
-                .parse()
-                .map_err(|_| format!("{shown}: not a start's number; remove it to begin anew"))?
+            let text = std::fs::read_to_string(path).map_err(bad)?;
+            text.trim().parse().map_err(|_| no_number())?
         }
     };
     let number = unix.max(last + 1);
-    write(path, number).map_err(|e| format!("{shown}: {e}"))?;
+    write(path, number).map_err(bad)?;
     Ok(number)
 }
 
@@ -68,13 +69,13 @@
         assert!(number(Some(&path)).expect("a number") > first);
         let ahead = u64::MAX / 2;
         std::fs::write(&path, ahead.to_string()).expect("a file");
-        assert_eq!(number(Some(&path)), Ok(ahead + 1));
+        assert_eq!(number(Some(&path)).ok(), Some(ahead + 1));
         raise(&path, ahead).expect("kept");
-        assert_eq!(number(Some(&path)), Ok(ahead + 2), "an earlier one lowers nothing");
+        assert_eq!(number(Some(&path)).ok(), Some(ahead + 2), "an earlier one lowers nothing");
         raise(&path, ahead + 9).expect("kept");
-        assert_eq!(number(Some(&path)), Ok(ahead + 10));
+        assert_eq!(number(Some(&path)).ok(), Some(ahead + 10));
         std::fs::write(&path, "x7").expect("a file");
-        assert!(number(Some(&path)).is_err_and(|e| e.contains("not a start's number")));
+        assert!(number(Some(&path)).is_err_and(|e| matches!(e, PeerNetError::NoNumber { .. })));
         std::fs::remove_dir_all(&dir).expect("removed");
     }
 }
--- a/crates/peer-net/src/views.rs
+++ b/crates/peer-net/src/views.rs
@@ -8,6 +8,7 @@
 use bitternlatch_agreement::{base, Together};
 use serde::{Deserialize, Serialize};
 
+use crate::error::PeerNetError;
 use crate::links;
 
 /// The question for a view.
@@ -141,7 +142,7 @@
 ///
 /// # Errors
 /// Where it cannot be reached within the time, or what it tells cannot be read.
-pub fn ask(peer: SocketAddr, within: Duration) -> Result<Shown, String> {
-    let text = put(peer, QUESTION, within).map_err(|e| format!("{peer}: {e}"))?;
-    serde_json::from_str(&text).map_err(|e| format!("{peer}: this is not a view: {e}"))
+pub fn ask(peer: SocketAddr, within: Duration) -> Result<Shown, PeerNetError> {
+    let text = put(peer, QUESTION, within).map_err(|why| PeerNetError::NoAnswer { peer, why })?;
+    serde_json::from_str(&text).map_err(|why| PeerNetError::NoView { peer, why })
 }
--- a/crates/peer-net/tests/beside.rs
+++ b/crates/peer-net/tests/beside.rs
@@ -110,3 +110,15 @@
     until(&heard, "leaves");
     one.leave();
 }
+
+#[test]
+fn a_cluster_without_its_secret_is_told_how_to_make_one() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let roster = vec![Peer { name: "d1".into(), address: address(1), clients: None }];
+    let cluster = Cluster { name: "hall".into(), secret: "secret".into(), roster, ..Cluster::default() };
+    let why = Plane::check(&cluster, "d1", dir.path()).expect_err("no secret").told();
+    assert!(why.contains("secret: No such file") && why.contains("head -c 32"), "{why}");
+    std::fs::write(dir.path().join("secret"), "short").expect("a file");
+    let why = Plane::check(&cluster, "d1", dir.path()).expect_err("a short one").told();
+    assert!(why.contains("5 bytes; a secret has 16 to 4096"), "{why}");
+}
--- a/programs/cluster/src/lib.rs
+++ b/programs/cluster/src/lib.rs
@@ -14,7 +14,7 @@
     let others = first.members.iter().map(|m| (m.name.clone(), m.address.clone())).collect::<Vec<_>>();
     let askers = others.into_iter().map(|(name, address)| {
         let asked = move || match address.parse() {
-            Ok(address) => ask(address, within),
+            Ok(address) => ask(address, within).map_err(|e| e.to_string()),
             Err(_) => Err(format!("'{address}' is no address")),
         };
         (name, std::thread::spawn(asked))
--- a/programs/dispatch/src/lib.rs
+++ b/programs/dispatch/src/lib.rs
@@ -93,7 +93,7 @@
     let secured = Secured::load(&args.config, &settings)?;
     if let Some(cluster) = settings.cluster.as_ref().filter(|c| c.seeds.is_empty()) {
         let base = args.config.parent().unwrap_or(Path::new(""));
-        Plane::check(cluster, &settings.name, base)?;
+        Plane::check(cluster, &settings.name, base).map_err(|e| e.told())?;
     }
     if args.check {
         println!("{shown}: good; {} hosts in {}", good.hosts().len(), list.display());
@@ -109,7 +109,7 @@
         return Ok((settings, text));
     };
     let base = config.parent().unwrap_or(Path::new(""));
-    let (roster, by) = bitternlatch_peer_net::roster(cluster, &settings.name, base)?;
+    let (roster, by) = bitternlatch_peer_net::roster(cluster, &settings.name, base).map_err(|e| e.told())?;
     let mut table: toml::Table = toml::from_str(&text).map_err(|e| e.to_string())?;
     let roster_value = toml::Value::try_from(&roster).map_err(|e| e.to_string())?;
     if let Some(cluster) = table.get_mut("cluster").and_then(toml::Value::as_table_mut) {
@@ -255,7 +255,7 @@
             let _ = to.send(Event::Input(Input::Stop));
         }
     };
-    Plane::join(cluster, &settings.name, base, told).map(Some)
+    Plane::join(cluster, &settings.name, base, told).map(Some).map_err(|e| e.told())
 }
 
 fn door(settings: &Settings, tls: Option<Arc<tls::Server>>) -> Door {
--- a/programs/measure/src/cluster.rs
+++ b/programs/measure/src/cluster.rs
@@ -29,7 +29,10 @@
 
 /// The others; the first of the roster is the dispatcher that is measured.
 fn others(cluster: &Cluster) -> Result<Vec<Plane>, String> {
-    let join = |peer: &Peer| Plane::join(cluster, &peer.name, std::path::Path::new(""), |_| ());
+    let join = |peer: &Peer| {
+        let plane = Plane::join(cluster, &peer.name, std::path::Path::new(""), |_| ());
+        plane.map_err(|e| e.told())
+    };
     cluster.roster.iter().skip(1).map(join).collect()
 }
 
