--- a/programs/measure/src/main.rs
+++ b/programs/measure/src/main.rs
@@ -1,5 +1,6 @@
 //! Measures the dispatcher in one run on one machine, each figure beside the plainest thing that could do the work.
 
+mod beside;
 mod charges;
 mod cluster;
 mod decision;
@@ -76,6 +77,11 @@
         #[arg(long, default_value_t = 200)]
         requests: usize,
     },
+    /// First token and memory of three that know each other, with all machines beside the plane on and off.
+    Beside {
+        #[arg(long, default_value_t = 300)]
+        requests: usize,
+    },
     /// Membership in simulated time: failures missed, halves healed, living ones removed, bytes.
     Members {
         #[arg(long, value_delimiter = ',', default_value = "3,10,100,300")]
@@ -113,6 +119,7 @@
                 Ok(())
             }
             What::Cluster { members, requests } => cluster::measure(members, requests),
+            What::Beside { requests } => beside::measure(requests),
             What::Members { sizes, seeds, lossy_s, light, svg } => {
                 let losses = if light { &members::LOSSES[..1] } else { &members::LOSSES };
                 members::measure(&sizes, seeds, (lossy_s, losses), svg.as_deref())
--- a/programs/measure/src/rig.rs
+++ b/programs/measure/src/rig.rs
@@ -48,6 +48,24 @@
     hosts: &Hosts,
     manner: &Manner,
     edit: impl Fn(&mut toml::Table),
+) -> Result<Dispatcher, String> {
+    started(hosts, 1, manner, edit)
+}
+
+/// As [`dispatcher`], one of several by its number from 1.
+pub fn dispatcher_of(
+    hosts: &Hosts,
+    number: usize,
+    edit: impl Fn(&mut toml::Table),
+) -> Result<Dispatcher, String> {
+    started(hosts, number, &Manner::default(), edit)
+}
+
+fn started(
+    hosts: &Hosts,
+    number: usize,
+    manner: &Manner,
+    edit: impl Fn(&mut toml::Table),
 ) -> Result<Dispatcher, String> {
     let dir = folder();
     std::fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
@@ -59,7 +77,7 @@
     std::fs::write(dir.join("hosts.csv"), list).map_err(|e| e.to_string())?;
     let mut settings: toml::Table = toml::from_str(SETTINGS).map_err(|e| e.to_string())?;
     edit(&mut settings);
-    let mut one = Dispatcher::new(&dir, 1, 1, &settings).map_err(|e| e.to_string())?;
+    let mut one = Dispatcher::new(&dir, number, 1, &settings).map_err(|e| e.to_string())?;
     one.without_record();
     one.secured(manner.clone());
     one.start(&std::env::current_exe().map_err(|e| e.to_string())?).map_err(|e| e.to_string())?;
