--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// It is here: waits, is at work, or has left a state.
+    pub fn has(&self, id: Id) -> bool {
+        self.sequences.contains_key(&id)
+    }
+
     /// It holds the state of this read.
     pub fn holds(&self, id: Id) -> bool {
         self.sequences.get(&id).is_some_and(|s| s.phase == Phase::Held)
--- a/programs/audit/src/hosts.rs
+++ b/programs/audit/src/hosts.rs
@@ -235,7 +235,7 @@
     let tokens = tokens_of(a.body.prompt.len()).saturating_sub(a.cached);
     let read = if kv.do_remote_prefill { 0.0 } else { f64::from(tokens) / host.read_tokens_per_s };
     let out = if kv.do_remote_decode { 0 } else { answer_len(&a.body) };
-    read + f64::from(out) * host.token_gap_s / host.slots as f64
+    read + f64::from(out) * (host.token_gap_s / host.slots as f64 + host.sequence_step_s)
 }
 
 /// The first time at which the work of a window is more than the stated multiple of what can be done in it.
--- a/programs/audit/src/lib.rs
+++ b/programs/audit/src/lib.rs
@@ -55,6 +55,9 @@
     pub read_tokens_per_s: f64,
     pub token_gap_s: f64,
     pub slots: usize,
+    /// Seconds that each running answer adds to a step; facts of before know none.
+    #[serde(default)]
+    pub sequence_step_s: f64,
 }
 
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
--- a/programs/badday/src/run.rs
+++ b/programs/badday/src/run.rs
@@ -314,6 +314,7 @@
         read_tokens_per_s: h.config.read_tokens_per_s,
         token_gap_s: h.config.token_gap_s,
         slots: h.config.slots,
+        sequence_step_s: h.config.sequence_step_s,
     };
     let cold = day.standins().cold;
     let noted = lock(noted);
--- a/programs/standin/src/config.rs
+++ b/programs/standin/src/config.rs
@@ -1,5 +1,6 @@
 //! What stand-ins are made from.
 
+use bitternlatch_engine::Constants;
 use serde::Deserialize;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
@@ -32,6 +33,38 @@
     pub token_gap_s: f64,
     #[serde(default = "transfer")]
     pub transfer_tokens_per_s: f64,
+    /// Prompt tokens that stay for prompts that begin alike, in all; as much as `memory_tokens`: in the memory that is free.
+    #[serde(default = "cache")]
+    pub prefix_cache_tokens: u64,
+    /// Seconds that each running answer adds to a token's step.
+    #[serde(default)]
+    pub sequence_step_s: f64,
+}
+
+/// Tokens of a block of memory, and of a prompt that is kept or not.
+pub(crate) const BLOCK_TOKENS: u64 = 64;
+
+impl HostConfig {
+    /// What its engine is made of: a read alone takes its tokens by the rate, an answer alone one gap a token.
+    pub fn constants(&self) -> Constants {
+        Constants {
+            slots: self.slots,
+            queue: self.queue,
+            memory_tokens: self.memory_tokens,
+            block_tokens: BLOCK_TOKENS,
+            cache_tokens: self.prefix_cache_tokens,
+            write_step_s: self.token_gap_s,
+            sequence_s: self.sequence_step_s,
+            read_tokens_per_s: self.read_tokens_per_s,
+            transfer_tokens_per_s: self.transfer_tokens_per_s,
+            ..Constants::default()
+        }
+    }
+
+    /// Seconds of the whole host that one token of an answer stands for when all slots are in use.
+    pub fn token_share_s(&self) -> f64 {
+        self.token_gap_s / self.slots as f64 + self.sequence_step_s
+    }
 }
 
 fn slots() -> usize {
@@ -52,6 +85,9 @@
 fn transfer() -> f64 {
     250_000.0
 }
+fn cache() -> u64 {
+    6_400_000
+}
 
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -139,6 +175,11 @@
     /// The first fault, with its place where it has one; also a fault of a host that is not there.
     pub fn parse(text: &str) -> Result<Config, String> {
         let config: Config = toml::from_str(text).map_err(|e| e.to_string())?;
+        for host in &config.hosts {
+            let advice =
+                |e: bitternlatch_engine::EngineError| format!("host '{}': {e}; {}", host.name, e.advice());
+            host.constants().check().map_err(advice)?;
+        }
         for fault in &config.faults {
             for name in &fault.hosts {
                 if !config.hosts.iter().any(|h| h.name == *name) {
--- a/programs/standin/src/host.rs
+++ b/programs/standin/src/host.rs
@@ -1,49 +1,36 @@
-//! One stand-in host: its memory, queue, kept prefixes, capacity, and the trouble it is in.
+//! One stand-in host: its engine, its connections, and the trouble it is in.
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
+use bitternlatch_engine::{Engine, EngineError, Id, Prompt};
 use bitternlatch_net::accept::Acceptor;
 use bitternlatch_net::socket::Outbox;
 use bitternlatch_protocol::engine::{CompletionRequest, Load};
 use bitternlatch_protocol::tokens_of;
 
-use crate::config::{Cold, HostConfig, Trouble};
+use crate::config::{Cold, HostConfig, Trouble, BLOCK_TOKENS};
 
-/// Bytes of a block of prompt that is kept or not.
-const BLOCK: usize = 256;
-/// Blocks kept at the most.
-const BLOCKS_MOST: usize = 100_000;
-
-/// A request at work here.
+/// A request at the engine here, or the state that it left.
 pub(crate) struct Work {
     pub conn: u64,
     pub id: String,
     pub body: CompletionRequest,
     pub tokens: u64,
-    pub cached: u32,
     pub out: u32,
-    pub produced: u32,
-    pub running: bool,
-    /// When a read begins; a request that is written here waits in `waiting`.
-    pub begins: Option<f64>,
-}
-
-/// A read state that waits to be fetched.
-pub(crate) struct State {
-    pub conn: u64,
-    pub tokens: u64,
 }
 
 pub(crate) struct Host {
     pub config: HostConfig,
     pub acceptor: Option<Acceptor>,
     pub conns: BTreeMap<u64, Outbox>,
-    pub works: HashMap<u64, Work>,
-    pub waiting: VecDeque<u64>,
-    pub states: HashMap<String, State>,
-    pub kept: HashSet<u64>,
-    /// When its reader has done all that it has been given.
-    pub busy_until: f64,
+    pub engine: Engine,
+    pub works: HashMap<Id, Work>,
+    /// Works by what dispatchers call them.
+    pub names: HashMap<String, Id>,
+    /// Its next place among what is due.
+    pub wakes: Option<(u64, u64)>,
+    /// What its engine was told last: slowness, and seconds that fetches take longer.
+    pub told: (f64, f64),
     /// Seconds at which it started; far back = warm.
     pub born: f64,
     pub draining: bool,
@@ -54,22 +41,24 @@
 }
 
 impl Host {
-    pub(crate) fn new(config: HostConfig) -> Host {
-        Host {
+    /// # Errors
+    /// As [`Engine::new`].
+    pub(crate) fn new(config: HostConfig) -> Result<Host, EngineError> {
+        Ok(Host {
+            engine: Engine::new(config.constants())?,
             config,
             acceptor: None,
             conns: BTreeMap::new(),
             works: HashMap::new(),
-            waiting: VecDeque::new(),
-            states: HashMap::new(),
-            kept: HashSet::new(),
-            busy_until: 0.0,
+            names: HashMap::new(),
+            wakes: None,
+            told: (1.0, 0.0),
             born: f64::NEG_INFINITY,
             draining: false,
             paused_until: 0.0,
             troubles: BTreeMap::new(),
             offered: VecDeque::new(),
-        }
+        })
     }
 
     /// Forgets all, as a process that ends.
@@ -78,8 +67,11 @@
             acceptor.stop();
         }
         self.conns.values().for_each(Outbox::cut);
-        let (config, troubles) = (self.config.clone(), std::mem::take(&mut self.troubles));
-        *self = Host { troubles, ..Host::new(config) };
+        let (troubles, wakes) = (std::mem::take(&mut self.troubles), self.wakes);
+        // These constants made an engine before.
+        if let Ok(fresh) = Host::new(self.config.clone()) {
+            *self = Host { troubles, wakes, ..fresh };
+        }
     }
 
     pub(crate) fn trouble(&self, kind: Trouble) -> Option<f64> {
@@ -107,62 +99,59 @@
             && sum > cold.overload_factor * self.capacity(cold, now) * cold.window_s
     }
 
-    /// Tokens of a prompt that are kept here, and keeps the whole of it.
-    pub(crate) fn take_prefix(&mut self, prompt: &str) -> u32 {
-        let mut hit = 0;
-        let mut known = true;
-        let mut mark = 0;
-        for block in prompt.as_bytes().chunks_exact(BLOCK) {
-            mark = xxhash_rust::xxh3::xxh3_64_with_seed(block, mark);
-            known = known && self.kept.contains(&mark);
-            hit += if known { tokens_of(BLOCK) } else { 0 };
-            if self.kept.len() < BLOCKS_MOST {
-                self.kept.insert(mark);
-            }
-        }
-        hit
-    }
-
-    pub(crate) fn memory(&self) -> u64 {
-        let states: u64 = self.states.values().map(|s| s.tokens).sum();
-        let works = self.works.values().filter(|w| w.running).map(|w| w.tokens + u64::from(w.produced));
-        states + works.sum::<u64>()
+    pub(crate) fn put(&mut self, id: Id, work: Work) {
+        self.names.insert(work.id.clone(), id);
+        self.works.insert(id, work);
     }
 
-    pub(crate) fn running(&self) -> usize {
-        self.works.values().filter(|w| w.running).count()
+    pub(crate) fn take(&mut self, id: Id) -> Option<Work> {
+        let work = self.works.remove(&id)?;
+        if self.names.get(&work.id) == Some(&id) {
+            self.names.remove(&work.id);
+        }
+        Some(work)
     }
 
-    /// Requests that wait: reads that have not begun, and answers without a slot.
-    pub(crate) fn waits(&self, now: f64) -> usize {
-        let reads = self.works.values().filter(|w| w.begins.is_some_and(|at| at > now)).count();
-        reads + self.waiting.len()
+    /// The read state that a dispatcher's request left here.
+    pub(crate) fn state(&self, name: &str) -> Option<Id> {
+        self.names.get(name).copied().filter(|id| self.engine.holds(*id))
     }
 
-    /// Requests at work: the read under way, and answers that run.
-    fn at_work(&self, now: f64) -> usize {
-        self.running() + self.works.values().filter(|w| w.begins.is_some_and(|at| at <= now)).count()
+    /// Seconds of a warm host with all slots in use that a request stands for.
+    pub(crate) fn work_s(&self, prompt: &Prompt, reads: bool, out: u32) -> f64 {
+        let new = if reads { prompt.tokens - self.engine.known_tokens(prompt) } else { 0 };
+        new as f64 / self.config.read_tokens_per_s + f64::from(out) * self.config.token_share_s()
     }
 
-    pub(crate) fn load(&self, now: f64) -> Option<Load> {
+    pub(crate) fn load(&self) -> Option<Load> {
         let sign = match self.trouble(Trouble::BadLoad) {
             Some(s) if s > 0.5 => return None,
             Some(_) => -1.0,
             None => 1.0,
         };
-        let share = |a: f64, b: f64| sign * (a / b.max(1.0)).min(1.0);
-        Some(Load::from([
-            ("num_requests_running".to_string(), sign * self.at_work(now) as f64),
-            ("num_requests_waiting".to_string(), sign * self.waits(now) as f64),
-            ("slots_used_perc".to_string(), share(self.running() as f64, self.config.slots as f64)),
-            (
-                "kv_cache_usage_perc".to_string(),
-                share(self.memory() as f64, self.config.memory_tokens as f64),
-            ),
-        ]))
+        let facts = self.engine.facts();
+        let share = |a: usize, b: usize| (a as f64 / b.max(1) as f64).min(1.0);
+        let said = [
+            ("num_requests_running", facts.running as f64),
+            ("num_requests_waiting", facts.waiting as f64),
+            ("slots_used_perc", share(facts.slots_used, self.config.slots)),
+            ("kv_cache_usage_perc", share(facts.used_blocks, facts.memory_blocks)),
+            ("num_preemptions", facts.preemptions as f64),
+        ];
+        Some(said.into_iter().map(|(name, value)| (name.to_string(), sign * value)).collect())
     }
 }
 
+/// A prompt as its engine takes it: each whole block has a mark that stands for all before it too.
+pub(crate) fn prompt(text: &str) -> Prompt {
+    let mut mark = 0;
+    let marks = text.as_bytes().chunks_exact(BLOCK_TOKENS as usize * 4).map(|block| {
+        mark = xxhash_rust::xxh3::xxh3_64_with_seed(block, mark);
+        mark
+    });
+    Prompt { tokens: u64::from(tokens_of(text.len())), marks: marks.collect() }
+}
+
 /// Length of the answer: what the prompt says in `[len=N]`, else 32, and the ceiling at the most.
 pub fn answer_len(body: &CompletionRequest) -> u32 {
     let said = body.prompt.rfind("[len=").map(|i| &body.prompt[i + 5..]);
--- a/programs/standin/src/world.rs
+++ b/programs/standin/src/world.rs
@@ -6,22 +6,19 @@
 use std::time::{Duration, Instant};
 
 use bitternlatch_core::settings::ListenTls;
+use bitternlatch_engine::{EngineError, Id, Input};
 use bitternlatch_identity::Caller;
 use bitternlatch_net::accept::{Acceptor, Door, Handler};
 use bitternlatch_net::socket::{Limits, Outbox};
 use bitternlatch_net::tls;
-use bitternlatch_protocol::engine::{
-    decode, encode, Choice, Chunk, CompletionRequest, EngineError, EngineState, EngineUsage, FromEngine,
-    KvTransferParams, PromptDetails, ToEngine, CODE_FULL, CODE_STATE_GONE,
-};
-use bitternlatch_protocol::tokens_of;
+use bitternlatch_protocol::engine::{decode, encode, EngineError as Said, EngineState, FromEngine, ToEngine};
 use crossbeam_channel::{unbounded, Receiver, RecvTimeoutError, Sender};
 use rand_core::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 
 use crate::capture::Capture;
-use crate::config::{Config, Role, Trouble};
-use crate::host::{answer_len, Host, State, Work};
+use crate::config::{Config, Trouble};
+use crate::host::Host;
 
 enum Message {
     Open(usize, u64, Outbox),
@@ -31,11 +28,9 @@
     Stop,
 }
 
-enum Due {
+pub(crate) enum Due {
     Greet(usize, u64),
-    ReadDone(usize, u64),
-    Fetched(usize, u64),
-    Token(usize, u64),
+    Engine(usize),
     Late(usize, u64, String),
     FaultOn(usize),
     FaultOff(usize),
@@ -55,7 +50,7 @@
     /// Where an address cannot be listened on, or the system gives no thread.
     pub fn start(config: Config, capture: Capture) -> std::io::Result<Standins> {
         let (to, from) = unbounded();
-        let mut world = World::new(config, capture, to.clone());
+        let mut world = World::new(config, capture, to.clone()).map_err(std::io::Error::other)?;
         let mut addresses = BTreeMap::new();
         for i in 0..world.hosts.len() {
             let address = world.listen(i)?;
@@ -112,21 +107,21 @@
     }
 }
 
-struct World {
-    config: Config,
-    hosts: Vec<Host>,
-    due: BTreeMap<(u64, u64), Due>,
-    serial: u64,
-    start: Instant,
-    rng: Xoshiro256PlusPlus,
-    capture: Capture,
+pub(crate) struct World {
+    pub(crate) config: Config,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) due: BTreeMap<(u64, u64), Due>,
+    pub(crate) serial: u64,
+    pub(crate) start: Instant,
+    pub(crate) rng: Xoshiro256PlusPlus,
+    pub(crate) capture: Capture,
     to: Sender<Message>,
 }
 
 impl World {
-    fn new(config: Config, capture: Capture, to: Sender<Message>) -> World {
+    fn new(config: Config, capture: Capture, to: Sender<Message>) -> Result<World, EngineError> {
         let mut world = World {
-            hosts: config.hosts.iter().cloned().map(Host::new).collect(),
+            hosts: config.hosts.iter().cloned().map(Host::new).collect::<Result<_, _>>()?,
             rng: Xoshiro256PlusPlus::seed_from_u64(config.seed),
             due: BTreeMap::new(),
             serial: 0,
@@ -140,10 +135,10 @@
             world.after(fault.at_s, Due::FaultOn(i));
             world.after(fault.at_s + fault.for_s, Due::FaultOff(i));
         }
-        world
+        Ok(world)
     }
 
-    fn now(&self) -> f64 {
+    pub(crate) fn now(&self) -> f64 {
         self.start.elapsed().as_secs_f64()
     }
 
@@ -152,7 +147,7 @@
         self.due.insert((((self.now() + seconds) * 1e6) as u64, self.serial), due);
     }
 
-    fn chance(&mut self, of: Option<f64>) -> bool {
+    pub(crate) fn chance(&mut self, of: Option<f64>) -> bool {
         let draw = (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
         of.is_some_and(|p| draw < p)
     }
@@ -242,11 +237,11 @@
 
     fn on_due(&mut self, due: Due) {
         let host = match &due {
-            Due::Greet(i, _)
-            | Due::ReadDone(i, _)
-            | Due::Fetched(i, _)
-            | Due::Token(i, _)
-            | Due::Late(i, _, _) => *i,
+            Due::Greet(i, _) | Due::Late(i, _, _) => *i,
+            Due::Engine(i) => {
+                self.hosts[*i].wakes = None;
+                return self.tell(*i, Input::Time);
+            }
             Due::FaultOn(f) => return self.fault(*f, true),
             Due::FaultOff(f) => return self.fault(*f, false),
         };
@@ -256,11 +251,8 @@
         }
         match due {
             Due::Greet(i, conn) => self.greet(i, conn),
-            Due::ReadDone(i, work) => self.read_done(i, work),
-            Due::Fetched(i, work) => self.fetched(i, work),
-            Due::Token(i, work) => self.token(i, work),
             Due::Late(i, conn, text) => self.on_text(i, conn, &text),
-            Due::FaultOn(_) | Due::FaultOff(_) => {}
+            Due::Engine(_) | Due::FaultOn(_) | Due::FaultOff(_) => {}
         }
     }
 
@@ -279,9 +271,17 @@
             }
             host.troubles.insert(f, (fault.trouble, fault.strength));
             match fault.trouble {
-                Trouble::Pause => host.paused_until = now + fault.for_s,
-                Trouble::Flush => host.kept.clear(),
-                Trouble::LoseStates => host.states.clear(),
+                Trouble::Pause => {
+                    host.paused_until = now + fault.for_s;
+                    self.tell(i, Input::PauseUntil(now + fault.for_s));
+                }
+                Trouble::Flush => self.tell(i, Input::Flush),
+                Trouble::LoseStates => {
+                    self.tell(i, Input::LoseStates);
+                    let host = &mut self.hosts[i];
+                    host.works.retain(|id, _| host.engine.has(*id));
+                    host.names.retain(|_, id| host.works.contains_key(id));
+                }
                 Trouble::Crash => self.down(i),
                 Trouble::Deploy => {
                     host.draining = true;
@@ -292,7 +292,7 @@
         }
     }
 
-    fn down(&mut self, i: usize) {
+    pub(crate) fn down(&mut self, i: usize) {
         self.capture.put(&self.hosts[i].config.name, "", "down", "");
         self.hosts[i].clear();
     }
@@ -311,11 +311,11 @@
         }
     }
 
-    fn say(&self, i: usize, conn: u64, message: &FromEngine) {
+    pub(crate) fn say(&self, i: usize, conn: u64, message: &FromEngine) {
         self.say_text(i, conn, encode(message));
     }
 
-    fn say_text(&self, i: usize, conn: u64, text: String) {
+    pub(crate) fn say_text(&self, i: usize, conn: u64, text: String) {
         let host = &self.hosts[i];
         if let Some(outbox) = host.conns.get(&conn) {
             self.capture.put(&host.config.name, conn, "out", &text);
@@ -343,9 +343,14 @@
     fn on_close(&mut self, i: usize, conn: u64) {
         let host = &mut self.hosts[i];
         host.conns.remove(&conn);
-        host.works.retain(|_, w| w.conn != conn);
-        host.states.retain(|_, s| s.conn != conn);
-        self.admit(i);
+        let its: Vec<Id> = host.works.iter().filter(|(_, w)| w.conn == conn).map(|(id, _)| *id).collect();
+        its.into_iter().for_each(|id| self.end(i, id));
+    }
+
+    /// Ends one request at its engine, and its state.
+    pub(crate) fn end(&mut self, i: usize, id: Id) {
+        self.hosts[i].take(id);
+        self.tell(i, Input::Cancel(id));
     }
 
     fn on_text(&mut self, i: usize, conn: u64, text: &str) {
@@ -353,190 +358,30 @@
             Ok(ToEngine::Completion { id, body }) => self.completion(i, conn, id, *body),
             Ok(ToEngine::Cancel { id }) => {
                 // A state whose answer was lost goes with its request.
-                self.hosts[i].states.remove(&id);
-                self.hosts[i].works.retain(|_, w| w.id != id || w.conn != conn);
-                self.admit(i);
+                let host = &self.hosts[i];
+                let known = host.names.get(&id).copied();
+                let may = |k: &Id| host.engine.holds(*k) || host.works.get(k).is_some_and(|w| w.conn == conn);
+                if let Some(known) = known.filter(may) {
+                    self.end(i, known);
+                }
+            }
+            Ok(ToEngine::Release { id }) => {
+                if let Some(state) = self.hosts[i].state(&id) {
+                    self.end(i, state);
+                }
             }
-            Ok(ToEngine::Release { id }) => drop(self.hosts[i].states.remove(&id)),
             Ok(ToEngine::Probe { id }) => {
-                let load = self.hosts[i].load(self.now()).unwrap_or_default();
+                self.tell(i, Input::Time);
+                let load = self.hosts[i].load().unwrap_or_default();
                 self.say(i, conn, &FromEngine::Load { id, load });
             }
             Ok(ToEngine::Fault { .. }) | Err(_) => {}
         }
     }
 
-    fn error(&self, i: usize, conn: u64, id: &str, status: u16, code: Option<&str>) {
-        let error = EngineError { message: "not served".to_string(), code: code.map(str::to_string) };
-        let load = self.hosts[i].load(self.now());
+    pub(crate) fn error(&self, i: usize, conn: u64, id: &str, status: u16, code: Option<&str>) {
+        let error = Said { message: "not served".to_string(), code: code.map(str::to_string) };
+        let load = self.hosts[i].load();
         self.say(i, conn, &FromEngine::Error { id: id.to_string(), status, error, load });
     }
-
-    fn completion(&mut self, i: usize, conn: u64, id: String, body: CompletionRequest) {
-        let now = self.now();
-        let kv = body.kv_transfer_params.clone().unwrap_or_default();
-        if self.chance(self.hosts[i].trouble(Trouble::FastErrors)) {
-            return self.error(i, conn, &id, 500, None);
-        }
-        if self.chance(self.hosts[i].trouble(Trouble::Garbage)) {
-            self.garbage(i, conn, &id);
-        }
-        let tokens = u64::from(tokens_of(body.prompt.len()));
-        let host = &mut self.hosts[i];
-        let reads = !kv.do_remote_prefill;
-        let waits = if kv.do_remote_decode { host.works.len() } else { host.waiting.len() };
-        if waits >= host.config.queue || host.memory() + tokens > host.config.memory_tokens {
-            return self.error(i, conn, &id, 503, Some(CODE_FULL));
-        }
-        if reads && host.config.role == Role::Writer {
-            return self.error(i, conn, &id, 409, Some(CODE_STATE_GONE));
-        }
-        let cached = if reads { host.take_prefix(&body.prompt) } else { 0 };
-        let out = if kv.do_remote_decode { 0 } else { answer_len(&body) };
-        let read_s = if reads {
-            (tokens - u64::from(cached).min(tokens)) as f64 / host.config.read_tokens_per_s
-        } else {
-            0.0
-        };
-        let write_s = f64::from(out) * host.config.token_gap_s / host.config.slots as f64;
-        let work = Work { conn, id, body, tokens, cached, out, produced: 0, running: false, begins: None };
-        if host.pushed_over(&self.config.cold, now, read_s + write_s) {
-            return self.down(i);
-        }
-        self.serial += 1;
-        let serial = self.serial;
-        let host = &mut self.hosts[i];
-        host.works.insert(serial, work);
-        if kv.do_remote_decode {
-            let begins = host.busy_until.max(now);
-            if let Some(work) = host.works.get_mut(&serial) {
-                work.begins = Some(begins);
-            }
-            host.busy_until = begins + read_s * host.slowness(&self.config.cold, now);
-            let wait = host.busy_until - now;
-            return self.after(wait, Due::ReadDone(i, serial));
-        }
-        host.waiting.push_back(serial);
-        self.admit(i);
-    }
-
-    /// Messages that a host must not send: broken, unknown, and about somebody else's request.
-    fn garbage(&self, i: usize, conn: u64, id: &str) {
-        self.say_text(i, conn, "{\"op\":\"chunk\",".to_string());
-        self.say_text(i, conn, "{\"op\":\"sing\"}".to_string());
-        self.say(i, conn, &FromEngine::Done { id: format!("{:0>24}-0", "beef"), load: None });
-        self.say(i, conn, &FromEngine::Done { id: id.replace('-', "-9"), load: None });
-    }
-
-    fn read_done(&mut self, i: usize, serial: u64) {
-        let lost = self.chance(self.hosts[i].trouble(Trouble::LostAnswers));
-        let host = &mut self.hosts[i];
-        let Some(work) = host.works.remove(&serial) else { return };
-        host.states.insert(work.id.clone(), State { conn: work.conn, tokens: work.tokens });
-        if lost {
-            return;
-        }
-        let params = KvTransferParams {
-            do_remote_prefill: true,
-            do_remote_decode: false,
-            remote_engine_id: Some(host.config.name.clone()),
-            remote_block_ids: Some(vec![serial]),
-            remote_host: Some("127.0.0.1".to_string()),
-            remote_port: host.acceptor.as_ref().map(|a| a.address().port()),
-            remote_request_id: Some(work.id.clone()),
-        };
-        let choice = Choice { finish_reason: Some("length".to_string()), ..Choice::default() };
-        let body =
-            Chunk { choices: vec![choice], usage: Some(usage(&work)), kv_transfer_params: Some(params) };
-        self.say(i, work.conn, &FromEngine::Chunk { id: work.id.clone(), body });
-        self.say(i, work.conn, &FromEngine::Done { id: work.id, load: self.hosts[i].load(self.now()) });
-    }
-
-    /// Lets waiting requests run as far as slots and memory go.
-    fn admit(&mut self, i: usize) {
-        loop {
-            let host = &mut self.hosts[i];
-            let Some(serial) = host.waiting.front().copied() else { return };
-            if host.running() >= host.config.slots {
-                return;
-            }
-            host.waiting.pop_front();
-            let Some(work) = host.works.get_mut(&serial) else { continue };
-            work.running = true;
-            let (tokens, cached) = (work.tokens, u64::from(work.cached));
-            let fetches = work.body.kv_transfer_params.as_ref().is_some_and(|k| k.do_remote_prefill);
-            let now = self.now();
-            let slowness = self.hosts[i].slowness(&self.config.cold, now);
-            let config = &self.hosts[i].config;
-            let rate = if fetches { config.transfer_tokens_per_s } else { config.read_tokens_per_s };
-            let tokens = if fetches { tokens } else { tokens.saturating_sub(cached) };
-            let hang_s =
-                if fetches && self.hosts[i].trouble(Trouble::HangFetch).is_some() { 3600.0 } else { 0.0 };
-            self.after(hang_s + tokens as f64 / rate * slowness, Due::Fetched(i, serial));
-        }
-    }
-
-    fn fetched(&mut self, i: usize, serial: u64) {
-        let Some(work) = self.hosts[i].works.get(&serial) else { return };
-        let kv = work.body.kv_transfer_params.clone().unwrap_or_default();
-        if kv.do_remote_prefill {
-            let reader = self.hosts.iter().position(|h| Some(&h.config.name) == kv.remote_engine_id.as_ref());
-            let made_by = kv.remote_request_id.unwrap_or_default();
-            let taken = reader.and_then(|r| self.hosts[r].states.remove(&made_by));
-            if taken.is_none() {
-                if let Some(work) = self.hosts[i].works.remove(&serial) {
-                    self.error(i, work.conn, &work.id, 409, Some(CODE_STATE_GONE));
-                }
-                return self.admit(i);
-            }
-        }
-        self.token(i, serial);
-    }
-
-    fn token(&mut self, i: usize, serial: u64) {
-        let now = self.now();
-        let lost = self.hosts[i].trouble(Trouble::LostAnswers);
-        let lost = self.hosts[i].works.get(&serial).is_some_and(|w| w.produced == 0) && self.chance(lost);
-        let gap = self.hosts[i].config.token_gap_s * self.hosts[i].slowness(&self.config.cold, now);
-        let Some(work) = self.hosts[i].works.get_mut(&serial) else { return };
-        if lost {
-            self.hosts[i].works.remove(&serial);
-            return self.admit(i);
-        }
-        work.produced += 1;
-        let (conn, id, last) = (work.conn, work.id.clone(), work.produced >= work.out);
-        let reason = if work.out == work.body.max_tokens { "length" } else { "stop" };
-        let (usage, text) = (usage(work), format!("w{} ", work.produced));
-        let choice = Choice { text, ..Choice::default() };
-        self.say(
-            i,
-            conn,
-            &FromEngine::Chunk { id: id.clone(), body: Chunk { choices: vec![choice], ..Chunk::default() } },
-        );
-        if !last {
-            return self.after(gap, Due::Token(i, serial));
-        }
-        if self.chance(self.hosts[i].trouble(Trouble::Reset)) {
-            if let Some(outbox) = self.hosts[i].conns.get(&conn) {
-                outbox.close(1011, "reset by script");
-            }
-            return;
-        }
-        let choice = Choice { finish_reason: Some(reason.to_string()), ..Choice::default() };
-        let body = Chunk { choices: vec![choice], usage: Some(usage), kv_transfer_params: None };
-        self.say(i, conn, &FromEngine::Chunk { id: id.clone(), body });
-        self.hosts[i].works.remove(&serial);
-        self.say(i, conn, &FromEngine::Done { id, load: self.hosts[i].load(self.now()) });
-        self.admit(i);
-    }
-}
-
-fn usage(work: &Work) -> EngineUsage {
-    let prompt = work.tokens as u32;
-    EngineUsage {
-        prompt_tokens: prompt,
-        completion_tokens: work.produced,
-        total_tokens: prompt + work.produced,
-        prompt_tokens_details: Some(PromptDetails { cached_tokens: work.cached }),
-    }
 }
