--- a/crates/core/src/answers.rs
+++ b/crates/core/src/answers.rs
@@ -1,9 +1,11 @@
 //! What clients are told: each listener is given exactly one final event, and nothing after it.
 
+use bitternlatch_lengths::End;
 use bitternlatch_policy::interface::{Event, Outcome, RequestId};
 use bitternlatch_protocol::client::{self, Create, IncompleteDetails, Response, ResponseError, Status};
 
 use crate::contexts::Context;
+use crate::lengths::Lengths;
 use crate::machine::{log, Machine};
 use crate::requests::{Listener, Purpose, Request, Stage};
 use crate::settings::Effect;
@@ -108,6 +110,7 @@
 
     /// The engine has ended the answer.
     pub(crate) fn serve(&mut self, now: Micros, id: RequestId, reason: &str, out: &mut Vec<Output>) {
+        self.learn(id, if reason == "length" { End::Ceiling } else { End::Whole }, out);
         let Some(request) = self.requests.get(&id) else { return };
         let mut answer = Response { usage: Some(request.usage), ..request.response.clone() };
         answer.status = if reason == "length" { Status::Incomplete } else { Status::Completed };
@@ -118,6 +121,16 @@
         self.finish(now, id, answer, out);
     }
 
+    /// Tells of an answer's length, where lengths are learnt; before its attempt is let go of.
+    fn learn(&self, id: RequestId, end: End, out: &mut Vec<Output>) {
+        let learns = self.settings.cluster.as_ref().is_some_and(|c| c.lengths.is_some());
+        let Some(request) = self.requests.get(&id).filter(|_| learns) else { return };
+        let host =
+            request.attempt.as_ref().and_then(|a| self.fleet.get(a.host)).map(|k| k.host.name.as_str());
+        let class = &self.settings.classes[usize::from(request.class)].name;
+        out.push(Output::Lengths(Lengths::ended(request, class, host.unwrap_or("unknown"), end)));
+    }
+
     /// The one place that gives final answers.
     fn finish(&mut self, now: Micros, id: RequestId, answer: Response, out: &mut Vec<Output>) {
         let Some(request) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
@@ -165,6 +178,7 @@
         self.close_key(now, id, answer);
         self.events.push_back(Event::ClientGone { request: id });
         if streaming {
+            self.learn(id, End::Left, out);
             self.tell_cancel(id, out);
             self.end_attempt(now, id, Outcome::Cancelled, 0, Vec::new(), out);
         }
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -9,6 +9,7 @@
 
 use crate::budgets::{Charged, Denied};
 use crate::keys::{Key, Known};
+use crate::lengths::Lengths;
 use crate::machine::Machine;
 use crate::requests::{Listener, Request, LISTENERS_MOST};
 use crate::settings::Effect;
@@ -199,7 +200,11 @@
             0 => xxh3_64(response.id.as_bytes()),
             known => known,
         };
-        let ask = ask(id, create, &wanted, conversation, left_s);
+        let mut ask = ask(id, create, &wanted, conversation, left_s);
+        let class = &self.settings.classes[usize::from(wanted.class)].name;
+        let prompt_tokens = tokens_of(wanted.prompt.len());
+        let expected = self.lengths.expect(&create.model, class, prompt_tokens, wanted.max_tokens);
+        ask.output_tokens = Lengths::for_module(expected);
         if let Some(key) = &wanted.key {
             self.keys.begin(key.clone(), fingerprint(create), id);
         }
@@ -213,6 +218,7 @@
             conversation,
             prompt: wanted.prompt,
             max_tokens: wanted.max_tokens,
+            expected,
             temperature: create.temperature,
             top_p: create.top_p,
             deadline,
@@ -338,6 +344,7 @@
         prompt_tokens: f64::from(tokens_of(wanted.prompt.len())),
         prefix_tokens: f64::from(tokens_of(create.instructions.len())),
         max_output_tokens: f64::from(wanted.max_tokens),
+        output_tokens: None,
         output_hint_s: None,
         time_left_s: left_s,
     }
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 
 use bitternlatch_budget::book::Hold;
+use bitternlatch_lengths::Expected;
 use bitternlatch_policy::interface::{RequestId, ServerId};
 use bitternlatch_protocol::client::{Response, Usage};
 use bitternlatch_protocol::engine::{EngineUsage, KvTransferParams};
@@ -94,6 +95,8 @@
     pub conversation: u64,
     pub prompt: String,
     pub max_tokens: u32,
+    /// Of its answer's length, as known when it came.
+    pub expected: Option<Expected>,
     pub temperature: Option<f64>,
     pub top_p: Option<f64>,
     pub deadline: Micros,
--- a/crates/peer-net/src/lib.rs
+++ b/crates/peer-net/src/lib.rs
@@ -8,6 +8,7 @@
 mod plane;
 mod routes;
 mod seeds;
+mod snapshot;
 mod start;
 mod views;
 
@@ -15,4 +16,5 @@
 pub use error::{NoRoster, Opened, PeerNetError, SeedFaults};
 pub use plane::{Plane, Told};
 pub use seeds::roster;
+pub use snapshot::Snapshot;
 pub use views::{ask, Line, Shown};
--- a/crates/peer-net/src/plane.rs
+++ b/crates/peer-net/src/plane.rs
@@ -188,6 +188,11 @@
         (Process { name: own.name, start: own.start.process }, whole.member.roster())
     }
 
+    /// The time by its clock, which machines beside it are stepped by.
+    pub fn now(&self) -> Duration {
+        now(&self.ground.clock)
+    }
+
     /// Ends the machines beside it, says farewell to the peers and ends.
     pub fn leave(mut self) {
         self.beside.drain(..).for_each(|end| end());
--- /dev/null
+++ b/crates/peer-net/src/snapshot.rs
@@ -0,0 +1,138 @@
+//! A store of few, small things in one file, replaced whole: written beside it, made durable, renamed over it. So the file is
+//! the one before or the one after, and a checksum tells where the disk kept neither.
+
+use std::fs::File;
+use std::io::{ErrorKind, Write};
+use std::path::{Path, PathBuf};
+
+use bitternlatch_agreement::{Found, KeepError};
+use crc32fast::hash;
+
+use crate::beside::{Batch, Store};
+
+/// What each file begins with: four letters and a version.
+const HEAD: &[u8] = b"bls1";
+/// Longest file that is read or written, bytes.
+const FILE_BYTES: u64 = 16 * 1024 * 1024;
+
+/// See the module's front.
+pub struct Snapshot {
+    path: PathBuf,
+    kept: Found,
+}
+
+impl Snapshot {
+    pub fn at(path: PathBuf) -> Snapshot {
+        Snapshot { path, kept: vec![] }
+    }
+
+    fn failed(&self, e: &std::io::Error) -> KeepError {
+        match e.kind() {
+            ErrorKind::StorageFull | ErrorKind::QuotaExceeded => KeepError::Full,
+            _ => KeepError::Io(format!("{}: {e}", self.path.display())),
+        }
+    }
+}
+
+fn encode(kept: &Found) -> Vec<u8> {
+    let mut body = vec![];
+    for (name, bytes) in kept {
+        for part in [name, bytes] {
+            body.extend((part.len() as u64).to_le_bytes());
+            body.extend(part);
+        }
+    }
+    [HEAD, &hash(&body).to_le_bytes(), &body].concat()
+}
+
+fn decode(file: &[u8]) -> Option<Found> {
+    let (sum, mut rest) = file.strip_prefix(HEAD)?.split_first_chunk::<4>()?;
+    if hash(rest) != u32::from_le_bytes(*sum) {
+        return None;
+    }
+    let mut parts = vec![];
+    while let Some((length, more)) = rest.split_first_chunk::<8>() {
+        let (part, more) = more.split_at_checked(usize::try_from(u64::from_le_bytes(*length)).ok()?)?;
+        parts.push(part.to_vec());
+        rest = more;
+    }
+    let pairs = parts.chunks_exact(2);
+    (rest.is_empty() && pairs.remainder().is_empty())
+        .then(|| pairs.map(|pair| (pair[0].clone(), pair[1].clone())).collect())
+}
+
+fn write_whole(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
+    let mut beside = path.as_os_str().to_owned();
+    beside.push(".new");
+    let beside = PathBuf::from(beside);
+    let mut file = File::create(&beside)?;
+    file.write_all(bytes)?;
+    file.sync_all()?;
+    std::fs::rename(&beside, path)?;
+    // The name is durable once its folder is.
+    let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    File::open(folder)?.sync_all()
+}
+
+impl Store for Snapshot {
+    fn load(&mut self) -> Result<Found, KeepError> {
+        let bad = |why: &str| KeepError::Io(format!("{}: {why}", self.path.display()));
+        match std::fs::metadata(&self.path) {
+            Err(e) if e.kind() == ErrorKind::NotFound => return Ok(vec![]),
+            Err(e) => return Err(self.failed(&e)),
+            Ok(about) if about.len() > FILE_BYTES => return Err(bad("larger than any snapshot")),
+            Ok(_) => {}
+        }
+        let file = std::fs::read(&self.path).map_err(|e| self.failed(&e))?;
+        self.kept = decode(&file).ok_or_else(|| bad("torn, emptied, or of another version"))?;
+        Ok(self.kept.clone())
+    }
+
+    fn put(&mut self, batch: Batch) -> Result<(), KeepError> {
+        let mut kept = self.kept.clone();
+        for (name, bytes) in batch {
+            kept.retain(|known| known.0 != name);
+            kept.extend(bytes.map(|bytes| (name, bytes)));
+        }
+        let file = encode(&kept);
+        if file.len() as u64 > FILE_BYTES {
+            return Err(KeepError::Io("a snapshot too large to be read back".to_string()));
+        }
+        write_whole(&self.path, &file).map_err(|e| self.failed(&e))?;
+        self.kept = kept;
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_put_is_read_back_whole_or_refused() {
+        let dir = tempfile::tempdir().unwrap();
+        let path = dir.path().join("kept");
+        let mut store = Snapshot::at(path.clone());
+        assert_eq!(store.load(), Ok(vec![]));
+        let put = |name: &[u8], bytes: Option<&[u8]>| (name.to_vec(), bytes.map(<[u8]>::to_vec));
+        store.put(vec![put(b"a", Some(b"one")), put(b"b", Some(b""))]).unwrap();
+        store.put(vec![put(b"a", Some(b"two")), put(b"c", Some(b"three")), put(b"c", None)]).unwrap();
+        let expected: Found = vec![(b"b".to_vec(), vec![]), (b"a".to_vec(), b"two".to_vec())];
+        assert_eq!(Snapshot::at(path.clone()).load(), Ok(expected));
+        let whole = std::fs::read(&path).unwrap();
+        for length in 0..whole.len() {
+            std::fs::write(&path, &whole[..length]).unwrap();
+            assert!(matches!(Snapshot::at(path.clone()).load(), Err(KeepError::Io(_))), "{length}");
+        }
+        for at in 0..whole.len() {
+            let mut torn = whole.clone();
+            torn[at] ^= 4;
+            std::fs::write(&path, &torn).unwrap();
+            assert!(Snapshot::at(path.clone()).load().is_err(), "{at}");
+        }
+        // A broken one is replaced.
+        store.put(vec![]).unwrap();
+        assert!(Snapshot::at(path.clone()).load().is_ok());
+        assert!(Snapshot::at(dir.path().join("no/folder")).put(vec![]).is_err());
+    }
+}
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -34,14 +34,12 @@
 const ASK_WAIT_S: f64 = 0.015;
 /// Multiple of its age that a probe unanswered after that time stands for.
 const UNANSWERED: f64 = 4.0;
-/// Homes of a key: at least two, to halve a hot one; its share of traffic does not shrink with the fleet.
-const HOMES: (usize, f64) = (2, 0.25);
+/// Homes of a key: at least two, to halve a hot one; as a share of readers; a mixed server's weight as one.
+const HOMES: (usize, f64, f64) = (2, 0.25, 0.35);
 /// Share of a prompt past its prefix that a session's first home is taken to hold; routers that count as few.
 const SESSION_SHARE: (f64, f64) = (0.6, 4.0);
 /// Multiple of its read time that a read costs those behind it: spilled reads, uncached, feed a jam.
 const READ_CARE: f64 = 1.0;
-/// Weight of a mixed server as home against a reader.
-const MIXED_WEIGHT: f64 = 0.35;
 /// Load and seconds by which equals are spread over routers, and a key's next home must be quicker.
 const SPREAD: f64 = 0.05;
 /// Half-life, in seconds, of delay seen beyond prediction: about the time in which a queue turns over.
@@ -50,18 +48,14 @@
 const FADE_HALF_S: f64 = 2.0;
 /// Multiple of an estimate that it may add, so that a place which looks free is still tried.
 const SLIP_MOST: f64 = 2.0;
-/// Seconds a failure costs beyond the time it took: the next attempt's way and wait.
-const FAILURE_COST_S: f64 = 0.1;
-/// The same where the server has just failed this very request: failures come in spells, attempts run out.
-const AGAIN_COST_S: f64 = 1.0;
+/// Seconds a failure costs beyond its time: the next attempt's way and wait; where it failed this request.
+const FAILURE_COST_S: (f64, f64) = (0.1, 1.0);
 /// Mean loss of a server that others have seen failing, and how long others' word of a drain counts.
-const HEARSAY_LOSS_S: f64 = 0.25;
-const HEARSAY_S: f64 = 1.0;
+const HEARSAY_S: (f64, f64) = (0.25, 1.0);
 /// Seconds for which a server counts as told to fail, and the share of its like of which that is believed.
 const HEARSAY_FEW: (f64, f64) = (3.0, 0.25);
 /// What a server's mean loss counts, as failures come in spells; and for what may not be tried again.
-const LOSS_CARE: f64 = 4.0;
-const UNSAFE_CARE: f64 = 40.0;
+const LOSS_CARE: (f64, f64) = (4.0, 40.0);
 /// Seconds of waiting that a full writer stands for, by share of its memory.
 const WRITER_LOAD_S: f64 = 0.2;
 /// Load by which another cell's writer must be lighter; twice for another zone's, or a mixed server.
@@ -70,10 +64,8 @@
 const WRITER_READ_S: f64 = 1.0;
 /// Seconds for which a server that said `full` is passed over.
 const FULL_PAUSE_S: f64 = 0.2;
-/// Writer load at which answers begin to wait for memory.
-const WRITER_FULL: f64 = 0.9;
-/// Mean time that an answer runs, in seconds, in which a writer's memory turns over.
-const TURNOVER_S: f64 = 5.0;
+/// Writer load at which answers wait for memory, and the seconds of an answer's run in which it turns over.
+const WRITER_FULL: (f64, f64) = (0.9, 5.0);
 /// Share of the output ceiling that an answer holds of memory in the mean of its run.
 const OUTPUT_SHARE: f64 = 0.2;
 /// Refuse when the first token is expected later than this multiple of its aim; over its tenant's share.
@@ -85,13 +77,10 @@
 /// Share of the pin limit for which a state may wait for a writer.
 const HOLD_SHARE: f64 = 0.5;
 /// Share of the aim past due after which a silent attempt is called back: where its server was heard within
-/// `HEARD_S` before, and elsewhere, as the silence of a server seldom heard of proves little.
-const SILENCE_SHARE: (f64, f64) = (0.3, 1.5);
-const HEARD_S: f64 = 4.0;
-/// Share of the fall-over multiple that is used on the capacity a cold server surely has.
-const COLD_CARE: f64 = 0.8;
-/// Part of it for those that a cold server is first choice for (its keys, its cell); the rest is for others.
-const COLD_NEAR: f64 = 0.75;
+/// the seconds that stand last, and elsewhere, as the silence of a server seldom heard of proves little.
+const SILENCE_SHARE: (f64, f64, f64) = (0.3, 1.5, 4.0);
+/// Share of the fall-over multiple used on what a cold server surely has; its part for who prefers it.
+const COLD_CARE: (f64, f64) = (0.8, 0.75);
 
 // ---- 2 what is known of a server ------------------------------------------------------------------
 
@@ -99,7 +88,7 @@
 struct Pending {
     work_s: f64,
     due: f64,
-    tokens: f64,
+    tokens: (f64, f64),
     link: Option<u16>, // The reader's cell, where the state crosses that cell's link.
 }
 
@@ -122,7 +111,7 @@
     role: Role,
     memory: f64,
     pending: BTreeMap<RequestId, Pending>,
-    streams: BTreeMap<RequestId, f64>,
+    streams: BTreeMap<RequestId, (f64, f64)>,
     loss: (f64, f64),   // Mean time lost by failures of late, and when it was seen.
     heard: f64,         // When anything was last heard of it.
     excess: (f64, f64), // Delay beyond prediction, and when it was seen.
@@ -141,13 +130,14 @@
     /// One outcome. A failure is priced by the time it loses, as quick ones leave a short queue; it fades.
     fn mark(&mut self, now: f64, bad: bool, took: f64) {
         self.heard = if bad { self.heard } else { now };
-        let lost = if bad { sane(took) + FAILURE_COST_S } else { 0.0 };
+        let lost = if bad { sane(took) + FAILURE_COST_S.0 } else { 0.0 };
         let before = fade(self.loss, now, FADE_HALF_S);
         self.loss = (before + 2.0 * BLEND * (lost - before), now);
     }
 
-    fn own_tokens(&self) -> f64 {
-        self.pending.values().map(|p| p.tokens).sum::<f64>() + self.streams.values().sum::<f64>()
+    fn own(&self, part: fn(&(f64, f64)) -> f64) -> f64 {
+        let waiting = self.pending.values().map(|p| part(&p.tokens)).sum::<f64>();
+        waiting + self.streams.values().map(part).sum::<f64>()
     }
 
     fn excess(&self, now: f64) -> f64 {
@@ -185,6 +175,7 @@
 #[derive(Clone, Default)]
 struct Job {
     ask: Request,
+    tokens: (f64, f64), // Of memory that it holds in the mean of its run, and beyond that at its end.
     deadline: f64,
     stage: Stage,
     attempts: u32,
@@ -356,7 +347,7 @@
         let mut best: Vec<(bool, f64, ServerId)> = Vec::new();
         for s in self.servers.values().filter(|s| s.role != Role::Writer && s.ready()) {
             let id = s.entry.id;
-            let weight = if s.role == Role::Mixed { MIXED_WEIGHT } else { 1.0 };
+            let weight = if s.role == Role::Mixed { HOMES.2 } else { 1.0 };
             let draw = (mix(key, u64::from(id)) >> 11) as f64 / (1u64 << 53) as f64;
             let rank = (s.entry.zone != self.set.zone, -draw.max(1e-12).ln() / weight, id);
             let at = best.partition_point(|b| b.0.cmp(&rank.0).then(b.1.total_cmp(&rank.1)).is_le());
@@ -387,7 +378,7 @@
 
     /// The last report, weighed by age against its kind's mean; without any, own part times dispatchers.
     fn report(&self, s: &Server, now: f64) -> Report {
-        let (own, many) = (s.own_tokens() / s.memory, f64::from(self.set.dispatchers));
+        let (own, many) = (s.own(|t| t.0) / s.memory, f64::from(self.set.dispatchers));
         if self.set.report_mode == ReportMode::Off {
             return Report { load: own * many, others: s.pending.len() as f64 * (many - 1.0) * 0.5 };
         }
@@ -425,8 +416,8 @@
         let far = if s.entry.zone == self.set.zone { 0.0 } else { 2.0 * CELL_MARGIN * WRITER_LOAD_S };
         let (write, dear) = match s.role {
             Role::Reader => (scene.lightest_wait(s), 0.0),
-            Role::Writer => (self.write_wait(s, now), WRITER_READ_S),
-            Role::Mixed => (self.write_wait(s, now), 0.0),
+            Role::Writer => (self.write_wait(s, now), WRITER_READ_S + self.crowding_s(s, job, now)),
+            Role::Mixed => (self.write_wait(s, now), self.crowding_s(s, job, now)),
         };
         let total_s = queue_s + read_s + write + self.risk_s(s, job, now);
         let step = home.map_or(2.0 + self.draw(job, s), |h| h as f64) * SPREAD;
@@ -467,8 +458,8 @@
 
     fn risk_s(&self, s: &Server, job: &Job, now: f64) -> f64 {
         let once = self.class(job).effect == Effect::Unsafe && s.role != Role::Reader;
-        let again = if job.attempts > 0 && job.at == s.entry.id { AGAIN_COST_S } else { 0.0 };
-        again + fade(s.loss, now, FADE_HALF_S) * if once { UNSAFE_CARE } else { LOSS_CARE }
+        let again = if job.attempts > 0 && job.at == s.entry.id { FAILURE_COST_S.1 } else { 0.0 };
+        again + fade(s.loss, now, FADE_HALF_S) * if once { LOSS_CARE.1 } else { LOSS_CARE.0 }
     }
 
     /// The mechanism: the lowest estimated first-token time among readers and mixed servers.
@@ -488,14 +479,21 @@
     // ---- 7 writers --------------------------------------------------------------------------------
 
     fn load(&self, s: &Server, now: f64) -> f64 {
-        self.report(s, now).load.max(s.own_tokens() / s.memory) / self.capacity(s, now)
+        self.report(s, now).load.max(s.own(|t| t.0) / s.memory) / self.capacity(s, now)
     }
 
     /// Seconds that an answer waits: little until memory runs out, then for the queue's turnover.
     fn write_wait(&self, s: &Server, now: f64) -> f64 {
         let load = self.load(s, now);
         let queued = self.report(s, now).others * self.typical.1 / s.memory / self.capacity(s, now);
-        load * WRITER_LOAD_S + ((load - WRITER_FULL).max(0.0) + queued) * TURNOVER_S
+        load * WRITER_LOAD_S + ((load - WRITER_FULL.0).max(0.0) + queued) * WRITER_FULL.1
+    }
+
+    /// What pushing answers out of memory costs, by told lengths. Harm: not all are at their longest at once.
+    fn crowding_s(&self, s: &Server, job: &Job, now: f64) -> f64 {
+        let Some(_) = job.ask.output_tokens else { return 0.0 };
+        let peak = s.own(|t| t.1) + job.tokens.0 + job.tokens.1;
+        (self.load(s, now) + peak / s.memory - 1.0).max(0.0) * WRITER_FULL.1
     }
 
     fn best_writer(&self, job: &Job, now: f64) -> Option<ServerId> {
@@ -509,7 +507,7 @@
                 Some((_, zone)) if zone != s.entry.zone => 2.0 * CELL_MARGIN + link,
                 _ => CELL_MARGIN + link,
             };
-            let mixed = if s.role == Role::Mixed { 2.0 * CELL_MARGIN } else { 0.0 };
+            let mixed = self.crowding_s(s, job, now) + f64::from(s.role == Role::Mixed) * 2.0 * CELL_MARGIN;
             let delay = s.overdue(now) + s.excess(now) + self.risk_s(s, job, now);
             self.load(s, now) + self.write_wait(s, now) + delay + apart + mixed + SPREAD * self.draw(job, s)
         };
@@ -527,11 +525,14 @@
         ask.prompt_tokens = sane(ask.prompt_tokens).max(1.0);
         ask.prefix_tokens = sane(ask.prefix_tokens).min(ask.prompt_tokens);
         ask.max_output_tokens = sane(ask.max_output_tokens).max(1.0);
+        let told = ask.output_tokens.map(|t| (0.5 * sane(t.mean), sane(t.p90 - 0.5 * sane(t.mean))));
+        let (mean, more) = told.unwrap_or((OUTPUT_SHARE * ask.max_output_tokens, 0.0));
+        let tokens = (ask.prompt_tokens + mean, more);
         let (id, left) = (ask.id, sane(ask.time_left_s));
         let aim = self.aim(&ask);
         let over = self.over_share(now, ask.tenant);
         let late_s = (aim * if over { REFUSE_AT.1 } else { REFUSE_AT.0 }).min(left);
-        let job = Job { ask, deadline: now + left, late_s, promised: now + aim, ..Job::default() };
+        let job = Job { ask, tokens, deadline: now + left, late_s, promised: now + aim, ..Job::default() };
         self.retries = (self.retries + RETRIES.0).min(RETRIES.1);
         let homes = self.homes(now, &job, &self.scene(now));
         self.jobs.insert(id, job);
@@ -630,7 +631,7 @@
     }
 
     fn silence_s(&self, ask: &Request, s: &Server, sent: f64) -> f64 {
-        self.aim(ask) * if sent - s.heard < HEARD_S { SILENCE_SHARE.0 } else { SILENCE_SHARE.1 }
+        self.aim(ask) * if sent - s.heard < SILENCE_SHARE.2 { SILENCE_SHARE.0 } else { SILENCE_SHARE.1 }
     }
 
     fn usable(&self, s: &Server, job: &Job, now: f64) -> bool {
@@ -680,7 +681,6 @@
     /// The one place that sends. Refuses what a rule forbids, whatever the caller chose.
     fn launch(&mut self, now: f64, id: RequestId, to: ServerId, expected_s: f64, out: &mut Vec<Action>) {
         let (Some(job), Some(s)) = (self.jobs.get(&id), self.servers.get(&to)) else { return };
-        let tokens = job.ask.prompt_tokens + OUTPUT_SHARE * job.ask.max_output_tokens;
         let allowed = !job.over
             && matches!(job.stage, Stage::Idle | Stage::Held(_))
             && job.attempts < self.set.limits.max_attempts
@@ -697,7 +697,7 @@
         let (Some(job), Some(s)) = (self.jobs.get_mut(&id), self.servers.get_mut(&to)) else { return };
         (job.stage, job.at, job.sent, job.attempts) = (Stage::Out, to, now, job.attempts + 1);
         let work_s = if job.state_at.is_none() { job.read_s } else { 0.0 };
-        s.pending.insert(id, Pending { work_s, due: now + expected_s, tokens, link });
+        s.pending.insert(id, Pending { work_s, due: now + expected_s, tokens: job.tokens, link });
         out.push(Action::Send { request: id, server: to, timeout_s });
         wake(id, now + silence_s, out);
     }
@@ -837,12 +837,12 @@
                 s.told_failing = now;
                 if self.few_fail(now, id) {
                     self.servers.get_mut(&id).into_iter().for_each(|s| {
-                        s.loss = (fade(s.loss, now, FADE_HALF_S).max(HEARSAY_LOSS_S), now);
+                        s.loss = (fade(s.loss, now, FADE_HALF_S).max(HEARSAY_S.0), now);
                     });
                 }
             }
             Sight::Cold if s.entry.booted_at <= 0.0 => s.entry.booted_at = now - age_s,
-            Sight::Draining if 2 * voices > of => s.closed_until = now + HEARSAY_S,
+            Sight::Draining if 2 * voices > of => s.closed_until = now + HEARSAY_S.1,
             _ => {}
         }
     }
@@ -893,7 +893,7 @@
                 _ => {}
             }
         }
-        (s.report, s.seen_at, s.seen_tokens) = (told, now, s.own_tokens());
+        (s.report, s.seen_at, s.seen_tokens) = (told, now, s.own(|t| t.0));
         let kind = usize::from(s.entry.kind);
         let cold = self.servers.get(&id).is_some_and(|s| self.capacity(s, now) < 1.0);
         let pool = &mut self.pools[kind][usize::from(cold)];
@@ -935,14 +935,14 @@
             return true;
         }
         let cold = &self.set.cold;
-        let share = COLD_CARE * cold.overload_factor * cold.start_capacity;
+        let share = COLD_CARE.0 * cold.overload_factor * cold.start_capacity;
         let cell = scene.cells.get(&s.entry.cell).filter(|_| near).unwrap_or(&scene.all);
         let rivals = match s.role {
             Role::Writer => cell.writers,
             _ if near => scene.homes as f64,
             _ => scene.readers,
         };
-        let part = if near { COLD_NEAR } else { 1.0 - COLD_NEAR };
+        let part = if near { COLD_CARE.1 } else { 1.0 - COLD_CARE.1 };
         self.draw(job, s) < share * part / f64::max(rivals, 1.0)
     }
 
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -180,6 +180,14 @@
     Failed,
 }
 
+/// How long an answer is expected to be, tokens, its ceiling regarded.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Expected {
+    pub mean: f64,
+    /// Nine answers of ten are no longer.
+    pub p90: f64,
+}
+
 /// A client request as it arrives.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Request {
@@ -195,6 +203,8 @@
     pub prompt_tokens: f64,
     pub prefix_tokens: f64,
     pub max_output_tokens: f64,
+    /// Where anything is known of its like; without it a share of the ceiling stands for it.
+    pub output_tokens: Option<Expected>,
     /// Rough guess of the time the answer takes at the class's token gap.
     pub output_hint_s: Option<f64>,
     /// Time until the client gives this try up.
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -52,6 +52,7 @@
         prompt_tokens: 2000.0,
         prefix_tokens: 1500.0,
         max_output_tokens: 300.0,
+        output_tokens: None,
         output_hint_s: None,
         time_left_s: 6.0,
     }
--- a/programs/dispatch/src/beside.rs
+++ b/programs/dispatch/src/beside.rs
@@ -2,9 +2,10 @@
 
 use std::path::Path;
 
-use bitternlatch_core::Settings;
+use bitternlatch_core::{Input, Settings};
+use bitternlatch_lengths::Lengths;
 use bitternlatch_net::driver::{Beside, Event};
-use bitternlatch_peer_net::Plane;
+use bitternlatch_peer_net::{Plane, Snapshot, Store};
 use crossbeam_channel::Sender;
 
 // The three are filled in by their own parts.
@@ -37,7 +38,18 @@
     Ok(())
 }
 
-fn lengths(_place: &mut Place, _beside: &mut Beside) -> Result<(), String> {
+fn lengths(place: &mut Place, beside: &mut Beside) -> Result<(), String> {
+    let Some(wanted) = place.settings.cluster.as_ref().and_then(|c| c.lengths.as_ref()) else {
+        return Ok(());
+    };
+    let machine = Lengths::new(place.plane.own().0, place.plane.now());
+    let kept = wanted.kept.as_ref().map(|kept| Snapshot::at(place.base.join(kept)));
+    let store = kept.map(|kept| -> Box<dyn Store> { Box::new(kept) });
+    let to = place.to.clone();
+    let told = move |told| drop(to.try_send(Event::Input(Input::Lengths(told))));
+    let asker = place.plane.beside(machine, store, told).map_err(|e| format!("cluster.lengths: {e}"))?;
+    // An answer that finds it busy is not counted.
+    beside.lengths = Some(Box::new(move |ask| asker.ask(ask).is_ok()));
     Ok(())
 }
 
--- a/programs/drill/src/encode.rs
+++ b/programs/drill/src/encode.rs
@@ -83,7 +83,8 @@
             out.extend(0u32.to_le_bytes());
             out.extend(0u32.to_le_bytes());
         }
-        Event::Arrival(r) => {
+        // The wire has no word for what is expected of an answer.
+        Event::Arrival(r) if r.output_tokens.is_none() => {
             out.push(3);
             out.extend(r.id.to_le_bytes());
             out.extend((r.max_output_tokens as f32).to_le_bytes());
@@ -131,7 +132,8 @@
             out.extend(elapsed_s.to_le_bytes());
             report(&mut out, values);
         }
-        Event::PlaceAnswer { .. }
+        Event::Arrival(_)
+        | Event::PlaceAnswer { .. }
         | Event::PeerMessage { .. }
         | Event::Share { .. }
         | Event::Hearsay { .. } => return None,
--- a/programs/drill/src/wire.rs
+++ b/programs/drill/src/wire.rs
@@ -288,6 +288,7 @@
         max_output_tokens,
         tenant,
         session,
+        output_tokens: None,
         output_hint_s: (marks & 1 != 0).then_some(hint),
         class: c.u16(what)?,
         time_left_s: c.f64(what)?,
