--- a/crates/lengths/src/learner.rs
+++ b/crates/lengths/src/learner.rs
@@ -15,7 +15,7 @@
 /// Answers' weight that a cell's class has in it, and that all have in a class.
 const TOWARDS: (f32, f32) = (12.0, 6.0);
 /// Answers without which nothing is told.
-const TOLD_FROM: f32 = 8.0;
+const TOLD_FROM: u64 = 8;
 /// After which a cell that nothing came to is reckoned again, as it fades.
 const AGAIN: Duration = Duration::from_secs(5);
 
@@ -109,7 +109,7 @@
             }
         }
         let mut told = Vec::new();
-        if all.total() < TOLD_FROM {
+        if self.windows.answers() < TOLD_FROM {
             return told;
         }
         self.tell(Cell::ALL, &all, all.total(), AIM, &mut told);
@@ -140,6 +140,10 @@
         }
     }
 
+    pub fn windows(&self) -> &Windows {
+        &self.windows
+    }
+
     pub fn curves(&self) -> &Curves {
         &self.curves
     }
--- a/crates/lengths/src/machine.rs
+++ b/crates/lengths/src/machine.rs
@@ -106,6 +106,11 @@
         &self.learner
     }
 
+    /// Whether a peer has told all that it knew.
+    pub fn caught_up(&self) -> bool {
+        self.caught_up
+    }
+
     /// Bytes said to peers so far, without the envelope.
     pub fn bytes(&self) -> u64 {
         self.bytes
@@ -265,7 +270,11 @@
             Ok(Message::Want { have }) => self.answer(now, from, have, out),
             Ok(Message::State { told, last }) => {
                 self.learn(now, Duration::ZERO, told);
-                self.caught_up |= last;
+                if last && !std::mem::replace(&mut self.caught_up, true) {
+                    let answers = self.learner.windows.answers();
+                    let text = format!("lengths: caught up answers={answers} by={}", shown(from));
+                    out.push(Wanted::Log { warn: false, text });
+                }
             }
             Err(error) => {
                 if self.odd.peer(from, &error) {
--- a/crates/lengths/src/message.rs
+++ b/crates/lengths/src/message.rs
@@ -90,10 +90,10 @@
     // A name and a generation, a length.
     const ORIGIN: usize = 20;
     let mut pieces: Vec<Vec<Told>> = vec![];
-    let mut used = usize::MAX;
+    let mut used = 0usize;
     for (origin, record) in of {
         let needs = size(&record).saturating_add(ORIGIN);
-        if used.saturating_add(needs) > most {
+        if pieces.is_empty() || used.saturating_add(needs) > most {
             pieces.push(vec![]);
             used = 0;
         }
--- a/crates/lengths/src/sketch.rs
+++ b/crates/lengths/src/sketch.rs
@@ -24,7 +24,8 @@
 pub struct Counts(Vec<(u8, u16)>);
 
 impl Counts {
-    pub(crate) fn add(&mut self, tokens: u32) {
+    /// Counts one answer.
+    pub fn add(&mut self, tokens: u32) {
         let bin = bin_of(tokens) as u8;
         match self.0.binary_search_by_key(&bin, |b| b.0) {
             Ok(at) => self.0[at].1 = self.0[at].1.saturating_add(1),
