--- a/crates/overload/src/io.rs
+++ b/crates/overload/src/io.rs
@@ -1,16 +1,99 @@
 //! What the core tells and is told; recorded.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
+use crate::OverloadError;
+
 /// `[cluster.overload]`; the table switches it on.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-pub struct Settings {}
+pub struct Settings {
+    /// Tokens of prompts that a host of weight 1 reads in a second, and tokens of answers that one writes. First guesses: what
+    /// hosts complete puts them right.
+    pub read_tokens_per_s: f64,
+    pub write_tokens_per_s: f64,
+    /// Share of the shortest aim for a first token that work may wait at hosts.
+    pub wait_share: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings { read_tokens_per_s: 18_000.0, write_tokens_per_s: 3_200.0, wait_share: 0.2 }
+    }
+}
+
+impl Settings {
+    /// # Errors
+    /// The first figure that cannot be used.
+    pub fn check(&self) -> Result<(), OverloadError> {
+        let rate = |v: f64| v.is_finite() && (1.0..=1e9).contains(&v);
+        match self {
+            s if !rate(s.read_tokens_per_s) || !rate(s.write_tokens_per_s) => Err(OverloadError::Rate),
+            s if !(0.02..=1.0).contains(&s.wait_share) => Err(OverloadError::WaitShare),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// What the gate has seen of late, as a [`crate::Word`] has it, but for the demand's order.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Seen {
+    /// Work asked by level, a second.
+    pub demand: Vec<f64>,
+    pub taken: f64,
+    pub completed: f64,
+    pub backlog: f64,
+    pub waits: f64,
+    pub hosts: f64,
+    pub delay: f64,
+    /// Work in 5 s.
+    pub fresh: f64,
+    pub repeats: f64,
+    /// Requests since the last word, for the log.
+    pub refused_count: u32,
+    pub taken_count: u32,
+    pub repeat_count: u32,
+}
 
 /// By the core.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Ask {}
+pub enum Ask {
+    /// Several times a second.
+    Seen(Seen),
+    /// What a host answered to a probe of this dispatcher.
+    Probed { host: u32, report: Vec<f64> },
+    /// This dispatcher wants a host probed.
+    Probe { host: u32 },
+}
+
+/// What all are to do together, until a time of the own clock.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Cut {
+    pub until: Duration,
+    /// Requests below this rank are refused; 0 takes all.
+    pub rank: f64,
+    /// Work a second that the fleet does, and that of it which is left for returns.
+    pub capacity: f64,
+    pub free: f64,
+    /// Work that this dispatcher may have waiting at hosts.
+    pub room: f64,
+    /// Fresh work that the fleet took in 5 s.
+    pub fresh: f64,
+    /// The share of what all may repeat that is this one's until `part_until`, beside its careful one.
+    pub part: f64,
+    pub part_until: Duration,
+    /// Dispatchers that are there, this one among them.
+    pub members: u32,
+    /// Whether this one is with the majority.
+    pub together: bool,
+}
 
-/// To the core. Times are microseconds of the process's clock.
+/// To the core. Times are of the process's clock.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Told {}
+pub enum Told {
+    Cut(Cut),
+    /// A peer's answer from a host.
+    Report { host: u32, age: Duration, report: Vec<f64> },
+}
