--- a/crates/core/src/answers.rs
+++ b/crates/core/src/answers.rs
@@ -197,8 +197,9 @@
         let over = |r: &Request| r.answered && r.attempt.is_none() && r.state.is_none();
         if self.requests.get(&id).is_some_and(over) {
             self.settle(id, out);
-            let gone = self.requests.remove(&id);
-            self.prompt_bytes -= gone.map_or(0, |r| r.prompt.len());
+            let Some(mut gone) = self.requests.remove(&id) else { return };
+            self.shed.gone(&mut gone.counted);
+            self.prompt_bytes -= gone.prompt.len();
         }
     }
 }
--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -244,6 +244,7 @@
         request.text.push_str(piece);
         if let Some(attempt) = request.attempt.as_mut().filter(|a| a.stage == Stage::Out) {
             attempt.stage = Stage::Streaming;
+            self.shed.begun(now, &mut request.counted);
             let (number, server, elapsed_s) = (attempt.number, attempt.host, now.since(attempt.sent));
             // The state has been fetched: nothing of it is held any more.
             request.state = None;
@@ -320,6 +321,13 @@
         if outcome == (Outcome::Full { state_gone: true }) {
             request.state = None;
         }
+        request.counted.repeats = match outcome {
+            Outcome::ReadDone | Outcome::Served | Outcome::Moot => false,
+            Outcome::Full { state_gone: false } | Outcome::ConnectFailed => request.counted.repeats,
+            // Of a read whose state is gone all is done again.
+            _ => true,
+        };
+        self.shed.reported(now, attempt.host, &report);
         self.note_outcome(now, attempt.host, outcome);
         if attempt.stage == Stage::Streaming && outcome != Outcome::Served {
             self.fail(now, id, "server_error", "the answer broke off; it may have run", out);
--- a/crates/core/src/carry.rs
+++ b/crates/core/src/carry.rs
@@ -7,6 +7,7 @@
 use crate::machine::{log, Machine, Probe, PROBE_S};
 use crate::requests::{wire_id, Attempt, Purpose, Stage};
 use crate::settings::Effect;
+use crate::shed::LOOK_S;
 use crate::timers::Timer;
 use crate::types::{Level, LinkId, Micros, Output, Stale};
 
@@ -16,6 +17,8 @@
             Action::Send { request, server, timeout_s } => self.send(now, request, server, timeout_s, out),
             Action::Cancel { request, attempt } => self.cancel(now, request, attempt, out),
             Action::Refuse { request, retry_after_s } => {
+                let counted = self.requests.get(&request).map(|r| r.counted).unwrap_or_default();
+                let retry_after_s = self.shed.refused(now, &counted, retry_after_s);
                 self.refuse(now, request, retry_after_s, "no place now; asking again is harmless", out);
             }
             Action::Fail { request } => {
@@ -49,6 +52,10 @@
             return self.not_sent(id, number, host, Outcome::Moot);
         }
         let Some(request) = self.requests.get_mut(&id) else { return };
+        // Work that would be done again goes by what all may repeat.
+        if open.is_some() && !self.shed.may_send(now, &request.counted) {
+            return self.not_sent(id, number, host, Outcome::Moot);
+        }
         let Some(role) = open else { return self.not_sent(id, number, host, Outcome::ConnectFailed) };
         let purpose = match (role, &request.state) {
             (Role::Reader, _) => Purpose::Read,
@@ -164,6 +171,16 @@
         out.push(Output::Tell { link, text, stale: None });
     }
 
+    /// Tells what was seen of the load, for what all shed together.
+    pub(crate) fn tell_load(&mut self, now: Micros, out: &mut Vec<Output>) {
+        self.timers.set(now.after(LOOK_S), Timer::Shed);
+        let reads = |role: Role| matches!(role, Role::Reader | Role::Mixed);
+        let open = |id: &ServerId| self.links.open(*id).is_some();
+        let hosts = self.fleet.listed().filter(|(id, k)| k.takes_work() && reads(k.role) && open(id));
+        let weight = hosts.map(|(_, known)| known.host.weight).sum();
+        out.extend(self.shed.tell(now, weight).map(Output::Overload));
+    }
+
     fn probe(&mut self, now: Micros, server: ServerId, out: &mut Vec<Output>) {
         let Some(link) = self.links.open(server) else {
             let outcome = Outcome::ConnectFailed;
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -2,6 +2,7 @@
 
 use bitternlatch_budget::book::Hold;
 use bitternlatch_budget::Amount;
+use bitternlatch_overload::{Asked, Spent};
 use bitternlatch_policy::interface::{Event, Request as Ask, RequestId};
 use bitternlatch_protocol::client::{self, BadRequest, ClientEvent, Create, Response, Status};
 use bitternlatch_protocol::tokens_of;
@@ -12,12 +13,21 @@
 use crate::machine::Machine;
 use crate::requests::{Listener, Request, LISTENERS_MOST};
 use crate::settings::Effect;
+use crate::shed::{Counted, ANSWER_SHARE};
 use crate::timers::Timer;
 use crate::types::{Micros, Output, SessionId};
 
 /// Seconds after which a client that met one of this machine's own bounds may come back.
 const COME_BACK_S: f64 = 1.0;
 
+/// With what a request begins.
+struct Leave {
+    /// Of its tenant's budget; none where it is refused.
+    hold: Option<Hold>,
+    /// Taken; or refused at once, and when it may come back.
+    judged: Result<Counted, f64>,
+}
+
 /// What of a message has been settled before the request is made.
 struct Wanted {
     class: u16,
@@ -106,16 +116,47 @@
         if self.prompt_bytes + wanted.prompt.len() > self.settings.requests.prompt_bytes_in_hand {
             return Err(too_many("the prompts in hand take as much memory as they may").into());
         }
+        let judged = self.judge(now, create, &wanted);
+        let Ok(mut counted) = judged else {
+            self.begin(now, session, create, wanted, Leave { hold: None, judged }, out);
+            return Ok(());
+        };
         let most = Amount { prompt: tokens_of(wanted.prompt.len()), output: wanted.max_tokens };
         self.leases.wanted(now, wanted.tenant, most.total());
         let hold = self.book.hold(now.seconds(), wanted.tenant, wanted.class, most);
-        let hold = hold.map_err(Denied::by_budget)?;
+        let hold = hold.map_err(|short| {
+            self.shed.gone(&mut counted);
+            Denied::by_budget(short)
+        })?;
         let tenant = wanted.tenant;
-        self.begin(now, session, create, wanted, hold, out);
+        self.begin(now, session, create, wanted, Leave { hold: Some(hold), judged }, out);
         self.say_left(now, tenant, session, out);
         Ok(())
     }
 
+    /// What the fleet's shedding says of a request, and when one that it refuses may come back.
+    fn judge(&mut self, now: Micros, create: &Create, wanted: &Wanted) -> Result<Counted, f64> {
+        let class = &self.settings.classes[usize::from(wanted.class)];
+        let prompt_tokens = f64::from(tokens_of(wanted.prompt.len()));
+        let words = fingerprint(create);
+        let fingerprint = wanted.key.as_ref().map_or(words, |k| xxh3_64(k.text.as_bytes()));
+        let quota = self.settings.tenants.get(wanted.tenant as usize).map(|t| t.quota_rps);
+        let asked = Asked {
+            worth: class.worth,
+            prompt_tokens,
+            prefix: prefix(create),
+            prefix_tokens: f64::from(tokens_of(create.instructions.len())),
+            answer_tokens: ANSWER_SHARE * f64::from(wanted.max_tokens),
+            spent: if wanted.conversation == 0 { Spent::Nothing } else { Spent::Turns },
+            identity: if wanted.conversation == 0 { fingerprint } else { wanted.conversation },
+            fingerprint,
+            tenant: wanted.tenant,
+            quota_rps: quota.unwrap_or(f64::INFINITY),
+            aim_s: class.ttft_aim_s + class.ttft_aim_ms_per_1000_tokens * prompt_tokens / 1e6,
+        };
+        self.shed.judge(now, &asked).unwrap_or(Ok(Counted::default()))
+    }
+
     fn wanted(&self, now: Micros, session: SessionId, create: &Create) -> Result<Wanted, BadRequest> {
         let meta = |name: &str| create.metadata.get(name).map(String::as_str);
         let field = |name: &str, why: String| BadRequest::field(&format!("metadata.{name}"), why);
@@ -186,7 +227,7 @@
         session: SessionId,
         create: &Create,
         wanted: Wanted,
-        hold: Hold,
+        leave: Leave,
         out: &mut Vec<Output>,
     ) {
         let id = self.next_request;
@@ -222,9 +263,10 @@
             attempts: 0,
             attempt: None,
             state: None,
+            counted: leave.judged.unwrap_or_default(),
             may_have_run: false,
             taken: now,
-            hold: Some(hold),
+            hold: leave.hold,
             charged: Charged::default(),
             refused: false,
             answered: false,
@@ -233,6 +275,15 @@
         self.requests.insert(id, request);
         self.sessions.listen(session, id);
         self.say_created(id, session, out);
+        if let Err(after_s) = leave.judged {
+            return self.refuse(
+                now,
+                id,
+                after_s,
+                "no place now for what it asks; asking again is harmless",
+                out,
+            );
+        }
         if self.stopping {
             return self.refuse(now, id, COME_BACK_S, "this dispatcher is stopping", out);
         }
@@ -324,11 +375,7 @@
 /// What the decision module is told of a request. The shared prefix goes by the caller's own key where it gives one,
 /// else by the instructions; token counts are the text's bytes over four.
 fn ask(id: RequestId, create: &Create, wanted: &Wanted, conversation: u64, left_s: f64) -> Ask {
-    let prefix = match (&create.prompt_cache_key, create.instructions.is_empty()) {
-        (Some(key), _) => xxh3_64(key.as_bytes()),
-        (None, false) => xxh3_64(create.instructions.as_bytes()),
-        (None, true) => 0,
-    };
+    let prefix = prefix(create);
     Ask {
         id,
         class: wanted.class,
@@ -343,6 +390,14 @@
     }
 }
 
+fn prefix(create: &Create) -> u64 {
+    match (&create.prompt_cache_key, create.instructions.is_empty()) {
+        (Some(key), _) => xxh3_64(key.as_bytes()),
+        (None, false) => xxh3_64(create.instructions.as_bytes()),
+        (None, true) => 0,
+    }
+}
+
 /// Hash of what is asked, without what may differ between a first try and its repeat.
 fn fingerprint(create: &Create) -> u64 {
     let mut hash = Xxh3::new();
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -24,7 +24,7 @@
 use crate::sessions::Sessions;
 use crate::settings::Settings;
 use crate::shares::Lent;
-use crate::shed::Shed;
+use crate::shed::{self, Shed};
 use crate::timers::{Timer, Timers};
 use crate::types::{Input, Level, LinkId, Micros, Output, SessionId};
 use crate::workflows::Workflows;
@@ -138,7 +138,7 @@
             peers: Peers::default(),
             lent: Lent::default(),
             evidence: Evidence::default(),
-            shed: Shed::default(),
+            shed: Shed::new(&settings, seed.rotate_left(17)),
             lengths: Lengths::default(),
             workflows: Workflows::default(),
             timers: Timers::default(),
@@ -193,6 +193,9 @@
             if self.settings.cluster.is_some() {
                 self.timers.set(now.after(evidence::LOOK_S), Timer::Evidence);
             }
+            if self.shed.is_on() {
+                self.timers.set(now.after(shed::LOOK_S), Timer::Shed);
+            }
         }
         self.follow_part(now);
         for timer in self.timers.take_due(now) {
@@ -227,7 +230,7 @@
             Input::LinkUnsent { link, attempt } => self.on_unsent(now, link, &attempt, out),
             Input::Standing { standing, there, until } => self.on_standing(standing, there, until),
             Input::Heard { at, of, heard } => self.on_heard(now, at, of, &heard, out),
-            Input::Overload(told) => self.shed.told(now, told),
+            Input::Overload(told) => self.shed.told(told),
             Input::Lengths(told) => self.lengths.told(now, told),
             Input::Workflow(told) => self.workflows.told(now, told),
             Input::ListLost(lost) => self.on_list_lost(lost, out),
@@ -309,6 +312,7 @@
             Timer::Sweep => self.sweep(now, out),
             Timer::Ledger => self.on_ledger_time(now, out),
             Timer::Evidence => self.look_at_hosts(now, out),
+            Timer::Shed => self.tell_load(now, out),
         }
     }
 
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -10,6 +10,7 @@
 
 use crate::budgets::Charged;
 use crate::keys::Key;
+use crate::shed::Counted;
 use crate::types::{LinkId, Micros, SessionId};
 
 /// Sessions that may listen to one request; a further one is told to come back.
@@ -103,6 +104,8 @@
     pub attempts: u16,
     pub attempt: Option<Attempt>,
     pub state: Option<HeldState>,
+    /// What the fleet's shedding counts of it.
+    pub counted: Counted,
     /// An attempt that could have had the effect was told to a host and not turned away.
     pub may_have_run: bool,
     /// When it was taken.
--- a/crates/core/src/settings/cluster.rs
+++ b/crates/core/src/settings/cluster.rs
@@ -50,6 +50,9 @@
     pub(super) fn check(&self, own: &str, c: &mut Check) {
         c.name("cluster.name", &self.name);
         c.name("cluster.secret", &self.secret);
+        if let Some(Err(why)) = self.overload.as_ref().map(bitternlatch_overload::Settings::check) {
+            c.fail("cluster.overload", format!("{why}; {}", why.advice()));
+        }
         if !self.seeds.is_empty() {
             return match self.roster.is_empty() {
                 true => self.check_seeds(c),
--- a/crates/core/src/shed.rs
+++ b/crates/core/src/shed.rs
@@ -1,14 +1,110 @@
 //! What the fleet sheds together, as told last; asked at admission, at repeats and at probes.
 //!
-//! Knows nothing of the machine: it is asked by it, and tells it what to do.
+//! Knows nothing of the machine: it is asked by it, and tells it what to do. Off where the settings have no table for it.
 
-use bitternlatch_overload::Told;
+use std::time::Duration;
 
+use bitternlatch_overload::{Ask, Asked, Gate, Taken, Told, Verdict};
+
+use crate::settings::{Meaning, Settings};
 use crate::types::Micros;
 
+/// Between two looks at what there is to tell.
+pub(crate) const LOOK_S: f64 = 0.1;
+/// Share of its ceiling that an answer is taken for where nothing tells more.
+pub(crate) const ANSWER_SHARE: f64 = 0.2;
+
+/// What a request has of it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Counted {
+    /// Taken, and its answer has not begun.
+    pub taken: Option<Taken>,
+    /// Its work in seconds, and how its return is known.
+    pub work: f64,
+    pub fingerprint: u64,
+    /// The next attempt repeats work that an earlier one may have done.
+    pub repeats: bool,
+}
+
 #[derive(Debug, Default)]
-pub(crate) struct Shed {}
+pub(crate) struct Shed {
+    gate: Option<Gate>,
+    /// Where reports have what waits.
+    queue: Option<usize>,
+}
+
+fn clock(now: Micros) -> Duration {
+    Duration::from_micros(now.0)
+}
 
 impl Shed {
-    pub(crate) fn told(&mut self, _now: Micros, _told: Told) {}
+    pub(crate) fn new(settings: &Settings, seed: u64) -> Shed {
+        let cluster = settings.cluster.as_ref();
+        let on = cluster.and_then(|c| Some((c.overload.clone()?, c.roster.len())));
+        let most_s = settings.attempts.max_retry_after_s;
+        Shed {
+            gate: on.map(|(own, roster)| Gate::new(own, roster, most_s, seed)),
+            queue: settings.reports.fields.iter().position(|f| f.means == Meaning::Queue),
+        }
+    }
+
+    pub(crate) fn is_on(&self) -> bool {
+        self.gate.is_some()
+    }
+
+    pub(crate) fn told(&mut self, told: Told) {
+        let Some(gate) = &mut self.gate else { return };
+        match told {
+            Told::Cut(cut) => gate.told(cut),
+            Told::Report { .. } => {}
+        }
+    }
+
+    /// Judges a request that comes; `None` where it is off. A refusal says when to come back.
+    pub(crate) fn judge(&mut self, now: Micros, asked: &Asked) -> Option<Result<Counted, f64>> {
+        let fingerprint = asked.fingerprint;
+        Some(match self.gate.as_mut()?.judge(clock(now), asked) {
+            Verdict::Take(t) => Ok(Counted { taken: Some(t), work: t.work, fingerprint, repeats: false }),
+            Verdict::Refuse { retry_after_s } => Err(retry_after_s),
+        })
+    }
+
+    /// When a request that was taken and then refused may come back: not before the decision module says.
+    pub(crate) fn refused(&mut self, now: Micros, counted: &Counted, least_s: f64) -> f64 {
+        let Some(gate) = &mut self.gate else { return least_s };
+        gate.refused(clock(now), counted.work, counted.fingerprint).max(least_s)
+    }
+
+    /// Whether an attempt may go: one that repeats work needs leave.
+    pub(crate) fn may_send(&mut self, now: Micros, counted: &Counted) -> bool {
+        let Some(gate) = self.gate.as_mut().filter(|_| counted.repeats) else { return true };
+        gate.may_repeat(clock(now), counted.work)
+    }
+
+    /// The answer has begun.
+    pub(crate) fn begun(&mut self, now: Micros, counted: &mut Counted) {
+        if let (Some(gate), Some(taken)) = (&mut self.gate, counted.taken.take()) {
+            gate.begun(clock(now), taken);
+        }
+    }
+
+    /// The request has ended.
+    pub(crate) fn gone(&mut self, counted: &mut Counted) {
+        if let (Some(gate), Some(taken)) = (&mut self.gate, counted.taken.take()) {
+            gate.gone(taken);
+        }
+    }
+
+    /// A host's report came.
+    pub(crate) fn reported(&mut self, now: Micros, host: u32, report: &[f64]) {
+        let waits = self.queue.and_then(|at| report.get(at));
+        if let (Some(gate), Some(waits)) = (&mut self.gate, waits) {
+            gate.reported(clock(now), host, *waits);
+        }
+    }
+
+    /// What there is to tell of what was seen; `hosts`: those that read and take work, by weight.
+    pub(crate) fn tell(&mut self, now: Micros, hosts: f64) -> Option<Ask> {
+        self.gate.as_mut()?.tell(clock(now), hosts).map(Ask::Seen)
+    }
 }
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -29,6 +29,8 @@
     Ledger,
     /// Looks at what to tell peers of hosts.
     Evidence,
+    /// Tells what was seen of the load.
+    Shed,
 }
 
 /// What is due when; of what falls on one time, what was set first comes first.
--- a/crates/overload/src/capacity.rs
+++ b/crates/overload/src/capacity.rs
@@ -74,8 +74,16 @@
     use super::*;
 
     /// Hosts that do `can` work a second, before which it queues; gives what they are taken for after so many steps.
-    fn after(capacity: &mut Capacity, at: &mut u64, can: f64, asked: f64, lie: f64, steps: u32) -> (f64, f64) {
-        let (mut backlog, mut takes, mut worst) = (0.0f64, Takes { admits: asked, ..Takes::default() }, 0.0f64);
+    fn after(
+        capacity: &mut Capacity,
+        at: &mut u64,
+        can: f64,
+        asked: f64,
+        lie: f64,
+        steps: u32,
+    ) -> (f64, f64) {
+        let (mut backlog, mut takes, mut worst) =
+            (0.0f64, Takes { admits: asked, ..Takes::default() }, 0.0f64);
         for _ in 0..steps {
             *at += 100;
             backlog += takes.admits.min(asked) * 0.1;
--- a/crates/overload/src/cut.rs
+++ b/crates/overload/src/cut.rs
@@ -18,7 +18,11 @@
 pub fn below(demand: &[f64], rank: f64) -> f64 {
     let all: f64 = demand.iter().sum();
     let under = demand.iter().enumerate().map(|(level, asked)| asked * (rank - level as f64).clamp(0.0, 1.0));
-    if all > 0.0 { under.sum::<f64>() / all } else { 0.0 }
+    if all > 0.0 {
+        under.sum::<f64>() / all
+    } else {
+        0.0
+    }
 }
 
 #[cfg(test)]
--- a/crates/overload/src/io.rs
+++ b/crates/overload/src/io.rs
@@ -95,5 +95,9 @@
 pub enum Told {
     Cut(Cut),
     /// A peer's answer from a host.
-    Report { host: u32, age: Duration, report: Vec<f64> },
+    Report {
+        host: u32,
+        age: Duration,
+        report: Vec<f64>,
+    },
 }
--- a/crates/overload/src/machine.rs
+++ b/crates/overload/src/machine.rs
@@ -175,7 +175,8 @@
         let takes = self.capacity.look(now, &sums, wait_s, share.min(1.0));
         let admits = if together { takes.admits } else { takes.admits.min(takes.capacity) };
         let own = cut(&sums.demand, admits);
-        self.rank = own + LEAN * (sums.cut.min(LEVELS as f64) - own) * f64::from(u8::from(sums.members > 1.0));
+        self.rank =
+            own + LEAN * (sums.cut.min(LEVELS as f64) - own) * f64::from(u8::from(sums.members > 1.0));
         if own == 0.0 && self.rank < 0.5 {
             self.rank = 0.0;
         }
--- a/crates/overload/src/returns.rs
+++ b/crates/overload/src/returns.rs
@@ -25,7 +25,13 @@
 impl Returns {
     pub fn new(most_s: f64, seed: u64) -> Returns {
         let most_s = if most_s.is_finite() { most_s.max(0.0) } else { 1.0 };
-        Returns { most_s, draws: seed, booked: Duration::ZERO, refused: BTreeMap::new(), order: VecDeque::new() }
+        Returns {
+            most_s,
+            draws: seed,
+            booked: Duration::ZERO,
+            refused: BTreeMap::new(),
+            order: VecDeque::new(),
+        }
     }
 
     fn draw(&mut self) -> f64 {
@@ -55,9 +61,11 @@
         if self.refused.insert(fingerprint, now).is_none() || self.order.len() < 2 * REFUSED_MOST {
             self.order.push_back((now, fingerprint));
         }
-        while self.order.front().is_some_and(|(at, _)| {
-            self.refused.len() > REFUSED_MOST || now.saturating_sub(*at) >= REMEMBERED
-        }) {
+        while self
+            .order
+            .front()
+            .is_some_and(|(at, _)| self.refused.len() > REFUSED_MOST || now.saturating_sub(*at) >= REMEMBERED)
+        {
             let Some((at, old)) = self.order.pop_front() else { break };
             if self.refused.get(&old) == Some(&at) {
                 self.refused.remove(&old);
--- a/programs/dispatch/src/beside.rs
+++ b/programs/dispatch/src/beside.rs
@@ -1,9 +1,11 @@
 //! Starts the machines beside the plane that the settings switch on.
 
 use std::path::Path;
+use std::time::Duration;
 
-use bitternlatch_core::Settings;
+use bitternlatch_core::{Input, Settings};
 use bitternlatch_net::driver::{Beside, Event};
+use bitternlatch_overload::Overload;
 use bitternlatch_peer_net::Plane;
 use crossbeam_channel::Sender;
 
@@ -33,7 +35,20 @@
     Ok(beside)
 }
 
-fn overload(_place: &mut Place, _beside: &mut Beside) -> Result<(), String> {
+fn overload(place: &mut Place, beside: &mut Beside) -> Result<(), String> {
+    let cluster = place.settings.cluster.as_ref();
+    let Some(own) = cluster.and_then(|c| c.overload.clone()) else { return Ok(()) };
+    let (process, roster) = place.plane.own();
+    let aims = place.settings.classes.iter().map(|c| c.ttft_aim_s);
+    let aim_s = aims.fold(f64::INFINITY, f64::min);
+    let seed = getrandom::u64().map_err(|e| format!("no randomness: {e}"))?;
+    let machine = Overload::new(process, roster, own, aim_s, seed, Duration::ZERO);
+    let to = place.to.clone();
+    // A loop that is behind gets the next cut; what it has is no longer believed then.
+    let told = move |told| drop(to.try_send(Event::Input(Input::Overload(told))));
+    let asker = place.plane.beside(machine, None, told);
+    let asker = asker.map_err(|e| format!("no thread for overload: {e}"))?;
+    beside.overload = Some(Box::new(move |ask| asker.ask(ask).is_ok()));
     Ok(())
 }
 
