Audit: repeats, probes, refusals by dispatcher, first token by class, goodput

The proof of overload control needs figures that the verdict did not hold. They come from the same captures and the same tries as the five rules: no second judge. A trouble of the facts has its recovery.

--- a/programs/audit/src/answers.rs
+++ b/programs/audit/src/answers.rs
@@ -10,19 +10,33 @@
 use crate::{mark, us, Breach, ClassFacts, Facts, Rule, Verdict, SLACK_S};
 
 /// One `response.create` on one connection.
-struct Try {
+pub(crate) struct Try {
     conn: (String, String),
-    t: u64,
-    class: String,
-    mark: String,
-    tokens: u32,
-    first: Option<u64>,
-    finals: Vec<(u64, Final)>,
+    pub t: u64,
+    pub class: String,
+    /// Empty where it named none.
+    pub tenant: String,
+    pub mark: String,
+    pub tokens: u32,
+    /// It goes on with nothing that was said before.
+    pub first_turn: bool,
+    pub first: Option<u64>,
+    pub finals: Vec<(u64, Final)>,
     /// Events that came after the final one.
     after: usize,
     ended: Option<(u64, End)>,
 }
 
+impl Try {
+    pub fn is_refused(&self) -> bool {
+        self.finals.first().is_some_and(|f| f.1 == Final::Refused)
+    }
+
+    pub fn dispatcher(&self) -> &str {
+        self.conn.1.split('#').next().unwrap_or_default()
+    }
+}
+
 /// How a try's session ended before its final answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum End {
@@ -35,7 +49,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Final {
+pub(crate) enum Final {
     Served,
     Refused,
     Failed,
@@ -121,6 +135,8 @@
         conn,
         t,
         class: create.metadata.get("class").cloned().unwrap_or_default(),
+        tenant: create.metadata.get("tenant").cloned().unwrap_or_default(),
+        first_turn: create.previous_response_id.is_none(),
         mark: mark(&text).unwrap_or_default().to_string(),
         tokens: tokens_of(text.len()),
         first: None,
@@ -142,7 +158,7 @@
     }
 }
 
-pub(crate) fn judge(facts: &Facts, lines: &[Line], seen: &Seen, verdict: &mut Verdict) {
+pub(crate) fn judge(facts: &Facts, lines: &[Line], seen: &Seen, verdict: &mut Verdict) -> Vec<Try> {
     let all = tries(lines);
     let end = lines.last().map_or(0, |l| l.t);
     let classes: BTreeMap<&str, &ClassFacts> = facts.classes.iter().map(|c| (c.name.as_str(), c)).collect();
@@ -159,6 +175,7 @@
     effects(seen, is_unsafe, verdict);
     refused_though_run(&all, seen, is_unsafe, verdict);
     service(&all, &classes, verdict);
+    all
 }
 
 /// The first rule, for one try.
@@ -179,7 +196,7 @@
     if first.is_none_or(|t| t > due) && until > due {
         breach(due, "no answer begun within the client's time".to_string());
     } else if one.finals.is_empty() {
-        let dispatcher = one.conn.1.split('#').next().unwrap_or_default();
+        let dispatcher = one.dispatcher();
         let killed = |at: u64| {
             facts
                 .kills
--- a/programs/audit/src/hosts.rs
+++ b/programs/audit/src/hosts.rs
@@ -40,6 +40,11 @@
         !self.kv().do_remote_decode && !self.turned_away
     }
 
+    /// Whether its prompt is read here for another host to answer.
+    pub(crate) fn reads(&self) -> bool {
+        self.kv().do_remote_decode
+    }
+
     pub(crate) fn mark(&self) -> &str {
         mark(&self.body.prompt).unwrap_or_default()
     }
--- a/programs/audit/src/lib.rs
+++ b/programs/audit/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod answers;
 mod hosts;
+mod load;
 
 use std::collections::BTreeMap;
 use std::fs::File;
@@ -14,6 +15,8 @@
 use bitternlatch_standin::capture::Line;
 use serde::{Deserialize, Serialize};
 
+pub use load::{quantile, Load, Part, Recovery};
+
 /// What is allowed for times on a loaded machine beyond each rule's own figure, seconds.
 pub const SLACK_S: f64 = 0.25;
 
@@ -35,6 +38,9 @@
     pub list_ready: Vec<(u64, String)>,
     /// Hosts taken down by the script: when, and which.
     pub downs: Vec<(u64, String)>,
+    /// Troubles of the script: from, to, and which.
+    #[serde(default)]
+    pub troubles: Vec<(u64, u64, String)>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -105,6 +111,7 @@
     pub service: Service,
     /// Times to first token of served requests, seconds from the first try, sorted.
     pub ttft_s: Vec<f64>,
+    pub load: Load,
     pub frames: usize,
 }
 
@@ -123,7 +130,8 @@
     hosts.sort_by_key(|l| l.t);
     let mut verdict = Verdict { frames: clients.len() + hosts.len(), ..Verdict::default() };
     let seen = hosts::Seen::of(&hosts);
-    answers::judge(facts, &clients, &seen, &mut verdict);
+    let tries = answers::judge(facts, &clients, &seen, &mut verdict);
+    verdict.load = load::judge(facts, &tries, &hosts, &seen);
     hosts::judge(facts, &hosts, &seen, &mut verdict);
     verdict.breaches.sort_by_key(|b| b.t);
     verdict
--- a/programs/audit/src/main.rs
+++ b/programs/audit/src/main.rs
@@ -31,11 +31,15 @@
         }
     };
     if args.json {
-        println!("{:#}", serde_json::json!({ "breaches": verdict.breaches, "service": verdict.service }));
+        println!(
+            "{:#}",
+            serde_json::json!({ "breaches": verdict.breaches, "service": verdict.service, "load": verdict.load })
+        );
     } else {
         verdict.by_rule().iter().for_each(|(rule, n)| println!("{rule:?}: {n} breaches"));
         verdict.breaches.iter().take(20).for_each(|b| println!("  {:?} at {} us: {}", b.rule, b.t, b.what));
         println!("{:?} from {} frames", verdict.service, verdict.frames);
+        verdict.load.lines().iter().for_each(|line| println!("{line}"));
     }
     ExitCode::from(u8::from(!verdict.breaches.is_empty()))
 }
