--- a/programs/badday/src/clients.rs
+++ b/programs/badday/src/clients.rs
@@ -12,6 +12,7 @@
 
 use crate::client::{Came, Client};
 use crate::day::{Day, Mix};
+use crate::manners::{Manners, Own, Surge};
 use crate::secured::Proofs;
 
 /// A conversation, planned whole.
@@ -22,6 +23,7 @@
     pub mix: usize,
     pub turns: Vec<Turn>,
     pub instructions: String,
+    pub own: Own,
 }
 
 #[derive(Clone, Debug)]
@@ -40,6 +42,7 @@
     /// By class: whether it is safe to repeat, and the time after which its client gives up.
     pub classes: BTreeMap<String, (bool, f64)>,
     pub retries: u32,
+    pub manners: Manners,
     /// Where callers have to prove who they are.
     pub proofs: Option<Arc<Proofs>>,
     /// Dispatchers that the script kills: a client that drops an unsafe request there would not come back to its key.
@@ -77,7 +80,7 @@
     let per_s = day.rate_rps / day.mix.iter().map(mean).sum::<f64>().max(0.01);
     let (mut plans, mut at_s) = (Vec::new(), 0.0);
     loop {
-        at_s += -(1.0 - chance.share()).ln() / per_s;
+        at_s += -(1.0 - chance.share()).ln() / (per_s * Surge::factor(&day.surge, at_s));
         if at_s >= day.for_s {
             return plans;
         }
@@ -104,7 +107,10 @@
         Turn { text: text(seed, tokens), answer_tokens, drops: chance.share() < day.drop_share }
     });
     let turns = turns.collect();
-    Plan { number, at_s, mix, turns, instructions }
+    // From a draw of its own, so that the same day with other manners asks the same.
+    let mut drawn = Chance(Xoshiro256PlusPlus::seed_from_u64(day.seed ^ (number as u64) << 16 ^ 0x6d61));
+    let own = day.clients.of(drawn.share(), drawn.share());
+    Plan { number, at_s, mix, turns, instructions, own }
 }
 
 /// How one try ended.
@@ -122,6 +128,7 @@
     service: &'a Service,
     who: String,
     class: &'a str,
+    tenant: Option<&'a str>,
     open: Option<(usize, Client)>,
     previous: Option<String>,
     /// All that was said, for a dispatcher that does not know the conversation.
@@ -138,6 +145,7 @@
         service,
         who: format!("c{}", plan.number),
         class: &day.mix[plan.mix].class,
+        tenant: day.mix[plan.mix].tenant.as_deref(),
         open: None,
         previous: None,
         said: String::new(),
@@ -171,7 +179,7 @@
                     self.said.push_str(&turn.text);
                     return true;
                 }
-                End::Refused(after_s) => std::thread::sleep(Duration::from_secs_f64(after_s.min(2.0))),
+                End::Refused(after_s) => self.refused(plan.own, after_s),
                 // What may have run is not asked again where it must not run twice.
                 End::Failed | End::Cut if !safe => return false,
                 End::GaveUp => return false,
@@ -183,6 +191,19 @@
         false
     }
 
+    /// Waits as its manners are, and goes elsewhere.
+    fn refused(&mut self, own: Own, after_s: f64) {
+        let wait_s = if own.hasty { 0.0 } else { after_s.min(self.service.manners.waits_most_s) };
+        std::thread::sleep(Duration::from_secs_f64(wait_s));
+        if own.roaming {
+            if let Some((_, client)) = self.open.take() {
+                client.close();
+            }
+            self.previous = None;
+            self.at += 1;
+        }
+    }
+
     fn one_try(&mut self, plan: &Plan, mark: &str, turn: &Turn, drops: bool) -> End {
         if self.connect().is_none() {
             return End::Cut;
@@ -195,6 +216,10 @@
             Some(_) => format!("{} [len={}][req={mark}]", turn.text, turn.answer_tokens),
             None => format!("{}{} [len={}][req={mark}]", self.said, turn.text, turn.answer_tokens),
         };
+        let mut metadata = json!({ "class": self.class, "try": name, "idempotency_key": format!("k{mark}") });
+        if let Some(tenant) = self.tenant {
+            metadata["tenant"] = tenant.into();
+        }
         let create = json!({
             "type": "response.create",
             "model": "stand-in",
@@ -202,7 +227,7 @@
             "input": input,
             "previous_response_id": self.previous,
             "max_output_tokens": turn.answer_tokens + 50,
-            "metadata": { "class": self.class, "try": name, "idempotency_key": format!("k{mark}") },
+            "metadata": metadata,
         });
         client.say(&create.to_string());
         let end = self.listen(drops);
--- a/programs/badday/src/day.rs
+++ b/programs/badday/src/day.rs
@@ -5,6 +5,7 @@
 use bitternlatch_standin::config::{Cold, Fault, HostConfig, Trouble};
 use serde::Deserialize;
 
+use crate::manners::{Manners, Surge};
 use crate::parted::{self, BetweenFault, ProcessFault};
 use crate::secured::Secure;
 
@@ -24,6 +25,11 @@
     #[serde(default)]
     pub drop_share: f64,
     pub mix: Vec<Mix>,
+    #[serde(default)]
+    pub clients: Manners,
+    /// When more come than `rate_rps`.
+    #[serde(default)]
+    pub surge: Vec<Surge>,
     #[serde(rename = "hosts")]
     raw_hosts: Vec<toml::Table>,
     #[serde(default)]
@@ -92,6 +98,8 @@
 #[serde(deny_unknown_fields)]
 pub struct Mix {
     pub class: String,
+    /// Whose requests they are; the settings' first where none is named.
+    pub tenant: Option<String>,
     pub share: f64,
     pub turns: [u32; 2],
     pub turn_tokens: [u32; 2],
@@ -145,6 +153,8 @@
         if let Some((key, _)) = parted.iter().find(|(_, there)| *there && !day.dispatchers.cluster) {
             return Err(format!("{key}: needs dispatchers.cluster = true"));
         }
+        day.clients.check()?;
+        Surge::check(&day.surge)?;
         parted::check(&day.between, &day.process, day.dispatchers.count)?;
         match day.dispatchers.count {
             1..=64 => Ok(day),
@@ -156,7 +166,7 @@
     pub fn calm(&self) -> Day {
         let mut calm = self.clone();
         (calm.faults, calm.drains, calm.drop_share) = (Vec::new(), Vec::new(), 0.0);
-        (calm.between, calm.process) = (Vec::new(), Vec::new());
+        (calm.between, calm.process, calm.surge) = (Vec::new(), Vec::new(), Vec::new());
         calm.dispatchers.restarts.clear();
         calm
     }
@@ -166,6 +176,7 @@
         let mut all: Vec<String> = self.faults.iter().map(|f| format!("{:?}", f.trouble)).collect();
         all.extend(self.dispatchers.restarts.iter().map(|_| "DispatcherKilled".to_string()));
         all.extend(self.drains.iter().map(|_| "ListDrain".to_string()));
+        all.extend((!self.surge.is_empty()).then(|| "Surge".to_string()));
         all.extend((self.drop_share > 0.0).then(|| "ClientsDrop".to_string()));
         all.extend((!self.between.is_empty()).then(|| "BetweenDispatchers".to_string()));
         all.extend(self.process.iter().map(|p| format!("Dispatcher{:?}", p.what)));
--- a/programs/badday/src/lib.rs
+++ b/programs/badday/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod clients;
 pub mod day;
 mod links;
+pub mod manners;
 pub mod parted;
 pub mod process;
 pub mod run;
--- a/programs/badday/src/main.rs
+++ b/programs/badday/src/main.rs
@@ -3,6 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+use bitternlatch_audit::quantile;
 use bitternlatch_badday::day::Day;
 use bitternlatch_badday::process::AS_DISPATCHER;
 use bitternlatch_badday::run::{run, Outcome};
@@ -112,16 +113,12 @@
         if let Some(s) = &o.secured {
             println!("{name}: {s:?}");
         }
+        o.verdict.load.lines().iter().for_each(|line| println!("{name}: {line}"));
         o.views.iter().for_each(|view| println!("{name}: {view}"));
         o.verdict.breaches.iter().take(10).for_each(|b| println!("  {}", b.what));
     }
 }
 
-fn quantile(sorted: &[f64], q: f64) -> f64 {
-    let last = sorted.len().saturating_sub(1);
-    sorted.get((q * last as f64).round() as usize).copied().unwrap_or(0.0)
-}
-
 fn report(day: &Day, days: &[(&str, Outcome)], held: bool) -> serde_json::Value {
     let one = |o: &Outcome| {
         serde_json::json!({
@@ -129,6 +126,7 @@
             "service": o.verdict.service,
             "ttft_p50_s": quantile(&o.verdict.ttft_s, 0.5),
             "ttft_p99_s": quantile(&o.verdict.ttft_s, 0.99),
+            "load": o.verdict.load,
             "frames": o.verdict.frames,
             "records": o.records,
             "records_alike": o.records_alike,
--- a/programs/badday/src/run.rs
+++ b/programs/badday/src/run.rs
@@ -54,9 +54,10 @@
     let settings_path = base.join(&day.dispatchers.settings);
     let shown = settings_path.display().to_string();
     let text = std::fs::read_to_string(&settings_path).map_err(|e| format!("{shown}: {e}"))?;
-    let settings = Settings::parse(&shown, &text).map_err(|e| e.to_string())?;
-    let mut table: toml::Table = toml::from_str(&text).map_err(|e| e.to_string())?;
+    let mut table: toml::Table = toml::from_str(&text).map_err(|e| format!("{shown}: {e}"))?;
     table.extend(day.dispatchers.over.clone());
+    // With what the day puts over it: clients and judge go by the classes that dispatchers are told.
+    let settings = Settings::parse(&shown, &table.to_string()).map_err(|e| e.to_string())?;
     let proofs = day.secure.as_ref().map(|_| proofs(day, dir)).transpose()?.map(Arc::new);
     let mut standins = day.standins();
     if let Some(proofs) = &proofs {
@@ -96,6 +97,7 @@
     let keys = keys_script(day, &proofs, dispatchers.first().map(|d| d.address.clone()).unwrap_or_default());
     let dispatchers: Shared = Arc::new(Mutex::new(dispatchers));
     let noted = Arc::new(Mutex::new(Noted::default()));
+    let scripted = unix_us();
     let scripts = scripts(day, dir, image, &settings, &hosts, &dispatchers, &noted);
     let scripts = match &joined {
         Some(joined) => {
@@ -127,7 +129,7 @@
         }
         _ => Vec::new(),
     };
-    let facts = facts(day, &settings, began, &noted);
+    let facts = Facts { troubles: troubles(day, began, scripted), ..facts(day, &settings, began, &noted) };
     let file = File::create(dir.join("facts.json")).map_err(fail("facts.json"))?;
     serde_json::to_writer_pretty(file, &facts).map_err(|e| format!("facts.json: {e}"))?;
     if let (Some(proofs), Some(facts)) = (&proofs, &mut secured) {
@@ -196,6 +198,7 @@
         capture,
         classes: settings.classes.iter().map(class).collect(),
         retries: day.retries,
+        manners: day.clients.clone(),
         proofs: None,
         killed: {
             let restarted = day.dispatchers.restarts.iter().map(|r| r.dispatcher);
@@ -294,6 +297,22 @@
     (orderly, all.iter().flat_map(Dispatcher::records).collect())
 }
 
+/// Troubles of the day's script: those of hosts from the hosts' start, the others from the scripts'.
+fn troubles(day: &Day, began: u64, scripted: u64) -> Vec<(u64, u64, String)> {
+    let span = |from: u64, at_s: f64, for_s: f64, what: String| {
+        (from + (at_s * 1e6) as u64, from + ((at_s + for_s) * 1e6) as u64, what)
+    };
+    let (of, by) = (&day.dispatchers, scripted);
+    let hosts = day.faults.iter().map(|f| span(began, f.at_s, f.for_s, format!("{:?} of hosts", f.trouble)));
+    let between = day.between.iter().map(|b| span(by, b.at_s, b.for_s, "between".into()));
+    let processes = day.process.iter().map(|p| span(by, p.at_s, p.for_s, format!("{:?}", p.what)));
+    let restarts = of.restarts.iter().map(|r| span(by, r.at_s, r.down_s, "restart".into()));
+    let surges = day.surge.iter().map(|s| span(by, s.at_s, s.for_s, format!("{} times", s.factor)));
+    let mut all: Vec<_> = hosts.chain(between).chain(processes).chain(restarts).chain(surges).collect();
+    all.sort();
+    all
+}
+
 fn facts(day: &Day, settings: &Settings, began: u64, noted: &Mutex<Noted>) -> Facts {
     let effect = |e: Effect| match e {
         Effect::Safe => "safe",
@@ -334,5 +353,6 @@
         list_drains: noted.drains.clone(),
         list_ready: noted.readies.clone(),
         downs: day.downs().into_iter().map(|(s, h)| (began + (s * 1e6) as u64, h)).collect(),
+        troubles: Vec::new(),
     }
 }
--- a/programs/measure/src/main.rs
+++ b/programs/measure/src/main.rs
@@ -5,6 +5,7 @@
 mod decision;
 mod latency;
 mod members;
+mod overload;
 mod plot;
 mod relay;
 mod rig;
@@ -76,6 +77,20 @@
         #[arg(long, default_value_t = 200)]
         requests: usize,
     },
+    /// What is answered in time as more is asked, with overload control off and on by turns; from the root, as it reads deploy/.
+    Overload {
+        #[arg(long, value_delimiter = ',', default_value = "60,120,240,480,900")]
+        rates: Vec<f64>,
+        #[arg(long, default_value_t = 15.0)]
+        for_s: f64,
+        #[arg(long, default_value_t = 4)]
+        dispatchers: usize,
+        /// Seconds that clients wait at the most, though told to wait for longer.
+        #[arg(long, default_value_t = 2.0)]
+        waits_most_s: f64,
+        #[arg(long)]
+        off_only: bool,
+    },
     /// Membership in simulated time: failures missed, halves healed, living ones removed, bytes.
     Members {
         #[arg(long, value_delimiter = ',', default_value = "3,10,100,300")]
@@ -113,6 +128,15 @@
                 Ok(())
             }
             What::Cluster { members, requests } => cluster::measure(members, requests),
+            What::Overload { rates, for_s, dispatchers, waits_most_s, off_only } => {
+                overload::measure(&overload::Wanted {
+                    rates: &rates,
+                    for_s,
+                    dispatchers,
+                    waits_most_s,
+                    off_only,
+                })
+            }
             What::Members { sizes, seeds, lossy_s, light, svg } => {
                 let losses = if light { &members::LOSSES[..1] } else { &members::LOSSES };
                 members::measure(&sizes, seeds, (lossy_s, losses), svg.as_deref())
--- a/programs/standin/src/config.rs
+++ b/programs/standin/src/config.rs
@@ -96,6 +96,8 @@
     Garbage,
     /// Loads are absent or negative.
     BadLoad,
+    /// Loads are those of a host without work, whatever it does.
+    LowLoad,
     /// Drains for the time, then starts anew, cold.
     Deploy,
     /// Dies at the begin and starts anew, cold, at the end.
--- a/programs/standin/src/host.rs
+++ b/programs/standin/src/host.rs
@@ -148,6 +148,7 @@
         let sign = match self.trouble(Trouble::BadLoad) {
             Some(s) if s > 0.5 => return None,
             Some(_) => -1.0,
+            None if self.trouble(Trouble::LowLoad).is_some() => 0.0,
             None => 1.0,
         };
         let share = |a: f64, b: f64| sign * (a / b.max(1.0)).min(1.0);
--- a/programs/standin/tests/reports.rs
+++ b/programs/standin/tests/reports.rs
@@ -8,6 +8,7 @@
     decode, encode, CompletionRequest, FromEngine, KvTransferParams, Load, ToEngine,
 };
 use bitternlatch_standin::capture::Capture;
+use bitternlatch_standin::config::Trouble;
 use bitternlatch_standin::{Config, Standins};
 
 /// A reader that takes half a second for a read, and a mixed host with one slot.
@@ -125,3 +126,16 @@
     assert_eq!((counts(&idle), idle["slots_used_perc"]), ((0.0, 0.0), 0.0));
     hosts.stop();
 }
+
+#[test]
+fn a_host_that_reports_falsely_low_load_says_nothing_of_its_work() {
+    let hosts = Standins::start(Config::parse(HOSTS).expect("hosts"), Capture::none()).expect("stand-ins");
+    let mut link = Link::to(&hosts, "mixed");
+    link.ask("a", KvTransferParams::default());
+    link.ask("b", KvTransferParams::default());
+    assert_eq!(counts(&link.load()), (1.0, 1.0));
+    hosts.trouble("mixed", Trouble::LowLoad, 1.0, 60.0);
+    let low = link.load();
+    assert_eq!((counts(&low), low["slots_used_perc"], low["kv_cache_usage_perc"]), ((0.0, 0.0), 0.0, 0.0));
+    hosts.stop();
+}
