--- a/programs/badday/src/parted.rs
+++ b/programs/badday/src/parted.rs
@@ -59,6 +59,8 @@
 pub enum What {
     /// SIGSTOP, and SIGCONT after the time.
     Pause,
+    /// The same for the one that lends parts of what all share; `dispatcher` where none does.
+    PauseSteward,
     /// SIGKILL, and a start with what its folder holds after the time.
     Kill,
     /// The same, and the folder's last start is gone.
@@ -263,10 +265,16 @@
     lock(truths).push(Truth { from_us, to_us: unix_us(), what });
 }
 
+/// Whether the last that a log says of it is that its process is the one that lends.
+fn lends_last(log: &str) -> bool {
+    let begun = log.rfind("lends parts of what all share");
+    begun.is_some() && begun > log.rfind("lends parts no more")
+}
+
 /// What happened to the folder while its process was away. Where it has no start yet there is nothing to change.
 fn change_kept(what: What, path: &Path, first: Option<&str>) {
     let done = match (what, first) {
-        (What::Pause | What::Kill, _) => Ok(()),
+        (What::Pause | What::PauseSteward | What::Kill, _) => Ok(()),
         (What::KillAndEmpty, _) => std::fs::remove_file(path),
         (What::KillAndSetBack, Some(first)) => std::fs::write(path, first),
         (What::KillAndClockAhead, _) => {
@@ -288,14 +296,18 @@
     dir: &Path,
     truths: &Truths,
 ) {
-    let i = fault.dispatcher - 1;
+    let mut i = fault.dispatcher - 1;
     let kept = lock(all).get(i).map(|one| dir.join(format!("{}.start", one.name)));
     let first = kept.and_then(|path| std::fs::read_to_string(path).ok());
     wait_until(start, fault.at_s);
+    if fault.what == What::PauseSteward {
+        let lends = |one: &Dispatcher| one.log().is_ok_and(|log| lends_last(&log));
+        i = lock(all).iter().position(lends).unwrap_or(i);
+    }
     let began = unix_us();
     if let Some(one) = lock(all).get_mut(i) {
         match fault.what {
-            What::Pause => one.pause(),
+            What::Pause | What::PauseSteward => one.pause(),
             _ => one.kill(),
         }
     }
@@ -303,7 +315,7 @@
     if let Some(one) = lock(all).get_mut(i) {
         change_kept(fault.what, &dir.join(format!("{}.start", one.name)), first.as_deref());
         match fault.what {
-            What::Pause => one.go_on(),
+            What::Pause | What::PauseSteward => one.go_on(),
             // Should it not start again, its clients find the others.
             _ => drop(one.start(image)),
         }
@@ -330,6 +342,14 @@
         assert_eq!(concerned("group = [1, 2, 3]").len(), 6);
     }
 
+    #[test]
+    fn the_one_that_lends_is_known_by_the_last_word_of_its_log() {
+        let (begun, ended) = ("lends parts of what all share\n", "lends parts no more\n");
+        let lends = |log: &[&str]| super::lends_last(&log.concat());
+        assert!(lends(&[begun]) && lends(&[begun, ended, begun]));
+        assert!(!lends(&[]) && !lends(&[begun, ended]) && !lends(&[ended]));
+    }
+
     #[test]
     fn troubles_that_would_not_be_played_are_refused_with_their_place() {
         let fault = |cluster: bool, more: &str| {
