Local learning of answer lengths for the node and the drill, off by one switch each

Change: Timed follows what a router is told and learns by the time that answers ran; LEARNS in crates/platform/src/node.rs and programs/drill/src/wire.rs is false. A test that a long answer is not put where it would push out others.

--- a/crates/lengths/src/lib.rs
+++ b/crates/lengths/src/lib.rs
@@ -18,6 +18,7 @@
 mod odd;
 mod own;
 mod sketch;
+mod timed;
 mod windows;
 
 pub use curve::{Curve, Curves, Expected, CURVES_MOST};
@@ -28,4 +29,5 @@
 pub use local::Local;
 pub use machine::Lengths;
 pub use sketch::{Counts, BINS};
+pub use timed::Timed;
 pub use windows::{Record, Window, Windows, CELLS_MOST, WINDOWS_MOST};
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 
 use bitternlatch_core::{decide, Micros, Timers, Traced};
+use bitternlatch_lengths::Timed;
 use bitternlatch_policy::choice::Router;
 use bitternlatch_policy::interface::{Action, Event, ListForm, RequestId, Role, ServerId};
 use bitternlatch_settings::{Bounds, Names};
@@ -37,6 +38,9 @@
 /// Longest message between dispatchers, bytes.
 const MOST_DATAGRAM: usize = 256;
 
+/// Whether lengths of answers are learnt and told to the module; the drill has the same switch, and both have to agree.
+const LEARNS: bool = false;
+
 /// What a timer is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Due {
@@ -66,6 +70,8 @@
 /// One dispatcher on the platform.
 pub struct Node {
     pub(crate) router: Router,
+    /// Lengths of answers, learnt by this node alone.
+    lengths: Timed,
     pub(crate) names: Names,
     pub(crate) bounds: Bounds,
     limits: Limits,
@@ -144,6 +150,7 @@
         let most_clients = (usable * CLIENTS_PART.0 / CLIENTS_PART.1).max(8);
         let mut node = Node {
             roles: config.settings.kinds.iter().map(|k| k.role).collect(),
+            lengths: Timed::new(&config.settings),
             router: Router::new(config.settings, config.seed),
             pool: Pool::new(usable - most_clients.min(usable), config.bounds.idle_s),
             names: config.names,
@@ -283,7 +290,10 @@
     pub(crate) fn settle(&mut self, now: Micros, out: &mut Vec<Command>) {
         let mut actions = Vec::new();
         while !self.events.is_empty() || !self.ahead.is_empty() {
-            while let Some(event) = self.events.pop_front() {
+            while let Some(mut event) = self.events.pop_front() {
+                if LEARNS {
+                    self.lengths.see(now.seconds(), &mut event);
+                }
                 decide(&mut self.router, now, event, &mut self.trace, &mut actions);
                 for action in actions.drain(..) {
                     self.act(now, action, out);
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -86,3 +86,25 @@
     desk.end(1, Outcome::Full { state_gone: true }, 0.01, 0.0);
     assert!(desk.last().1 < 10);
 }
+
+#[test]
+fn a_long_answer_is_not_put_where_it_would_push_out_others() {
+    let long = Some(Expected { mean: 9_000.0, p90: 30_000.0 });
+    let chosen = |told: Option<Expected>| {
+        let mut desk = Desk::new(settings(Effect::Safe));
+        desk.arrive(Request { output_tokens: told, ..ask(1) });
+        let near = desk.last().1 + 10;
+        let far = if near == 11 { 12 } else { 11 };
+        // Nearly equal now; the far one has the room that the answer needs at its end.
+        for (server, load) in [(near, 0.88), (far, 0.80)] {
+            let report = vec![load, 0.0, load];
+            desk.tell(Event::ProbeEnded { server, outcome: Outcome::Served, elapsed_s: 0.01, report });
+        }
+        desk.end(1, Outcome::ReadDone, 0.1, 0.0);
+        (desk.last().1 == near, desk)
+    };
+    assert!(chosen(None).0);
+    assert!(!chosen(long).0);
+    // What nobody can mean changes nothing.
+    assert!(chosen(Some(Expected { mean: f64::NAN, p90: -5.0 })).0);
+}
--- a/programs/drill/src/encode.rs
+++ b/programs/drill/src/encode.rs
@@ -83,8 +83,8 @@
             out.extend(0u32.to_le_bytes());
             out.extend(0u32.to_le_bytes());
         }
-        // The wire has no word for what is expected of an answer.
-        Event::Arrival(r) if r.output_tokens.is_none() => {
+        // The wire has no word for what is expected of an answer: where that is learnt locally the other side learns it too.
+        Event::Arrival(r) => {
             out.push(3);
             out.extend(r.id.to_le_bytes());
             out.extend((r.max_output_tokens as f32).to_le_bytes());
@@ -132,8 +132,7 @@
             out.extend(elapsed_s.to_le_bytes());
             report(&mut out, values);
         }
-        Event::Arrival(_)
-        | Event::PlaceAnswer { .. }
+        Event::PlaceAnswer { .. }
         | Event::PeerMessage { .. }
         | Event::Share { .. }
         | Event::Hearsay { .. } => return None,
--- a/programs/drill/src/wire.rs
+++ b/programs/drill/src/wire.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::io::{self, Read, Write};
 
+use bitternlatch_lengths::Timed;
 use bitternlatch_policy::choice::Router;
 use bitternlatch_policy::interface::*;
 use bitternlatch_settings::{read_settings, Facts};
@@ -28,6 +29,8 @@
 
 type Result<T> = std::result::Result<T, WireError>;
 
+/// Whether lengths of answers are learnt and told to the module; the platform's node has the same switch.
+const LEARNS: bool = false;
 const HEADER_BYTES: usize = 16;
 const LIST_NUMBERS: u32 = 16;
 const PEER_BYTES: usize = 256;
@@ -114,7 +117,7 @@
 /// All instances of one process and the numbered lists they refer to.
 #[derive(Default)]
 pub struct Adapter {
-    routers: BTreeMap<u16, Router>,
+    routers: BTreeMap<u16, (Router, Timed)>,
     lists: BTreeMap<u32, Vec<ServerEntry>>,
     actions: Vec<Action>,
 }
@@ -166,13 +169,16 @@
             }
             _ => {}
         }
-        let event = self.event(c, code, at)?;
-        let Some(router) = self.routers.get_mut(&instance) else {
+        let mut event = self.event(c, code, at)?;
+        let Some((router, lengths)) = self.routers.get_mut(&instance) else {
             return bad(format!(
                 "event {code} at byte {at} is for instance {instance}, which has not started"
             ));
         };
         self.actions.clear();
+        if LEARNS {
+            lengths.see(now, &mut event);
+        }
         router.handle(now, event, &mut self.actions);
         for action in &self.actions {
             reply.put(instance, action);
@@ -185,7 +191,9 @@
         let n = c.u32("start")? as usize;
         let text = std::str::from_utf8(c.take(n, "the settings")?)
             .map_err(|e| WireError(format!("the settings are not UTF-8: {e}")))?;
-        self.routers.insert(instance, Router::new(parse_settings(text)?, seed));
+        let settings = parse_settings(text)?;
+        let lengths = Timed::new(&settings);
+        self.routers.insert(instance, (Router::new(settings, seed), lengths));
         Ok(())
     }
 
