Measure engines: writers nearly full, preemptions and worth, lengths off and on

The auditor's test strands a state of a reader that stays: one that the script takes down lets go of its own, so that the verdict hung on which reader the first request went to.

--- a/programs/badday/tests/days.rs
+++ b/programs/badday/tests/days.rs
@@ -233,7 +233,9 @@
     assert_eq!(fallen, [Rule::NoColdHostPushedOver], "a host falls over unscripted");
 
     let stranded = left.broken(|l| {
-        let state = |x: &&Line| x.dir == "out" && x.text.contains("\"do_remote_prefill\":true");
+        // One that goes down takes its states with it.
+        let stays = |x: &&Line| x.dir == "out" && x.who != "reader-1";
+        let state = |x: &&Line| stays(x) && x.text.contains("\"do_remote_prefill\":true");
         let first = l.hosts.iter().find(state).expect("a state").clone();
         let Ok(FromEngine::Chunk { id, body }) = decode::<FromEngine>(&first.text) else { panic!("a chunk") };
         let read = |x: &&Line| x.dir == "in" && x.text.contains(&id);
--- a/programs/measure/src/main.rs
+++ b/programs/measure/src/main.rs
@@ -4,6 +4,7 @@
 mod charges;
 mod cluster;
 mod decision;
+mod engines;
 mod latency;
 mod members;
 mod plot;
@@ -82,6 +83,17 @@
         #[arg(long, default_value_t = 300)]
         requests: usize,
     },
+    /// Answers thrown out of nearly full writers, and worth in time, with `[cluster.lengths]` off and on.
+    Engines {
+        /// Share of the writers' memory that is asked for.
+        #[arg(long, default_value_t = 0.9)]
+        fill: f64,
+        /// Seconds of each run; the first 20 do not count.
+        #[arg(long, default_value_t = 60.0)]
+        seconds: f64,
+        #[arg(long, default_value_t = 2)]
+        rounds: u64,
+    },
     /// Membership in simulated time: failures missed, halves healed, living ones removed, bytes.
     Members {
         #[arg(long, value_delimiter = ',', default_value = "3,10,100,300")]
@@ -120,6 +132,7 @@
             }
             What::Cluster { members, requests } => cluster::measure(members, requests),
             What::Beside { requests } => beside::measure(requests),
+            What::Engines { fill, seconds, rounds } => engines::measure(fill, seconds, rounds),
             What::Members { sizes, seeds, lossy_s, light, svg } => {
                 let losses = if light { &members::LOSSES[..1] } else { &members::LOSSES };
                 members::measure(&sizes, seeds, (lossy_s, losses), svg.as_deref())
