--- /dev/null
+++ b/crates/protocol/src/workflow.rs
@@ -0,0 +1,186 @@
+//! Steps of workflows, by fields that a request has anyway: what `metadata` asks for, and what a claim is answered (*ours*).
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::client::BadRequest;
+
+/// Keys of `metadata`; read where workflows are switched on, else echoed alone.
+pub const META_WORKFLOW: &str = "workflow";
+pub const META_WORKER: &str = "workflow_worker";
+pub const META_DO: &str = "workflow_do";
+pub const META_EPOCH: &str = "workflow_epoch";
+pub const META_STEP: &str = "workflow_step";
+
+/// Longest name of a workflow or worker, in characters.
+pub const NAME_CHARS: usize = 64;
+
+/// A request about a workflow.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct About {
+    /// The caller's name for it.
+    pub workflow: String,
+    pub does: Does,
+}
+
+/// What is wanted; all but a step is answered without a host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Does {
+    Claim { worker: String },
+    Step { epoch: u64, step: u32 },
+    Carry { epoch: u64 },
+    Finish { epoch: u64 },
+    Cancel { epoch: u64 },
+}
+
+/// What a claim is answered, as the output text of its response. Carry, finish and cancel are answered with [`Carried`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claimed {
+    pub epoch: u64,
+    /// Results of the steps that are no longer listed.
+    pub context: String,
+    /// Milliseconds for which the worker carries it without a word.
+    pub lease_ms: u64,
+    pub steps: Vec<ClaimedStep>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimedStep {
+    pub number: u32,
+    pub effect: StepEffect,
+    pub key: String,
+    pub fate: StepFate,
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub result: Option<String>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StepEffect {
+    Safe,
+    Keyed,
+    Unsafe,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StepFate {
+    Done,
+    MayHaveRun,
+    NeverRan,
+    /// Its dispatcher has not said how it ended.
+    Open,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Carried {
+    pub epoch: u64,
+}
+
+/// Reads what a request wants of a workflow; none where it names none.
+///
+/// # Errors
+/// The first key of `metadata` at fault.
+pub fn read(metadata: &BTreeMap<String, String>) -> Result<Option<About>, BadRequest> {
+    let Some(workflow) = metadata.get(META_WORKFLOW) else { return Ok(None) };
+    let does = match metadata.get(META_DO).map_or("step", String::as_str) {
+        "claim" => Does::Claim { worker: named(metadata, META_WORKER)? },
+        "step" => Does::Step { epoch: number(metadata, META_EPOCH)?, step: number(metadata, META_STEP)? },
+        "carry" => Does::Carry { epoch: number(metadata, META_EPOCH)? },
+        "finish" => Does::Finish { epoch: number(metadata, META_EPOCH)? },
+        "cancel" => Does::Cancel { epoch: number(metadata, META_EPOCH)? },
+        _ => return Err(wrong(META_DO, "claim, step, carry, finish or cancel is expected".to_string())),
+    };
+    let workflow = short(META_WORKFLOW, workflow)?;
+    Ok(Some(About { workflow, does }))
+}
+
+fn wrong(key: &str, why: String) -> BadRequest {
+    BadRequest::field(&format!("metadata.{key}"), why)
+}
+
+fn named(metadata: &BTreeMap<String, String>, key: &str) -> Result<String, BadRequest> {
+    let value = metadata.get(key).ok_or_else(|| wrong(key, "is missing".to_string()))?;
+    short(key, value)
+}
+
+fn short(key: &str, value: &str) -> Result<String, BadRequest> {
+    match value.chars().count() {
+        1..=NAME_CHARS => Ok(value.to_string()),
+        _ => Err(wrong(key, format!("a name of 1 to {NAME_CHARS} characters is expected"))),
+    }
+}
+
+/// A whole number from 1.
+fn number<T>(metadata: &BTreeMap<String, String>, key: &str) -> Result<T, BadRequest>
+where
+    T: std::str::FromStr + PartialOrd + From<u8>,
+{
+    let value = metadata.get(key).ok_or_else(|| wrong(key, "is missing".to_string()))?;
+    let read = value.parse::<T>().ok().filter(|n| *n >= T::from(1));
+    read.ok_or_else(|| wrong(key, "a whole number from 1 is expected".to_string()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn meta(pairs: &[(&str, &str)]) -> BTreeMap<String, String> {
+        pairs.iter().map(|(k, v)| (k.to_string(), v.to_string())).collect()
+    }
+
+    #[test]
+    fn each_wish_needs_its_own_fields_and_no_others() {
+        let of = |pairs: &[(&str, &str)]| read(&meta(pairs));
+        let about = |does| Ok(Some(About { workflow: "w".into(), does }));
+        assert_eq!(of(&[("workflow_do", "dance")]), Ok(None), "it is about no workflow");
+        let claim = of(&[("workflow", "w"), ("workflow_do", "claim"), ("workflow_worker", "a")]);
+        assert_eq!(claim, about(Does::Claim { worker: "a".into() }));
+        let step = of(&[("workflow", "w"), ("workflow_epoch", "3"), ("workflow_step", "7")]);
+        assert_eq!(step, about(Does::Step { epoch: 3, step: 7 }));
+        for (does, wanted) in [
+            ("carry", Does::Carry { epoch: 2 }),
+            ("finish", Does::Finish { epoch: 2 }),
+            ("cancel", Does::Cancel { epoch: 2 }),
+        ] {
+            let pairs = [("workflow", "w"), ("workflow_do", does), ("workflow_epoch", "2")];
+            assert_eq!(of(&pairs), about(wanted));
+        }
+        let long = "é".repeat(65);
+        for (pairs, param) in [
+            (vec![("workflow", "")], "metadata.workflow_epoch"),
+            (vec![("workflow", "w"), ("workflow_do", "dance")], "metadata.workflow_do"),
+            (vec![("workflow", "w"), ("workflow_do", "claim")], "metadata.workflow_worker"),
+            (vec![("workflow", "w"), ("workflow_epoch", "0")], "metadata.workflow_epoch"),
+            (vec![("workflow", "w"), ("workflow_epoch", "1")], "metadata.workflow_step"),
+            (
+                vec![("workflow", "w"), ("workflow_epoch", "1"), ("workflow_step", "-1")],
+                "metadata.workflow_step",
+            ),
+            (
+                vec![("workflow", &long), ("workflow_do", "carry"), ("workflow_epoch", "1")],
+                "metadata.workflow",
+            ),
+        ] {
+            let bad = of(&pairs).expect_err("refused");
+            assert_eq!((bad.status, bad.param.as_deref()), (400, Some(param)), "{pairs:?}");
+        }
+    }
+
+    #[test]
+    fn a_claim_is_told_in_the_stated_form() {
+        let step = |number, fate, result: Option<&str>| ClaimedStep {
+            number,
+            effect: StepEffect::Unsafe,
+            key: "k".into(),
+            fate,
+            result: result.map(str::to_string),
+        };
+        let steps = vec![step(1, StepFate::Done, Some("yes")), step(2, StepFate::MayHaveRun, None)];
+        let claimed = Claimed { epoch: 4, context: "c".into(), lease_ms: 3000, steps };
+        let text = r#"{"epoch":4,"context":"c","lease_ms":3000,"steps":[{"number":1,"effect":"unsafe","key":"k","fate":"done","result":"yes"},{"number":2,"effect":"unsafe","key":"k","fate":"may_have_run"}]}"#;
+        assert_eq!(serde_json::to_string(&claimed).expect("JSON"), text);
+        assert_eq!(serde_json::from_str::<Claimed>(text).expect("a claim"), claimed);
+    }
+}
