Steps of workflows in the core: no effect before its intent is held by a majority

Need: a step's effect must be known to its workflow's copies before it leaves, and its result before it is told. Change: core keeps a table of steps by request (pure), asks the machine beside the plane before a step is admitted, checks its permission at each send by time and renews it while the step waits, and keeps the final answer back until the result is held; the driver answers a question that the machine does not take.

--- a/crates/core/src/answers.rs
+++ b/crates/core/src/answers.rs
@@ -2,12 +2,18 @@
 
 use bitternlatch_policy::interface::{Event, Outcome, RequestId};
 use bitternlatch_protocol::client::{self, Create, IncompleteDetails, Response, ResponseError, Status};
+use bitternlatch_workflow::{Fate, Refusal};
+use xxhash_rust::xxh3::xxh3_64;
 
+use crate::budgets::Denied;
 use crate::contexts::Context;
+use crate::intake::Wanted;
 use crate::machine::{log, Machine};
 use crate::requests::{Listener, Purpose, Request, Stage};
 use crate::settings::Effect;
+use crate::timers::Timer;
 use crate::types::{Level, Micros, Output, SessionId};
+use crate::workflows::{refused, Act, Asked, Intent, AGAIN_S, HELD_WITHIN_S};
 
 impl Request {
     /// The events to its listeners, each with its own next sequence number.
@@ -31,6 +37,15 @@
         self.may_have_run || self.attempt.as_ref().is_some_and(out)
     }
 
+    /// What became of a step whose answer is none.
+    fn unfinished(&self) -> Fate {
+        if self.may_run() {
+            Fate::MayHaveRun
+        } else {
+            Fate::NeverRan
+        }
+    }
+
     fn failed(&self, code: &str, message: &str, safe: bool, retry_after_s: Option<f64>) -> Response {
         let error = ResponseError {
             code: code.to_string(),
@@ -122,6 +137,13 @@
     fn finish(&mut self, now: Micros, id: RequestId, answer: Response, out: &mut Vec<Output>) {
         let Some(request) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
         request.answered = true;
+        if let Some(answer) = self.hold_back(now, id, answer, out) {
+            self.give(now, id, answer, out);
+        }
+    }
+
+    /// Says the final answer, and lets go of what was needed for it.
+    pub(crate) fn give(&mut self, now: Micros, id: RequestId, answer: Response, out: &mut Vec<Output>) {
         self.charge_answer(id, &answer, out);
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.say(out, None, |l, _| client::finished(l.sequence, &l.view(&answer)));
@@ -142,10 +164,124 @@
         self.tidy(id, out);
     }
 
+    /// A step's answer waits until what became of the step is held; gives back what is no step's.
+    fn hold_back(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        answer: Response,
+        out: &mut Vec<Output>,
+    ) -> Option<Response> {
+        let Some(request) = self.requests.get(&id).filter(|r| r.step) else { return Some(answer) };
+        let fate = match answer.status {
+            Status::Completed | Status::Incomplete => {
+                Fate::Done { result: request.text.clone(), tokens: request.usage.output_tokens }
+            }
+            _ => request.unfinished(),
+        };
+        let until = request.deadline.max(now.after(HELD_WITHIN_S));
+        match self.workflows.end(id, fate, Box::new(answer), until) {
+            Ok((call, ask)) => {
+                self.timers.set(until, Timer::Call { call });
+                out.push(Output::Workflow(ask));
+                None
+            }
+            Err(answer) => Some(*answer),
+        }
+    }
+
+    /// What became of a step that nobody waits for.
+    fn abandon_step(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get(&id).filter(|r| r.step) else { return };
+        let until = request.deadline.max(now.after(HELD_WITHIN_S));
+        let told = self.workflows.abandon(id, request.unfinished(), until);
+        out.extend(told.map(Output::Workflow));
+    }
+
+    /// What the machine beside the plane has answered, or has not in time.
+    pub(crate) fn on_workflow(&mut self, now: Micros, act: Option<Act>, out: &mut Vec<Output>) {
+        match act {
+            None => {}
+            Some(Act::Answer { asked, text, known }) => self.answer_alone(now, &asked, &text, known, out),
+            Some(Act::Refuse { asked, why }) => {
+                let text = Denied::by_workflow(why).to_text(&asked.create);
+                out.push(Output::Say { session: asked.session, text });
+            }
+            Some(Act::Go { asked, intent, until }) => self.take_step(now, &asked, intent, until, out),
+            Some(Act::Renewed(id)) => self.set_permit(now, id),
+            Some(Act::Again(id)) => self.timers.set(now.after(AGAIN_S), Timer::Permit { request: id }),
+            Some(Act::Give { request, answer, held }) => self.give_step(now, request, *answer, held, out),
+            Some(Act::Tell(ask)) => out.push(Output::Workflow(ask)),
+        }
+    }
+
+    /// A step's intent is held: it is taken as any other request, in the time that is left.
+    fn take_step(
+        &mut self,
+        now: Micros,
+        asked: &Asked,
+        intent: Intent,
+        until: Micros,
+        out: &mut Vec<Output>,
+    ) {
+        let taken = self.wanted(now, asked.session, &asked.create).map_err(Denied::from).and_then(|w| {
+            let time_left_s = w.time_left_s - now.since(asked.at);
+            let wanted = Wanted { time_left_s, step: Some((intent.clone(), until)), ..w };
+            self.admit(now, asked.session, &asked.create, wanted, out)
+        });
+        if let Err(denied) = taken {
+            out.push(Output::Say { session: asked.session, text: denied.to_text(&asked.create) });
+            let ask = self.workflows.never_ran(intent, now.after(HELD_WITHIN_S));
+            out.push(Output::Workflow(ask));
+        }
+    }
+
+    /// An answer that no host has given: of a workflow itself, or of a step that was done before.
+    fn answer_alone(&mut self, now: Micros, asked: &Asked, text: &str, known: bool, out: &mut Vec<Output>) {
+        let id = self.next_request;
+        self.next_request = id.saturating_add(1);
+        let most = self.settings.requests.max_output_tokens;
+        let answer =
+            self.new_response(now, id, &asked.create, asked.create.max_output_tokens.unwrap_or(most));
+        let answer = Response { status: Status::Completed, ..answer }.with_text(text);
+        self.say_again(asked.session, &answer, &asked.create, out);
+        // The next turn may go on from it, as from the answer that it repeats.
+        if let Some(w) = self.wanted(now, asked.session, &asked.create).ok().filter(|_| known) {
+            let conversation =
+                if w.conversation == 0 { xxh3_64(answer.id.as_bytes()) } else { w.conversation };
+            let text = format!("{}\nassistant: {text}", w.prompt);
+            let context = Context { tenant: w.tenant, owner: w.owner, conversation, text, at: now };
+            self.contexts.keep(&answer.id, context);
+        }
+    }
+
+    /// A step's answer, or why it does not count. A failure says enough as it is.
+    fn give_step(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        answer: Response,
+        held: Result<(), Option<Refusal>>,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let answer = match held {
+            Err(why) if answer.status != Status::Failed => match why.map(refused) {
+                Some(bad) => request.failed(bad.code, &bad.message, false, None),
+                None => {
+                    let why = "its result was not held in time; it may have run";
+                    request.failed("server_error", why, false, None)
+                }
+            },
+            _ => answer,
+        };
+        self.give(now, id, answer, out);
+    }
+
     /// A key keeps the answer that stands; it is let go where asking again is harmless and may end better.
     fn close_key(&mut self, now: Micros, id: RequestId, answer: Response) {
         let Some(request) = self.requests.get(&id) else { return };
-        let Some(key) = &request.key else { return };
+        let Some(key) = request.key.as_ref().filter(|_| !request.step) else { return };
         let safe = self.settings.classes[usize::from(request.class)].effect == Effect::Safe;
         let refused = answer.error.as_ref().is_some_and(|e| e.safe_to_repeat);
         if refused || answer.status == Status::Failed && (safe || !request.may_run()) {
@@ -161,6 +297,7 @@
         request.answered = true;
         let answer = request.failed("cancelled", "its client left; it may have run", false, None);
         let streaming = request.streaming();
+        self.abandon_step(now, id, out);
         self.charge_answer(id, &answer, out);
         self.close_key(now, id, answer);
         self.events.push_back(Event::ClientGone { request: id });
@@ -195,7 +332,7 @@
     /// Lets go of an entry once it is answered, nothing is out and nothing is held.
     pub(crate) fn tidy(&mut self, id: RequestId, out: &mut Vec<Output>) {
         let over = |r: &Request| r.answered && r.attempt.is_none() && r.state.is_none();
-        if self.requests.get(&id).is_some_and(over) {
+        if self.requests.get(&id).is_some_and(over) && !self.workflows.is_ending(id) {
             self.settle(id, out);
             let gone = self.requests.remove(&id);
             self.prompt_bytes -= gone.map_or(0, |r| r.prompt.len());
--- a/crates/core/src/carry.rs
+++ b/crates/core/src/carry.rs
@@ -55,6 +55,10 @@
             (_, Some(_)) => Purpose::Write,
             (_, None) => Purpose::Whole,
         };
+        // As above; a read has no effect, and is wasted at the worst.
+        if purpose != Purpose::Read && !self.workflows.may_leave(now, id) {
+            return self.not_sent(id, number, host, Outcome::Moot);
+        }
         let text = self.completion(id, number, purpose);
         let attempt = wire_id(self.instance, id, number);
         let (link, stage) = match self.links.give(host, Queued { attempt, text }) {
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -5,6 +5,8 @@
 use bitternlatch_policy::interface::{Event, Request as Ask, RequestId};
 use bitternlatch_protocol::client::{self, BadRequest, ClientEvent, Create, Response, Status};
 use bitternlatch_protocol::tokens_of;
+use bitternlatch_protocol::workflow::{self, About, Does};
+use bitternlatch_workflow::Refusal;
 use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
 use crate::budgets::{Charged, Denied};
@@ -14,26 +16,44 @@
 use crate::settings::Effect;
 use crate::timers::Timer;
 use crate::types::{Micros, Output, SessionId};
+use crate::workflows::{self, Intent, Question};
 
 /// Seconds after which a client that met one of this machine's own bounds may come back.
 const COME_BACK_S: f64 = 1.0;
 
 /// What of a message has been settled before the request is made.
-struct Wanted {
-    class: u16,
-    tenant: u32,
-    owner: String,
-    time_left_s: f64,
-    key: Option<Key>,
-    conversation: u64,
-    prompt: String,
-    max_tokens: u32,
+pub(crate) struct Wanted {
+    pub class: u16,
+    pub tenant: u32,
+    pub owner: String,
+    pub time_left_s: f64,
+    pub key: Option<Key>,
+    /// A step of a workflow whose intent is held, and until when it may leave.
+    pub step: Option<(Intent, Micros)>,
+    pub conversation: u64,
+    pub prompt: String,
+    pub max_tokens: u32,
 }
 
 fn too_many(message: &str) -> BadRequest {
     BadRequest { status: 429, code: "too_many_requests", message: message.to_string(), param: None }
 }
 
+impl Denied {
+    /// The event that says so.
+    pub(crate) fn to_text(&self, create: &Create) -> String {
+        let own = (self.bad.status == 429).then_some(COME_BACK_S);
+        let again = self.retry_after_s.or(own).map(|s| (s * 1000.0).ceil() as u64);
+        client::error_elsewhere(&self.bad, again, Some(&create.metadata), &self.elsewhere)
+    }
+
+    pub(crate) fn by_workflow(why: Refusal) -> Denied {
+        let bad = workflows::refused(why);
+        let retry_after_s = (bad.status == 503).then_some(COME_BACK_S);
+        Denied { bad, retry_after_s, elsewhere: vec![] }
+    }
+}
+
 impl Machine {
     pub(crate) fn on_client_text(
         &mut self,
@@ -48,11 +68,8 @@
         let say = |out: &mut Vec<Output>, text| out.push(Output::Say { session, text });
         match client::parse(text) {
             Ok(ClientEvent::Create(create)) => {
-                if let Err(Denied { bad, retry_after_s, elsewhere }) = self.create(now, session, &create, out)
-                {
-                    let own = (bad.status == 429).then_some(COME_BACK_S);
-                    let again = retry_after_s.or(own).map(|s| (s * 1000.0).ceil() as u64);
-                    say(out, client::error_elsewhere(&bad, again, Some(&create.metadata), &elsewhere));
+                if let Err(denied) = self.create(now, session, &create, out) {
+                    say(out, denied.to_text(&create));
                 }
             }
             Ok(ClientEvent::Cancel { response_id }) => {
@@ -71,10 +88,14 @@
         create: &Create,
         out: &mut Vec<Output>,
     ) -> Result<(), Denied> {
-        if self.sessions.in_hand(session) >= self.settings.listen.session_requests {
+        let in_hand = self.sessions.in_hand(session) + self.workflows.asked_by(session);
+        if in_hand >= self.settings.listen.session_requests {
             return Err(too_many("this session has as many requests in hand as it may").into());
         }
         let wanted = self.wanted(now, session, create)?;
+        if let Some(about) = self.about(create)? {
+            return self.ask_of_workflow(now, session, create, wanted, about, out);
+        }
         if let Some(key) = &wanted.key {
             let asked = fingerprint(create);
             match self.keys.know(key, asked) {
@@ -97,6 +118,18 @@
                 Known::NoRoom => return Err(too_many("no room for another idempotency key").into()),
             }
         }
+        self.admit(now, session, create, wanted, out)
+    }
+
+    /// What is neither known nor a bad request: the bounds, the budget, and on to the decision module.
+    pub(crate) fn admit(
+        &mut self,
+        now: Micros,
+        session: SessionId,
+        create: &Create,
+        wanted: Wanted,
+        out: &mut Vec<Output>,
+    ) -> Result<(), Denied> {
         if !self.may_take(now, wanted.class) {
             return Err(self.sent_elsewhere(now));
         }
@@ -116,7 +149,12 @@
         Ok(())
     }
 
-    fn wanted(&self, now: Micros, session: SessionId, create: &Create) -> Result<Wanted, BadRequest> {
+    pub(crate) fn wanted(
+        &self,
+        now: Micros,
+        session: SessionId,
+        create: &Create,
+    ) -> Result<Wanted, BadRequest> {
         let meta = |name: &str| create.metadata.get(name).map(String::as_str);
         let field = |name: &str, why: String| BadRequest::field(&format!("metadata.{name}"), why);
         let class = match meta(client::META_CLASS) {
@@ -153,7 +191,7 @@
         let most = self.settings.requests.max_output_tokens;
         let allowed = grant.map_or(most, |g| most.min(g.max_output_tokens));
         let max_tokens = create.max_output_tokens.unwrap_or(allowed);
-        Ok(Wanted { class, tenant, owner, time_left_s, key, conversation, prompt, max_tokens })
+        Ok(Wanted { class, tenant, owner, time_left_s, key, step: None, conversation, prompt, max_tokens })
     }
 
     /// The whole prompt and the key of its conversation; 0 where it begins one.
@@ -200,7 +238,7 @@
             known => known,
         };
         let ask = ask(id, create, &wanted, conversation, left_s);
-        if let Some(key) = &wanted.key {
+        if let Some(key) = wanted.key.as_ref().filter(|_| wanted.step.is_none()) {
             self.keys.begin(key.clone(), fingerprint(create), id);
         }
         let request = Request {
@@ -210,6 +248,7 @@
             tenant: wanted.tenant,
             owner: wanted.owner,
             key: wanted.key,
+            step: wanted.step.is_some(),
             conversation,
             prompt: wanted.prompt,
             max_tokens: wanted.max_tokens,
@@ -231,6 +270,9 @@
         };
         self.prompt_bytes += request.prompt.len();
         self.requests.insert(id, request);
+        if let Some((intent, until)) = wanted.step {
+            self.begin_step(now, id, intent, until);
+        }
         self.sessions.listen(session, id);
         self.say_created(id, session, out);
         if self.stopping {
@@ -243,7 +285,13 @@
         self.events.push_back(Event::Arrival(ask));
     }
 
-    fn new_response(&self, now: Micros, id: RequestId, create: &Create, max_tokens: u32) -> Response {
+    pub(crate) fn new_response(
+        &self,
+        now: Micros,
+        id: RequestId,
+        create: &Create,
+        max_tokens: u32,
+    ) -> Response {
         Response {
             id: self.names.response(id),
             object: "response".to_string(),
@@ -261,7 +309,7 @@
     }
 
     /// A further session listens to a running request: it is given all that has come so far.
-    fn attach(
+    pub(crate) fn attach(
         &mut self,
         session: SessionId,
         id: RequestId,
@@ -284,6 +332,94 @@
         Ok(())
     }
 
+    /// What a request is about, where workflows are on.
+    fn about(&self, create: &Create) -> Result<Option<About>, BadRequest> {
+        let on = self.settings.cluster.as_ref().is_some_and(|c| c.workflows.is_some());
+        if on {
+            workflow::read(&create.metadata)
+        } else {
+            Ok(None)
+        }
+    }
+
+    /// Asks the machine beside the plane what becomes of a request about a workflow; what follows is its answer's.
+    fn ask_of_workflow(
+        &mut self,
+        now: Micros,
+        session: SessionId,
+        create: &Create,
+        wanted: Wanted,
+        about: About,
+        out: &mut Vec<Output>,
+    ) -> Result<(), Denied> {
+        if self.stopping {
+            return Err(Denied::by_workflow(Refusal::Busy));
+        }
+        let workflow = self.workflow_of(&wanted, &about.workflow);
+        let question = match about.does {
+            Does::Claim { worker } => Question::Claim { workflow, worker },
+            Does::Carry { epoch } => Question::Carry { workflow, epoch },
+            Does::Finish { epoch } => Question::Finish { workflow, epoch, cancelled: false },
+            Does::Cancel { epoch } => Question::Finish { workflow, epoch, cancelled: true },
+            Does::Step { epoch, step } => {
+                let class = &self.settings.classes[usize::from(wanted.class)];
+                let key = wanted.key.as_ref().map(|k| k.text.clone()).unwrap_or_default();
+                let asks = step_digest(create, &class.name, &key);
+                let intent =
+                    Intent { workflow, epoch, step, effect: workflows::effect(class.effect), key, asks };
+                match self.workflows.in_hand(&intent) {
+                    Some(Ok(id)) => return Ok(self.attach(session, id, create, out)?),
+                    Some(Err(why)) => return Err(Denied::by_workflow(why)),
+                    // Asked again when it is admitted; what is refused for certain costs no majority's word.
+                    None if !self.may_take(now, wanted.class) => return Err(self.sent_elsewhere(now)),
+                    None => Question::Step(intent),
+                }
+            }
+        };
+        let until = now.after((wanted.time_left_s - self.settings.requests.answer_margin_s).max(0.0));
+        let asked = self.workflows.ask(now, (session, create), question, until);
+        let (call, ask) = asked.map_err(Denied::by_workflow)?;
+        self.timers.set(until, Timer::Call { call });
+        out.push(Output::Workflow(ask));
+        Ok(())
+    }
+
+    /// A workflow's name among all: of its tenant, its caller and what that one calls it.
+    fn workflow_of(&self, wanted: &Wanted, name: &str) -> String {
+        let tenant = self.settings.tenants.get(wanted.tenant as usize).map_or("", |t| t.name.as_str());
+        // No part may pass for two.
+        let plain = |part: &str| part.replace('%', "%25").replace('/', "%2f");
+        format!("{}/{}/{}", plain(tenant), plain(&wanted.owner), plain(name))
+    }
+
+    fn begin_step(&mut self, now: Micros, id: RequestId, intent: Intent, until: Micros) {
+        self.workflows.go(id, intent, until);
+        self.set_permit(now, id);
+    }
+
+    pub(crate) fn set_permit(&mut self, now: Micros, id: RequestId) {
+        if let Some(at) = self.workflows.renew_at(now, id) {
+            self.timers.set(at, Timer::Permit { request: id });
+        }
+    }
+
+    /// A step waits for its place longer than it was permitted to leave: it is asked for again while it may still be sent. Or its
+    /// end could not be held, and is told again.
+    pub(crate) fn renew_permit(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
+        if let Some((call, until, ask)) = self.workflows.end_again(id) {
+            self.timers.set(until, Timer::Call { call });
+            return out.push(Output::Workflow(ask));
+        }
+        let Some(request) = self.requests.get(&id).filter(|r| !r.answered && !r.streaming()) else { return };
+        let class = &self.settings.classes[usize::from(request.class)];
+        if class.effect == Effect::Unsafe && request.may_run() {
+            return;
+        }
+        if let Some(ask) = self.workflows.renew(now, id) {
+            out.push(Output::Workflow(ask));
+        }
+    }
+
     fn cancel_by_client(
         &mut self,
         now: Micros,
@@ -308,11 +444,12 @@
     }
 
     pub(crate) fn on_session_closed(&mut self, now: Micros, session: SessionId, out: &mut Vec<Output>) {
+        self.workflows.session_closed(session);
         for id in self.sessions.close(session) {
             let Some(request) = self.requests.get_mut(&id) else { continue };
             request.listeners.retain(|l| l.session != session);
             // A keyed request with an effect goes on: its client may come back for the one answer that it has.
-            let lingers = request.key.is_some()
+            let lingers = (request.key.is_some() || request.step)
                 && self.settings.classes[usize::from(request.class)].effect != Effect::Safe;
             if request.listeners.is_empty() && !lingers {
                 self.abandon(now, id, out);
@@ -343,6 +480,16 @@
     }
 }
 
+/// Hash of what a step asks, the same for each worker that asks it: how the context is given is not in it.
+fn step_digest(create: &Create, class: &str, key: &str) -> u64 {
+    let mut hash = Xxh3::new();
+    for part in [create.model.as_str(), class, &create.input, key] {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part.as_bytes());
+    }
+    hash.digest()
+}
+
 /// Hash of what is asked, without what may differ between a first try and its repeat.
 fn fingerprint(create: &Create) -> u64 {
     let mut hash = Xxh3::new();
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -202,7 +202,11 @@
         self.on_input(now, input, out);
         self.pump(now, out);
         self.close_ended(out);
-        if self.stopping && !self.stopped && self.requests.values().all(|r| r.answered) {
+        if self.stopping
+            && !self.stopped
+            && !self.workflows.waits()
+            && self.requests.values().all(|r| r.answered)
+        {
             self.stopped = true;
             out.push(Output::Stopped);
         }
@@ -229,7 +233,10 @@
             Input::Heard { at, of, heard } => self.on_heard(now, at, of, &heard, out),
             Input::Overload(told) => self.shed.told(now, told),
             Input::Lengths(told) => self.lengths.told(now, told),
-            Input::Workflow(told) => self.workflows.told(now, told),
+            Input::Workflow(told) => {
+                let act = self.workflows.told(now, told);
+                self.on_workflow(now, act, out);
+            }
             Input::ListLost(lost) => self.on_list_lost(lost, out),
             Input::Part { lent, until } => self.on_part(now, lent, until),
             Input::Tick => {}
@@ -309,6 +316,11 @@
             Timer::Sweep => self.sweep(now, out),
             Timer::Ledger => self.on_ledger_time(now, out),
             Timer::Evidence => self.look_at_hosts(now, out),
+            Timer::Call { call } => {
+                let act = self.workflows.late(call, now);
+                self.on_workflow(now, act, out);
+            }
+            Timer::Permit { request } => self.renew_permit(now, request, out),
         }
     }
 
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -91,6 +91,8 @@
     /// Whose it is, as for [`Key`].
     pub owner: String,
     pub key: Option<Key>,
+    /// A step of a workflow: its key holds for the step, whose workflow remembers its answer.
+    pub step: bool,
     pub conversation: u64,
     pub prompt: String,
     pub max_tokens: u32,
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use bitternlatch_policy::interface::{RequestId, ServerId};
+use bitternlatch_workflow::Call;
 
 use crate::types::{Micros, SessionId};
 
@@ -29,6 +30,10 @@
     Ledger,
     /// Looks at what to tell peers of hosts.
     Evidence,
+    /// A question about a workflow is overdue.
+    Call { call: Call },
+    /// A step's permission to leave is to be put off.
+    Permit { request: RequestId },
 }
 
 /// What is due when; of what falls on one time, what was set first comes first.
--- a/crates/core/src/workflows.rs
+++ b/crates/core/src/workflows.rs
@@ -1,14 +1,550 @@
 //! Requests that are steps of workflows: held until their intent is, answered when their result is.
 //!
-//! Knows nothing of the machine: it is asked by it, and tells it what to do.
+//! Knows nothing of the machine: it is asked by it, and tells it what to do. Each question has an end in time, set by the machine
+//! as a timer, and there is a bound on their number.
 
-use bitternlatch_workflow::Told;
+use std::collections::BTreeMap;
 
-use crate::types::Micros;
+use bitternlatch_policy::interface::RequestId;
+use bitternlatch_protocol::client::{BadRequest, Create, Response};
+use bitternlatch_protocol::workflow::{Carried, Claimed, ClaimedStep, StepEffect, StepFate};
+use bitternlatch_workflow::{Ask, Call, Effect, Fate, Refusal, Told};
+
+use crate::types::{Micros, SessionId};
+
+/// Questions of sessions that may wait for an answer; one more is told to come back.
+const ASKED_MOST: usize = 4096;
+/// Longest that a final answer waits for its result to be held, seconds, where its request's own time is over: an answer that
+/// streams may outlast it.
+pub(crate) const HELD_WITHIN_S: f64 = 5.0;
+
+/// Seconds until the end of a step is told again that could not be held yet.
+pub(crate) const AGAIN_S: f64 = 0.1;
+
+/// What a step means to do. The same under each epoch, but for the epoch.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Intent {
+    pub workflow: String,
+    pub epoch: u64,
+    pub step: u32,
+    pub effect: Effect,
+    pub key: String,
+    /// Digest of what is asked.
+    pub asks: u64,
+}
+
+/// What a session asks before there is a request, or without one.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Question {
+    Claim { workflow: String, worker: String },
+    Carry { workflow: String, epoch: u64 },
+    Finish { workflow: String, epoch: u64, cancelled: bool },
+    Step(Intent),
+}
+
+/// Who asked, and what.
+#[derive(Debug)]
+pub(crate) struct Asked {
+    pub session: SessionId,
+    pub create: Box<Create>,
+    pub at: Micros,
+    question: Question,
+    /// Its session has closed.
+    gone: bool,
+}
+
+#[derive(Debug)]
+enum Stage {
+    /// May leave until then.
+    Going { until: Micros },
+    /// Its answer is there and waits, until then, for its result to be held.
+    Ending { answer: Box<Response>, fate: Fate, until: Micros },
+}
+
+#[derive(Debug)]
+struct Step {
+    intent: Intent,
+    stage: Stage,
+}
+
+/// What the machine is to do.
+#[derive(Debug)]
+pub(crate) enum Act {
+    /// Answer a session without a host.
+    Answer { asked: Asked, text: String, known: bool },
+    /// Refuse a session's request.
+    Refuse { asked: Asked, why: Refusal },
+    /// Take a step's request as any other. Its intent is held, and it may leave until then.
+    Go { asked: Asked, intent: Intent, until: Micros },
+    /// A step's permission has been put off.
+    Renewed(RequestId),
+    /// Tell how a step ended once more, after [`AGAIN_S`].
+    Again(RequestId),
+    /// Give a request's final answer, or one that says why not; without a cause it was not held in time.
+    Give { request: RequestId, answer: Box<Response>, held: Result<(), Option<Refusal>> },
+    /// Tell what nobody waits for.
+    Tell(Ask),
+}
 
 #[derive(Debug, Default)]
-pub(crate) struct Workflows {}
+pub(crate) struct Workflows {
+    calls: u64,
+    asked: BTreeMap<Call, Asked>,
+    steps: BTreeMap<RequestId, Step>,
+    /// Questions about steps that go on.
+    of_steps: BTreeMap<Call, RequestId>,
+}
 
 impl Workflows {
-    pub(crate) fn told(&mut self, _now: Micros, _told: Told) {}
+    fn call(&mut self) -> Call {
+        self.calls += 1;
+        Call(self.calls)
+    }
+
+    /// Takes a session's question; gives its number and what to tell.
+    ///
+    /// # Errors
+    /// [`Refusal::Busy`] at the bound.
+    pub(crate) fn ask(
+        &mut self,
+        now: Micros,
+        (session, create): (SessionId, &Create),
+        question: Question,
+        until: Micros,
+    ) -> Result<(Call, Ask), Refusal> {
+        if self.asked.len() >= ASKED_MOST {
+            return Err(Refusal::Busy);
+        }
+        let call = self.call();
+        let until_us = until.0;
+        let ask = match question.clone() {
+            Question::Claim { workflow, worker } => Ask::Claim { call, workflow, worker, until_us },
+            Question::Carry { workflow, epoch } => Ask::Carry { call, workflow, epoch, until_us },
+            Question::Finish { workflow, epoch, cancelled } => {
+                Ask::Finish { call, workflow, epoch, cancelled, until_us }
+            }
+            Question::Step(intent) => intend(call, intent, until),
+        };
+        let create = Box::new(create.clone());
+        self.asked.insert(call, Asked { session, create, at: now, question, gone: false });
+        Ok((call, ask))
+    }
+
+    /// Whether a step is in hand here: under way as a request, or not to be taken now.
+    pub(crate) fn in_hand(&self, wanted: &Intent) -> Option<Result<RequestId, Refusal>> {
+        let same =
+            |i: &Intent| (&i.workflow, i.epoch, i.step) == (&wanted.workflow, wanted.epoch, wanted.step);
+        if let Some((id, step)) = self.steps.iter().find(|(_, s)| same(&s.intent)) {
+            return Some(if step.intent.asks == wanted.asks { Ok(*id) } else { Err(Refusal::OtherRequest) });
+        }
+        let waits = |a: &Asked| matches!(&a.question, Question::Step(i) if same(i));
+        self.asked.values().any(|a| !a.gone && waits(a)).then_some(Err(Refusal::Busy))
+    }
+
+    /// Questions in hand for a session.
+    pub(crate) fn asked_by(&self, session: SessionId) -> usize {
+        self.asked.values().filter(|a| a.session == session && !a.gone).count()
+    }
+
+    /// Whether anything waits for an answer.
+    pub(crate) fn waits(&self) -> bool {
+        let ending = |s: &Step| matches!(s.stage, Stage::Ending { .. });
+        self.asked.values().any(|a| !a.gone) || self.steps.values().any(ending)
+    }
+
+    pub(crate) fn session_closed(&mut self, session: SessionId) {
+        self.asked.values_mut().filter(|a| a.session == session).for_each(|a| a.gone = true);
+    }
+
+    /// A step goes on as this request.
+    pub(crate) fn go(&mut self, request: RequestId, intent: Intent, until: Micros) {
+        self.steps.insert(request, Step { intent, stage: Stage::Going { until } });
+    }
+
+    /// A step whose intent is held was not taken as a request after all.
+    pub(crate) fn never_ran(&mut self, intent: Intent, until: Micros) -> Ask {
+        ended(self.call(), intent, Fate::NeverRan, until)
+    }
+
+    /// Whether a request's effect may leave at this moment: checked at the act, as the process may have stood still since it was
+    /// permitted. What is no step, or is safe, always may.
+    pub(crate) fn may_leave(&self, now: Micros, request: RequestId) -> bool {
+        self.steps.get(&request).is_none_or(|step| match step.stage {
+            Stage::Going { until } => step.intent.effect == Effect::Safe || now < until,
+            Stage::Ending { .. } => false,
+        })
+    }
+
+    /// When to ask again for a step that has not left: half of its permission from now.
+    pub(crate) fn renew_at(&self, now: Micros, request: RequestId) -> Option<Micros> {
+        match self.steps.get(&request)? {
+            Step { intent, stage: Stage::Going { until } }
+                if intent.effect != Effect::Safe && now < *until =>
+            {
+                Some(Micros(now.0 + (until.0 - now.0).div_ceil(2)))
+            }
+            _ => None,
+        }
+    }
+
+    /// Asks for a step's permission again.
+    pub(crate) fn renew(&mut self, now: Micros, request: RequestId) -> Option<Ask> {
+        self.renew_at(now, request)?;
+        let call = self.call();
+        let step = self.steps.get(&request)?;
+        let Stage::Going { until } = step.stage else { return None };
+        let intent = step.intent.clone();
+        self.of_steps.retain(|_, of| *of != request);
+        self.of_steps.insert(call, request);
+        Some(intend(call, intent, until))
+    }
+
+    /// A step's request has its answer: it is kept back until what became of the step is held. `Err` gives the answer back where
+    /// the request is no step, or is none any more.
+    pub(crate) fn end(
+        &mut self,
+        request: RequestId,
+        fate: Fate,
+        answer: Box<Response>,
+        until: Micros,
+    ) -> Result<(Call, Ask), Box<Response>> {
+        let call = self.call();
+        match self.steps.get_mut(&request) {
+            Some(step) if matches!(step.stage, Stage::Going { .. }) => {
+                step.stage = Stage::Ending { answer, fate: fate.clone(), until };
+                let intent = step.intent.clone();
+                self.of_steps.retain(|_, of| *of != request);
+                self.of_steps.insert(call, request);
+                Ok((call, ended(call, intent, fate, until)))
+            }
+            _ => Err(answer),
+        }
+    }
+
+    /// The end of a step that waits, told once more.
+    pub(crate) fn end_again(&mut self, request: RequestId) -> Option<(Call, Micros, Ask)> {
+        let call = self.call();
+        let step = self.steps.get(&request)?;
+        let Stage::Ending { fate, until, .. } = &step.stage else { return None };
+        let (until, ask) = (*until, ended(call, step.intent.clone(), fate.clone(), *until));
+        self.of_steps.insert(call, request);
+        Some((call, until, ask))
+    }
+
+    pub(crate) fn is_ending(&self, request: RequestId) -> bool {
+        self.steps.get(&request).is_some_and(|s| matches!(s.stage, Stage::Ending { .. }))
+    }
+
+    /// Nobody waits for a step's answer any more; what became of it is told all the same.
+    pub(crate) fn abandon(&mut self, request: RequestId, fate: Fate, until: Micros) -> Option<Ask> {
+        if self.is_ending(request) {
+            return None;
+        }
+        let step = self.steps.remove(&request)?;
+        self.of_steps.retain(|_, of| *of != request);
+        Some(ended(self.call(), step.intent, fate, until))
+    }
+
+    /// An answer by the machine beside the plane; one to a question that is over says nothing.
+    pub(crate) fn told(&mut self, now: Micros, told: Told) -> Option<Act> {
+        let call = match &told {
+            Told::Claimed { call, .. }
+            | Told::Go { call, .. }
+            | Told::Known { call, .. }
+            | Told::Held { call }
+            | Told::Refused { call, .. } => *call,
+        };
+        match (self.asked.remove(&call), self.of_steps.remove(&call)) {
+            (Some(asked), _) => self.answer(asked, told),
+            (None, Some(request)) => self.answer_step(now, request, told),
+            (None, None) => None,
+        }
+    }
+
+    /// A question's time is over.
+    pub(crate) fn late(&mut self, call: Call, now: Micros) -> Option<Act> {
+        if let Some(asked) = self.asked.remove(&call) {
+            let Question::Step(intent) = &asked.question else {
+                return (!asked.gone).then_some(Act::Refuse { asked, why: Refusal::NoMajority });
+            };
+            // Its intent may be held, or come to be: what is told in this order is heard in this order.
+            let intent = intent.clone();
+            return match asked.gone {
+                true => Some(Act::Tell(self.never_ran(intent, now.after(HELD_WITHIN_S)))),
+                false => Some(Act::Refuse { asked, why: Refusal::NoMajority }),
+            };
+        }
+        let request = self.of_steps.remove(&call)?;
+        self.give(request, Err(None))
+    }
+
+    fn answer(&mut self, asked: Asked, told: Told) -> Option<Act> {
+        let epoch_of = |q: &Question| match q {
+            Question::Carry { epoch, .. } | Question::Finish { epoch, .. } => *epoch,
+            Question::Claim { .. } | Question::Step(_) => 0,
+        };
+        match (&asked.question, told) {
+            (Question::Step(intent), Told::Go { until_us, .. }) => {
+                let (intent, until) = (intent.clone(), Micros(until_us));
+                Some(match asked.gone {
+                    true => Act::Tell(self.never_ran(intent, until)),
+                    false => Act::Go { asked, intent, until },
+                })
+            }
+            _ if asked.gone => None,
+            (Question::Step(_), Told::Known { result, .. }) => {
+                Some(Act::Answer { asked, text: result, known: true })
+            }
+            (Question::Claim { .. }, Told::Claimed { epoch, context, steps, lease_us, .. }) => {
+                let steps = steps.into_iter().map(shown).collect();
+                let text = json(&Claimed { epoch, context, lease_ms: lease_us / 1000, steps });
+                Some(Act::Answer { asked, text, known: false })
+            }
+            (question @ (Question::Carry { .. } | Question::Finish { .. }), Told::Held { .. }) => {
+                let text = json(&Carried { epoch: epoch_of(question) });
+                Some(Act::Answer { asked, text, known: false })
+            }
+            (_, Told::Refused { why, .. }) => Some(Act::Refuse { asked, why }),
+            // An answer to another question: nothing can be said for certain.
+            _ => Some(Act::Refuse { asked, why: Refusal::Busy }),
+        }
+    }
+
+    fn answer_step(&mut self, now: Micros, request: RequestId, told: Told) -> Option<Act> {
+        let step = self.steps.get_mut(&request)?;
+        match (&mut step.stage, told) {
+            (Stage::Going { until }, Told::Go { until_us, .. }) => {
+                *until = (*until).max(Micros(until_us));
+                Some(Act::Renewed(request))
+            }
+            (Stage::Going { .. }, Told::Refused { why, .. }) if passing(why) => None,
+            // Another has it, or it is over: nothing more of it leaves.
+            (Stage::Going { until }, _) => {
+                *until = Micros(0);
+                None
+            }
+            (Stage::Ending { .. }, Told::Held { .. }) => self.give(request, Ok(())),
+            (Stage::Ending { until, .. }, Told::Refused { why, .. }) if passing(why) && now < *until => {
+                Some(Act::Again(request))
+            }
+            (Stage::Ending { .. }, Told::Refused { why, .. }) => self.give(request, Err(Some(why))),
+            (Stage::Ending { .. }, _) => self.give(request, Err(None)),
+        }
+    }
+
+    fn give(&mut self, request: RequestId, held: Result<(), Option<Refusal>>) -> Option<Act> {
+        if !self.is_ending(request) {
+            return None;
+        }
+        match self.steps.remove(&request)?.stage {
+            Stage::Ending { answer, .. } => Some(Act::Give { request, answer, held }),
+            Stage::Going { .. } => None,
+        }
+    }
+}
+
+fn intend(call: Call, intent: Intent, until: Micros) -> Ask {
+    let Intent { workflow, epoch, step, effect, key, asks } = intent;
+    Ask::Intend { call, workflow, epoch, step, effect, key, asks, until_us: until.0 }
+}
+
+fn ended(call: Call, intent: Intent, fate: Fate, until: Micros) -> Ask {
+    let Intent { workflow, epoch, step, .. } = intent;
+    Ask::Ended { call, workflow, epoch, step, fate, until_us: until.0 }
+}
+
+/// Whether a refusal says nothing of the workflow itself.
+fn passing(why: Refusal) -> bool {
+    matches!(why, Refusal::NoMajority | Refusal::Busy | Refusal::NotKept)
+}
+
+fn shown(step: bitternlatch_workflow::Step) -> ClaimedStep {
+    let (fate, result) = match step.fate {
+        None => (StepFate::Open, None),
+        Some(Fate::MayHaveRun) => (StepFate::MayHaveRun, None),
+        Some(Fate::NeverRan) => (StepFate::NeverRan, None),
+        Some(Fate::Done { result, .. }) => (StepFate::Done, Some(result)),
+    };
+    let effect = match step.effect {
+        Effect::Safe => StepEffect::Safe,
+        Effect::Keyed => StepEffect::Keyed,
+        Effect::Unsafe => StepEffect::Unsafe,
+    };
+    ClaimedStep { number: step.number, effect, key: step.key, fate, result }
+}
+
+fn json(value: &impl serde::Serialize) -> String {
+    // Strings and numbers under string keys always serialize.
+    serde_json::to_string(value).unwrap_or_default()
+}
+
+pub(crate) fn effect(of: crate::settings::Effect) -> Effect {
+    match of {
+        crate::settings::Effect::Safe => Effect::Safe,
+        crate::settings::Effect::Keyed => Effect::Keyed,
+        crate::settings::Effect::Unsafe => Effect::Unsafe,
+    }
+}
+
+/// A refusal in the words of the protocol; those of status 503 are worth another try.
+pub(crate) fn refused(why: Refusal) -> BadRequest {
+    let (status, code) = match why {
+        Refusal::Fenced => (409, "workflow_fenced"),
+        Refusal::Carried => (409, "workflow_carried"),
+        Refusal::NoMajority => (503, "workflow_no_majority"),
+        Refusal::Lost => (409, "workflow_lost"),
+        Refusal::Unsettled => (409, "workflow_unsettled"),
+        Refusal::Parked => (409, "workflow_parked"),
+        Refusal::Ended => (409, "workflow_ended"),
+        Refusal::Limit => (409, "workflow_limit"),
+        Refusal::OtherRequest => (409, "workflow_other_request"),
+        Refusal::Unknown => (409, "workflow_unknown"),
+        Refusal::Busy => (503, "workflow_busy"),
+        Refusal::NotKept => (503, "workflow_not_kept"),
+    };
+    BadRequest { status, code, message: why.to_string(), param: None }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: SessionId = SessionId(1);
+
+    fn intent(epoch: u64, step: u32, effect: Effect) -> Intent {
+        Intent { workflow: "t//w".into(), epoch, step, effect, key: "k".into(), asks: 7 }
+    }
+
+    fn answer() -> Box<Response> {
+        Box::new(Response {
+            id: "resp_1".into(),
+            object: "response".into(),
+            created_at: 0,
+            status: bitternlatch_protocol::client::Status::Completed,
+            model: "m".into(),
+            previous_response_id: None,
+            max_output_tokens: None,
+            metadata: BTreeMap::new(),
+            output: vec![],
+            usage: None,
+            error: None,
+            incomplete_details: None,
+        })
+    }
+
+    fn asks(w: &mut Workflows, question: Question) -> (Call, Ask) {
+        w.ask(Micros(0), (S, &Create::default()), question, Micros(1_000)).expect("taken")
+    }
+
+    fn done() -> Fate {
+        Fate::Done { result: "yes".into(), tokens: 1 }
+    }
+
+    #[test]
+    fn a_step_goes_from_its_intent_to_its_result_and_is_over() {
+        let mut w = Workflows::default();
+        let wanted = intent(3, 1, Effect::Unsafe);
+        let (call, _) = asks(&mut w, Question::Step(wanted.clone()));
+        assert_eq!(w.in_hand(&wanted), Some(Err(Refusal::Busy)));
+        assert_eq!((w.asked_by(S), w.waits()), (1, true));
+        let act = w.told(Micros(0), Told::Go { call, until_us: 500 });
+        assert!(matches!(act, Some(Act::Go { until: Micros(500), .. })), "{act:?}");
+        assert!(w.told(Micros(0), Told::Go { call, until_us: 900 }).is_none(), "told twice");
+        w.go(9, wanted.clone(), Micros(500));
+        assert_eq!(w.in_hand(&wanted), Some(Ok(9)));
+        assert_eq!(w.in_hand(&Intent { asks: 8, ..wanted.clone() }), Some(Err(Refusal::OtherRequest)));
+        assert_eq!(w.in_hand(&intent(4, 1, Effect::Unsafe)), None, "a later epoch asks for itself");
+        let Ok((call, ask)) = w.end(9, done(), answer(), Micros(2_000)) else { panic!("a step") };
+        assert!(matches!(ask, Ask::Ended { epoch: 3, step: 1, fate: Fate::Done { .. }, .. }));
+        assert!(w.is_ending(9) && !w.may_leave(Micros(0), 9) && w.waits());
+        assert!(w.end(9, done(), answer(), Micros(2_000)).is_err(), "it ends once");
+        assert!(matches!(
+            w.told(Micros(0), Told::Held { call }),
+            Some(Act::Give { request: 9, held: Ok(()), .. })
+        ));
+        assert!(w.late(call, Micros(0)).is_none() && !w.waits() && w.in_hand(&wanted).is_none());
+    }
+
+    #[test]
+    fn permission_to_leave_ends_by_time_is_put_off_by_asking_and_taken_back_by_a_later_epoch() {
+        let mut w = Workflows::default();
+        w.go(1, intent(1, 1, Effect::Unsafe), Micros(500));
+        w.go(2, intent(1, 2, Effect::Safe), Micros(500));
+        assert!(w.may_leave(Micros(499), 1) && !w.may_leave(Micros(500), 1));
+        assert!(w.may_leave(Micros(500), 2) && w.may_leave(Micros(500), 77), "safe, and no step");
+        assert_eq!((w.renew_at(Micros(100), 1), w.renew_at(Micros(100), 2)), (Some(Micros(300)), None));
+        let call = |ask: Option<Ask>| match ask {
+            Some(Ask::Intend { call, .. }) => call,
+            other => panic!("{other:?}"),
+        };
+        let first = call(w.renew(Micros(300), 1));
+        assert!(matches!(w.told(Micros(0), Told::Go { call: first, until_us: 900 }), Some(Act::Renewed(1))));
+        assert!(w.may_leave(Micros(899), 1));
+        let second = call(w.renew(Micros(600), 1));
+        assert!(w.told(Micros(0), Told::Refused { call: second, why: Refusal::NoMajority }).is_none());
+        assert!(w.may_leave(Micros(899), 1), "what was permitted stays so for its time");
+        let third = call(w.renew(Micros(700), 1));
+        assert!(w.told(Micros(0), Told::Refused { call: third, why: Refusal::Fenced }).is_none());
+        assert!(!w.may_leave(Micros(0), 1), "another has it");
+        assert_eq!(w.renew(Micros(700), 1), None);
+    }
+
+    #[test]
+    fn who_is_gone_or_late_leaves_no_open_step_and_no_effect() {
+        let mut w = Workflows::default();
+        let (call, _) = asks(&mut w, Question::Step(intent(1, 1, Effect::Keyed)));
+        w.session_closed(S);
+        assert_eq!((w.asked_by(S), w.waits()), (0, false));
+        let act = w.told(Micros(0), Told::Go { call, until_us: 500 });
+        assert!(matches!(act, Some(Act::Tell(Ask::Ended { fate: Fate::NeverRan, .. }))), "{act:?}");
+        let (call, _) = asks(&mut w, Question::Step(intent(1, 2, Effect::Keyed)));
+        assert!(matches!(w.late(call, Micros(0)), Some(Act::Refuse { why: Refusal::NoMajority, .. })));
+        w.go(5, intent(1, 3, Effect::Keyed), Micros(500));
+        let told = w.abandon(5, Fate::MayHaveRun, Micros(900));
+        assert!(matches!(told, Some(Ask::Ended { step: 3, fate: Fate::MayHaveRun, .. })));
+        assert_eq!(w.abandon(5, Fate::MayHaveRun, Micros(900)), None);
+        w.go(6, intent(1, 4, Effect::Keyed), Micros(500));
+        let Ok((call, _)) = w.end(6, done(), answer(), Micros(2_000)) else { panic!("a step") };
+        let busy = |call| Told::Refused { call, why: Refusal::Busy };
+        assert!(
+            matches!(w.told(Micros(1), busy(call)), Some(Act::Again(6))),
+            "a result is not lost to a full queue"
+        );
+        let Some((call, Micros(2_000), _)) = w.end_again(6) else { panic!("told again") };
+        assert!(matches!(w.late(call, Micros(2_000)), Some(Act::Give { held: Err(None), .. })));
+        w.go(7, intent(1, 5, Effect::Keyed), Micros(500));
+        let Ok((call, _)) = w.end(7, done(), answer(), Micros(2_000)) else { panic!("a step") };
+        let late = w.told(Micros(2_000), busy(call));
+        assert!(matches!(late, Some(Act::Give { held: Err(Some(Refusal::Busy)), .. })));
+    }
+
+    #[test]
+    fn claims_are_answered_in_words_and_the_table_is_bounded() {
+        let mut w = Workflows::default();
+        let (call, _) = asks(&mut w, Question::Claim { workflow: "t//w".into(), worker: "a".into() });
+        let step = |number, fate| bitternlatch_workflow::Step {
+            number,
+            effect: Effect::Keyed,
+            key: "k".into(),
+            fate,
+        };
+        let steps = vec![step(1, Some(done())), step(2, None)];
+        let told = Told::Claimed { call, epoch: 2, context: "c".into(), steps, lease_us: 3_000_000 };
+        let Some(Act::Answer { text, known: false, .. }) = w.told(Micros(0), told) else {
+            panic!("an answer")
+        };
+        let claimed: Claimed = serde_json::from_str(&text).expect("a claim");
+        assert_eq!((claimed.epoch, claimed.lease_ms, claimed.steps.len()), (2, 3000, 2));
+        assert_eq!(claimed.steps[0].result.as_deref(), Some("yes"));
+        assert_eq!(claimed.steps[1].fate, StepFate::Open);
+        let (call, _) = asks(&mut w, Question::Carry { workflow: "t//w".into(), epoch: 2 });
+        let act = w.told(Micros(0), Told::Go { call, until_us: 1 });
+        assert!(matches!(act, Some(Act::Refuse { .. })), "no answer to this question: {act:?}");
+        for _ in 0..ASKED_MOST {
+            asks(&mut w, Question::Carry { workflow: "t//w".into(), epoch: 2 });
+        }
+        let carry = Question::Carry { workflow: "t//w".into(), epoch: 2 };
+        let more = w.ask(Micros(0), (S, &Create::default()), carry, Micros(1));
+        assert_eq!(more, Err(Refusal::Busy));
+    }
 }
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -74,6 +74,8 @@
     pub machine: Machine,
     pub now: Micros,
     pub out: Vec<Output>,
+    /// All that it was told, in order.
+    pub inputs: Vec<(Micros, Input)>,
     /// Completions not yet answered by the test.
     pub told: Vec<Told>,
     pub cancels: Vec<(LinkId, String)>,
@@ -110,6 +112,7 @@
             machine: Machine::new(settings, seed),
             now: Micros(START_US),
             out: Vec::new(),
+            inputs: Vec::new(),
             told: Vec::new(),
             cancels: Vec::new(),
             releases: Vec::new(),
@@ -145,6 +148,7 @@
 
     pub fn step(&mut self, input: Input) {
         let mut out = Vec::new();
+        self.inputs.push((self.now, input.clone()));
         self.machine.step(self.now, input, &mut out);
         for output in out {
             match &output {
--- a/crates/net/src/driver.rs
+++ b/crates/net/src/driver.rs
@@ -382,7 +382,15 @@
             // What is not taken is as if it had been lost on the way to peers, which the machines and the core bear by time.
             Output::Overload(ask) => drop(self.beside.overload.as_ref().map(|to| to(ask))),
             Output::Lengths(ask) => drop(self.beside.lengths.as_ref().map(|to| to(ask))),
-            Output::Workflow(ask) => drop(self.beside.workflow.as_ref().map(|to| to(ask))),
+            Output::Workflow(ask) => {
+                let call = ask.call();
+                if !self.beside.workflow.as_ref().is_some_and(|to| to(ask)) {
+                    // A step waits for its answer: it is told at once that there will be none.
+                    let why = bitternlatch_workflow::Refusal::Busy;
+                    let told = bitternlatch_workflow::Told::Refused { call, why };
+                    self.own.push_back(Input::Workflow(told));
+                }
+            }
             // Put on its way before; see carry_in_order.
             Output::Charge(_) => {}
             Output::Log { level, text } => match level {
--- a/crates/workflow/src/io.rs
+++ b/crates/workflow/src/io.rs
@@ -93,6 +93,19 @@
     Finish { call: Call, workflow: String, epoch: u64, cancelled: bool, until_us: u64 },
 }
 
+impl Ask {
+    /// Its number.
+    pub fn call(&self) -> Call {
+        match self {
+            Ask::Claim { call, .. }
+            | Ask::Intend { call, .. }
+            | Ask::Ended { call, .. }
+            | Ask::Carry { call, .. }
+            | Ask::Finish { call, .. } => *call,
+        }
+    }
+}
+
 /// To the core; one answer a call, but for [`Told::Go`] followed by the answer to [`Ask::Ended`], which has a call of its own.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Told {
