--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -500,6 +500,13 @@
         );
         assert!(fault(&(seeds("\"127.0.0.1:7811\"") + &one)).is_some_and(|f| f.contains("keep one of them")));
         assert!(fault("").is_some_and(|f| f.contains("cluster.roster")));
+        let workflows = |line: &str| format!("{one}[cluster.workflows]\n{line}\n");
+        assert_eq!(fault(&workflows("")), None);
+        for line in ["lease_s = 0.1", "steps = 0", "bytes = 9", "tokens = 0", "lasts_s = nan", "kept = \"\""] {
+            let key = line.split(' ').next().unwrap_or_default();
+            let found = fault(&workflows(line)).unwrap_or_default();
+            assert!(found.contains(&format!("cluster.workflows.{key}: ")), "{line}: {found}");
+        }
     }
 
     #[test]
--- a/crates/core/src/settings/cluster.rs
+++ b/crates/core/src/settings/cluster.rs
@@ -50,6 +50,9 @@
     pub(super) fn check(&self, own: &str, c: &mut Check) {
         c.name("cluster.name", &self.name);
         c.name("cluster.secret", &self.secret);
+        if let Some(workflows) = &self.workflows {
+            check_workflows(workflows, c);
+        }
         if !self.seeds.is_empty() {
             return match self.roster.is_empty() {
                 true => self.check_seeds(c),
@@ -90,3 +93,15 @@
         self.address.or_else(|| self.roster.iter().find(|p| p.name == own).map(|p| p.address))
     }
 }
+
+fn check_workflows(w: &bitternlatch_workflow::Settings, c: &mut Check) {
+    if let Some(kept) = &w.kept {
+        c.name("cluster.workflows.kept", kept);
+    }
+    c.within("cluster.workflows.steps", f64::from(w.steps), 1.0, 100_000.0);
+    c.within("cluster.workflows.bytes", w.bytes as f64, 1024.0, 64.0 * 1048576.0);
+    c.within("cluster.workflows.tokens", w.tokens as f64, 1.0, 1e12);
+    c.within("cluster.workflows.lasts_s", w.lasts_s, 1.0, 1e8);
+    // Shorter than a few words between peers, a lease would end in every pause; longer than an hour, nobody would resume.
+    c.within("cluster.workflows.lease_s", w.lease_s, 0.2, 3600.0);
+}
--- a/crates/peer-net/src/lib.rs
+++ b/crates/peer-net/src/lib.rs
@@ -3,6 +3,7 @@
 //! What is said and who is there is decided in `bitternlatch-membership`; here are sockets, the clock and files.
 
 mod beside;
+mod kept;
 mod links;
 mod plane;
 mod routes;
@@ -11,6 +12,7 @@
 mod views;
 
 pub use beside::{AskError, Asker, Batch, Store};
+pub use kept::Kept;
 pub use plane::{Plane, Told};
 pub use seeds::roster;
 pub use views::{ask, Line, Shown};
