--- /dev/null
+++ b/crates/workflow/src/attempts.rs
@@ -0,0 +1,89 @@
+//! What this process knows of its own attempts: those that it let leave and that have not ended, and those whose intent may be
+//! in a register though nobody was told to send it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bitternlatch_agreement::Process;
+use bitternlatch_replica::RegisterKey;
+
+use crate::step::Attempt;
+use crate::turns::Mine;
+
+/// Attempts known at a time; intents beyond are refused as busy.
+const ATTEMPTS_MOST: usize = 16 * 1024;
+
+#[derive(Clone, Debug)]
+pub(crate) struct Local {
+    pub step: u32,
+    pub epoch: u64,
+    pub sent: bool,
+    /// Until then its workflow is carried for it without a word of the worker.
+    pub carried: Duration,
+}
+
+/// By workflow and number, in order.
+#[derive(Debug)]
+pub(crate) struct Attempts {
+    own: Process,
+    count: u64,
+    known: BTreeMap<(RegisterKey, u64), Local>,
+}
+
+impl Attempts {
+    pub(crate) fn new(own: Process) -> Attempts {
+        Attempts { own, count: 0, known: BTreeMap::new() }
+    }
+
+    /// A new attempt, which nobody was told to send yet; none where too many are known.
+    pub(crate) fn open(&mut self, key: RegisterKey, step: u32, epoch: u64) -> Option<Attempt> {
+        if self.known.len() >= ATTEMPTS_MOST {
+            return None;
+        }
+        self.count += 1;
+        self.known.insert((key, self.count), Local { step, epoch, sent: false, carried: Duration::ZERO });
+        Some(Attempt { name: self.own.name.0, start: self.own.start, number: self.count })
+    }
+
+    pub(crate) fn sent(&mut self, key: RegisterKey, attempt: Attempt, carried: Duration) {
+        if let Some(local) = self.known.get_mut(&(key, attempt.number)) {
+            (local.sent, local.carried) = (true, carried);
+        }
+    }
+
+    pub(crate) fn mine(&self, key: RegisterKey, attempt: Attempt) -> Mine {
+        let own = attempt.name == self.own.name.0 && attempt.start == self.own.start;
+        match self.known.get(&(key, attempt.number)).filter(|_| own) {
+            Some(Local { sent: true, .. }) => Mine::Running,
+            Some(_) => Mine::NeverSent,
+            None => Mine::Unknown,
+        }
+    }
+
+    fn of(&self, key: RegisterKey) -> impl DoubleEndedIterator<Item = (u64, &Local)> {
+        self.known.range((key, 0)..=(key, u64::MAX)).map(|((_, number), local)| (*number, local))
+    }
+
+    /// The attempt whose end is told: the last one that left for this step under this epoch.
+    pub(crate) fn ending(&self, key: RegisterKey, step: u32, epoch: u64) -> Option<Attempt> {
+        let is = |l: &Local| l.sent && l.step == step && l.epoch == epoch;
+        let (number, _) = self.of(key).rev().find(|(_, l)| is(l))?;
+        Some(Attempt { name: self.own.name.0, start: self.own.start, number })
+    }
+
+    /// The epoch under which the workflow is to be carried for an attempt that is under way.
+    pub(crate) fn carrying(&self, now: Duration, key: RegisterKey) -> Option<u64> {
+        self.of(key).filter(|(_, l)| l.sent && now < l.carried).map(|(_, l)| l.epoch).max()
+    }
+
+    /// It has ended, and the register says so, or nobody will ask any more.
+    pub(crate) fn close(&mut self, key: RegisterKey, attempt: Attempt) {
+        self.known.remove(&(key, attempt.number));
+    }
+
+    /// The workflow is over.
+    pub(crate) fn close_all(&mut self, key: RegisterKey) {
+        let numbers: Vec<u64> = self.of(key).map(|(number, _)| number).collect();
+        numbers.into_iter().for_each(|number| drop(self.known.remove(&(key, number))));
+    }
+}
--- a/crates/workflow/src/io.rs
+++ b/crates/workflow/src/io.rs
@@ -38,7 +38,7 @@
 pub struct Call(pub u64);
 
 /// What a step may do to the world.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Effect {
     Safe,
     Keyed,
@@ -91,6 +91,9 @@
     Carry { call: Call, workflow: String, epoch: u64, until_us: u64 },
     /// The workflow is finished, or cancelled: all is let go of but its result.
     Finish { call: Call, workflow: String, epoch: u64, cancelled: bool, until_us: u64 },
+    /// A person has decided about an unsettled step: it ran with this result, it never ran, or ([`Fate::MayHaveRun`]) it is left
+    /// out. Also lets a parked workflow go on, whatever step is named. Refused as carried until its last lease is over.
+    Settle { call: Call, workflow: String, step: u32, fate: Fate, until_us: u64 },
 }
 
 /// To the core; one answer a call, but for [`Told::Go`] followed by the answer to [`Ask::Ended`], which has a call of its own.
