--- a/crates/workflow/src/attempts.rs
+++ b/crates/workflow/src/attempts.rs
@@ -12,14 +12,17 @@
 
 /// Attempts known at a time; intents beyond are refused as busy.
 const ATTEMPTS_MOST: usize = 16 * 1024;
+/// How long one is remembered for certain.
+const KNOWN_LASTS: Duration = Duration::from_secs(120);
 
 #[derive(Clone, Debug)]
 pub(crate) struct Local {
     pub step: u32,
     pub epoch: u64,
     pub sent: bool,
-    /// Until then its workflow is carried for it without a word of the worker.
-    pub carried: Duration,
+    /// Past it the attempt may be forgotten where there is no room. Until then one that was sent has its workflow carried for
+    /// it without a word of the worker.
+    pub until: Duration,
 }
 
 /// By workflow and number, in order.
@@ -36,18 +39,21 @@
     }
 
     /// A new attempt, which nobody was told to send yet; none where too many are known.
-    pub(crate) fn open(&mut self, key: RegisterKey, step: u32, epoch: u64) -> Option<Attempt> {
+    pub(crate) fn open(&mut self, now: Duration, key: RegisterKey, step: u32, epoch: u64) -> Option<Attempt> {
+        if self.known.len() >= ATTEMPTS_MOST {
+            self.known.retain(|_, local| now < local.until);
+        }
         if self.known.len() >= ATTEMPTS_MOST {
             return None;
         }
         self.count += 1;
-        self.known.insert((key, self.count), Local { step, epoch, sent: false, carried: Duration::ZERO });
+        self.known.insert((key, self.count), Local { step, epoch, sent: false, until: now + KNOWN_LASTS });
         Some(Attempt { name: self.own.name.0, start: self.own.start, number: self.count })
     }
 
-    pub(crate) fn sent(&mut self, key: RegisterKey, attempt: Attempt, carried: Duration) {
+    pub(crate) fn sent(&mut self, now: Duration, key: RegisterKey, attempt: Attempt) {
         if let Some(local) = self.known.get_mut(&(key, attempt.number)) {
-            (local.sent, local.carried) = (true, carried);
+            (local.sent, local.until) = (true, now + KNOWN_LASTS);
         }
     }
 
@@ -73,7 +79,13 @@
 
     /// The epoch under which the workflow is to be carried for an attempt that is under way.
     pub(crate) fn carrying(&self, now: Duration, key: RegisterKey) -> Option<u64> {
-        self.of(key).filter(|(_, l)| l.sent && now < l.carried).map(|(_, l)| l.epoch).max()
+        self.of(key).filter(|(_, l)| l.sent && now < l.until).map(|(_, l)| l.epoch).max()
+    }
+
+    /// The workflow is not this one's to carry any more; the attempt's end is still of use.
+    pub(crate) fn fenced(&mut self, key: RegisterKey, epoch: u64) {
+        let known = self.known.range_mut((key, 0)..=(key, u64::MAX));
+        known.filter(|(_, l)| l.epoch == epoch).for_each(|(_, l)| l.until = Duration::ZERO);
     }
 
     /// It has ended, and the register says so, or nobody will ask any more.
@@ -84,6 +96,8 @@
     /// The workflow is over.
     pub(crate) fn close_all(&mut self, key: RegisterKey) {
         let numbers: Vec<u64> = self.of(key).map(|(number, _)| number).collect();
-        numbers.into_iter().for_each(|number| drop(self.known.remove(&(key, number))));
+        for number in numbers {
+            self.known.remove(&(key, number));
+        }
     }
 }
--- a/crates/workflow/src/context.rs
+++ b/crates/workflow/src/context.rs
@@ -62,7 +62,8 @@
             return String::new();
         }
         let digest = self.digest.iter().map(|b| format!("{b:02x}")).collect::<String>();
-        let head = format!("{} steps done earlier, {} lines not shown, digest {digest}", self.steps, self.gone);
+        let head =
+            format!("{} steps done earlier, {} lines not shown, digest {digest}", self.steps, self.gone);
         format!("{head}\n{}", self.lines)
     }
 
--- /dev/null
+++ b/crates/workflow/src/machine.rs
@@ -0,0 +1,149 @@
+//! The machine beside the plane: the desk, and the replica that it stands on.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+use bitternlatch_agreement::{Beside, Given, Process, Wanted};
+use bitternlatch_membership::{NameKey, Topic};
+use bitternlatch_replica::{Input, Output, RegisterKey, Replica, Version};
+
+use crate::desk::{Desk, Out};
+use crate::io::{Ask, Settings, Told};
+use crate::record::{Guards, Record};
+
+/// Copies of a workflow.
+const COPIES: usize = 3;
+/// How often this member's copies are looked at, and how many at a time.
+const SWEEP_EVERY: Duration = Duration::from_millis(500);
+const SWEEP_MOST: usize = 256;
+
+/// Workflows at one dispatcher.
+pub struct Workflows {
+    desk: Desk,
+    replica: Replica,
+    /// The last copy that was looked at, and when the next ones are.
+    swept: Option<RegisterKey>,
+    sweep_at: Duration,
+    out: Vec<Out>,
+    done: Vec<Output>,
+}
+
+impl Workflows {
+    /// `roster`: all dispatchers, this one among them. `durable`: whether [`Wanted::Keep`] reaches a disk.
+    pub fn new(
+        own: Process,
+        roster: BTreeSet<NameKey>,
+        settings: &Settings,
+        durable: bool,
+        seed: u64,
+        now: Duration,
+    ) -> Workflows {
+        Workflows::guarded(own, roster, settings, durable, seed, now, Guards::BUILT)
+    }
+
+    /// With some of the rules left out, to show what they are for.
+    #[doc(hidden)]
+    pub fn guarded(
+        own: Process,
+        roster: BTreeSet<NameKey>,
+        settings: &Settings,
+        durable: bool,
+        seed: u64,
+        now: Duration,
+        guards: Guards,
+    ) -> Workflows {
+        let below = bitternlatch_replica::Settings { copies: COPIES, durable };
+        Workflows {
+            desk: Desk::new(own, settings, guards),
+            replica: Replica::new(own, roster, below, seed, now),
+            swept: None,
+            sweep_at: now + SWEEP_EVERY,
+            out: vec![],
+            done: vec![],
+        }
+    }
+
+    /// Looks at some of the copies held here: their leases are watched from now on, and what has not been written for as long
+    /// as it may last goes to its end.
+    fn sweep(&mut self, now: Duration) {
+        if now < self.sweep_at {
+            return;
+        }
+        self.sweep_at = now + SWEEP_EVERY;
+        let after = self.swept.take();
+        let held = self.replica.held().filter(|(key, ..)| after.is_none_or(|last| **key > last));
+        let some: Vec<(RegisterKey, Version, Vec<u8>)> =
+            held.take(SWEEP_MOST).map(|(key, version, value)| (*key, version, value.to_vec())).collect();
+        if some.len() == SWEEP_MOST {
+            self.swept = some.last().map(|(key, ..)| *key);
+        }
+        for (key, version, value) in some {
+            // One that cannot be read is named when somebody asks for it.
+            let Ok(record) = Record::decode(&value) else { continue };
+            self.desk.watches.see(now, key, version, &record);
+            let unchanged = self.desk.watches.unchanged(now, key, version);
+            if self.desk.stale(&record, unchanged) {
+                self.desk.sweep(now, key, &record, &mut self.out);
+            }
+        }
+    }
+
+    /// Carries words between desk and replica until both are still.
+    fn settle(&mut self, now: Duration, first: Option<Input>, out: &mut Vec<Wanted<Told>>) {
+        let mut inputs: VecDeque<Input> = first.into_iter().collect();
+        loop {
+            for wanted in self.out.drain(..) {
+                match wanted {
+                    Out::Register(input) => inputs.push_back(input),
+                    Out::Tell(told) => out.push(Wanted::Tell(told)),
+                    Out::Log { warn, text } => out.push(Wanted::Log { warn, text }),
+                }
+            }
+            let Some(input) = inputs.pop_front() else { return };
+            self.replica.step(now, input, &mut self.done);
+            for done in self.done.drain(..) {
+                match done {
+                    Output::Send(to, said) => out.push(Wanted::Send(to, said)),
+                    Output::Keep { ticket, name, bytes } => out.push(Wanted::Keep { ticket, name, bytes }),
+                    Output::Read { call, found } => self.desk.found(now, call, found, &mut self.out),
+                    Output::Written { call, done } => self.desk.written(now, call, done, &mut self.out),
+                    Output::Event(event) => {
+                        let text = format!("workflows' copies: {event}; {}", event.advice());
+                        out.push(Wanted::Log { warn: event.warn(), text });
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl Beside for Workflows {
+    const TOPIC: Topic = Topic::Workflows;
+    type Ask = Ask;
+    type Told = Told;
+
+    fn wake_at(&self) -> Option<Duration> {
+        let due = [self.desk.wake_at(), self.replica.wake_at(), Some(self.sweep_at)];
+        due.into_iter().flatten().min()
+    }
+
+    fn step(&mut self, now: Duration, given: Given<Ask>, out: &mut Vec<Wanted<Told>>) {
+        // What is due is done first, so that nothing that waited is taken for in time after a pause.
+        self.desk.wake(now, &mut self.out);
+        self.sweep(now);
+        self.settle(now, None, out);
+        let input = match given {
+            Given::Wake => Input::Wake,
+            Given::Frame { from, said } => Input::Frame { from, said },
+            Given::Peers(peers) => Input::Peers(peers),
+            Given::Found(found) => Input::Found(found),
+            Given::Kept { ticket, done } => Input::Kept { ticket, done },
+            Given::Ask(ask) => {
+                self.desk.ask(now, ask, &mut self.out);
+                return self.settle(now, None, out);
+            }
+            Given::Said { .. } | Given::Leave => return,
+        };
+        self.settle(now, Some(input), out);
+    }
+}
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -97,11 +97,20 @@
 /// What has to be said once, when the record that says so is held.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Notice {
-    Unsettled { step: u32, key: String },
-    Parked { step: u32 },
+    Unsettled {
+        step: u32,
+        key: String,
+    },
+    Parked {
+        step: u32,
+    },
     /// A step that nobody knew the fate of is known now.
-    Known { step: u32 },
-    TwoResults { step: u32 },
+    Known {
+        step: u32,
+    },
+    TwoResults {
+        step: u32,
+    },
     Expired,
 }
 
--- a/crates/workflow/src/turns.rs
+++ b/crates/workflow/src/turns.rs
@@ -184,7 +184,11 @@
         }
         self.compact();
         let turn = Turn::write(told);
-        if lifted { turn.noting(Notice::Known { step: number }) } else { turn }
+        if lifted {
+            turn.noting(Notice::Known { step: number })
+        } else {
+            turn
+        }
     }
 
     /// A second result: the one that a majority held first stands, this one is kept beside it.
--- /dev/null
+++ b/crates/workflow/tests/record.rs
@@ -0,0 +1,285 @@
+//! The record alone: each transition, its limits, its bytes.
+
+use bitternlatch_membership::NameKey;
+use bitternlatch_workflow::*;
+
+const LIMITS: Limits = Limits { steps: 2000, bytes: 1 << 30, tokens: 1 << 30, lasts_us: 1_000_000 };
+const KEPT: Guards = Guards { fencing: true, majority_first: true };
+
+fn by(worker: &str, dead: bool, mine: Mine) -> Claimant<'_> {
+    Claimant { worker, holder: NameKey(1), lease_us: 3_000_000, dead, mine }
+}
+
+fn attempt(number: u64) -> Attempt {
+    Attempt { name: 1, start: 1, number }
+}
+
+fn begun() -> Record {
+    Record::begin("band/season", &by("w1", false, Mine::Unknown))
+}
+
+fn intend_as(r: &mut Record, epoch: u64, step: u32, effect: Effect, asks: u64, mine: Mine) -> Turn {
+    let attempt = attempt(100 * epoch + u64::from(step));
+    r.intend(&Intent { epoch, step, effect, key: "k", asks, attempt }, |_| mine, &LIMITS, KEPT)
+}
+
+fn intend(r: &mut Record, epoch: u64, step: u32, effect: Effect) -> Answer {
+    intend_as(r, epoch, step, effect, 7, Mine::Unknown).answer
+}
+
+fn done(result: &str) -> Fate {
+    Fate::Done { result: result.to_string(), tokens: 1 }
+}
+
+fn end(r: &mut Record, epoch: u64, step: u32, fate: Fate) -> Answer {
+    r.ended(epoch, step, &fate, Some(attempt(100 * epoch + u64::from(step))), KEPT).answer
+}
+
+fn refused(why: Refusal) -> Answer {
+    Answer::Refused(why)
+}
+
+#[test]
+fn a_step_is_intended_once_done_once_and_known_ever_after() {
+    let mut r = begun();
+    assert_eq!(intend(&mut r, 1, 2, Effect::Safe), refused(Refusal::Unknown));
+    assert_eq!(intend(&mut r, 1, 1, Effect::Unsafe), Answer::Go);
+    assert_eq!(intend(&mut r, 1, 2, Effect::Safe), refused(Refusal::Unknown));
+    assert_eq!(end(&mut r, 1, 1, done("booked")), Answer::Held);
+    assert_eq!(intend(&mut r, 1, 1, Effect::Unsafe), Answer::Known("booked".into()));
+    let other = intend_as(&mut r, 1, 1, Effect::Unsafe, 8, Mine::Unknown);
+    assert_eq!(other.answer, refused(Refusal::OtherRequest));
+    // What never ran may be asked for in other words; what may have run may not.
+    assert_eq!(intend(&mut r, 1, 2, Effect::Keyed), Answer::Go);
+    assert_eq!(end(&mut r, 1, 2, Fate::NeverRan), Answer::Held);
+    assert_eq!(intend_as(&mut r, 1, 2, Effect::Keyed, 9, Mine::Unknown).answer, Answer::Go);
+    assert_eq!(end(&mut r, 1, 2, Fate::MayHaveRun), Answer::Held);
+    assert_eq!(
+        intend_as(&mut r, 1, 2, Effect::Keyed, 8, Mine::Unknown).answer,
+        refused(Refusal::OtherRequest)
+    );
+    assert_eq!(intend_as(&mut r, 1, 2, Effect::Keyed, 9, Mine::Unknown).answer, Answer::Go);
+    // An earlier attempt of it may have run, so that it is never again one that certainly did not.
+    assert_eq!(end(&mut r, 1, 2, Fate::NeverRan), Answer::Held);
+    assert_eq!(r.shown().1[1].fate, Some(Fate::MayHaveRun));
+}
+
+#[test]
+fn one_carries_it_and_each_claim_fences_those_before() {
+    let mut r = begun();
+    assert_eq!(r.claim(&by("w2", false, Mine::Unknown)).answer, refused(Refusal::Carried));
+    assert_eq!(r.claim(&by("w1", false, Mine::Unknown)).answer, Answer::Claimed);
+    assert_eq!(r.epoch(), 2);
+    assert_eq!(r.claim(&by("w2", true, Mine::Unknown)).answer, Answer::Claimed);
+    assert_eq!(intend(&mut r, 2, 1, Effect::Safe), refused(Refusal::Fenced));
+    assert_eq!(r.carry(2, KEPT).answer, refused(Refusal::Fenced));
+    assert_eq!(r.finish(2, false, KEPT).answer, refused(Refusal::Fenced));
+    assert_eq!(intend(&mut r, 3, 1, Effect::Safe), Answer::Go);
+    assert_eq!(end(&mut r, 2, 1, done("late")), refused(Refusal::Fenced));
+    assert_eq!(end(&mut r, 3, 1, done("here")), Answer::Held);
+    assert_eq!(r.shown().1[0].fate, Some(done("here")));
+    // Without fencing both go on: that is what it is there against.
+    let broken = Guards { fencing: false, ..KEPT };
+    assert_eq!(r.carry(2, broken).answer, Answer::Held);
+}
+
+#[test]
+fn an_unsafe_step_that_may_have_run_stops_it_until_a_person_decides() {
+    for (fate, next) in [
+        (done("looked up"), Answer::Known("looked up".into())),
+        (Fate::NeverRan, Answer::Go),
+        (Fate::MayHaveRun, Answer::Known("left out: a person decided so; it may have run".into())),
+    ] {
+        let mut r = begun();
+        intend(&mut r, 1, 1, Effect::Unsafe);
+        let turn = r.claim(&by("w2", true, Mine::Unknown));
+        assert_eq!(turn.answer, refused(Refusal::Unsettled));
+        assert!(turn.write && matches!(turn.notice, Some(Notice::Unsettled { step: 1, .. })));
+        // Told once: later ones are refused without a word for the log.
+        let again = r.claim(&by("w3", true, Mine::Unknown));
+        assert!(again.answer == refused(Refusal::Unsettled) && !again.write && again.notice.is_none());
+        assert_eq!(intend(&mut r, 1, 1, Effect::Unsafe), refused(Refusal::Unsettled));
+        assert_eq!(r.settle(1, &fate, false).answer, refused(Refusal::Carried));
+        assert_eq!(r.settle(2, &fate, true).answer, refused(Refusal::Unknown));
+        assert_eq!(r.settle(1, &fate, true).answer, Answer::Held);
+        assert_eq!(intend(&mut r, 1, 1, Effect::Unsafe), refused(Refusal::Fenced));
+        assert_eq!(r.claim(&by("w3", false, Mine::Unknown)).answer, Answer::Claimed);
+        let epoch = r.epoch();
+        assert_eq!(intend(&mut r, epoch, 1, Effect::Unsafe), next);
+    }
+}
+
+#[test]
+fn the_late_end_of_the_very_attempt_settles_it_and_a_second_result_is_kept_beside() {
+    let mut r = begun();
+    intend(&mut r, 1, 1, Effect::Unsafe);
+    r.claim(&by("w2", true, Mine::Unknown));
+    assert_eq!(r.state(), State::Unsettled);
+    // Another attempt's word settles nothing.
+    let stranger = r.ended(0, 1, &done("other"), Some(attempt(5)), KEPT);
+    assert_eq!((stranger.answer, r.state()), (refused(Refusal::Fenced), State::Unsettled));
+    let turn = r.ended(1, 1, &done("booked"), Some(attempt(101)), KEPT);
+    assert!(turn.write && turn.notice == Some(Notice::Known { step: 1 }));
+    assert_eq!(r.state(), State::Open);
+    assert_eq!(intend(&mut r, 1, 1, Effect::Unsafe), Answer::Known("booked".into()));
+    let second = r.ended(1, 1, &done("booked twice"), Some(attempt(101)), KEPT);
+    assert_eq!((second.write, second.notice), (true, Some(Notice::TwoResults { step: 1 })));
+    assert_eq!(r.shown().1[0].fate, Some(done("booked")));
+}
+
+#[test]
+fn an_attempt_that_runs_in_the_claimants_own_process_is_not_doubted() {
+    let mut r = begun();
+    intend(&mut r, 1, 1, Effect::Unsafe);
+    assert_eq!(r.claim(&by("w1", false, Mine::Running)).answer, Answer::Claimed);
+    assert_eq!(intend_as(&mut r, 2, 1, Effect::Unsafe, 7, Mine::Running).answer, refused(Refusal::Busy));
+    assert_eq!(end(&mut r, 1, 1, done("booked")), refused(Refusal::Fenced));
+    assert_eq!(intend(&mut r, 2, 1, Effect::Unsafe), Answer::Known("booked".into()));
+    // One that it never told anybody to send is run as if nothing had been.
+    intend(&mut r, 2, 2, Effect::Unsafe);
+    assert_eq!(intend_as(&mut r, 2, 2, Effect::Unsafe, 7, Mine::NeverSent).answer, Answer::Go);
+    assert_eq!(r.claim(&by("w1", false, Mine::NeverSent)).answer, Answer::Claimed);
+    assert_eq!(r.shown().1[1].fate, Some(Fate::NeverRan));
+}
+
+#[test]
+fn what_killed_three_workers_over_one_step_is_parked_and_progress_forgives() {
+    let mut r = begun();
+    for (epoch, worker) in [(1, "w2"), (2, "w3")] {
+        intend(&mut r, epoch, 1, Effect::Safe);
+        assert_eq!(r.claim(&by(worker, true, Mine::Unknown)).answer, Answer::Claimed);
+    }
+    let mut forgiven = r.clone();
+    let turn = r.claim(&by("w4", true, Mine::Unknown));
+    assert_eq!((turn.answer, turn.notice), (refused(Refusal::Parked), Some(Notice::Parked { step: 1 })));
+    assert_eq!(r.claim(&by("w3", true, Mine::Unknown)).answer, refused(Refusal::Parked));
+    assert_eq!(r.settle(1, &Fate::NeverRan, true).answer, Answer::Held);
+    assert_eq!(r.claim(&by("w5", false, Mine::Unknown)).answer, Answer::Claimed);
+    intend(&mut forgiven, 3, 1, Effect::Safe);
+    end(&mut forgiven, 3, 1, done("x"));
+    assert_eq!(forgiven.claim(&by("w4", true, Mine::Unknown)).answer, Answer::Claimed);
+}
+
+#[test]
+fn finish_cancel_and_expiry_let_go_of_all_but_a_short_record() {
+    for which in 0..3 {
+        let mut r = begun();
+        for step in 1..=20 {
+            intend(&mut r, 1, step, Effect::Keyed);
+            end(&mut r, 1, step, done(&"x".repeat(RESULT_MOST)));
+        }
+        intend(&mut r, 1, 21, Effect::Keyed);
+        assert_eq!(r.finish(1, false, KEPT).answer, refused(Refusal::Unknown));
+        let answer = match which {
+            0 => {
+                end(&mut r, 1, 21, done("y"));
+                r.finish(1, false, KEPT).answer
+            }
+            1 => r.finish(1, true, KEPT).answer,
+            _ => r.expire().answer,
+        };
+        assert_eq!(answer, if which < 2 { Answer::Held } else { refused(Refusal::Limit) });
+        assert!(r.encode().unwrap().len() < 1300);
+        assert_eq!(intend(&mut r, 1, 22, Effect::Safe), refused(Refusal::Ended));
+        assert_eq!(r.claim(&by("w2", true, Mine::Unknown)).answer, refused(Refusal::Ended));
+        // The same word again is answered alike.
+        assert_eq!(r.finish(1, which == 1, KEPT).answer == Answer::Held, which < 2);
+    }
+}
+
+#[test]
+fn the_thousandth_step_costs_as_the_hundredth_and_what_is_compacted_is_never_run_again() {
+    let mut r = begun();
+    let mut sizes = vec![];
+    for step in 1..=1000 {
+        assert_eq!(intend(&mut r, 1, step, Effect::Unsafe), Answer::Go);
+        let long = format!("result of step {step}, ").repeat(20);
+        assert_eq!(end(&mut r, 1, step, done(&long)), Answer::Held);
+        sizes.push(r.encode().unwrap().len());
+    }
+    println!("bytes at step 10, 100, 1000: {} {} {}", sizes[9], sizes[99], sizes[999]);
+    assert!(sizes[999] <= sizes[99] + 200 && sizes[999] < 9_000, "{} {}", sizes[99], sizes[999]);
+    assert_eq!(r.closed(), 1000);
+    for step in [1, 500, 990, 995, 1000] {
+        assert!(matches!(intend(&mut r, 1, step, Effect::Unsafe), Answer::Known(_)), "{step}");
+    }
+    let (context, steps) = r.shown();
+    assert!(context.starts_with("994 steps done earlier") && steps.len() == WHOLE_MOST, "{context}");
+    // A late second result of a compacted one is noted, and changes nothing else.
+    let turn = r.ended(0, 3, &done("late"), Some(attempt(9)), KEPT);
+    assert_eq!((turn.write, turn.answer), (true, refused(Refusal::Fenced)));
+    assert!(r.shown().0.contains("3 again: late"));
+}
+
+#[test]
+fn limits_hold() {
+    let limits = Limits { steps: 2, bytes: 10, tokens: 3, lasts_us: 100 };
+    let intent = |step, attempt| Intent { epoch: 1, step, effect: Effect::Safe, key: "", asks: 1, attempt };
+    for (result, tokens) in [("eleven bytes", 0), ("", 3)] {
+        let mut r = begun();
+        r.intend(&intent(1, attempt(1)), |_| Mine::Unknown, &limits, KEPT);
+        r.ended(1, 1, &Fate::Done { result: result.into(), tokens }, Some(attempt(1)), KEPT);
+        let turn = r.intend(&intent(2, attempt(2)), |_| Mine::Unknown, &limits, KEPT);
+        assert_eq!(turn.answer, refused(Refusal::Limit));
+    }
+    let mut r = begun();
+    for step in 0..2 {
+        r.intend(&intent(step, attempt(1)), |_| Mine::Unknown, &limits, KEPT);
+        r.ended(1, step, &done(""), Some(attempt(1)), KEPT);
+    }
+    let turn = r.intend(&intent(2, attempt(2)), |_| Mine::Unknown, &limits, KEPT);
+    assert_eq!(turn.answer, refused(Refusal::Limit));
+    assert!(!r.age(60, &limits) && r.age(60, &limits));
+}
+
+#[test]
+fn records_of_other_versions_torn_and_overlong_ones_are_told_apart() {
+    let bytes = begun().encode().unwrap();
+    assert_eq!(Record::decode(&bytes), Ok(begun()));
+    let mut other = bytes.clone();
+    other[0] = 2;
+    assert_eq!(Record::decode(&other), Err(WorkflowError::OtherVersion));
+    assert_eq!(Record::decode(&vec![1; RECORD_MOST + 1]), Err(WorkflowError::TooLong));
+    let longer = [bytes.clone(), vec![0]].concat();
+    assert_eq!(Record::decode(&longer), Err(WorkflowError::Unreadable));
+    for end in 0..bytes.len() {
+        assert_eq!(Record::decode(&bytes[..end]), Err(WorkflowError::Unreadable), "{end}");
+    }
+    let said: std::collections::BTreeSet<String> =
+        WorkflowError::ALL.iter().map(|e| format!("{e}: {}", e.advice())).collect();
+    assert_eq!(said.len(), WorkflowError::ALL.len());
+}
+
+proptest::proptest! {
+    /// Whatever is done, the record stays within its bound, its epoch never falls, and a result that stands stays.
+    #[test]
+    fn any_course_is_bounded_and_forward_only(course in proptest::collection::vec((0u8..7, 0u32..5, 0u8..4, 0usize..9000), 1..120)) {
+        let mut r = begun();
+        let mut stood = std::collections::BTreeMap::new();
+        for (i, (what, step, effect, long)) in course.into_iter().enumerate() {
+            let (step, epoch) = ((r.closed() + step).saturating_sub(2), r.epoch().saturating_sub(u64::from(effect == 3)));
+            let effect = [Effect::Safe, Effect::Keyed, Effect::Unsafe][usize::from(effect % 3)];
+            let before = r.epoch();
+            let a = attempt(i as u64);
+            let worker = if long % 2 == 0 { "w1" } else { "w2" };
+            match what {
+                0 => drop(r.claim(&by(worker, long % 3 == 0, Mine::Unknown))),
+                1 | 2 => {
+                    let intent = Intent { epoch, step, effect, key: "k", asks: 1, attempt: a };
+                    r.intend(&intent, |_| Mine::Unknown, &LIMITS, KEPT);
+                }
+                3 | 4 => drop(r.ended(epoch, step, &done(&"ä".repeat(long)), r.open_attempt(), KEPT)),
+                5 => drop(r.ended(epoch, step, &Fate::MayHaveRun, r.open_attempt(), KEPT)),
+                _ => drop(r.settle(step, &Fate::NeverRan, true)),
+            }
+            proptest::prop_assert!(r.epoch() >= before && r.encode().is_ok());
+            proptest::prop_assert!(Record::decode(&r.encode().unwrap()) == Ok(r.clone()));
+            for step in r.shown().1 {
+                if let Some(Fate::Done { result, .. }) = step.fate {
+                    let first = stood.entry(step.number).or_insert(result.clone());
+                    proptest::prop_assert_eq!(&*first, &result);
+                }
+            }
+        }
+    }
+}
