--- a/crates/core/src/answers.rs
+++ b/crates/core/src/answers.rs
@@ -180,6 +180,7 @@
             _ => request.unfinished(),
         };
         let until = request.deadline.max(now.after(HELD_WITHIN_S));
+        self.drop_waiting(id);
         match self.workflows.end(id, fate, Box::new(answer), until) {
             Ok((call, ask)) => {
                 self.timers.set(until, Timer::Call { call });
@@ -190,11 +191,20 @@
         }
     }
 
+    pub(crate) fn end_again(&mut self, id: RequestId, out: &mut Vec<Output>) {
+        if let Some((call, until, ask)) = self.workflows.end_again(id) {
+            self.timers.set(until, Timer::Call { call });
+            out.push(Output::Workflow(ask));
+        }
+    }
+
     /// What became of a step that nobody waits for.
     fn abandon_step(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
         let Some(request) = self.requests.get(&id).filter(|r| r.step) else { return };
         let until = request.deadline.max(now.after(HELD_WITHIN_S));
-        let told = self.workflows.abandon(id, request.unfinished(), until);
+        let fate = request.unfinished();
+        self.drop_waiting(id);
+        let told = self.workflows.abandon(id, fate, until);
         out.extend(told.map(Output::Workflow));
     }
 
@@ -208,8 +218,8 @@
                 out.push(Output::Say { session: asked.session, text });
             }
             Some(Act::Go { asked, intent, until }) => self.take_step(now, &asked, intent, until, out),
-            Some(Act::Renewed(id)) => self.set_permit(now, id),
-            Some(Act::Again(id)) => self.timers.set(now.after(AGAIN_S), Timer::Permit { request: id }),
+            Some(Act::Send { request, send, may }) => self.send_on(now, request, send, may, out),
+            Some(Act::Again(id)) => self.timers.set(now.after(AGAIN_S), Timer::End { request: id }),
             Some(Act::Give { request, answer, held }) => self.give_step(now, request, *answer, held, out),
             Some(Act::Tell(ask)) => out.push(Output::Workflow(ask)),
         }
--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -163,17 +163,26 @@
             return self.hand_back(now, queued, out);
         }
         for message in queued {
-            self.told_late(now, link, &message.attempt);
-            out.push(self.tell_attempt(link, message));
+            let Some(id) = self.told_late(now, link, &message.attempt) else {
+                // Its permission has passed while it waited for the link.
+                self.hand_back(now, vec![message], out);
+                continue;
+            };
+            out.push(self.tell_attempt(now, id, link, message));
         }
     }
 
-    fn told_late(&mut self, now: Micros, link: LinkId, attempt: &str) {
-        let Some((id, number)) = read_wire_id(self.instance, attempt) else { return };
+    fn told_late(&mut self, now: Micros, link: LinkId, attempt: &str) -> Option<RequestId> {
+        let (id, number) = read_wire_id(self.instance, attempt)?;
+        let may = self.workflows.may_leave(now, id);
         let current = self.requests.get_mut(&id).and_then(|r| r.attempt.as_mut());
         if let Some(a) = current.filter(|a| a.number == number) {
+            if a.purpose != Purpose::Read && !may {
+                return None;
+            }
             (a.stage, a.link, a.heard) = (Stage::Out, link, now);
         }
+        Some(id)
     }
 
     fn on_state(&mut self, now: Micros, link: LinkId, state: EngineState, out: &mut Vec<Output>) {
--- a/crates/core/src/carry.rs
+++ b/crates/core/src/carry.rs
@@ -9,6 +9,7 @@
 use crate::settings::Effect;
 use crate::timers::Timer;
 use crate::types::{Level, LinkId, Micros, Output, Stale};
+use crate::workflows::Waits;
 
 impl Machine {
     pub(crate) fn carry_out(&mut self, now: Micros, action: Action, out: &mut Vec<Output>) {
@@ -39,6 +40,10 @@
 
     fn send(&mut self, now: Micros, id: RequestId, host: ServerId, timeout_s: f64, out: &mut Vec<Output>) {
         let open = self.fleet.get(host).filter(|k| k.takes_work()).map(|k| k.role);
+        // A step's effect leaves while it is permitted, and waits where it is not; a read has none.
+        if open != Some(Role::Reader) && !self.workflows.may_leave(now, id) {
+            return self.wait_to_send(now, id, Waits { host, timeout_s }, out);
+        }
         let Some(request) = self.requests.get_mut(&id).filter(|r| !r.answered && r.attempt.is_none()) else {
             return self.not_sent(id, 0, host, Outcome::Moot);
         };
@@ -55,15 +60,11 @@
             (_, Some(_)) => Purpose::Write,
             (_, None) => Purpose::Whole,
         };
-        // As above; a read has no effect, and is wasted at the worst.
-        if purpose != Purpose::Read && !self.workflows.may_leave(now, id) {
-            return self.not_sent(id, number, host, Outcome::Moot);
-        }
         let text = self.completion(id, number, purpose);
         let attempt = wire_id(self.instance, id, number);
         let (link, stage) = match self.links.give(host, Queued { attempt, text }) {
             Given::Tell(link, message) => {
-                out.push(self.tell_attempt(link, message));
+                out.push(self.tell_attempt(now, id, link, message));
                 (link, Stage::Out)
             }
             Given::Queued(link) => (link, Stage::Queued),
@@ -72,10 +73,55 @@
         self.begin_attempt(now, id, Attempt::new(number, host, link, purpose, stage, now), timeout_s);
     }
 
-    /// An attempt's message on its way: it must not reach a host long after a drain was told.
-    pub(crate) fn tell_attempt(&self, link: LinkId, message: Queued) -> Output {
+    fn wait_to_send(&mut self, now: Micros, id: RequestId, send: Waits, out: &mut Vec<Output>) {
+        let live = self.requests.get(&id).filter(|r| !r.answered && r.attempt.is_none());
+        let asked = live.map(|r| (r.may_run(), r.deadline)).and_then(|(may_have_run, ends)| {
+            let ends = ends.max(now.after(PROBE_S));
+            self.workflows.wait(id, send, may_have_run, ends).map(|(call, tell)| (call, tell, ends))
+        });
+        let Some((call, tell, ends)) = asked else { return self.send_not(id, send) };
+        self.timers.set(ends, Timer::Call { call });
+        out.extend(tell.into_iter().map(Output::Workflow));
+    }
+
+    /// A send that waited for its permission has it, or is refused.
+    pub(crate) fn send_on(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        send: Waits,
+        may: bool,
+        out: &mut Vec<Output>,
+    ) {
+        match may {
+            true => self.send(now, id, send.host, send.timeout_s, out),
+            false => self.send_not(id, send),
+        }
+    }
+
+    /// A request ends while its send waits: the module is told that it never left.
+    pub(crate) fn drop_waiting(&mut self, id: RequestId) {
+        if let Some(send) = self.workflows.unwait(id) {
+            self.send_not(id, send);
+        }
+    }
+
+    fn send_not(&mut self, id: RequestId, send: Waits) {
+        let number = self.requests.get_mut(&id).map_or(0, |r| {
+            r.attempts += 1;
+            r.attempts - 1
+        });
+        self.not_sent(id, number, send.host, Outcome::Moot);
+    }
+
+    /// An attempt's message on its way: it must not reach a host long after a drain was told, nor a step's past its permission.
+    pub(crate) fn tell_attempt(&self, now: Micros, id: RequestId, link: LinkId, message: Queued) -> Output {
         let Queued { attempt, text } = message;
-        let stale = Stale { after_s: self.settings.rules.drain_grace_s / 2.0, attempt };
+        let after_s = self.settings.rules.drain_grace_s / 2.0;
+        let reads = self.fleet.get(link.host).is_some_and(|k| k.role == Role::Reader);
+        let left_s = self.workflows.left_s(now, id).filter(|_| !reads);
+        let after_s = left_s.map_or(after_s, |left_s| after_s.min(left_s));
+        let stale = Stale { after_s, attempt };
         Output::Tell { link, text, stale: Some(stale) }
     }
 
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -5,8 +5,8 @@
 use bitternlatch_policy::interface::{Event, Request as Ask, RequestId};
 use bitternlatch_protocol::client::{self, BadRequest, ClientEvent, Create, Response, Status};
 use bitternlatch_protocol::tokens_of;
-use bitternlatch_protocol::workflow::{self, About, Does};
-use bitternlatch_workflow::Refusal;
+use bitternlatch_protocol::workflow::{self, About, Decided, Does};
+use bitternlatch_workflow::{Fate, Refusal};
 use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
 use crate::budgets::{Charged, Denied};
@@ -271,7 +271,7 @@
         self.prompt_bytes += request.prompt.len();
         self.requests.insert(id, request);
         if let Some((intent, until)) = wanted.step {
-            self.begin_step(now, id, intent, until);
+            self.workflows.go(id, intent, until);
         }
         self.sessions.listen(session, id);
         self.say_created(id, session, out);
@@ -361,6 +361,14 @@
             Does::Carry { epoch } => Question::Carry { workflow, epoch },
             Does::Finish { epoch } => Question::Finish { workflow, epoch, cancelled: false },
             Does::Cancel { epoch } => Question::Finish { workflow, epoch, cancelled: true },
+            Does::Settle { step, fate } => {
+                let fate = match fate {
+                    Decided::Done => Fate::Done { result: create.input.clone(), tokens: 0 },
+                    Decided::NeverRan => Fate::NeverRan,
+                    Decided::LeftOut => Fate::MayHaveRun,
+                };
+                Question::Settle { workflow, step, fate }
+            }
             Does::Step { epoch, step } => {
                 let class = &self.settings.classes[usize::from(wanted.class)];
                 let key = wanted.key.as_ref().map(|k| k.text.clone()).unwrap_or_default();
@@ -392,34 +400,6 @@
         format!("{}/{}/{}", plain(tenant), plain(&wanted.owner), plain(name))
     }
 
-    fn begin_step(&mut self, now: Micros, id: RequestId, intent: Intent, until: Micros) {
-        self.workflows.go(id, intent, until);
-        self.set_permit(now, id);
-    }
-
-    pub(crate) fn set_permit(&mut self, now: Micros, id: RequestId) {
-        if let Some(at) = self.workflows.renew_at(now, id) {
-            self.timers.set(at, Timer::Permit { request: id });
-        }
-    }
-
-    /// A step waits for its place longer than it was permitted to leave: it is asked for again while it may still be sent. Or its
-    /// end could not be held, and is told again.
-    pub(crate) fn renew_permit(&mut self, now: Micros, id: RequestId, out: &mut Vec<Output>) {
-        if let Some((call, until, ask)) = self.workflows.end_again(id) {
-            self.timers.set(until, Timer::Call { call });
-            return out.push(Output::Workflow(ask));
-        }
-        let Some(request) = self.requests.get(&id).filter(|r| !r.answered && !r.streaming()) else { return };
-        let class = &self.settings.classes[usize::from(request.class)];
-        if class.effect == Effect::Unsafe && request.may_run() {
-            return;
-        }
-        if let Some(ask) = self.workflows.renew(now, id) {
-            out.push(Output::Workflow(ask));
-        }
-    }
-
     fn cancel_by_client(
         &mut self,
         now: Micros,
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -320,7 +320,7 @@
                 let act = self.workflows.late(call, now);
                 self.on_workflow(now, act, out);
             }
-            Timer::Permit { request } => self.renew_permit(now, request, out),
+            Timer::End { request } => self.end_again(request, out),
         }
     }
 
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -502,7 +502,8 @@
         assert!(fault("").is_some_and(|f| f.contains("cluster.roster")));
         let workflows = |line: &str| format!("{one}[cluster.workflows]\n{line}\n");
         assert_eq!(fault(&workflows("")), None);
-        for line in ["lease_s = 0.1", "steps = 0", "bytes = 9", "tokens = 0", "lasts_s = nan", "kept = \"\""] {
+        for line in ["lease_s = 0.1", "steps = 0", "bytes = 9", "tokens = 0", "lasts_s = nan", "kept = \"\""]
+        {
             let key = line.split(' ').next().unwrap_or_default();
             let found = fault(&workflows(line)).unwrap_or_default();
             assert!(found.contains(&format!("cluster.workflows.{key}: ")), "{line}: {found}");
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -32,8 +32,8 @@
     Evidence,
     /// A question about a workflow is overdue.
     Call { call: Call },
-    /// A step's permission to leave is to be put off.
-    Permit { request: RequestId },
+    /// A step's end is to be told again.
+    End { request: RequestId },
 }
 
 /// What is due when; of what falls on one time, what was set first comes first.
--- a/crates/protocol/src/workflow.rs
+++ b/crates/protocol/src/workflow.rs
@@ -12,6 +12,7 @@
 pub const META_DO: &str = "workflow_do";
 pub const META_EPOCH: &str = "workflow_epoch";
 pub const META_STEP: &str = "workflow_step";
+pub const META_FATE: &str = "workflow_fate";
 
 /// Longest name of a workflow or worker, in characters.
 pub const NAME_CHARS: usize = 64;
@@ -27,14 +28,40 @@
 /// What is wanted; all but a step is answered without a host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Does {
-    Claim { worker: String },
-    Step { epoch: u64, step: u32 },
-    Carry { epoch: u64 },
-    Finish { epoch: u64 },
-    Cancel { epoch: u64 },
+    Claim {
+        worker: String,
+    },
+    Step {
+        epoch: u64,
+        step: u32,
+    },
+    Carry {
+        epoch: u64,
+    },
+    Finish {
+        epoch: u64,
+    },
+    Cancel {
+        epoch: u64,
+    },
+    /// A person has decided about a step whose fate nobody knows.
+    Settle {
+        step: u32,
+        fate: Decided,
+    },
 }
 
-/// What a claim is answered, as the output text of its response. Carry, finish and cancel are answered with [`Carried`].
+/// What a person has decided of a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decided {
+    /// It ran; the request's input is its result.
+    Done,
+    NeverRan,
+    /// The workflow goes on without it.
+    LeftOut,
+}
+
+/// What a claim is answered, as the output text of its response. All else but a step is answered with [`Carried`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claimed {
     pub epoch: u64,
@@ -75,7 +102,9 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Carried {
-    pub epoch: u64,
+    /// Of the question; none where it named none.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub epoch: Option<u64>,
 }
 
 /// Reads what a request wants of a workflow; none where it names none.
@@ -90,12 +119,25 @@
         "carry" => Does::Carry { epoch: number(metadata, META_EPOCH)? },
         "finish" => Does::Finish { epoch: number(metadata, META_EPOCH)? },
         "cancel" => Does::Cancel { epoch: number(metadata, META_EPOCH)? },
-        _ => return Err(wrong(META_DO, "claim, step, carry, finish or cancel is expected".to_string())),
+        "settle" => Does::Settle { step: number(metadata, META_STEP)?, fate: decided(metadata)? },
+        _ => {
+            let why = "claim, step, carry, finish, cancel or settle is expected";
+            return Err(wrong(META_DO, why.to_string()));
+        }
     };
     let workflow = short(META_WORKFLOW, workflow)?;
     Ok(Some(About { workflow, does }))
 }
 
+fn decided(metadata: &BTreeMap<String, String>) -> Result<Decided, BadRequest> {
+    match metadata.get(META_FATE).map(String::as_str) {
+        Some("done") => Ok(Decided::Done),
+        Some("never_ran") => Ok(Decided::NeverRan),
+        Some("left_out") => Ok(Decided::LeftOut),
+        _ => Err(wrong(META_FATE, "done, never_ran or left_out is expected".to_string())),
+    }
+}
+
 fn wrong(key: &str, why: String) -> BadRequest {
     BadRequest::field(&format!("metadata.{key}"), why)
 }
@@ -147,6 +189,15 @@
             let pairs = [("workflow", "w"), ("workflow_do", does), ("workflow_epoch", "2")];
             assert_eq!(of(&pairs), about(wanted));
         }
+        let mut settle = vec![
+            ("workflow", "w"),
+            ("workflow_do", "settle"),
+            ("workflow_step", "2"),
+            ("workflow_fate", "done"),
+        ];
+        assert_eq!(of(&settle), about(Does::Settle { step: 2, fate: Decided::Done }));
+        settle[3].1 = "perhaps";
+        assert_eq!(of(&settle).expect_err("refused").param.as_deref(), Some("metadata.workflow_fate"));
         let long = "é".repeat(65);
         for (pairs, param) in [
             (vec![("workflow", "")], "metadata.workflow_epoch"),
--- a/crates/workflow/src/io.rs
+++ b/crates/workflow/src/io.rs
@@ -104,7 +104,8 @@
             | Ask::Intend { call, .. }
             | Ask::Ended { call, .. }
             | Ask::Carry { call, .. }
-            | Ask::Finish { call, .. } => *call,
+            | Ask::Finish { call, .. }
+            | Ask::Settle { call, .. } => *call,
         }
     }
 }
