The machine of workflows runs beside the plane; a send past its permission waits

Need: the core's questions have to reach the machine, and a permission of half a lease is shorter than some waits for a place.

--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -27,7 +27,7 @@
 use crate::shed::Shed;
 use crate::timers::{Timer, Timers};
 use crate::types::{Input, Level, LinkId, Micros, Output, SessionId};
-use crate::workflows::Workflows;
+use crate::workflows::{Workflows, HELD_WITHIN_S};
 
 /// Shortest time between two steps that the decision module may count on, seconds.
 pub(crate) const TICK_S: f64 = 0.002;
@@ -317,7 +317,10 @@
             Timer::Ledger => self.on_ledger_time(now, out),
             Timer::Evidence => self.look_at_hosts(now, out),
             Timer::Call { call } => {
-                let act = self.workflows.late(call, now);
+                let act = self.workflows.late(call);
+                if self.workflows.lingers(call) {
+                    self.timers.set(now.after(HELD_WITHIN_S), Timer::Call { call });
+                }
                 self.on_workflow(now, act, out);
             }
             Timer::End { request } => self.end_again(request, out),
