A step's failure waits half a second at most for its fate to be held

Need: a client past its deadline should not wait as long for a failure as for a result. Change: bounds by what ended.

--- a/crates/core/src/answers.rs
+++ b/crates/core/src/answers.rs
@@ -13,7 +13,7 @@
 use crate::settings::Effect;
 use crate::timers::Timer;
 use crate::types::{Level, Micros, Output, SessionId};
-use crate::workflows::{refused, Act, Asked, Intent, AGAIN_S, HELD_WITHIN_S};
+use crate::workflows::{refused, Act, Asked, Intent, AGAIN_S, FAILED_WITHIN_S, HELD_WITHIN_S};
 
 impl Request {
     /// The events to its listeners, each with its own next sequence number.
@@ -179,7 +179,11 @@
             }
             _ => request.unfinished(),
         };
-        let until = request.deadline.max(now.after(HELD_WITHIN_S));
+        // A failure is told soon, held or not: it says enough as it is.
+        let until = match &fate {
+            Fate::Done { .. } => request.deadline.max(now.after(HELD_WITHIN_S)),
+            _ => now.after(FAILED_WITHIN_S),
+        };
         self.drop_waiting(id);
         match self.workflows.end(id, fate, Box::new(answer), until) {
             Ok((call, ask)) => {
--- a/crates/core/src/workflows.rs
+++ b/crates/core/src/workflows.rs
@@ -3,14 +3,18 @@
 //! Knows nothing of the machine: it is asked by it, and tells it what to do. Each question has an end in time, set by the machine
 //! as a timer, and there is a bound on their number.
 
+mod words;
+
 use std::collections::BTreeMap;
 
 use bitternlatch_policy::interface::{RequestId, ServerId};
-use bitternlatch_protocol::client::{BadRequest, Create, Response};
-use bitternlatch_protocol::workflow::{Carried, Claimed, ClaimedStep, StepEffect, StepFate};
+use bitternlatch_protocol::client::{Create, Response};
+use bitternlatch_protocol::workflow::{Carried, Claimed};
 use bitternlatch_workflow::{Ask, Call, Effect, Fate, Refusal, Told};
 
 use crate::types::{Micros, SessionId};
+pub(crate) use words::{effect, refused};
+use words::{json, shown};
 
 /// Questions of sessions that may wait for an answer; one more is told to come back.
 const ASKED_MOST: usize = 4096;
@@ -18,6 +22,8 @@
 /// streams may outlast it.
 pub(crate) const HELD_WITHIN_S: f64 = 5.0;
 
+/// Longest that a failure waits for what is known of its step to be held, seconds.
+pub(crate) const FAILED_WITHIN_S: f64 = 0.5;
 /// Seconds until the end of a step is told again that could not be held yet.
 pub(crate) const AGAIN_S: f64 = 0.1;
 
@@ -391,55 +397,10 @@
     matches!(why, Refusal::NoMajority | Refusal::Busy | Refusal::NotKept)
 }
 
-fn shown(step: bitternlatch_workflow::Step) -> ClaimedStep {
-    let (fate, result) = match step.fate {
-        None => (StepFate::Open, None),
-        Some(Fate::MayHaveRun) => (StepFate::MayHaveRun, None),
-        Some(Fate::NeverRan) => (StepFate::NeverRan, None),
-        Some(Fate::Done { result, .. }) => (StepFate::Done, Some(result)),
-    };
-    let effect = match step.effect {
-        Effect::Safe => StepEffect::Safe,
-        Effect::Keyed => StepEffect::Keyed,
-        Effect::Unsafe => StepEffect::Unsafe,
-    };
-    ClaimedStep { number: step.number, effect, key: step.key, fate, result }
-}
-
-fn json(value: &impl serde::Serialize) -> String {
-    // Strings and numbers under string keys always serialize.
-    serde_json::to_string(value).unwrap_or_default()
-}
-
-pub(crate) fn effect(of: crate::settings::Effect) -> Effect {
-    match of {
-        crate::settings::Effect::Safe => Effect::Safe,
-        crate::settings::Effect::Keyed => Effect::Keyed,
-        crate::settings::Effect::Unsafe => Effect::Unsafe,
-    }
-}
-
-/// A refusal in the words of the protocol; those of status 503 are worth another try.
-pub(crate) fn refused(why: Refusal) -> BadRequest {
-    let (status, code) = match why {
-        Refusal::Fenced => (409, "workflow_fenced"),
-        Refusal::Carried => (409, "workflow_carried"),
-        Refusal::NoMajority => (503, "workflow_no_majority"),
-        Refusal::Lost => (409, "workflow_lost"),
-        Refusal::Unsettled => (409, "workflow_unsettled"),
-        Refusal::Parked => (409, "workflow_parked"),
-        Refusal::Ended => (409, "workflow_ended"),
-        Refusal::Limit => (409, "workflow_limit"),
-        Refusal::OtherRequest => (409, "workflow_other_request"),
-        Refusal::Unknown => (409, "workflow_unknown"),
-        Refusal::Busy => (503, "workflow_busy"),
-        Refusal::NotKept => (503, "workflow_not_kept"),
-    };
-    BadRequest { status, code, message: why.to_string(), param: None }
-}
-
 #[cfg(test)]
 mod tests {
+    use bitternlatch_protocol::workflow::StepFate;
+
     use super::*;
 
     const S: SessionId = SessionId(1);
