--- a/crates/workflow/src/context.rs
+++ b/crates/workflow/src/context.rs
@@ -5,7 +5,7 @@
 use crate::step::{cut, Entry, Stage};
 
 /// Bytes of all lines; the oldest go first. The digest goes on over those that are gone.
-pub const CONTEXT_MOST: usize = 4 * 1024;
+pub const CONTEXT_MOST: usize = 2 * 1024;
 /// Bytes of one line.
 const LINE_MOST: usize = 128;
 
--- a/crates/workflow/src/desk.rs
+++ b/crates/workflow/src/desk.rs
@@ -404,6 +404,10 @@
         job.tries += 1;
         match failure {
             Failure::Final(why) => return self.end(now, id, Answer::Refused(why), None, out),
+            // A person decided about what was there, not about what has come since.
+            Failure::Again if matches!(job.act, Act::Settle { .. }) => {
+                return self.end(now, id, Answer::Refused(Refusal::Busy), None, out)
+            }
             Failure::Again if job.tries <= 2 => return self.read(now, id, out),
             Failure::Again => job.why = Refusal::Busy,
             Failure::Later(why) => {
