--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -20,6 +20,9 @@
 mod turns;
 mod watch;
 
+#[cfg(test)]
+mod tests;
+
 pub use error::WorkflowError;
 pub use io::{Ask, Call, Effect, Fate, Refusal, Settings, Step, Told};
 pub use machine::Workflows;
--- /dev/null
+++ b/crates/workflow/src/tests.rs
@@ -0,0 +1,318 @@
+//! Desks over a register that is one map, so that each answer of it can be chosen.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bitternlatch_agreement::{KeepError, Process};
+use bitternlatch_membership::NameKey;
+use bitternlatch_replica::{Input, RegisterKey, ReplicaError, Version};
+
+use crate::desk::{key_of, Desk, Out};
+use crate::*;
+
+type Held = BTreeMap<RegisterKey, (Version, Vec<u8>)>;
+
+/// What becomes of the next write.
+#[derive(Clone, Debug, PartialEq)]
+enum Next {
+    Well,
+    Fails(ReplicaError),
+    /// Written, though nobody is told.
+    InDoubt(ReplicaError),
+    /// Never answered.
+    Silent,
+}
+
+struct Office {
+    now: Duration,
+    desks: Vec<Desk>,
+    held: Held,
+    next: Next,
+    told: Vec<Told>,
+    logs: Vec<String>,
+    calls: u64,
+    writes: u64,
+    reads: u64,
+}
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+impl Office {
+    fn new(of: usize) -> Office {
+        let own = |i: usize| Process { name: NameKey(i as u32 + 1), start: 1 };
+        let desks = (0..of).map(|i| Desk::new(own(i), &Settings::default(), Guards::BUILT)).collect();
+        let (held, now) = (Held::new(), ms(1000));
+        let (told, logs) = (vec![], vec![]);
+        Office { now, desks, held, next: Next::Well, told, logs, calls: 0, writes: 0, reads: 0 }
+    }
+
+    fn carry(&mut self, i: usize, out: Vec<Out>) {
+        let mut out: std::collections::VecDeque<Out> = out.into();
+        while let Some(wanted) = out.pop_front() {
+            let mut more = vec![];
+            match wanted {
+                Out::Tell(told) => self.told.push(told),
+                Out::Log { text, .. } => self.logs.push(text),
+                Out::Register(Input::Read { call, key, .. }) => {
+                    self.reads += 1;
+                    self.desks[i].found(self.now, call, Ok(self.held.get(&key).cloned()), &mut more);
+                }
+                Out::Register(Input::Write { call, key, on, epoch, value, .. }) => {
+                    self.writes += 1;
+                    let latest = self.held.get(&key).map(|(version, _)| *version);
+                    let version = Version { epoch, count: self.writes, writer: NameKey(i as u32), start: 1 };
+                    let done = match std::mem::replace(&mut self.next, Next::Well) {
+                        Next::Silent => continue,
+                        Next::Fails(error) => Err(error),
+                        _ if latest != on => Err(ReplicaError::Conflict { latest }),
+                        next => {
+                            self.held.insert(key, (version, value));
+                            if let Next::InDoubt(error) = next {
+                                Err(error)
+                            } else {
+                                Ok(version)
+                            }
+                        }
+                    };
+                    self.desks[i].written(self.now, call, done, &mut more);
+                }
+                Out::Register(Input::Drop { call, key, on, .. }) => {
+                    self.held.remove(&key);
+                    self.desks[i].written(self.now, call, Ok(on), &mut more);
+                }
+                Out::Register(_) => {}
+            }
+            out.extend(more);
+        }
+    }
+
+    fn ask(&mut self, i: usize, ask: impl FnOnce(Call, String, u64) -> Ask) -> Option<Told> {
+        self.calls += 1;
+        let until = (self.now + ms(1000)).as_micros() as u64;
+        let mut out = vec![];
+        let ask = ask(Call(self.calls), "w".to_string(), until);
+        self.desks[i].ask(self.now, ask, &mut out);
+        self.carry(i, out);
+        self.told.pop()
+    }
+
+    fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = (self.now + ms(5)).min(end);
+            for i in 0..self.desks.len() {
+                let mut out = vec![];
+                self.desks[i].wake(self.now, &mut out);
+                self.carry(i, out);
+            }
+        }
+    }
+
+    fn claim(&mut self, i: usize, worker: &str) -> Option<Told> {
+        let worker = worker.to_string();
+        self.ask(i, |call, workflow, until_us| Ask::Claim { call, workflow, worker, until_us })
+    }
+
+    fn intend(&mut self, i: usize, epoch: u64, step: u32) -> Option<Told> {
+        self.ask(i, |call, workflow, until_us| Ask::Intend {
+            call,
+            workflow,
+            epoch,
+            step,
+            effect: Effect::Unsafe,
+            key: String::new(),
+            asks: step.into(),
+            until_us,
+        })
+    }
+
+    fn ended(&mut self, i: usize, epoch: u64, step: u32, fate: Fate) -> Option<Told> {
+        self.ask(i, |call, workflow, until_us| Ask::Ended { call, workflow, epoch, step, fate, until_us })
+    }
+
+    fn done(&mut self, i: usize, epoch: u64, step: u32) -> Option<Told> {
+        self.ended(i, epoch, step, Fate::Done { result: format!("r{step}"), tokens: 1 })
+    }
+
+    fn record(&self) -> Record {
+        Record::decode(&self.held[&key_of("w")].1).unwrap()
+    }
+}
+
+fn why(told: &Option<Told>) -> Option<Refusal> {
+    match told {
+        Some(Told::Refused { why, .. }) => Some(*why),
+        _ => None,
+    }
+}
+
+fn is_go(told: &Option<Told>) -> bool {
+    matches!(told, Some(Told::Go { .. }))
+}
+
+#[test]
+fn a_step_costs_two_writes_and_no_read_and_what_leaves_ends_before_anybody_adopts() {
+    let mut office = Office::new(2);
+    assert!(matches!(office.claim(0, "a"), Some(Told::Claimed { epoch: 1, .. })));
+    let (reads, writes) = (office.reads, office.writes);
+    for step in 1..=20 {
+        let Some(Told::Go { until_us, .. }) = office.intend(0, 1, step) else { panic!("step {step}") };
+        assert!(until_us <= (office.now + ms(1500)).as_micros() as u64);
+        assert!(matches!(office.done(0, 1, step), Some(Told::Held { .. })));
+    }
+    assert_eq!((office.reads - reads, office.writes - writes), (0, 40));
+    // The other one sees the lease for the first time, and has to see it through.
+    assert_eq!(why(&office.claim(1, "b")), Some(Refusal::Carried));
+    office.pass(ms(3030));
+    assert_eq!(why(&office.claim(1, "b")), Some(Refusal::Carried));
+    office.pass(ms(100));
+    assert!(matches!(office.claim(1, "b"), Some(Told::Claimed { epoch: 2, .. })));
+    assert_eq!(why(&office.intend(0, 1, 21)), Some(Refusal::Fenced));
+}
+
+#[test]
+fn an_intent_whose_write_may_have_happened_never_leads_to_a_send_and_is_undone() {
+    for next in [
+        Next::Silent,
+        Next::InDoubt(ReplicaError::TimedOut),
+        Next::InDoubt(ReplicaError::NotKept(KeepError::Full)),
+        Next::Fails(ReplicaError::TimedOut),
+    ] {
+        let mut office = Office::new(1);
+        office.claim(0, "a");
+        office.next = next.clone();
+        let told = office.intend(0, 1, 1);
+        assert!(told.is_none(), "{next:?} {told:?}");
+        office.pass(ms(2000));
+        // Answered once: sent under a write of its own, or refused and, in silence, undone.
+        assert_eq!(office.told.len(), 1, "{next:?} {:?}", office.told);
+        let told = office.told.pop();
+        match is_go(&told) {
+            true => assert!(matches!(office.done(0, 1, 1), Some(Told::Held { .. }))),
+            false => {
+                assert_eq!(why(&told), Some(Refusal::NoMajority));
+                assert_eq!(office.record().open_attempt(), None, "{next:?}");
+                assert!(is_go(&office.intend(0, 1, 1)));
+            }
+        }
+    }
+}
+
+#[test]
+fn a_result_is_offered_until_its_deadline_and_on_in_silence() {
+    let mut office = Office::new(1);
+    office.claim(0, "a");
+    office.intend(0, 1, 1);
+    office.next = Next::InDoubt(ReplicaError::TimedOut);
+    assert_eq!(office.done(0, 1, 1), None);
+    office.pass(ms(100));
+    assert!(matches!(office.told.pop(), Some(Told::Held { .. })));
+    office.intend(0, 1, 2);
+    office.next = Next::Silent;
+    office.done(0, 1, 2);
+    for _ in 0..400 {
+        office.next = Next::Fails(ReplicaError::NoMajority);
+        office.pass(ms(5));
+    }
+    assert_eq!(office.told.len(), 1);
+    assert_eq!(why(&office.told.pop()), Some(Refusal::NoMajority));
+    office.next = Next::Well;
+    office.pass(ms(500));
+    assert_eq!(office.record().open_attempt(), None);
+    assert!(matches!(office.intend(0, 1, 2), Some(Told::Known { result, .. }) if result == "r2"));
+}
+
+#[test]
+fn a_long_attempt_is_carried_and_one_that_is_under_way_is_not_sent_again() {
+    let mut office = Office::new(2);
+    office.claim(0, "a");
+    assert!(is_go(&office.intend(0, 1, 1)));
+    assert_eq!(why(&office.claim(1, "b")), Some(Refusal::Carried));
+    office.pass(ms(9000));
+    assert_eq!(why(&office.claim(1, "b")), Some(Refusal::Carried));
+    assert_eq!(why(&office.intend(0, 1, 1)), Some(Refusal::Busy));
+    // Its worker comes back to its own at once, and gets the result of the attempt that it left.
+    assert!(matches!(office.claim(0, "a"), Some(Told::Claimed { epoch: 2, .. })));
+    assert_eq!(why(&office.done(0, 1, 1)), Some(Refusal::Fenced));
+    assert!(matches!(office.intend(0, 2, 1), Some(Told::Known { .. })));
+}
+
+#[test]
+fn an_unsettled_one_is_told_once_and_settled_by_a_person_after_its_lease() {
+    let mut office = Office::new(2);
+    office.claim(0, "a");
+    office.intend(0, 1, 1);
+    // Its dispatcher is no more.
+    office.desks.remove(0);
+    office.claim(0, "b");
+    office.pass(ms(3200));
+    assert_eq!(why(&office.claim(0, "b")), Some(Refusal::Unsettled));
+    assert_eq!(why(&office.claim(0, "c")), Some(Refusal::Unsettled));
+    assert_eq!(office.logs.iter().filter(|l| l.contains("unsettled")).count(), 1);
+    let fate = Fate::NeverRan;
+    let settle = |call, workflow, until_us| Ask::Settle { call, workflow, step: 1, fate, until_us };
+    assert!(matches!(office.ask(0, settle), Some(Told::Held { .. })));
+    assert!(matches!(office.claim(0, "c"), Some(Told::Claimed { .. })));
+}
+
+#[test]
+fn claims_are_metered_the_nearest_deadline_first_and_all_are_answered() {
+    let mut office = Office::new(1);
+    let mut out = vec![];
+    let now = office.now;
+    for i in 0..1500u64 {
+        let until_us = (now + ms(10_000 - i)).as_micros() as u64;
+        let (workflow, worker) = (format!("w{i}"), "a".to_string());
+        office.desks[0].ask(now, Ask::Claim { call: Call(i), workflow, worker, until_us }, &mut out);
+    }
+    let reads = out.iter().filter(|o| matches!(o, Out::Register(_))).count();
+    let busy = out.iter().filter(|o| matches!(o, Out::Tell(Told::Refused { why: Refusal::Busy, .. })));
+    let busy: Vec<u64> =
+        busy.map(|o| if let Out::Tell(Told::Refused { call, .. }) = o { call.0 } else { 0 }).collect();
+    assert_eq!((reads, busy.len()), (32, 1500 - 32 - 1024));
+    // Those with the most time left make room for the nearer ones.
+    assert!(busy.iter().all(|call| (32..1500 - 1024).contains(call)), "{busy:?}");
+    office.carry(0, out);
+    let claimed = office.told.iter().filter(|t| matches!(t, Told::Claimed { .. })).count();
+    assert_eq!((claimed, office.told.len()), (32 + 1024, 1500));
+}
+
+#[test]
+fn what_is_over_and_what_nobody_writes_any_more_goes_to_its_end() {
+    let mut office = Office::new(1);
+    let settings = Settings { lasts_s: 10.0, ..Settings::default() };
+    let own = Process { name: NameKey(1), start: 1 };
+    office.desks = vec![Desk::new(own, &settings, Guards::BUILT)];
+    office.claim(0, "a");
+    for (state, after) in [(State::Over(Outcome::Expired), 11_000), (State::Open, 601_000)] {
+        let look = |office: &mut Office| {
+            let (version, _) = office.held[&key_of("w")];
+            let (record, now, mut out) = (office.record(), office.now, vec![]);
+            office.desks[0].watches.see(now, key_of("w"), version, &record);
+            let unchanged = office.desks[0].watches.unchanged(now, key_of("w"), version);
+            if office.desks[0].stale(&record, unchanged) {
+                office.desks[0].sweep(now, key_of("w"), &record, &mut out);
+            }
+            office.carry(0, out);
+        };
+        look(&mut office);
+        assert!(office.held.contains_key(&key_of("w")));
+        office.pass(ms(after));
+        look(&mut office);
+        match state {
+            State::Open => assert!(office.held.is_empty()),
+            state => assert_eq!(office.record().state(), state),
+        }
+    }
+}
+
+#[test]
+fn a_copy_of_another_version_is_refused_and_named() {
+    let mut office = Office::new(1);
+    office.claim(0, "a");
+    office.held.get_mut(&key_of("w")).unwrap().1[0] = 9;
+    assert_eq!(why(&office.claim(0, "a")), Some(Refusal::NoMajority));
+    assert!(office.logs[0].contains("another version"), "{:?}", office.logs);
+}
