--- a/programs/dispatch/src/beside.rs
+++ b/programs/dispatch/src/beside.rs
@@ -1,12 +1,11 @@
 //! Starts the machines beside the plane that the settings switch on.
 
 use std::path::Path;
-use std::time::Duration;
 
 use bitternlatch_core::{Input, Settings};
-use bitternlatch_net::clock::Clock;
+use bitternlatch_lengths::Lengths;
 use bitternlatch_net::driver::{Beside, Event};
-use bitternlatch_peer_net::{Kept, Plane, Store};
+use bitternlatch_peer_net::{Kept, Plane, Snapshot, Store};
 use bitternlatch_workflow::Workflows;
 use crossbeam_channel::Sender;
 
@@ -38,7 +37,18 @@
     Ok(())
 }
 
-fn lengths(_place: &mut Place, _beside: &mut Beside) -> Result<(), String> {
+fn lengths(place: &mut Place, beside: &mut Beside) -> Result<(), String> {
+    let Some(wanted) = place.settings.cluster.as_ref().and_then(|c| c.lengths.as_ref()) else {
+        return Ok(());
+    };
+    let machine = Lengths::new(place.plane.own().0, place.plane.now());
+    let kept = wanted.kept.as_ref().map(|kept| Snapshot::at(place.base.join(kept)));
+    let store = kept.map(|kept| -> Box<dyn Store> { Box::new(kept) });
+    let to = place.to.clone();
+    let told = move |told| drop(to.try_send(Event::Input(Input::Lengths(told))));
+    let asker = place.plane.beside(machine, store, told).map_err(|e| format!("cluster.lengths: {e}"))?;
+    // An answer that finds it busy is not counted.
+    beside.lengths = Some(Box::new(move |ask| asker.ask(ask).is_ok()));
     Ok(())
 }
 
@@ -49,15 +59,14 @@
     let kept = settings.kept.as_ref().map(|file| place.base.join(file));
     let (own, roster) = place.plane.own();
     let seed = getrandom::u64().map_err(|e| format!("no randomness: {e}"))?;
-    let now = Duration::from_micros(Clock::start().now().0);
-    let machine = Workflows::new(own, roster, settings, kept.is_some(), seed, now);
+    let machine = Workflows::new(own, roster, settings, kept.is_some(), seed, place.plane.now());
     let store = kept.map(|path| -> Box<dyn Store> { Box::new(Kept::at(&path)) });
     let to = place.to.clone();
     let told = move |told| {
         // As for all that it tells: a question that hears nothing ends by its own time.
         let _ = to.try_send(Event::Input(Input::Workflow(told)));
     };
-    let asker = place.plane.beside(machine, store, told).map_err(|e| format!("workflows: {e}"))?;
+    let asker = place.plane.beside(machine, store, told).map_err(|e| format!("cluster.workflows: {e}"))?;
     beside.workflow = Some(Box::new(move |ask| asker.ask(ask).is_ok()));
     Ok(())
 }
