--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -27,7 +27,7 @@
 use crate::shed::{self, Shed};
 use crate::timers::{Timer, Timers};
 use crate::types::{Input, Level, LinkId, Micros, Output, SessionId};
-use crate::workflows::Workflows;
+use crate::workflows::{Workflows, HELD_WITHIN_S};
 
 /// Shortest time between two steps that the decision module may count on, seconds.
 pub(crate) const TICK_S: f64 = 0.002;
@@ -205,7 +205,11 @@
         self.on_input(now, input, out);
         self.pump(now, out);
         self.close_ended(out);
-        if self.stopping && !self.stopped && self.requests.values().all(|r| r.answered) {
+        if self.stopping
+            && !self.stopped
+            && !self.workflows.waits()
+            && self.requests.values().all(|r| r.answered)
+        {
             self.stopped = true;
             out.push(Output::Stopped);
         }
@@ -232,7 +236,10 @@
             Input::Heard { at, of, heard } => self.on_heard(now, at, of, &heard, out),
             Input::Overload(told) => self.shed.told(told),
             Input::Lengths(told) => self.lengths.told(now, told),
-            Input::Workflow(told) => self.workflows.told(now, told),
+            Input::Workflow(told) => {
+                let act = self.workflows.told(now, told);
+                self.on_workflow(now, act, out);
+            }
             Input::ListLost(lost) => self.on_list_lost(lost, out),
             Input::Part { lent, until } => self.on_part(now, lent, until),
             Input::Tick => {}
@@ -313,6 +320,14 @@
             Timer::Ledger => self.on_ledger_time(now, out),
             Timer::Evidence => self.look_at_hosts(now, out),
             Timer::Shed => self.tell_load(now, out),
+            Timer::Call { call } => {
+                let act = self.workflows.late(call);
+                if self.workflows.lingers(call) {
+                    self.timers.set(now.after(HELD_WITHIN_S), Timer::Call { call });
+                }
+                self.on_workflow(now, act, out);
+            }
+            Timer::End { request } => self.end_again(request, out),
         }
     }
 
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use bitternlatch_policy::interface::{RequestId, ServerId};
+use bitternlatch_workflow::Call;
 
 use crate::types::{Micros, SessionId};
 
@@ -31,6 +32,10 @@
     Evidence,
     /// Tells what was seen of the load.
     Shed,
+    /// A question about a workflow is overdue.
+    Call { call: Call },
+    /// A step's end is to be told again.
+    End { request: RequestId },
 }
 
 /// What is due when; of what falls on one time, what was set first comes first.
--- a/crates/peer-net/src/lib.rs
+++ b/crates/peer-net/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod beside;
 mod error;
+mod kept;
 mod links;
 mod plane;
 mod routes;
@@ -14,6 +15,7 @@
 
 pub use beside::{AskError, Asker, Batch, Store};
 pub use error::{NoRoster, Opened, PeerNetError, SeedFaults};
+pub use kept::Kept;
 pub use plane::{Plane, Told};
 pub use seeds::roster;
 pub use snapshot::Snapshot;
--- a/programs/measure/src/engines.rs
+++ b/programs/measure/src/engines.rs
@@ -116,6 +116,9 @@
     gap_s: f64,
 }
 
+/// When it was asked, of which kind it was, and how it ended.
+type Ended = (f64, usize, Result<Got, String>);
+
 #[derive(Default)]
 struct Seen {
     asked: f64,
@@ -285,7 +288,7 @@
         lines.iter().filter(late).count()
     });
     let looks = look(&hosts, &stop);
-    let got: Mutex<Vec<(f64, usize, Result<Got, String>)>> = Mutex::default();
+    let got: Mutex<Vec<Ended>> = Mutex::default();
     std::thread::scope(|scope| {
         for (number, asked) in asked.iter().enumerate() {
             std::thread::sleep(Duration::from_secs_f64(asked.at_s).saturating_sub(start.elapsed()));
