--- a/crates/overload/src/gate.rs
+++ b/crates/overload/src/gate.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::io::{Cut, Seen, Settings};
+use crate::io::{Cut, Millionths, Seen, Settings};
 use crate::order::{level, rank, Spent, LEVELS};
 use crate::repeats::Repeats;
 use crate::returns::Returns;
@@ -139,12 +139,9 @@
         }
     }
 
-    /// Takes what is to be done together. A figure that is no number is no word.
+    /// Takes what is to be done together.
     pub fn told(&mut self, cut: Cut) {
-        let figures = [cut.rank, cut.capacity, cut.free, cut.room, cut.fresh, cut.part];
-        if figures.iter().all(|f| f.is_finite() && *f >= 0.0) {
-            self.cut = Some(cut);
-        }
+        self.cut = Some(cut);
     }
 
     /// Work of a request, seconds of a host.
@@ -208,14 +205,14 @@
     fn passes(&mut self, now: Duration, rank: f64, work: f64) -> bool {
         match self.cut.as_ref() {
             Some(cut) if now < cut.until => {
-                let over = ((self.backlog + work) / cut.room.max(1e-6) - 1.0).clamp(0.0, 1.0);
-                let bound = cut.rank + (LEVELS as f64 - cut.rank) * over;
+                let over = ((self.backlog + work) / cut.room.get().max(1e-6) - 1.0).clamp(0.0, 1.0);
+                let bound = cut.rank.get() + (LEVELS as f64 - cut.rank.get()) * over;
                 // An idle dispatcher takes what comes, however large.
-                rank >= bound || cut.rank <= rank && self.backlog == 0.0
+                rank >= bound || cut.rank.get() <= rank && self.backlog == 0.0
             }
             cut => {
-                let capacity = cut.map_or(self.roster as f64, |c| c.capacity);
-                let lowest = cut.map_or(0.0, |c| c.rank);
+                let capacity = cut.map_or(self.roster as f64, |c| c.capacity.get());
+                let lowest = cut.map_or(0.0, |c| c.rank.get());
                 let rate = capacity / self.roster as f64;
                 let burst = (rate * ALONE_BURST_S).max(work);
                 rank >= lowest && self.alone.spend(now, work, rate, burst)
@@ -236,7 +233,8 @@
         let careful = 1.0 / self.roster as f64;
         let free = match told {
             None => careful * FREE_LEAST,
-            Some(cut) => (cut.free / f64::from(cut.members.max(1))).max(cut.capacity * FREE_LEAST * careful),
+            Some(cut) => (cut.free.get() / f64::from(cut.members.max(1)))
+                .max(cut.capacity.get() * FREE_LEAST * careful),
         };
         self.returns.after(now, work, free)
     }
@@ -284,15 +282,15 @@
         let (fresh, repeats) = self.repeats.sums(now);
         let (taken_count, refused_count, repeat_count) = std::mem::take(&mut self.counts);
         Some(Seen {
-            demand: self.demand.iter().map(|d| d.per_s(now)).collect(),
-            taken: self.taken.per_s(now),
-            completed: self.completed.per_s(now),
-            backlog: self.backlog,
-            waits: self.waits.values().map(|(_, many)| many * each).sum(),
-            hosts,
-            delay: if begun > 0.0 { self.delay.per_s(now) / begun } else { 0.0 },
-            fresh,
-            repeats,
+            demand: self.demand.iter().map(|d| Millionths::of(d.per_s(now))).collect(),
+            taken: Millionths::of(self.taken.per_s(now)),
+            completed: Millionths::of(self.completed.per_s(now)),
+            backlog: Millionths::of(self.backlog),
+            waits: Millionths::of(self.waits.values().map(|(_, many)| many * each).sum()),
+            hosts: Millionths::of(hosts),
+            delay: Millionths::of(if begun > 0.0 { self.delay.per_s(now) / begun } else { 0.0 }),
+            fresh: Millionths::of(fresh),
+            repeats: Millionths::of(repeats),
             refused_count,
             taken_count,
             repeat_count,
--- a/crates/overload/src/io.rs
+++ b/crates/overload/src/io.rs
@@ -37,20 +37,35 @@
     }
 }
 
-/// What the gate has seen of late, as a [`crate::Word`] has it, but for the demand's order.
+/// A figure in millionths, so that a record gives back what was there; what is no number, or below 0, is 0.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Millionths(u64);
+
+impl Millionths {
+    pub fn of(value: f64) -> Millionths {
+        // A cast holds at its bounds.
+        Millionths((value * 1e6).round() as u64)
+    }
+
+    pub fn get(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+}
+
+/// What the gate has seen of late as a [`crate::Word`] has it, but for the demand's order.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Seen {
     /// Work asked by level, a second.
-    pub demand: Vec<f64>,
-    pub taken: f64,
-    pub completed: f64,
-    pub backlog: f64,
-    pub waits: f64,
-    pub hosts: f64,
-    pub delay: f64,
+    pub demand: Vec<Millionths>,
+    pub taken: Millionths,
+    pub completed: Millionths,
+    pub backlog: Millionths,
+    pub waits: Millionths,
+    pub hosts: Millionths,
+    pub delay: Millionths,
     /// Work in 5 s.
-    pub fresh: f64,
-    pub repeats: f64,
+    pub fresh: Millionths,
+    pub repeats: Millionths,
     /// Requests since the last word, for the log.
     pub refused_count: u32,
     pub taken_count: u32,
@@ -63,7 +78,7 @@
     /// Several times a second.
     Seen(Seen),
     /// What a host answered to a probe of this dispatcher.
-    Probed { host: u32, report: Vec<f64> },
+    Probed { host: u32, report: Vec<Millionths> },
     /// This dispatcher wants a host probed.
     Probe { host: u32 },
 }
@@ -73,16 +88,16 @@
 pub struct Cut {
     pub until: Duration,
     /// Requests below this rank are refused; 0 takes all.
-    pub rank: f64,
+    pub rank: Millionths,
     /// Work a second that the fleet does, and that of it which is left for returns.
-    pub capacity: f64,
-    pub free: f64,
+    pub capacity: Millionths,
+    pub free: Millionths,
     /// Work that this dispatcher may have waiting at hosts.
-    pub room: f64,
+    pub room: Millionths,
     /// Fresh work that the fleet took in 5 s.
-    pub fresh: f64,
+    pub fresh: Millionths,
     /// The share of what all may repeat that is this one's until `part_until`, beside its careful one.
-    pub part: f64,
+    pub part: Millionths,
     pub part_until: Duration,
     /// Dispatchers that are there, this one among them.
     pub members: u32,
@@ -98,6 +113,6 @@
     Report {
         host: u32,
         age: Duration,
-        report: Vec<f64>,
+        report: Vec<Millionths>,
     },
 }
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -25,7 +25,7 @@
 pub use cut::{below, cut};
 pub use error::OverloadError;
 pub use gate::{Asked, Gate, Taken, Verdict};
-pub use io::{Ask, Cut, Seen, Settings, Told};
+pub use io::{Ask, Cut, Millionths, Seen, Settings, Told};
 pub use machine::Overload;
 pub use order::Spent;
 pub use repeats::Repeats;
--- a/crates/overload/src/machine.rs
+++ b/crates/overload/src/machine.rs
@@ -8,7 +8,7 @@
 
 use crate::capacity::{Capacity, Takes};
 use crate::cut::{below, cut};
-use crate::io::{Ask, Cut, Seen, Settings, Told};
+use crate::io::{Ask, Cut, Millionths, Seen, Settings, Told};
 use crate::order::{spread, LEVELS};
 use crate::sums::{Sums, Words};
 use crate::{OverloadError, Word};
@@ -125,15 +125,15 @@
         let seen = fresh.map(|(_, seen)| seen.clone()).unwrap_or_default();
         Word {
             number: self.number,
-            demand: seen.demand,
-            taken: seen.taken,
-            completed: seen.completed,
-            backlog: seen.backlog,
-            waits: seen.waits,
-            hosts: seen.hosts,
-            delay: seen.delay,
-            fresh: seen.fresh,
-            repeats: seen.repeats,
+            demand: seen.demand.iter().map(|d| d.get()).collect(),
+            taken: seen.taken.get(),
+            completed: seen.completed.get(),
+            backlog: seen.backlog.get(),
+            waits: seen.waits.get(),
+            hosts: seen.hosts.get(),
+            delay: seen.delay.get(),
+            fresh: seen.fresh.get(),
+            repeats: seen.repeats.get(),
             cut: self.rank,
             capacity,
         }
@@ -196,12 +196,12 @@
         let asked = if sums.asked() > 0.0 { own.asked() / sums.asked() } else { even };
         Cut {
             until: now + COUNTS_FOR,
-            rank: self.rank,
-            capacity: takes.capacity,
-            free: RETURNS * takes.capacity,
-            room: 2.0 * takes.room * (0.5 * even + 0.5 * asked).max(0.5 * even),
-            fresh: sums.fresh,
-            part: part.lent,
+            rank: Millionths::of(self.rank),
+            capacity: Millionths::of(takes.capacity),
+            free: Millionths::of(RETURNS * takes.capacity),
+            room: Millionths::of(2.0 * takes.room * (0.5 * even + 0.5 * asked).max(0.5 * even)),
+            fresh: Millionths::of(sums.fresh),
+            part: Millionths::of(part.lent),
             part_until: part.until,
             members: members as u32,
             together: self.together(now),
--- a/crates/overload/src/repeats.rs
+++ b/crates/overload/src/repeats.rs
@@ -36,11 +36,11 @@
     /// was told of the others' fresh work counts until its own end. Where all fits, one at a time may be repeated whatever its size.
     pub fn may(&mut self, now: Duration, work: f64, cut: Option<&Cut>) -> bool {
         let told = cut.filter(|c| now < c.until);
-        let part = cut.filter(|c| now < c.part_until).map_or(0.0, |c| c.part.clamp(0.0, 1.0));
+        let part = cut.filter(|c| now < c.part_until).map_or(0.0, |c| c.part.get().min(1.0));
         let own = self.fresh.sum(now);
-        let fresh = told.map_or(own, |c| c.fresh.max(own));
+        let fresh = told.map_or(own, |c| c.fresh.get().max(own));
         let spent = self.spent.sum(now);
-        let first = spent == 0.0 && told.is_none_or(|c| c.rank == 0.0);
+        let first = spent == 0.0 && told.is_none_or(|c| c.rank.get() == 0.0);
         let leave = first || spent + work <= SHARE * fresh * (self.careful + part).min(1.0);
         if leave {
             self.spent.add(now, work);
@@ -52,6 +52,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::Millionths;
     use proptest::prelude::*;
 
     proptest! {
@@ -63,7 +64,7 @@
             let fresh = 40.0;
             let mut all: Vec<Repeats> = (0..4).map(|_| Repeats::new(0.025)).collect();
             let cut = Cut {
-                until: Duration::from_secs(3600), rank: 3.0, fresh, part: 0.225,
+                until: Duration::from_secs(3600), rank: Millionths::of(3.0), fresh: Millionths::of(fresh), part: Millionths::of(0.225),
                 part_until: Duration::from_millis(ends), ..Cut::default()
             };
             let (mut now, mut done) = (Duration::from_millis(1), Vec::new());
