A dispatcher that the script keeps standing answers later by as long, and no later

A pause of five seconds at twice the capacity left clients without an answer in their time: what is sent to one that stands still is read, and dated, when it goes on. The judge extends the time by the pause's overlap with it, and takes who was away from what the script did rather than from its plan.

--- a/programs/audit/src/answers.rs
+++ b/programs/audit/src/answers.rs
@@ -191,6 +191,8 @@
         breach(one.finals[0].0, format!("{} events after the final answer", one.after));
     }
     let due = one.t + us(class.deadline_s + SLACK_S);
+    // One that stands still reads late, and dates from when it reads.
+    let due = due + away(facts, one, due).map(|(from, to)| to.min(due) - from.max(one.t)).sum::<u64>();
     let until = one.ended.map_or(end, |e| e.0);
     let first = one.first.into_iter().chain(one.finals.first().map(|f| f.0)).min();
     if first.is_none_or(|t| t > due) && until > due {
@@ -207,6 +209,7 @@
             Some((_, End::Dropped)) => {}
             Some((t, End::Closed)) if killed(t) => {}
             Some((t, End::Closed)) => breach(t, "its session ended without a final answer".to_string()),
+            Some((t, End::Unanswered)) if away(facts, one, t).next().is_some() => {}
             Some((t, End::Unanswered)) => {
                 breach(t, "its client waited for a final answer in vain".to_string())
             }
@@ -215,6 +218,12 @@
     }
 }
 
+/// Times in which the script kept its dispatcher away, between its begin and another moment.
+fn away<'a>(facts: &'a Facts, one: &'a Try, until: u64) -> impl Iterator<Item = (u64, u64)> + 'a {
+    let here = move |a: &&(u64, u64, String)| a.2 == one.dispatcher() && a.0 < until && one.t < a.1;
+    facts.away.iter().filter(here).map(|(from, to, _)| (*from, *to))
+}
+
 /// A refusal says that asking again is harmless: it is none where an unsafe request may have run.
 fn refused_though_run(all: &[Try], seen: &Seen, is_unsafe: impl Fn(&str) -> bool, verdict: &mut Verdict) {
     let by_mark = seen.by_mark();
@@ -258,3 +267,54 @@
     s.worth = if asked > 0.0 { got / asked } else { 0.0 };
     verdict.ttft_s.sort_by(f64::total_cmp);
 }
+
+#[cfg(test)]
+mod tests {
+    use bitternlatch_standin::capture::Line;
+    use serde_json::json;
+
+    use crate::{judge, ClassFacts, Facts};
+
+    /// Breaches of a request that was asked at second 0 and answered at another or given up.
+    fn breaches(away_s: Option<(u64, u64)>, answered_s: Option<u64>, over_s: u64) -> usize {
+        let line = |t_s: u64, dir: &str, text: serde_json::Value| Line {
+            t: 1_000_000 * (100 + t_s),
+            who: "c".into(),
+            peer: "dispatch-1#1".into(),
+            dir: dir.into(),
+            text: text.to_string(),
+        };
+        let create = json!({ "type": "response.create", "model": "m", "input": "[req=1.0]", "max_output_tokens": 9,
+            "metadata": { "class": "q", "try": "c-1" } });
+        let error =
+            json!({ "type": "error", "error": { "retry_after_ms": 1, "metadata": { "try": "c-1" } } });
+        let end = if answered_s.is_some() { "bye" } else { "gave_up" };
+        let answer = answered_s.map(|t_s| line(t_s, "in", error));
+        let lines = [line(0, "out", create)].into_iter().chain(answer).chain([line(over_s, end, json!(""))]);
+        let class = ClassFacts {
+            name: "q".into(),
+            effect: "safe".into(),
+            deadline_s: 6.0,
+            worth: 1.0,
+            late_worth: 0.3,
+            ttft_aim_s: 1.5,
+            ttft_aim_ms_per_1000_tokens: 0.0,
+        };
+        let at = |s: u64| 1_000_000 * (100 + s);
+        let away =
+            away_s.map(|(from, to)| (at(from), at(to), "dispatch-1".to_string())).into_iter().collect();
+        judge(&Facts { classes: vec![class], away, ..Facts::default() }, lines.collect(), Vec::new())
+            .breaches
+            .len()
+    }
+
+    #[test]
+    fn a_dispatcher_that_stood_still_answers_later_by_as_much_and_no_more() {
+        assert_eq!(breaches(None, Some(5), 9), 0);
+        assert_eq!(breaches(None, Some(8), 9), 1);
+        assert_eq!(breaches(Some((1, 4)), Some(8), 9), 0);
+        assert_eq!(breaches(Some((1, 4)), Some(10), 12), 1);
+        assert_eq!(breaches(Some((1, 9)), None, 7), 0, "its client waited in vain for one that stood still");
+        assert_eq!(breaches(None, None, 7), 1);
+    }
+}
--- a/programs/audit/src/lib.rs
+++ b/programs/audit/src/lib.rs
@@ -38,6 +38,9 @@
     pub list_ready: Vec<(u64, String)>,
     /// Hosts taken down by the script: when, and which.
     pub downs: Vec<(u64, String)>,
+    /// Dispatchers that the script paused, or kept away otherwise: from, to, and which.
+    #[serde(default)]
+    pub away: Vec<(u64, u64, String)>,
     /// Troubles of the script: from, to, and which.
     #[serde(default)]
     pub troubles: Vec<(u64, u64, String)>,
--- a/programs/badday/src/run.rs
+++ b/programs/badday/src/run.rs
@@ -129,7 +129,12 @@
         }
         _ => Vec::new(),
     };
-    let facts = Facts { troubles: troubles(day, began, scripted), ..facts(day, &settings, began, &noted) };
+    let away = truths.iter().filter_map(|t| match t.what {
+        Happened::Away(i) => Some((t.from_us, t.to_us, format!("dispatch-{}", i + 1))),
+        Happened::Between(_) => None,
+    });
+    let troubles = troubles(day, began, scripted);
+    let facts = Facts { away: away.collect(), troubles, ..facts(day, &settings, began, &noted) };
     let file = File::create(dir.join("facts.json")).map_err(fail("facts.json"))?;
     serde_json::to_writer_pretty(file, &facts).map_err(|e| format!("facts.json: {e}"))?;
     if let (Some(proofs), Some(facts)) = (&proofs, &mut secured) {
@@ -356,6 +361,7 @@
         list_drains: noted.drains.clone(),
         list_ready: noted.readies.clone(),
         downs: day.downs().into_iter().map(|(s, h)| (began + (s * 1e6) as u64, h)).collect(),
+        away: Vec::new(),
         troubles: Vec::new(),
     }
 }
