--- a/programs/measure/src/engines.rs
+++ b/programs/measure/src/engines.rs
@@ -27,7 +27,7 @@
 const DISPATCHERS: usize = 4;
 const READERS: usize = 3;
 const WRITERS: usize = 4;
-/// Of one writer, tokens: some fifteen long answers.
+/// Of one writer, tokens: some thirteen long answers in the midst of their run, and eight at their end.
 const MEMORY: u64 = 24_000;
 const BLOCK: f64 = 64.0;
 /// Seconds of a writer's step, and what each sequence adds.
@@ -35,11 +35,10 @@
 const SEQUENCE_S: f64 = 0.00025;
 /// Writers are poor readers: what they threw out costs them time.
 const WRITER_READS: f64 = 6_000.0;
-const CEILING: u32 = 4_096;
 /// A whole answer is in time when its tokens came on average within this much of a full writer's step.
 const PATIENCE: f64 = 1.25;
 /// Seconds at the begin that do not count: memory fills, lengths are learnt.
-const WARM_S: f64 = 20.0;
+const WARM_S: f64 = 30.0;
 const JOINED_WITHIN: Duration = Duration::from_secs(60);
 const ANSWERED_WITHIN: Duration = Duration::from_secs(60);
 
@@ -56,7 +55,7 @@
 const KINDS: [Kind; 3] = [
     Kind { class: "slot-query", worth: 1.0, share: 0.5, prompt: [100, 300], answer: [20, 60] },
     Kind { class: "season-booking", worth: 2.0, share: 0.25, prompt: [100, 300], answer: [40, 120] },
-    Kind { class: "season-booking", worth: 2.0, share: 0.25, prompt: [800, 1200], answer: [600, 1000] },
+    Kind { class: "season-booking", worth: 2.0, share: 0.25, prompt: [600, 1000], answer: [1200, 2000] },
 ];
 
 struct Asked {
@@ -116,6 +115,9 @@
     gap_s: f64,
 }
 
+/// When it was asked for, its kind, what came.
+type Answered = (f64, usize, Result<Got, String>);
+
 #[derive(Default)]
 struct Seen {
     asked: f64,
@@ -198,7 +200,7 @@
 }
 
 /// Asks one thing in a session of its own.
-fn one(address: &str, number: usize, asked: &Asked) -> Result<Got, String> {
+fn one(address: &str, number: usize, asked: &Asked, ceiling: u32) -> Result<Got, String> {
     let client = Client::connect(address, "m", "d", Capture::none()).map_err(|e| e.to_string())?;
     let tail = format!(" [len={}][req={number}]", asked.answer);
     let mut text = String::new();
@@ -207,7 +209,7 @@
         text.push_str(&format!("{:x} ", rng.next_u64()));
     }
     let create = serde_json::json!({ "type": "response.create", "model": "m", "input": text + &tail,
-        "max_output_tokens": CEILING, "metadata": { "class": KINDS[asked.kind].class } });
+        "max_output_tokens": ceiling, "metadata": { "class": KINDS[asked.kind].class } });
     let start = Instant::now();
     client.say(&create.to_string());
     let (mut first, mut last, mut tokens) = (None, start, 0u32);
@@ -219,7 +221,11 @@
                 tokens += 1;
             }
             Came::Event(e) if e.kind == "response.completed" => break Ok(()),
-            Came::Event(e) if e.is_final() => break Err(e.kind),
+            Came::Event(e) if e.is_final() => {
+                let error = e.response.as_ref().and_then(|r| r.error.as_ref());
+                let refused = error.is_some_and(|e| e.safe_to_repeat);
+                break Err(if refused { "refused".to_string() } else { e.kind });
+            }
             Came::Event(_) => {}
             Came::Closed(_) => break Err("closed".to_string()),
             Came::Silence => break Err("silence".to_string()),
@@ -267,7 +273,7 @@
     })
 }
 
-fn way(lengths: bool, asked: &[Asked], gap_aim_s: f64) -> Result<Seen, String> {
+fn way(lengths: bool, asked: &[Asked], gap_aim_s: f64, ceiling: u32) -> Result<Seen, String> {
     let dir = folder();
     let (capture, lines) = Capture::channel();
     let hosts = Standins::start(hosts()?, capture).map_err(|e| e.to_string())?;
@@ -285,13 +291,13 @@
         lines.iter().filter(late).count()
     });
     let looks = look(&hosts, &stop);
-    let got: Mutex<Vec<(f64, usize, Result<Got, String>)>> = Mutex::default();
+    let got: Mutex<Vec<Answered>> = Mutex::default();
     std::thread::scope(|scope| {
         for (number, asked) in asked.iter().enumerate() {
             std::thread::sleep(Duration::from_secs_f64(asked.at_s).saturating_sub(start.elapsed()));
             let (address, got) = (dispatchers[number % DISPATCHERS].address.clone(), &got);
             let ask = move || {
-                let came = one(&address, number, asked);
+                let came = one(&address, number, asked, ceiling);
                 bitternlatch_net::lock(got).push((asked.at_s, asked.kind, came));
             };
             let thread = std::thread::Builder::new().stack_size(256 * 1024);
@@ -361,14 +367,14 @@
 }
 
 /// Both ways by turns, the same requests at the same times.
-pub fn measure(share: f64, seconds: f64, rounds: u64) -> Result<(), String> {
+pub fn measure(share: f64, seconds: f64, rounds: u64, ceiling: u32) -> Result<(), String> {
     if !(0.05..=2.0).contains(&share) || seconds <= WARM_S || rounds == 0 {
         return Err(format!("a share of memory of 0.05 to 2 and more than {WARM_S} s are expected"));
     }
     let fill = fill(share);
     let gap_aim_s = PATIENCE * fill.step_s;
     println!(
-        "{DISPATCHERS} dispatchers, {WRITERS} writers of {MEMORY} tokens; {share} of it asked for by {:.1} requests a second: {:.1} \
+        "{DISPATCHERS} dispatchers, {WRITERS} writers of {MEMORY} tokens; {share} of it asked for by {:.1} requests a second under ceilings of {ceiling}: {:.1} \
          sequences at a writer, steps of {:.2} ms; whole in time: first token within its class's aim, {:.2} ms a token at the most",
         fill.rate,
         fill.running,
@@ -394,7 +400,7 @@
         let asked = plan(fill.rate, seconds, round);
         // Which goes first changes, should the machine grow tired.
         for on in [round % 2 == 0, round % 2 == 1] {
-            let seen = way(on, &asked, gap_aim_s)?;
+            let seen = way(on, &asked, gap_aim_s, ceiling)?;
             row(if on { "on" } else { "off" }, &seen);
             let sum = &mut sums[usize::from(on)];
             *sum = (sum.0 + seen.preempted, sum.1 + seen.first_in_time, sum.2 + seen.whole_in_time);
--- a/programs/measure/src/main.rs
+++ b/programs/measure/src/main.rs
@@ -12,6 +12,7 @@
 mod rig;
 mod secured;
 mod sessions;
+mod steps;
 
 use std::process::ExitCode;
 
@@ -88,11 +89,17 @@
         /// Share of the writers' memory that is asked for.
         #[arg(long, default_value_t = 0.9)]
         fill: f64,
-        /// Seconds of each run; the first 20 do not count.
-        #[arg(long, default_value_t = 60.0)]
+        /// Seconds of each run; the first 30 do not count.
+        #[arg(long, default_value_t = 100.0)]
         seconds: f64,
         #[arg(long, default_value_t = 2)]
         rounds: u64,
+        /// Tokens that each answer is allowed.
+        #[arg(long, default_value_t = 4096)]
+        ceiling: u32,
+        /// In place of that: what a step costs, with so many engines.
+        #[arg(long)]
+        cost: Option<usize>,
     },
     /// Membership in simulated time: failures missed, halves healed, living ones removed, bytes.
     Members {
@@ -132,7 +139,10 @@
             }
             What::Cluster { members, requests } => cluster::measure(members, requests),
             What::Beside { requests } => beside::measure(requests),
-            What::Engines { fill, seconds, rounds } => engines::measure(fill, seconds, rounds),
+            What::Engines { cost: Some(engines), .. } => steps::cost(engines),
+            What::Engines { fill, seconds, rounds, ceiling, .. } => {
+                engines::measure(fill, seconds, rounds, ceiling)
+            }
             What::Members { sizes, seeds, lossy_s, light, svg } => {
                 let losses = if light { &members::LOSSES[..1] } else { &members::LOSSES };
                 members::measure(&sizes, seeds, (lossy_s, losses), svg.as_deref())
