--- a/programs/standin/tests/reports.rs
+++ b/programs/standin/tests/reports.rs
@@ -8,6 +8,7 @@
     decode, encode, CompletionRequest, FromEngine, KvTransferParams, Load, ToEngine,
 };
 use bitternlatch_standin::capture::Capture;
+use bitternlatch_standin::config::Trouble;
 use bitternlatch_standin::{Config, Standins};
 
 /// A reader that takes half a second for a read, a mixed host with one slot, and one whose memory two answers outgrow: 20 blocks.
@@ -176,3 +177,16 @@
     let why = Config::parse(&text).map(drop).expect_err("no slots");
     assert!(why.contains("'mixed'") && why.contains("one slot"), "{why}");
 }
+
+#[test]
+fn a_host_that_reports_falsely_low_load_says_nothing_of_its_work() {
+    let hosts = Standins::start(Config::parse(HOSTS).expect("hosts"), Capture::none()).expect("stand-ins");
+    let mut link = Link::to(&hosts, "mixed");
+    link.ask("a", KvTransferParams::default());
+    link.ask("b", KvTransferParams::default());
+    assert_eq!(counts(&link.load()), (1.0, 1.0));
+    hosts.trouble("mixed", Trouble::LowLoad, 1.0, 60.0);
+    let low = link.load();
+    assert_eq!((counts(&low), low["slots_used_perc"], low["kv_cache_usage_perc"]), ((0.0, 0.0), 0.0, 0.0));
+    hosts.stop();
+}
