--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -2,25 +2,32 @@
 
 use bitternlatch_budget::book::Hold;
 use bitternlatch_budget::Amount;
+use bitternlatch_overload::{Asked, Spent};
 use bitternlatch_policy::interface::{Event, Request as Ask, RequestId};
 use bitternlatch_protocol::client::{self, BadRequest, ClientEvent, Create, Response, Status};
 use bitternlatch_protocol::tokens_of;
-use bitternlatch_protocol::workflow::{self, About, Decided, Does};
-use bitternlatch_workflow::{Fate, Refusal};
+use bitternlatch_protocol::workflow::{self, About};
+use bitternlatch_workflow::Refusal;
 use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
-use crate::budgets::{Charged, Denied};
+use crate::budgets::{Charged, Denied, COME_BACK_S};
 use crate::keys::{Key, Known};
 use crate::lengths::Lengths;
 use crate::machine::Machine;
 use crate::requests::{Listener, Request, LISTENERS_MOST};
 use crate::settings::Effect;
+use crate::shed::{Counted, ANSWER_SHARE};
 use crate::timers::Timer;
 use crate::types::{Micros, Output, SessionId};
 use crate::workflows::{self, Intent, Question};
 
-/// Seconds after which a client that met one of this machine's own bounds may come back.
-const COME_BACK_S: f64 = 1.0;
+/// With what a request begins.
+struct Leave {
+    /// Of its tenant's budget; none where it is refused.
+    hold: Option<Hold>,
+    /// Taken; or refused at once, and when it may come back.
+    judged: Result<Counted, f64>,
+}
 
 /// What of a message has been settled before the request is made.
 pub(crate) struct Wanted {
@@ -40,21 +47,6 @@
     BadRequest { status: 429, code: "too_many_requests", message: message.to_string(), param: None }
 }
 
-impl Denied {
-    /// The event that says so.
-    pub(crate) fn to_text(&self, create: &Create) -> String {
-        let own = (self.bad.status == 429).then_some(COME_BACK_S);
-        let again = self.retry_after_s.or(own).map(|s| (s * 1000.0).ceil() as u64);
-        client::error_elsewhere(&self.bad, again, Some(&create.metadata), &self.elsewhere)
-    }
-
-    pub(crate) fn by_workflow(why: Refusal) -> Denied {
-        let bad = workflows::refused(why);
-        let retry_after_s = (bad.status == 503).then_some(COME_BACK_S);
-        Denied { bad, retry_after_s, elsewhere: vec![] }
-    }
-}
-
 impl Machine {
     pub(crate) fn on_client_text(
         &mut self,
@@ -140,16 +132,53 @@
         if self.prompt_bytes + wanted.prompt.len() > self.settings.requests.prompt_bytes_in_hand {
             return Err(too_many("the prompts in hand take as much memory as they may").into());
         }
+        let judged = self.judge(now, create, &wanted);
+        let Ok(mut counted) = judged else {
+            self.begin(now, session, create, wanted, Leave { hold: None, judged }, out);
+            return Ok(());
+        };
         let most = Amount { prompt: tokens_of(wanted.prompt.len()), output: wanted.max_tokens };
         self.leases.wanted(now, wanted.tenant, most.total());
         let hold = self.book.hold(now.seconds(), wanted.tenant, wanted.class, most);
-        let hold = hold.map_err(Denied::by_budget)?;
+        let hold = hold.map_err(|short| {
+            self.shed.gone(&mut counted);
+            Denied::by_budget(short)
+        })?;
         let tenant = wanted.tenant;
-        self.begin(now, session, create, wanted, hold, out);
+        self.begin(now, session, create, wanted, Leave { hold: Some(hold), judged }, out);
         self.say_left(now, tenant, session, out);
         Ok(())
     }
 
+    /// What the fleet's shedding says of a request, and when one that it refuses may come back.
+    fn judge(&mut self, now: Micros, create: &Create, wanted: &Wanted) -> Result<Counted, f64> {
+        let class = &self.settings.classes[usize::from(wanted.class)];
+        let prompt_tokens = f64::from(tokens_of(wanted.prompt.len()));
+        let words = fingerprint(create);
+        let fingerprint = wanted.key.as_ref().map_or(words, |k| xxh3_64(k.text.as_bytes()));
+        let (spent, identity) = match &wanted.step {
+            Some((intent, _)) if intent.step > 1 => (Spent::Steps, xxh3_64(intent.workflow.as_bytes())),
+            Some((intent, _)) => (Spent::Nothing, xxh3_64(intent.workflow.as_bytes())),
+            None if wanted.conversation == 0 => (Spent::Nothing, fingerprint),
+            None => (Spent::Turns, wanted.conversation),
+        };
+        let quota = self.settings.tenants.get(wanted.tenant as usize).map(|t| t.quota_rps);
+        let asked = Asked {
+            worth: class.worth,
+            prompt_tokens,
+            prefix: prefix(create),
+            prefix_tokens: f64::from(tokens_of(create.instructions.len())),
+            answer_tokens: ANSWER_SHARE * f64::from(wanted.max_tokens),
+            spent,
+            identity,
+            fingerprint,
+            tenant: wanted.tenant,
+            quota_rps: quota.unwrap_or(f64::INFINITY),
+            aim_s: class.ttft_aim_s + class.ttft_aim_ms_per_1000_tokens * prompt_tokens / 1e6,
+        };
+        self.shed.judge(now, &asked).unwrap_or(Ok(Counted::default()))
+    }
+
     pub(crate) fn wanted(
         &self,
         now: Micros,
@@ -225,7 +254,7 @@
         session: SessionId,
         create: &Create,
         wanted: Wanted,
-        hold: Hold,
+        leave: Leave,
         out: &mut Vec<Output>,
     ) {
         let id = self.next_request;
@@ -267,9 +296,10 @@
             attempts: 0,
             attempt: None,
             state: None,
+            counted: leave.judged.unwrap_or_default(),
             may_have_run: false,
             taken: now,
-            hold: Some(hold),
+            hold: leave.hold,
             charged: Charged::default(),
             refused: false,
             answered: false,
@@ -281,6 +311,15 @@
         }
         self.sessions.listen(session, id);
         self.say_created(id, session, out);
+        if let Err(after_s) = leave.judged {
+            return self.refuse(
+                now,
+                id,
+                after_s,
+                "no place now for what it asks; asking again is harmless",
+                out,
+            );
+        }
         if self.stopping {
             return self.refuse(now, id, COME_BACK_S, "this dispatcher is stopping", out);
         }
@@ -361,35 +400,20 @@
         if self.stopping {
             return Err(Denied::by_workflow(Refusal::Busy));
         }
-        let workflow = self.workflow_of(&wanted, &about.workflow);
-        let question = match about.does {
-            Does::Claim { worker } => Question::Claim { workflow, worker },
-            Does::Carry { epoch } => Question::Carry { workflow, epoch },
-            Does::Finish { epoch } => Question::Finish { workflow, epoch, cancelled: false },
-            Does::Cancel { epoch } => Question::Finish { workflow, epoch, cancelled: true },
-            Does::Settle { step, fate } => {
-                let fate = match fate {
-                    Decided::Done => Fate::Done { result: create.input.clone(), tokens: 0 },
-                    Decided::NeverRan => Fate::NeverRan,
-                    Decided::LeftOut => Fate::MayHaveRun,
-                };
-                Question::Settle { workflow, step, fate }
-            }
-            Does::Step { epoch, step } => {
-                let class = &self.settings.classes[usize::from(wanted.class)];
-                let key = wanted.key.as_ref().map(|k| k.text.clone()).unwrap_or_default();
-                let asks = step_digest(create, &class.name, &key);
-                let intent =
-                    Intent { workflow, epoch, step, effect: workflows::effect(class.effect), key, asks };
-                match self.workflows.in_hand(&intent) {
-                    Some(Ok(id)) => return Ok(self.attach(session, id, create, out)?),
-                    Some(Err(why)) => return Err(Denied::by_workflow(why)),
-                    // Asked again when it is admitted; what is refused for certain costs no majority's word.
-                    None if !self.may_take(now, wanted.class) => return Err(self.sent_elsewhere(now)),
-                    None => Question::Step(intent),
-                }
+        let tenant = self.settings.tenants.get(wanted.tenant as usize).map_or("", |t| t.name.as_str());
+        let workflow = workflows::name(tenant, &wanted.owner, &about.workflow);
+        let class = &self.settings.classes[usize::from(wanted.class)];
+        let key = wanted.key.as_ref().map_or("", |k| k.text.as_str());
+        let question = workflows::question(workflow, about.does, create, class, key);
+        if let Question::Step(intent) = &question {
+            match self.workflows.in_hand(intent) {
+                Some(Ok(id)) => return Ok(self.attach(session, id, create, out)?),
+                Some(Err(why)) => return Err(Denied::by_workflow(why)),
+                // Asked again when it is admitted; what is refused for certain costs no majority's word.
+                None if !self.may_take(now, wanted.class) => return Err(self.sent_elsewhere(now)),
+                None => {}
             }
-        };
+        }
         let until = now.after((wanted.time_left_s - self.settings.requests.answer_margin_s).max(0.0));
         let asked = self.workflows.ask(now, (session, create), question, until);
         let (call, ask) = asked.map_err(Denied::by_workflow)?;
@@ -398,14 +422,6 @@
         Ok(())
     }
 
-    /// A workflow's name among all: of its tenant, its caller and what that one calls it.
-    fn workflow_of(&self, wanted: &Wanted, name: &str) -> String {
-        let tenant = self.settings.tenants.get(wanted.tenant as usize).map_or("", |t| t.name.as_str());
-        // No part may pass for two.
-        let plain = |part: &str| part.replace('%', "%25").replace('/', "%2f");
-        format!("{}/{}/{}", plain(tenant), plain(&wanted.owner), plain(name))
-    }
-
     fn cancel_by_client(
         &mut self,
         now: Micros,
@@ -447,11 +463,7 @@
 /// What the decision module is told of a request. The shared prefix goes by the caller's own key where it gives one,
 /// else by the instructions; token counts are the text's bytes over four.
 fn ask(id: RequestId, create: &Create, wanted: &Wanted, conversation: u64, left_s: f64) -> Ask {
-    let prefix = match (&create.prompt_cache_key, create.instructions.is_empty()) {
-        (Some(key), _) => xxh3_64(key.as_bytes()),
-        (None, false) => xxh3_64(create.instructions.as_bytes()),
-        (None, true) => 0,
-    };
+    let prefix = prefix(create);
     Ask {
         id,
         class: wanted.class,
@@ -467,14 +479,12 @@
     }
 }
 
-/// Hash of what a step asks, the same for each worker that asks it: how the context is given is not in it.
-fn step_digest(create: &Create, class: &str, key: &str) -> u64 {
-    let mut hash = Xxh3::new();
-    for part in [create.model.as_str(), class, &create.input, key] {
-        hash.update(&(part.len() as u64).to_le_bytes());
-        hash.update(part.as_bytes());
+fn prefix(create: &Create) -> u64 {
+    match (&create.prompt_cache_key, create.instructions.is_empty()) {
+        (Some(key), _) => xxh3_64(key.as_bytes()),
+        (None, false) => xxh3_64(create.instructions.as_bytes()),
+        (None, true) => 0,
     }
-    hash.digest()
 }
 
 /// Hash of what is asked, without what may differ between a first try and its repeat.
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -34,6 +34,8 @@
     Call { call: Call },
     /// A step's end is to be told again.
     End { request: RequestId },
+    /// Tells what was seen of the load.
+    Shed,
 }
 
 /// What is due when; of what falls on one time, what was set first comes first.
--- a/crates/core/src/workflows/words.rs
+++ b/crates/core/src/workflows/words.rs
@@ -1,10 +1,12 @@
 //! What the table tells and is told, in the protocol's words.
 
-use bitternlatch_protocol::client::BadRequest;
-use bitternlatch_protocol::workflow::{ClaimedStep, StepEffect, StepFate};
+use bitternlatch_protocol::client::{BadRequest, Create};
+use bitternlatch_protocol::workflow::{ClaimedStep, Decided, Does, StepEffect, StepFate};
 use bitternlatch_workflow::{Effect, Fate, Refusal};
+use xxhash_rust::xxh3::Xxh3;
 
-use crate::settings;
+use super::{Intent, Question};
+use crate::settings::{self, Class};
 
 pub(super) fn shown(step: bitternlatch_workflow::Step) -> ClaimedStep {
     let (fate, result) = match step.fate {
@@ -26,12 +28,48 @@
     serde_json::to_string(value).unwrap_or_default()
 }
 
-pub(crate) fn effect(of: settings::Effect) -> Effect {
-    match of {
-        settings::Effect::Safe => Effect::Safe,
-        settings::Effect::Keyed => Effect::Keyed,
-        settings::Effect::Unsafe => Effect::Unsafe,
+/// A workflow's name among all: of its tenant, its caller and what that one calls it.
+pub(crate) fn name(tenant: &str, owner: &str, own: &str) -> String {
+    // No part may pass for two.
+    let plain = |part: &str| part.replace('%', "%25").replace('/', "%2f");
+    format!("{}/{}/{}", plain(tenant), plain(owner), plain(own))
+}
+
+/// What a request asks of a workflow.
+pub(crate) fn question(workflow: String, does: Does, create: &Create, class: &Class, key: &str) -> Question {
+    match does {
+        Does::Claim { worker } => Question::Claim { workflow, worker },
+        Does::Carry { epoch } => Question::Carry { workflow, epoch },
+        Does::Finish { epoch } => Question::Finish { workflow, epoch, cancelled: false },
+        Does::Cancel { epoch } => Question::Finish { workflow, epoch, cancelled: true },
+        Does::Settle { step, fate } => {
+            let fate = match fate {
+                Decided::Done => Fate::Done { result: create.input.clone(), tokens: 0 },
+                Decided::NeverRan => Fate::NeverRan,
+                Decided::LeftOut => Fate::MayHaveRun,
+            };
+            Question::Settle { workflow, step, fate }
+        }
+        Does::Step { epoch, step } => {
+            let effect = match class.effect {
+                settings::Effect::Safe => Effect::Safe,
+                settings::Effect::Keyed => Effect::Keyed,
+                settings::Effect::Unsafe => Effect::Unsafe,
+            };
+            let asks = digest(create, &class.name, key);
+            Question::Step(Intent { workflow, epoch, step, effect, key: key.to_string(), asks })
+        }
+    }
+}
+
+/// Hash of what a step asks, the same for each worker that asks it: how the context is given is not in it.
+fn digest(create: &Create, class: &str, key: &str) -> u64 {
+    let mut hash = Xxh3::new();
+    for part in [create.model.as_str(), class, &create.input, key] {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part.as_bytes());
     }
+    hash.digest()
 }
 
 /// A refusal in the words of the protocol; those of status 503 are worth another try.
