--- a/programs/measure/src/main.rs
+++ b/programs/measure/src/main.rs
@@ -4,8 +4,10 @@
 mod charges;
 mod cluster;
 mod decision;
+mod engines;
 mod latency;
 mod members;
+mod overload;
 mod plot;
 mod relay;
 mod rig;
@@ -82,6 +84,31 @@
         #[arg(long, default_value_t = 300)]
         requests: usize,
     },
+    /// What is answered in time as more is asked, with overload control off and on by turns; from the root, as it reads deploy/.
+    Overload {
+        #[arg(long, value_delimiter = ',', default_value = "60,120,240,480,900")]
+        rates: Vec<f64>,
+        #[arg(long, default_value_t = 15.0)]
+        for_s: f64,
+        #[arg(long, default_value_t = 4)]
+        dispatchers: usize,
+        /// Seconds that clients wait at the most, though told to wait for longer.
+        #[arg(long, default_value_t = 2.0)]
+        waits_most_s: f64,
+        #[arg(long)]
+        off_only: bool,
+    },
+    /// Answers thrown out of nearly full writers, and worth in time, with `[cluster.lengths]` off and on.
+    Engines {
+        /// Share of the writers' memory that is asked for.
+        #[arg(long, default_value_t = 0.9)]
+        fill: f64,
+        /// Seconds of each run; the first 20 do not count.
+        #[arg(long, default_value_t = 60.0)]
+        seconds: f64,
+        #[arg(long, default_value_t = 2)]
+        rounds: u64,
+    },
     /// Membership in simulated time: failures missed, halves healed, living ones removed, bytes.
     Members {
         #[arg(long, value_delimiter = ',', default_value = "3,10,100,300")]
@@ -120,6 +147,16 @@
             }
             What::Cluster { members, requests } => cluster::measure(members, requests),
             What::Beside { requests } => beside::measure(requests),
+            What::Overload { rates, for_s, dispatchers, waits_most_s, off_only } => {
+                overload::measure(&overload::Wanted {
+                    rates: &rates,
+                    for_s,
+                    dispatchers,
+                    waits_most_s,
+                    off_only,
+                })
+            }
+            What::Engines { fill, seconds, rounds } => engines::measure(fill, seconds, rounds),
             What::Members { sizes, seeds, lossy_s, light, svg } => {
                 let losses = if light { &members::LOSSES[..1] } else { &members::LOSSES };
                 members::measure(&sizes, seeds, (lossy_s, losses), svg.as_deref())
