--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -6,11 +6,11 @@
 use bitternlatch_policy::interface::{Event, Request as Ask, RequestId};
 use bitternlatch_protocol::client::{self, BadRequest, ClientEvent, Create, Response, Status};
 use bitternlatch_protocol::tokens_of;
-use bitternlatch_protocol::workflow::{self, About, Decided, Does};
-use bitternlatch_workflow::{Fate, Refusal};
+use bitternlatch_protocol::workflow::{self, About};
+use bitternlatch_workflow::Refusal;
 use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
-use crate::budgets::{Charged, Denied};
+use crate::budgets::{Charged, Denied, COME_BACK_S};
 use crate::keys::{Key, Known};
 use crate::lengths::Lengths;
 use crate::machine::Machine;
@@ -21,9 +21,6 @@
 use crate::types::{Micros, Output, SessionId};
 use crate::workflows::{self, Intent, Question};
 
-/// Seconds after which a client that met one of this machine's own bounds may come back.
-const COME_BACK_S: f64 = 1.0;
-
 /// With what a request begins.
 struct Leave {
     /// Of its tenant's budget; none where it is refused.
@@ -50,21 +47,6 @@
     BadRequest { status: 429, code: "too_many_requests", message: message.to_string(), param: None }
 }
 
-impl Denied {
-    /// The event that says so.
-    pub(crate) fn to_text(&self, create: &Create) -> String {
-        let own = (self.bad.status == 429).then_some(COME_BACK_S);
-        let again = self.retry_after_s.or(own).map(|s| (s * 1000.0).ceil() as u64);
-        client::error_elsewhere(&self.bad, again, Some(&create.metadata), &self.elsewhere)
-    }
-
-    pub(crate) fn by_workflow(why: Refusal) -> Denied {
-        let bad = workflows::refused(why);
-        let retry_after_s = (bad.status == 503).then_some(COME_BACK_S);
-        Denied { bad, retry_after_s, elsewhere: vec![] }
-    }
-}
-
 impl Machine {
     pub(crate) fn on_client_text(
         &mut self,
@@ -180,6 +162,12 @@
         );
         let words = fingerprint(create);
         let fingerprint = wanted.key.as_ref().map_or(words, |k| xxh3_64(k.text.as_bytes()));
+        let (spent, identity) = match &wanted.step {
+            Some((intent, _)) if intent.step > 1 => (Spent::Steps, xxh3_64(intent.workflow.as_bytes())),
+            Some((intent, _)) => (Spent::Nothing, xxh3_64(intent.workflow.as_bytes())),
+            None if wanted.conversation == 0 => (Spent::Nothing, fingerprint),
+            None => (Spent::Turns, wanted.conversation),
+        };
         let quota = self.settings.tenants.get(wanted.tenant as usize).map(|t| t.quota_rps);
         let asked = Asked {
             worth: class.worth,
@@ -187,12 +175,8 @@
             prefix: prefix(create),
             prefix_tokens: f64::from(tokens_of(create.instructions.len())),
             answer_tokens: expected.map_or(ANSWER_SHARE * f64::from(wanted.max_tokens), |e| e.mean),
-            spent: match &wanted.step {
-                Some((intent, _)) if intent.step > 1 => Spent::Steps,
-                _ if wanted.conversation != 0 => Spent::Turns,
-                _ => Spent::Nothing,
-            },
-            identity: if wanted.conversation == 0 { fingerprint } else { wanted.conversation },
+            spent,
+            identity,
             fingerprint,
             tenant: wanted.tenant,
             quota_rps: quota.unwrap_or(f64::INFINITY),
@@ -422,35 +406,20 @@
         if self.stopping {
             return Err(Denied::by_workflow(Refusal::Busy));
         }
-        let workflow = self.workflow_of(&wanted, &about.workflow);
-        let question = match about.does {
-            Does::Claim { worker } => Question::Claim { workflow, worker },
-            Does::Carry { epoch } => Question::Carry { workflow, epoch },
-            Does::Finish { epoch } => Question::Finish { workflow, epoch, cancelled: false },
-            Does::Cancel { epoch } => Question::Finish { workflow, epoch, cancelled: true },
-            Does::Settle { step, fate } => {
-                let fate = match fate {
-                    Decided::Done => Fate::Done { result: create.input.clone(), tokens: 0 },
-                    Decided::NeverRan => Fate::NeverRan,
-                    Decided::LeftOut => Fate::MayHaveRun,
-                };
-                Question::Settle { workflow, step, fate }
-            }
-            Does::Step { epoch, step } => {
-                let class = &self.settings.classes[usize::from(wanted.class)];
-                let key = wanted.key.as_ref().map(|k| k.text.clone()).unwrap_or_default();
-                let asks = step_digest(create, &class.name, &key);
-                let intent =
-                    Intent { workflow, epoch, step, effect: workflows::effect(class.effect), key, asks };
-                match self.workflows.in_hand(&intent) {
-                    Some(Ok(id)) => return Ok(self.attach(session, id, create, out)?),
-                    Some(Err(why)) => return Err(Denied::by_workflow(why)),
-                    // Asked again when it is admitted; what is refused for certain costs no majority's word.
-                    None if !self.may_take(now, wanted.class) => return Err(self.sent_elsewhere(now)),
-                    None => Question::Step(intent),
-                }
+        let tenant = self.settings.tenants.get(wanted.tenant as usize).map_or("", |t| t.name.as_str());
+        let workflow = workflows::name(tenant, &wanted.owner, &about.workflow);
+        let class = &self.settings.classes[usize::from(wanted.class)];
+        let key = wanted.key.as_ref().map_or("", |k| k.text.as_str());
+        let question = workflows::question(workflow, about.does, create, class, key);
+        if let Question::Step(intent) = &question {
+            match self.workflows.in_hand(intent) {
+                Some(Ok(id)) => return Ok(self.attach(session, id, create, out)?),
+                Some(Err(why)) => return Err(Denied::by_workflow(why)),
+                // Asked again when it is admitted; what is refused for certain costs no majority's word.
+                None if !self.may_take(now, wanted.class) => return Err(self.sent_elsewhere(now)),
+                None => {}
             }
-        };
+        }
         let until = now.after((wanted.time_left_s - self.settings.requests.answer_margin_s).max(0.0));
         let asked = self.workflows.ask(now, (session, create), question, until);
         let (call, ask) = asked.map_err(Denied::by_workflow)?;
@@ -459,14 +428,6 @@
         Ok(())
     }
 
-    /// A workflow's name among all: of its tenant, its caller and what that one calls it.
-    fn workflow_of(&self, wanted: &Wanted, name: &str) -> String {
-        let tenant = self.settings.tenants.get(wanted.tenant as usize).map_or("", |t| t.name.as_str());
-        // No part may pass for two.
-        let plain = |part: &str| part.replace('%', "%25").replace('/', "%2f");
-        format!("{}/{}/{}", plain(tenant), plain(&wanted.owner), plain(name))
-    }
-
     fn cancel_by_client(
         &mut self,
         now: Micros,
@@ -532,16 +493,6 @@
     }
 }
 
-/// Hash of what a step asks, the same for each worker that asks it: how the context is given is not in it.
-fn step_digest(create: &Create, class: &str, key: &str) -> u64 {
-    let mut hash = Xxh3::new();
-    for part in [create.model.as_str(), class, &create.input, key] {
-        hash.update(&(part.len() as u64).to_le_bytes());
-        hash.update(part.as_bytes());
-    }
-    hash.digest()
-}
-
 /// Hash of what is asked, without what may differ between a first try and its repeat.
 fn fingerprint(create: &Create) -> u64 {
     let mut hash = Xxh3::new();
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -319,7 +319,6 @@
             Timer::Sweep => self.sweep(now, out),
             Timer::Ledger => self.on_ledger_time(now, out),
             Timer::Evidence => self.look_at_hosts(now, out),
-            Timer::Shed => self.tell_load(now, out),
             Timer::Call { call } => {
                 let act = self.workflows.late(call);
                 if self.workflows.lingers(call) {
@@ -328,6 +327,7 @@
                 self.on_workflow(now, act, out);
             }
             Timer::End { request } => self.end_again(request, out),
+            Timer::Shed => self.tell_load(now, out),
         }
     }
 
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -30,12 +30,12 @@
     Ledger,
     /// Looks at what to tell peers of hosts.
     Evidence,
-    /// Tells what was seen of the load.
-    Shed,
     /// A question about a workflow is overdue.
     Call { call: Call },
     /// A step's end is to be told again.
     End { request: RequestId },
+    /// Tells what was seen of the load.
+    Shed,
 }
 
 /// What is due when; of what falls on one time, what was set first comes first.
--- a/crates/core/src/workflows.rs
+++ b/crates/core/src/workflows.rs
@@ -13,8 +13,8 @@
 use bitternlatch_workflow::{Ask, Call, Effect, Fate, Refusal, Told};
 
 use crate::types::{Micros, SessionId};
-pub(crate) use words::{effect, refused};
 use words::{json, shown};
+pub(crate) use words::{name, question, refused};
 
 /// Questions of sessions that may wait for an answer; one more is told to come back.
 const ASKED_MOST: usize = 4096;
