--- a/crates/overload/src/capacity.rs
+++ b/crates/overload/src/capacity.rs
@@ -18,12 +18,16 @@
 const WORDS: f64 = 2.0;
 /// Of what others take the hosts to do, a second.
 const LEAN: f64 = 1.0;
+/// Busy for so long, seconds, what hosts do is known from them.
+const LEARNT_S: f64 = 1.0;
 
 /// What hosts are taken to do.
 #[derive(Clone, Debug, Default)]
 pub struct Capacity {
     work_per_s: f64,
     at: Option<Duration>,
+    /// For how long hosts were seen busy; before that they are taken for what they are listed as.
+    busy_s: f64,
 }
 
 /// What may be taken.
@@ -37,20 +41,28 @@
 }
 
 impl Capacity {
+    /// What hosts are taken to do now; 0 before the first look.
+    pub fn per_s(&self) -> f64 {
+        self.work_per_s
+    }
+
     /// One look at the sums. `wait_s`: seconds of work that may wait at hosts; `share`: of the hosts that is this side's.
     pub fn look(&mut self, now: Duration, sums: &Sums, wait_s: f64, share: f64) -> Takes {
         let hosts = (sums.hosts * share).max(0.01);
         let passed = self.at.map_or(0.0, |at| now.saturating_sub(at).as_secs_f64().min(1.0));
-        if self.at.is_none() {
-            self.work_per_s = hosts;
+        if self.busy_s < LEARNT_S {
+            self.work_per_s = self.work_per_s.max(hosts);
         }
         self.at = Some(now);
         let waiting = waiting(sums);
-        let busy = waiting > 0.5 * wait_s * self.work_per_s;
+        // One request at each host is at work and waits for nothing.
+        let at_work = hosts * sums.each;
+        let busy = waiting > at_work + 0.5 * wait_s * self.work_per_s;
+        self.busy_s += if busy { passed } else { 0.0 };
         let step = |over: f64| 1.0 - (-passed / over).exp();
         if sums.completed > self.work_per_s {
             self.work_per_s += (sums.completed - self.work_per_s) * step(UP_S);
-        } else if busy {
+        } else if busy && self.busy_s >= LEARNT_S {
             self.work_per_s += (sums.completed - self.work_per_s) * step(DOWN_S);
         }
         if sums.capacity > 0.0 && sums.members > 1.0 && share >= 1.0 {
@@ -58,7 +70,7 @@
         }
         self.work_per_s = self.work_per_s.clamp(hosts * LEAST, hosts * MOST);
         let late = if sums.delay > LATE { LATE / sums.delay } else { 1.0 };
-        let room = self.work_per_s * wait_s * late.max(0.25);
+        let room = at_work + self.work_per_s * wait_s * late.max(0.25);
         let admits = self.work_per_s + (room - waiting) / MEND_S;
         Takes { capacity: self.work_per_s, admits: admits.max(0.05 * self.work_per_s), room }
     }
--- a/crates/overload/src/gate.rs
+++ b/crates/overload/src/gate.rs
@@ -286,6 +286,7 @@
             taken: Millionths::of(self.taken.per_s(now)),
             completed: Millionths::of(self.completed.per_s(now)),
             backlog: Millionths::of(self.backlog),
+            each: Millionths::of(each),
             waits: Millionths::of(self.waits.values().map(|(_, many)| many * each).sum()),
             hosts: Millionths::of(hosts),
             delay: Millionths::of(if begun > 0.0 { self.delay.per_s(now) / begun } else { 0.0 }),
--- a/crates/overload/src/io.rs
+++ b/crates/overload/src/io.rs
@@ -60,6 +60,7 @@
     pub taken: Millionths,
     pub completed: Millionths,
     pub backlog: Millionths,
+    pub each: Millionths,
     pub waits: Millionths,
     pub hosts: Millionths,
     pub delay: Millionths,
--- a/crates/overload/src/machine.rs
+++ b/crates/overload/src/machine.rs
@@ -129,6 +129,7 @@
             taken: seen.taken.get(),
             completed: seen.completed.get(),
             backlog: seen.backlog.get(),
+            each: seen.each.get(),
             waits: seen.waits.get(),
             hosts: seen.hosts.get(),
             delay: seen.delay.get(),
@@ -166,7 +167,7 @@
         self.words.forget(now);
         let there = self.peers(now).map_or(0, |p| p.there.len());
         let together = self.together(now);
-        let word = self.word(now, 0.0);
+        let word = self.word(now, self.capacity.per_s());
         let sampled = (there > TOLD_MOST).then_some(there + 1);
         let sums = self.words.sums(now, &word, sampled);
         // Cut off it goes by the part of the hosts that is its own whatever the others do.
--- a/crates/overload/src/sums.rs
+++ b/crates/overload/src/sums.rs
@@ -34,7 +34,8 @@
     pub backlog: f64,
     pub fresh: f64,
     pub repeats: f64,
-    /// Medians.
+    /// Medians; of `each` over those that have one.
+    pub each: f64,
     pub waits: f64,
     pub hosts: f64,
     pub delay: f64,
@@ -127,6 +128,7 @@
             backlog,
             fresh,
             repeats,
+            each: median(whole().map(|w| w.each).filter(|e| *e > 0.0).collect()),
             waits: of(|w| w.waits),
             hosts: of(|w| w.hosts),
             delay: of(|w| w.delay),
--- a/crates/overload/src/word.rs
+++ b/crates/overload/src/word.rs
@@ -4,7 +4,7 @@
 use crate::OverloadError;
 
 const VERSION: u8 = 1;
-const SINGLES: usize = 10;
+const SINGLES: usize = 11;
 /// Bytes of a word.
 pub const WORD_BYTES: usize = 1 + 8 + 2 * (LEVELS + SINGLES);
 
@@ -18,8 +18,9 @@
     /// Work taken, and work whose answer began.
     pub taken: f64,
     pub completed: f64,
-    /// Work taken whose answer has not begun.
+    /// Work taken whose answer has not begun, and of one such request in the mean.
     pub backlog: f64,
+    pub each: f64,
     /// Work that hosts say waits at them.
     pub waits: f64,
     /// Hosts that read, by weight.
@@ -55,6 +56,7 @@
             self.taken,
             self.completed,
             self.backlog,
+            self.each,
             self.waits,
             self.hosts,
             self.delay,
@@ -93,6 +95,7 @@
             taken: next(),
             completed: next(),
             backlog: next(),
+            each: next(),
             waits: next(),
             hosts: next(),
             delay: next(),
