--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -119,7 +119,10 @@
             FromEngine::State { state } => self.on_state(now, link, state, out),
             FromEngine::Load { id, load } => {
                 let report = self.report(Some(&load));
-                self.end_probe(now, id, Outcome::Served, report);
+                match self.shed.probed(id, &report) {
+                    Some(ask) => out.push(Output::Overload(ask)),
+                    None => self.end_probe(now, id, Outcome::Served, report),
+                }
             }
             FromEngine::Chunk { id, body } => self.on_chunk(now, link, &id, body, out),
             FromEngine::Done { id, load } => self.on_done(now, link, &id, load.as_ref(), out),
--- a/crates/core/src/carry.rs
+++ b/crates/core/src/carry.rs
@@ -1,5 +1,6 @@
 //! Carries out what the decision module decides.
 
+use bitternlatch_overload::{Ask, Told};
 use bitternlatch_policy::interface::{Action, AttemptEnd, Event, Outcome, RequestId, Role, ServerId};
 use bitternlatch_protocol::engine::{encode, CompletionRequest, KvTransferParams, ToEngine};
 
@@ -221,6 +222,27 @@
         out.push(Output::Tell { link, text, stale: None });
     }
 
+    /// What all are to do together, and what was heard of hosts for this one.
+    pub(crate) fn on_overload(&mut self, now: Micros, told: Told, out: &mut Vec<Output>) {
+        match told {
+            Told::Cut(cut) => self.shed.cut(cut),
+            Told::Probe { host } => {
+                let Some(link) = self.links.open(host).filter(|_| self.shed.is_on()) else { return };
+                let id = self.next_probe;
+                self.next_probe += 1;
+                self.shed.asks(now, id, host);
+                out.push(Output::Tell { link, text: encode(&ToEngine::Probe { id }), stale: None });
+            }
+            Told::Report { host, report, .. } => {
+                let mine = self.probes.iter().filter(|(_, p)| p.link.host == host).map(|(id, _)| *id);
+                let report: Vec<f64> = report.iter().map(|v| v.get()).collect();
+                for id in mine.collect::<Vec<u64>>() {
+                    self.end_probe(now, id, Outcome::Served, report.clone());
+                }
+            }
+        }
+    }
+
     /// Tells what was seen of the load, for what all shed together.
     pub(crate) fn tell_load(&mut self, now: Micros, out: &mut Vec<Output>) {
         self.timers.set(now.after(LOOK_S), Timer::Shed);
@@ -245,6 +267,10 @@
         self.next_probe += 1;
         self.probes.insert(id, Probe { link, sent: now });
         self.timers.set(now.after(PROBE_S), Timer::Probe { id });
+        if self.shed.is_on() {
+            // One of all asks; the answer, whoever is given it, ends this probe.
+            return out.push(Output::Overload(Ask::Probe { host: server }));
+        }
         out.push(Output::Tell { link, text: encode(&ToEngine::Probe { id }), stale: None });
     }
 
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -234,7 +234,7 @@
             Input::LinkUnsent { link, attempt } => self.on_unsent(now, link, &attempt, out),
             Input::Standing { standing, there, until } => self.on_standing(standing, there, until),
             Input::Heard { at, of, heard } => self.on_heard(now, at, of, &heard, out),
-            Input::Overload(told) => self.shed.told(told),
+            Input::Overload(told) => self.on_overload(now, told, out),
             Input::Lengths(told) => self.lengths.told(now, told),
             Input::Workflow(told) => {
                 let act = self.workflows.told(now, told);
--- a/crates/core/src/shed.rs
+++ b/crates/core/src/shed.rs
@@ -2,9 +2,10 @@
 //!
 //! Knows nothing of the machine: it is asked by it, and tells it what to do. Off where the settings have no table for it.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use bitternlatch_overload::{Ask, Asked, Gate, Taken, Told, Verdict};
+use bitternlatch_overload::{Ask, Asked, Cut, Gate, Millionths, Taken, Verdict};
 
 use crate::settings::{Meaning, Settings};
 use crate::types::Micros;
@@ -14,6 +15,9 @@
 /// Share of its ceiling that an answer is taken for where nothing tells more.
 pub(crate) const ANSWER_SHARE: f64 = 0.2;
 
+/// Seconds after which a probe for all has no answer.
+const PROBE_S: f64 = 1.0;
+
 /// What a request has of it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Counted {
@@ -31,6 +35,8 @@
     gate: Option<Gate>,
     /// Where reports have what waits.
     queue: Option<usize>,
+    /// Probes that are out for all.
+    asked: BTreeMap<u64, (u32, Micros)>,
 }
 
 fn clock(now: Micros) -> Duration {
@@ -45,6 +51,7 @@
         Shed {
             gate: on.map(|(own, roster)| Gate::new(own, roster, most_s, seed)),
             queue: settings.reports.fields.iter().position(|f| f.means == Meaning::Queue),
+            asked: BTreeMap::new(),
         }
     }
 
@@ -52,14 +59,25 @@
         self.gate.is_some()
     }
 
-    pub(crate) fn told(&mut self, told: Told) {
-        let Some(gate) = &mut self.gate else { return };
-        match told {
-            Told::Cut(cut) => gate.told(cut),
-            Told::Report { .. } => {}
+    /// Takes what counts from now on.
+    pub(crate) fn cut(&mut self, cut: Cut) {
+        if let Some(gate) = &mut self.gate {
+            gate.told(cut);
         }
     }
 
+    /// A probe with this id goes to a host, for all.
+    pub(crate) fn asks(&mut self, now: Micros, id: u64, host: u32) {
+        self.asked.retain(|_, (_, at)| now.since(*at) < PROBE_S);
+        self.asked.insert(id, (host, now));
+    }
+
+    /// What is to be passed on, where this answers a probe that went for all.
+    pub(crate) fn probed(&mut self, id: u64, report: &[f64]) -> Option<Ask> {
+        let (host, _) = self.asked.remove(&id)?;
+        Some(Ask::Probed { host, report: report.iter().map(|v| Millionths::of(*v)).collect() })
+    }
+
     /// Judges a request that comes; `None` where it is off. A refusal says when to come back.
     pub(crate) fn judge(&mut self, now: Micros, asked: &Asked) -> Option<Result<Counted, f64>> {
         let fingerprint = asked.fingerprint;
--- a/crates/overload/src/io.rs
+++ b/crates/overload/src/io.rs
@@ -50,6 +50,14 @@
     pub fn get(self) -> f64 {
         self.0 as f64 / 1e6
     }
+
+    pub(crate) fn raw(self) -> u64 {
+        self.0
+    }
+
+    pub(crate) fn from_raw(raw: u64) -> Millionths {
+        Millionths(raw)
+    }
 }
 
 /// What the gate has seen of late as a [`crate::Word`] has it, but for the demand's order.
@@ -78,9 +86,9 @@
 pub enum Ask {
     /// Several times a second.
     Seen(Seen),
-    /// What a host answered to a probe of this dispatcher.
+    /// What a host answered to a probe that this dispatcher was told to send.
     Probed { host: u32, report: Vec<Millionths> },
-    /// This dispatcher wants a host probed.
+    /// This dispatcher wants a host's report.
     Probe { host: u32 },
 }
 
@@ -110,7 +118,11 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Told {
     Cut(Cut),
-    /// A peer's answer from a host.
+    /// Ask this host, for all.
+    Probe {
+        host: u32,
+    },
+    /// What a host answered to whoever asked it.
     Report {
         host: u32,
         age: Duration,
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`order`]: one order for all requests; [`cut`]: the rank in it from which on they are taken.
 //! - [`Word`]: what a member says of itself; [`Words`]: the latest of each, and their [`Sums`].
 //! - [`Capacity`]: what the hosts do, from what is completed and what waits.
+//! - [`Probes`]: who asks a host, and to whom its answer goes.
 //! - [`Returns`]: when who is refused may come back; [`Repeats`]: what may be done again.
 
 mod capacity;
@@ -15,6 +16,7 @@
 mod io;
 mod machine;
 pub mod order;
+mod probes;
 mod repeats;
 mod returns;
 mod sums;
@@ -28,6 +30,7 @@
 pub use io::{Ask, Cut, Millionths, Seen, Settings, Told};
 pub use machine::Overload;
 pub use order::Spent;
+pub use probes::{asker, Probes, Saying, PROBE_EVERY};
 pub use repeats::Repeats;
 pub use returns::Returns;
 pub use sums::{Sums, Words};
--- a/crates/overload/src/machine.rs
+++ b/crates/overload/src/machine.rs
@@ -10,6 +10,7 @@
 use crate::cut::{below, cut};
 use crate::io::{Ask, Cut, Millionths, Seen, Settings, Told};
 use crate::order::{spread, LEVELS};
+use crate::probes::{Do, Probes, Saying};
 use crate::sums::{Sums, Words};
 use crate::{OverloadError, Word};
 
@@ -40,6 +41,7 @@
     number: u64,
     seen: Option<(Duration, Seen)>,
     words: Words,
+    probes: Probes,
     peers: Option<Peers>,
     capacity: Capacity,
     rank: f64,
@@ -71,6 +73,7 @@
             number: 0,
             seen: None,
             words: Words::default(),
+            probes: Probes::new(own.name),
             peers: None,
             capacity: Capacity::default(),
             rank: 0.0,
@@ -96,17 +99,26 @@
         *many = many.saturating_add(1);
     }
 
-    fn hear(&mut self, now: Duration, from: Process, said: &[u8]) {
+    fn hear(&mut self, now: Duration, from: Process, said: &[u8], out: &mut Vec<Wanted<Told>>) {
         if from.name == self.own.name || !self.roster.contains(&from.name) {
             return;
         }
         match Word::read(said) {
-            Ok(word) => self.words.hear(now, from, word),
+            Ok(word) => return self.words.hear(now, from, word),
+            Err(OverloadError::OtherVersion) => {}
+            Err(why) => return self.drop_word(why),
+        }
+        match Saying::read(said) {
+            Ok(saying) => {
+                let mut done = Vec::new();
+                self.probes.hear(now, from.name, saying, &mut done);
+                carry(done, out);
+            }
             Err(why) => self.drop_word(why),
         }
     }
 
-    fn asked(&mut self, now: Duration, ask: Ask) {
+    fn asked(&mut self, now: Duration, ask: Ask, out: &mut Vec<Wanted<Told>>) {
         match ask {
             Ask::Seen(seen) => {
                 self.counts.0 = self.counts.0.saturating_add(seen.taken_count);
@@ -114,7 +126,17 @@
                 self.counts.2 = self.counts.2.saturating_add(seen.repeat_count);
                 self.seen = Some((now, seen));
             }
-            Ask::Probe { .. } | Ask::Probed { .. } => {}
+            Ask::Probe { host } => {
+                let others = self.peers(now).map(|p| p.there.clone());
+                let mut done = Vec::new();
+                self.probes.want(now, host, others.as_deref(), self.roster.len(), &mut done);
+                carry(done, out);
+            }
+            Ask::Probed { host, report } => {
+                let mut done = Vec::new();
+                self.probes.answered(now, host, report, &mut done);
+                carry(done, out);
+            }
         }
     }
 
@@ -165,6 +187,7 @@
         let Some(known) = self.seen.as_ref() else { return };
         let stale = now.saturating_sub(known.0) >= COUNTS_FOR;
         self.words.forget(now);
+        self.probes.forget(now);
         let there = self.peers(now).map_or(0, |p| p.there.len());
         let together = self.together(now);
         let word = self.word(now, self.capacity.per_s());
@@ -245,6 +268,15 @@
     }
 }
 
+/// What is to be done for probes, as the loop is told it.
+fn carry(done: Vec<Do>, out: &mut Vec<Wanted<Told>>) {
+    out.extend(done.into_iter().map(|what| match what {
+        Do::Probe(host) => Wanted::Tell(Told::Probe { host }),
+        Do::Tell { host, age, report } => Wanted::Tell(Told::Report { host, age, report }),
+        Do::Say(to, saying) => Wanted::Say(to, saying.write()),
+    }));
+}
+
 impl Beside for Overload {
     const TOPIC: Topic = Topic::Overload;
     type Ask = Ask;
@@ -256,9 +288,9 @@
 
     fn step(&mut self, now: Duration, given: Given<Ask>, out: &mut Vec<Wanted<Told>>) {
         match given {
-            Given::Said { from, said } => self.hear(now, from, &said),
+            Given::Said { from, said } => self.hear(now, from, &said, out),
             Given::Peers(peers) => self.peers = Some(peers),
-            Given::Ask(ask) => self.asked(now, ask),
+            Given::Ask(ask) => self.asked(now, ask, out),
             Given::Wake | Given::Frame { .. } | Given::Found(_) | Given::Kept { .. } | Given::Leave => {}
         }
         if now >= self.beat_at {
