--- /dev/null
+++ b/crates/core/tests/overload.rs
@@ -0,0 +1,138 @@
+//! The gate in the machine: refusals at admission, work that would be done again, probes that one asks for all, and time.
+mod common;
+
+use std::time::Duration;
+
+use bitternlatch_core::{Input, Micros, Output, SessionId, Settings};
+use bitternlatch_membership::Standing;
+use bitternlatch_overload::{Ask, Cut, Millionths, Told as Word};
+use bitternlatch_protocol::engine::FromEngine;
+use common::{four, Bench, Told, SETTINGS};
+
+fn bench(overload: &str) -> Bench {
+    let mut text = format!("{SETTINGS}[cluster]\nname = \"hall\"\nsecret = \"secret\"\n{overload}");
+    for i in 1..=4 {
+        text += &format!("[[cluster.roster]]\nname = \"d{i}\"\naddress = \"127.0.0.1:{}\"\n", 7000 + i);
+    }
+    let settings = Settings::parse("test", &text).expect("settings");
+    let mut bench = Bench::with(settings, 5);
+    bench.step(Input::Hosts(four()));
+    bench.open_all(1000.0);
+    let until = Micros(bench.now.0 + 60_000_000);
+    bench.step(Input::Standing { standing: Standing::Whole, there: vec![], until });
+    bench
+}
+
+fn on() -> Bench {
+    bench("overload = {}\n")
+}
+
+fn told(bench: &mut Bench, rank: f64, fresh: f64, for_s: f64) {
+    let now = Duration::from_micros(bench.now.0);
+    let until = now + Duration::from_secs_f64(for_s);
+    let m = Millionths::of;
+    let cut = Cut {
+        until,
+        rank: m(rank),
+        capacity: m(4.0),
+        free: m(0.4),
+        room: m(1.0),
+        fresh: m(fresh),
+        part: m(0.225),
+        part_until: until,
+        members: 4,
+        together: true,
+    };
+    bench.step(Input::Overload(Word::Cut(cut)));
+}
+
+/// The session's final refusal, if it has one: when to come back, seconds.
+fn refusal(bench: &mut Bench, session: SessionId) -> Option<f64> {
+    let error = bench.heard(session).into_iter().find_map(|e| e.response?.error)?;
+    assert_eq!((error.code.as_str(), error.safe_to_repeat), ("rate_limit_exceeded", true));
+    Some(error.retry_after_ms.expect("when to come back") as f64 / 1000.0)
+}
+
+fn asked(bench: &mut Bench, number: u64) -> Option<f64> {
+    let session = bench.open(number);
+    bench.ask(session, "query", &format!("k{number}"), "words");
+    refusal(bench, session)
+}
+
+#[test]
+fn below_the_cut_all_are_refused_at_once_and_nothing_is_sent() {
+    let mut bench = on();
+    told(&mut bench, 48.0, 100.0, 1.0);
+    let waits: Vec<f64> = (0..20).map(|n| asked(&mut bench, n).expect("refused")).collect();
+    assert!(waits.iter().all(|w| (0.1..=5.0).contains(w)), "{waits:?}");
+    let times: std::collections::BTreeSet<u64> = waits.iter().map(|w| (w * 1000.0) as u64).collect();
+    assert!(times.len() > 15, "not in step: {waits:?}");
+    assert!(bench.told.is_empty());
+    told(&mut bench, 0.0, 100.0, 1.0);
+    assert_eq!(asked(&mut bench, 99), None);
+    assert!(bench.take().is_read());
+}
+
+#[test]
+fn what_was_told_ends_by_time_at_the_act_and_then_a_part_of_the_last_is_taken() {
+    let mut bench = on();
+    told(&mut bench, 0.0, 100.0, 0.5);
+    assert!((0..5).all(|n| asked(&mut bench, n).is_none()));
+    // Without a wake in between, as after a pause.
+    bench.now = Micros(bench.now.0 + 60_000_000);
+    let until = Micros(bench.now.0 + 60_000_000);
+    bench.step(Input::Standing { standing: Standing::Whole, there: vec![], until });
+    let refused = (10..90).filter(|n| asked(&mut bench, *n).is_some()).count();
+    // A quarter of 4 a second, of which 0.3 s go at once: queries of 64 ms for a fifth of their ceiling.
+    assert!((72..=79).contains(&refused), "{refused}");
+}
+
+/// The first read of a request fails where it may have run; gives the attempt that follows, if there is one.
+fn second(bench: &mut Bench, number: u64) -> Option<Told> {
+    let session = bench.open(number);
+    bench.ask(session, "query", &format!("k{number}"), "words");
+    let read = bench.take();
+    bench.error(&read, 500, None);
+    bench.pass(0.1);
+    bench.told.pop()
+}
+
+#[test]
+fn an_attempt_that_repeats_work_needs_leave_and_a_write_after_its_read_does_not() {
+    let mut bench = on();
+    told(&mut bench, 0.1, 0.0, 1.0);
+    assert!(second(&mut bench, 1).is_none(), "no fresh work of which it would be a tenth");
+    told(&mut bench, 0.1, 100.0, 1.0);
+    assert!(second(&mut bench, 2).is_some(), "a quarter of 10");
+    let mut bench = on();
+    let session = bench.open(3);
+    told(&mut bench, 0.1, 0.0, 1.0);
+    assert!(!bench.begin_write(session, "query", "k3", "words").is_read());
+}
+
+#[test]
+fn one_probes_for_all_and_passes_the_answer_on() {
+    let mut bench = on();
+    let host = bitternlatch_inventory::host_id("r1");
+    bench.probes.clear();
+    bench.step(Input::Overload(Word::Probe { host }));
+    let (link, id) = bench.probes.pop().expect("a probe");
+    let load = std::iter::once(("kv_cache_usage_perc".to_string(), 0.25)).collect();
+    bench.says(link, &FromEngine::Load { id, load });
+    let passed = |o: &Output| matches!(o, Output::Overload(Ask::Probed { host: h, report }) if *h == host && report.len() == 1);
+    assert_eq!(bench.out.iter().filter(|o| passed(o)).count(), 1);
+}
+
+#[test]
+fn without_the_table_nothing_is_told_or_refused() {
+    let mut bench = bench("");
+    told(&mut bench, 48.0, 0.0, 60.0);
+    bench.probes.clear();
+    bench.step(Input::Overload(Word::Probe { host: bitternlatch_inventory::host_id("r1") }));
+    assert!(bench.probes.is_empty());
+    assert!((0..50).all(|n| asked(&mut bench, n).is_none()));
+    bench.pass(1.0);
+    assert!(!bench.out.iter().any(|o| matches!(o, Output::Overload(_))));
+    let bad = format!("{SETTINGS}[cluster]\nname = \"h\"\nsecret = \"s\"\noverload = {{ wait_share = 9.0 }}\nroster = [{{ name = \"d1\", address = \"127.0.0.1:7001\" }}]\n");
+    assert!(Settings::parse("test", &bad).expect_err("a bad share").to_string().contains("wait_share"));
+}
