--- a/programs/badday/tests/common/surge.rs
+++ b/programs/badday/tests/common/surge.rs
@@ -68,6 +68,11 @@
     pub more: String,
 }
 
+/// Plays scenes side by side, as they wait more than they work.
+pub fn together(scenes: &[fn()]) {
+    std::thread::scope(|all| scenes.iter().for_each(|scene| drop(all.spawn(scene))));
+}
+
 impl Scene {
     pub fn new(name: &'static str, load: f64, for_s: f64, more: impl Into<String>) -> Scene {
         Scene {
--- a/programs/badday/tests/overload.rs
+++ b/programs/badday/tests/overload.rs
@@ -2,7 +2,7 @@
 //! clients and hosts do. With OVERLOAD_OFF in the environment the control is off, and these fail.
 mod common;
 
-use common::surge::{Played, Scene, CAPACITY, KEPT};
+use common::surge::{together, Played, Scene, CAPACITY, KEPT};
 
 fn holds_up(of: &Played, from_s: usize, to_s: usize) {
     let goodput = of.goodput(from_s, to_s);
@@ -39,7 +39,6 @@
     );
 }
 
-#[test]
 fn who_is_refused_here_is_refused_there_too() {
     let mut scene = Scene::new("roaming", 3.0, 8.0, "");
     scene.clients = "roaming_share = 1.0";
@@ -51,7 +50,6 @@
     assert!(of >= 30 && again * 10 >= of * 8, "{again} of {of}\n{}", day.shown);
 }
 
-#[test]
 fn clients_that_ignore_what_they_are_told_take_nothing_from_the_others() {
     let mut scene = Scene::new("hasty", 3.0, 8.0, "");
     scene.clients = "hasty_share = 0.7";
@@ -73,7 +71,6 @@
     parts.iter().map(one).collect()
 }
 
-#[test]
 fn a_tenant_at_ten_times_its_share_takes_nothing_of_anothers() {
     let quota = CAPACITY * 0.45;
     // North asks ten times its share, south eight tenths of its own.
@@ -88,7 +85,6 @@
     assert!(north.worth >= 0.05 && north.refused > north.served, "{north:?}");
 }
 
-#[test]
 fn what_is_worth_all_is_served_before_what_is_worth_nothing() {
     let class = |name: &str, worth: f64| {
         format!(
@@ -107,7 +103,6 @@
     assert!(none.refused > none.served, "{none:?}");
 }
 
-#[test]
 fn hosts_that_report_falsely_low_load_are_not_believed() {
     let liars =
         "[[faults]]\ntrouble = \"low_load\"\nat_s = 0\nfor_s = 30\nhosts = [\"reader-1\", \"writer-1\"]\n";
@@ -117,7 +112,6 @@
     well_served(&day);
 }
 
-#[test]
 fn capacity_that_is_halved_for_good_halves_what_is_served_and_no_more() {
     let slow = "[[faults]]\ntrouble = \"slow\"\nstrength = 2.0\nat_s = 3\nfor_s = 60\n\
                 hosts = [\"reader-1\", \"reader-2\", \"writer-1\", \"writer-2\"]\n";
@@ -127,7 +121,6 @@
     assert!(goodput >= KEPT / 2.0, "{goodput}\n{}", day.shown);
 }
 
-#[test]
 fn half_of_the_hosts_stalled_and_back_bring_no_second_wave() {
     let stall =
         "[[faults]]\ntrouble = \"pause\"\nat_s = 3\nfor_s = 5\nhosts = [\"reader-1\", \"writer-1\"]\n";
@@ -141,7 +134,6 @@
     assert!(day.load().repeats <= 1.3, "{}", day.shown);
 }
 
-#[test]
 fn hosts_six_times_slower_than_taken_for_are_known_within_seconds() {
     let mut scene = Scene::new("guessed", 2.0, 12.0, "");
     scene.guessed = true;
@@ -149,3 +141,29 @@
     day.holds();
     holds_up(&day, 7, 12);
 }
+
+#[test]
+fn whatever_clients_and_hosts_say() {
+    together(&[
+        who_is_refused_here_is_refused_there_too,
+        clients_that_ignore_what_they_are_told_take_nothing_from_the_others,
+        hosts_that_report_falsely_low_load_are_not_believed,
+    ]);
+}
+
+#[test]
+fn who_comes_first() {
+    together(&[
+        a_tenant_at_ten_times_its_share_takes_nothing_of_anothers,
+        what_is_worth_all_is_served_before_what_is_worth_nothing,
+    ]);
+}
+
+#[test]
+fn whatever_hosts_can_do() {
+    together(&[
+        capacity_that_is_halved_for_good_halves_what_is_served_and_no_more,
+        half_of_the_hosts_stalled_and_back_bring_no_second_wave,
+        hosts_six_times_slower_than_taken_for_are_known_within_seconds,
+    ]);
+}
--- a/programs/badday/tests/overload_faults.rs
+++ b/programs/badday/tests/overload_faults.rs
@@ -2,14 +2,13 @@
 //! the act. With OVERLOAD_OFF in the environment the control is off, and these fail.
 mod common;
 
-use common::surge::{Scene, CAPACITY, KEPT};
+use common::surge::{together, Scene, CAPACITY, KEPT};
 
 /// A process's trouble.
 fn process(what: &str, dispatcher: usize, at_s: f64, for_s: f64) -> String {
     format!("[[process]]\nat_s = {at_s:?}\nfor_s = {for_s:?}\ndispatcher = {dispatcher}\nwhat = \"{what}\"\n")
 }
 
-#[test]
 fn goodput_holds_at_twice_the_capacity_while_links_are_cut_one_way_and_both() {
     let cuts = "[[between]]\nat_s = 2\nfor_s = 3\ngroup = [1]\ncut = true\n\
                 [[between]]\nat_s = 7\nfor_s = 3\ngroup = [2]\nway = \"out\"\ncut = true\n";
@@ -20,7 +19,6 @@
     assert!(day.load().repeats <= 1.15, "{}", day.shown);
 }
 
-#[test]
 fn a_steward_that_stands_still_and_comes_back_lends_nobody_too_much() {
     let day = Scene::new("steward", 2.0, 12.0, process("pause_steward", 1, 4.0, 4.0)).play();
     day.holds();
@@ -32,7 +30,6 @@
     assert!(back >= 0.8 * KEPT, "{back}\n{}", day.shown);
 }
 
-#[test]
 fn a_third_killed_at_once_comes_back_with_nothing_and_goodput_with_it() {
     let kills = process("kill_and_empty", 3, 3.0, 1.0) + &process("kill_and_empty", 6, 3.5, 1.0);
     let mut scene = Scene::new("third", 0.8, 11.0, kills);
@@ -44,7 +41,6 @@
     assert!(day.load().repeats <= 1.2, "{}", day.shown);
 }
 
-#[test]
 fn all_restarted_one_after_another_at_twice_the_capacity_begin_carefully() {
     let kills: String = (1..=3).map(|n| process("kill_and_empty", n, 1.0 + 2.0 * n as f64, 1.0)).collect();
     let day = Scene::new("restarted", 2.0, 13.0, kills).play();
@@ -70,3 +66,19 @@
     let (few, many) = (few.load().probes_most(), many.load().probes_most());
     assert!(CAPACITY > 0.0 && many <= 1.5 * few + 0.5, "{few} a second by three, {many} by twelve");
 }
+
+#[test]
+fn while_they_do_not_hear_each_other() {
+    together(&[
+        goodput_holds_at_twice_the_capacity_while_links_are_cut_one_way_and_both,
+        a_steward_that_stands_still_and_comes_back_lends_nobody_too_much,
+    ]);
+}
+
+#[test]
+fn when_they_come_back_with_nothing() {
+    together(&[
+        a_third_killed_at_once_comes_back_with_nothing_and_goodput_with_it,
+        all_restarted_one_after_another_at_twice_the_capacity_begin_carefully,
+    ]);
+}
