--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -341,6 +341,7 @@
         };
         self.shed.reported(now, attempt.host, &report);
         self.note_outcome(now, attempt.host, outcome);
+        out.extend(self.shed.tried(attempt.host, outcome).map(Output::Overload));
         if attempt.stage == Stage::Streaming && outcome != Outcome::Served {
             self.fail(now, id, "server_error", "the answer broke off; it may have run", out);
         }
--- a/crates/core/src/carry.rs
+++ b/crates/core/src/carry.rs
@@ -6,7 +6,7 @@
 
 use crate::links::{Given, Queued};
 use crate::machine::{log, Machine, Probe, PROBE_S};
-use crate::requests::{wire_id, Attempt, Purpose, Stage};
+use crate::requests::{wire_id, Attempt, Purpose, Request, Stage};
 use crate::settings::Effect;
 use crate::shed::LOOK_S;
 use crate::timers::Timer;
@@ -58,6 +58,14 @@
             return self.not_sent(id, number, host, Outcome::Moot);
         }
         let Some(request) = self.requests.get_mut(&id) else { return };
+        if let Some(most) = self.shed.most_out(now, host) {
+            let at = |r: &&Request| r.attempt.as_ref().is_some_and(|a| a.host == host);
+            if self.requests.values().filter(at).count() >= most as usize {
+                // It is tried by one of all, a little at a time.
+                return self.not_sent(id, number, host, Outcome::Full { state_gone: false });
+            }
+        }
+        let Some(request) = self.requests.get_mut(&id) else { return };
         // Work that would be done again goes by what all may repeat.
         if open.is_some() && !self.shed.may_send(now, &request.counted) {
             return self.not_sent(id, number, host, Outcome::Moot);
@@ -226,6 +234,7 @@
     pub(crate) fn on_overload(&mut self, now: Micros, told: Told, out: &mut Vec<Output>) {
         match told {
             Told::Cut(cut) => self.shed.cut(cut),
+            Told::Trial { host, many, until } => self.shed.trial(host, many, until),
             Told::Probe { host } => {
                 let Some(link) = self.links.open(host).filter(|_| self.shed.is_on()) else { return };
                 let id = self.next_probe;
--- a/crates/core/src/shed.rs
+++ b/crates/core/src/shed.rs
@@ -7,6 +7,8 @@
 
 use bitternlatch_overload::{Ask, Asked, Cut, Gate, Millionths, Taken, Verdict};
 
+use bitternlatch_policy::interface::Outcome;
+
 use crate::settings::{Meaning, Settings};
 use crate::types::Micros;
 
@@ -17,6 +19,8 @@
 
 /// Seconds after which a probe for all has no answer.
 const PROBE_S: f64 = 1.0;
+/// Failures in a row that make a host one that failed.
+const ROW: u32 = 2;
 
 /// What a request has of it.
 #[derive(Clone, Copy, Debug, Default)]
@@ -37,6 +41,9 @@
     queue: Option<usize>,
     /// Probes that are out for all.
     asked: BTreeMap<u64, (u32, Micros)>,
+    /// Hosts that failed here: attempts that may be out, and until when that counts; and failures in a row.
+    trials: BTreeMap<u32, (u32, Duration)>,
+    row: BTreeMap<u32, u32>,
 }
 
 fn clock(now: Micros) -> Duration {
@@ -52,6 +59,8 @@
             gate: on.map(|(own, roster)| Gate::new(own, roster, most_s, seed)),
             queue: settings.reports.fields.iter().position(|f| f.means == Meaning::Queue),
             asked: BTreeMap::new(),
+            trials: BTreeMap::new(),
+            row: BTreeMap::new(),
         }
     }
 
@@ -66,6 +75,40 @@
         }
     }
 
+    /// A host that failed here may have so many attempts out until then.
+    pub(crate) fn trial(&mut self, host: u32, many: u32, until: Duration) {
+        if self.gate.is_some() {
+            self.trials.insert(host, (many, until));
+        }
+    }
+
+    /// Attempts that may be out at a host; `None` for any number. What was told ends by time, at the act.
+    pub(crate) fn most_out(&mut self, now: Micros, host: u32) -> Option<u32> {
+        let (many, until) = *self.trials.get(&host)?;
+        if clock(now) >= until {
+            self.trials.remove(&host);
+            return None;
+        }
+        Some(many)
+    }
+
+    /// An attempt at a host ended.
+    pub(crate) fn tried(&mut self, host: u32, outcome: Outcome) -> Option<Ask> {
+        self.gate.as_ref()?;
+        match outcome {
+            Outcome::Served | Outcome::ReadDone => {
+                self.row.remove(&host);
+                self.trials.contains_key(&host).then_some(Ask::Tried { host, well: true })
+            }
+            Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::ConnectFailed => {
+                let row = self.row.entry(host).or_default();
+                *row = row.saturating_add(1);
+                (*row >= ROW).then_some(Ask::Tried { host, well: false })
+            }
+            Outcome::Full { .. } | Outcome::Cancelled | Outcome::Moot => None,
+        }
+    }
+
     /// A probe with this id goes to a host, for all.
     pub(crate) fn asks(&mut self, now: Micros, id: u64, host: u32) {
         self.asked.retain(|_, (_, at)| now.since(*at) < PROBE_S);
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -136,3 +136,24 @@
     let bad = format!("{SETTINGS}[cluster]\nname = \"h\"\nsecret = \"s\"\noverload = {{ wait_share = 9.0 }}\nroster = [{{ name = \"d1\", address = \"127.0.0.1:7001\" }}]\n");
     assert!(Settings::parse("test", &bad).expect_err("a bad share").to_string().contains("wait_share"));
 }
+
+#[test]
+fn a_host_on_trial_gets_as_many_as_its_leave_until_its_time_and_failures_in_a_row_are_told() {
+    let mut bench = on();
+    told(&mut bench, 0.0, 100.0, 60.0);
+    let r1 = bitternlatch_inventory::host_id("r1");
+    let until = Duration::from_micros(bench.now.0) + Duration::from_secs(1);
+    bench.step(Input::Overload(Word::Trial { host: r1, many: 1, until }));
+    (0..20).for_each(|n| assert_eq!(asked(&mut bench, n), None));
+    bench.pass(0.05);
+    let at = |bench: &Bench, name: &str| bench.told.iter().filter(|t| Bench::name_of(t.link) == name).count();
+    assert!(at(&bench, "r1") <= 1 && at(&bench, "r2") >= 15, "{} {}", at(&bench, "r1"), at(&bench, "r2"));
+    bench.pass(1.0);
+    (20..50).for_each(|n| assert_eq!(asked(&mut bench, n), None));
+    bench.pass(0.05);
+    assert!(at(&bench, "r1") > 3, "its time is over: {}", at(&bench, "r1"));
+    let failing = bench.told.iter().filter(|t| Bench::name_of(t.link) == "r1").take(3).cloned().collect::<Vec<_>>();
+    failing.iter().for_each(|t| bench.error(t, 500, None));
+    let told = |o: &&Output| matches!(o, Output::Overload(Ask::Tried { host, well: false }) if *host == r1);
+    assert_eq!(bench.out.iter().filter(told).count(), 2, "from the second on");
+}
--- a/crates/overload/src/capacity.rs
+++ b/crates/overload/src/capacity.rs
@@ -5,7 +5,7 @@
 use crate::Sums;
 
 /// In so long what waits too much, or too little, is to be made good.
-const MEND_S: f64 = 0.5;
+const MEND_S: f64 = 1.0;
 /// How fast more, and less, is believed.
 const UP_S: f64 = 0.5;
 const DOWN_S: f64 = 2.0;
--- a/crates/overload/src/io.rs
+++ b/crates/overload/src/io.rs
@@ -90,6 +90,8 @@
     Probed { host: u32, report: Vec<Millionths> },
     /// This dispatcher wants a host's report.
     Probe { host: u32 },
+    /// A host failed here in a row; or answered after it had.
+    Tried { host: u32, well: bool },
 }
 
 /// What all are to do together, until a time of the own clock.
@@ -118,6 +120,12 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Told {
     Cut(Cut),
+    /// A host that failed here may have so many attempts of this dispatcher out until then.
+    Trial {
+        host: u32,
+        many: u32,
+        until: Duration,
+    },
     /// Ask this host, for all.
     Probe {
         host: u32,
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -20,6 +20,7 @@
 mod repeats;
 mod returns;
 mod sums;
+mod trials;
 mod window;
 mod word;
 
@@ -34,5 +35,6 @@
 pub use repeats::Repeats;
 pub use returns::Returns;
 pub use sums::{Sums, Words};
+pub use trials::{Leave, Trials};
 pub use window::{Rate, Span};
 pub use word::{Word, WORD_BYTES};
--- a/crates/overload/src/machine.rs
+++ b/crates/overload/src/machine.rs
@@ -12,6 +12,7 @@
 use crate::order::{spread, LEVELS};
 use crate::probes::{Do, Probes, Saying};
 use crate::sums::{Sums, Words};
+use crate::trials::{Leave, Trials};
 use crate::{OverloadError, Word};
 
 /// Between two looks at the sums, and two words to the others.
@@ -21,6 +22,8 @@
 /// Others that are told a word at a beat; where there are more, they are drawn anew each time, less often.
 const TOLD_MOST: usize = 16;
 const SAMPLE_BEATS: u32 = 4;
+/// Others that are told of a failed host at once.
+const SAID_MOST: usize = 64;
 /// Between two lines in the log.
 const LOG: Duration = Duration::from_secs(1);
 /// Weight of the others' mean cut.
@@ -42,6 +45,9 @@
     seen: Option<(Duration, Seen)>,
     words: Words,
     probes: Probes,
+    trials: Trials,
+    /// Hosts of which the dispatcher was told a leave.
+    on_trial: BTreeSet<u32>,
     peers: Option<Peers>,
     capacity: Capacity,
     rank: f64,
@@ -74,6 +80,8 @@
             seen: None,
             words: Words::default(),
             probes: Probes::new(own.name),
+            trials: Trials::new(own.name),
+            on_trial: BTreeSet::new(),
             peers: None,
             capacity: Capacity::default(),
             rank: 0.0,
@@ -109,6 +117,8 @@
             Err(why) => return self.drop_word(why),
         }
         match Saying::read(said) {
+            Ok(Saying::Failed(host)) => self.trials.heard(now, from.name, host, true),
+            Ok(Saying::Well(host)) => self.trials.heard(now, from.name, host, false),
             Ok(saying) => {
                 let mut done = Vec::new();
                 self.probes.hear(now, from.name, saying, &mut done);
@@ -132,6 +142,15 @@
                 self.probes.want(now, host, others.as_deref(), self.roster.len(), &mut done);
                 carry(done, out);
             }
+            Ask::Tried { host, well } => {
+                let saying = if well { self.trials.answered(host) } else { self.trials.failed(now, host) };
+                let to = self.peers(now).map(|p| p.there.clone()).unwrap_or_default();
+                // As many as hear a word at a time; of many members a sample, as the rest hear of it from their own attempts.
+                if let Some(bytes) = saying.map(|s| s.write()) {
+                    out.extend(to.into_iter().take(SAID_MOST).map(|n| Wanted::Say(n, bytes.clone())));
+                }
+                self.tell_trials(now, out);
+            }
             Ask::Probed { host, report } => {
                 let mut done = Vec::new();
                 self.probes.answered(now, host, report, &mut done);
@@ -140,6 +159,19 @@
         }
     }
 
+    /// Tells what may be tried, and of what is as any other again.
+    fn tell_trials(&mut self, now: Duration, out: &mut Vec<Wanted<Told>>) {
+        let others = self.peers(now).map(|p| p.there.clone());
+        let leaves = self.trials.leaves(now, others.as_deref());
+        let hosts: BTreeSet<u32> = leaves.iter().map(|l| l.host).collect();
+        let well =
+            self.on_trial.difference(&hosts).map(|host| Told::Trial { host: *host, many: 0, until: now });
+        out.extend(well.map(Wanted::Tell));
+        let trial = |l: Leave| Wanted::Tell(Told::Trial { host: l.host, many: l.many, until: l.until });
+        out.extend(leaves.into_iter().map(trial));
+        self.on_trial = hosts;
+    }
+
     /// The own word. What the dispatcher told too long ago is nothing: it stands still, and takes nothing.
     fn word(&mut self, now: Duration, capacity: f64) -> Word {
         self.number += 1;
@@ -188,6 +220,7 @@
         let stale = now.saturating_sub(known.0) >= COUNTS_FOR;
         self.words.forget(now);
         self.probes.forget(now);
+        self.tell_trials(now, out);
         let there = self.peers(now).map_or(0, |p| p.there.len());
         let together = self.together(now);
         let word = self.word(now, self.capacity.per_s());
--- a/crates/overload/src/probes.rs
+++ b/crates/overload/src/probes.rs
@@ -22,17 +22,28 @@
 pub enum Saying {
     /// Wants a host's report.
     Want(u32),
+    /// Saw a host fail, and found it well again.
+    Failed(u32),
+    Well(u32),
     /// A host's report, and its age.
-    Report { host: u32, age_ms: u16, report: Vec<Millionths> },
+    Report {
+        host: u32,
+        age_ms: u16,
+        report: Vec<Millionths>,
+    },
 }
 
 const WANT: u8 = 2;
 const REPORT: u8 = 3;
+const FAILED: u8 = 4;
+const WELL: u8 = 5;
 
 impl Saying {
     pub fn write(&self) -> Vec<u8> {
         match self {
             Saying::Want(host) => [&[WANT], &host.to_le_bytes()[..]].concat(),
+            Saying::Failed(host) => [&[FAILED], &host.to_le_bytes()[..]].concat(),
+            Saying::Well(host) => [&[WELL], &host.to_le_bytes()[..]].concat(),
             Saying::Report { host, age_ms, report } => {
                 let mut bytes = [&[REPORT], &host.to_le_bytes()[..], &age_ms.to_le_bytes()].concat();
                 report.iter().take(FIGURES).for_each(|f| bytes.extend(f.raw().to_le_bytes()));
@@ -48,6 +59,8 @@
         let host = host(bytes).ok_or(OverloadError::Unreadable)?;
         match (bytes[0], &bytes[5..]) {
             (WANT, []) => Ok(Saying::Want(host)),
+            (FAILED, []) => Ok(Saying::Failed(host)),
+            (WELL, []) => Ok(Saying::Well(host)),
             (REPORT, [a, b, rest @ ..]) if rest.len() % 8 == 0 && rest.len() <= 8 * FIGURES => {
                 let figure = |b: &[u8]| {
                     let mut raw = [0; 8];
@@ -57,7 +70,7 @@
                 let report = rest.chunks_exact(8).map(figure).collect();
                 Ok(Saying::Report { host, age_ms: u16::from_le_bytes([*a, *b]), report })
             }
-            (WANT | REPORT, _) => Err(OverloadError::Unreadable),
+            (WANT | REPORT | FAILED | WELL, _) => Err(OverloadError::Unreadable),
             _ => Err(OverloadError::OtherVersion),
         }
     }
@@ -161,6 +174,7 @@
                 }
                 self.ask(now, host, PROBE_EVERY, out);
             }
+            Saying::Failed(_) | Saying::Well(_) => {}
             Saying::Report { host, age_ms, report } => {
                 let age = Duration::from_millis(u64::from(age_ms));
                 let Some(known) = self.entry(host) else { return };
--- a/crates/overload/tests/fleet.rs
+++ b/crates/overload/tests/fleet.rs
@@ -91,23 +91,30 @@
     again_work: f64,
     /// Fresh requests and refused ones, by member.
     by_member: BTreeMap<usize, (u32, u32)>,
+    /// The same by half seconds.
+    by_time: BTreeMap<u128, (u32, u32)>,
 }
 
 impl Figures {
     /// Standard deviation over members of the share refused, beyond what chance alone gives.
     fn spread(&self) -> f64 {
-        let shares: Vec<(f64, f64)> = self
-            .by_member
-            .values()
-            .filter(|m| m.0 > 20)
-            .map(|m| (f64::from(m.1) / f64::from(m.0), f64::from(m.0)))
-            .collect();
-        let n = shares.len().max(1) as f64;
-        let mean = shares.iter().map(|s| s.0).sum::<f64>() / n;
-        let var = shares.iter().map(|s| (s.0 - mean).powi(2)).sum::<f64>() / n;
-        let chance = shares.iter().map(|s| mean * (1.0 - mean) / s.1).sum::<f64>() / n;
-        (var - chance).max(0.0).sqrt()
+        spread(self.by_member.values())
     }
+
+    /// The same over time.
+    fn swing(&self) -> f64 {
+        spread(self.by_time.values())
+    }
+}
+
+fn spread<'a>(of: impl Iterator<Item = &'a (u32, u32)>) -> f64 {
+    let many = of.filter(|m| m.0 > 20).map(|m| (f64::from(m.1) / f64::from(m.0), f64::from(m.0)));
+    let shares: Vec<(f64, f64)> = many.collect();
+    let n = shares.len().max(1) as f64;
+    let mean = shares.iter().map(|s| s.0).sum::<f64>() / n;
+    let var = shares.iter().map(|s| (s.0 - mean).powi(2)).sum::<f64>() / n;
+    let chance = shares.iter().map(|s| mean * (1.0 - mean) / s.1).sum::<f64>() / n;
+    (var - chance).max(0.0).sqrt()
 }
 
 struct Fleet {
@@ -200,6 +207,9 @@
             let by = self.figures.by_member.entry(t.member).or_default();
             by.0 += 1;
             by.1 += u32::from(matches!(verdict, Verdict::Refuse { .. }));
+            let by = self.figures.by_time.entry(now.as_millis() / 500).or_default();
+            by.0 += 1;
+            by.1 += u32::from(matches!(verdict, Verdict::Refuse { .. }));
         }
         match verdict {
             Verdict::Take(taken) => {
@@ -326,11 +336,12 @@
         let (_, f) = steady(12, 24, load);
         let again = f.again_work / (f.taken_work - f.again_work);
         println!(
-            "12 members, {load}: asked {:.0} good {:.0} late {:.0} again {again:.3} spread {:.3}",
+            "12 members, {load}: asked {:.0} good {:.0} late {:.0} again {again:.3} spread {:.3} swing {:.3}",
             f.asked,
             f.good,
             f.late,
-            f.spread()
+            f.spread(),
+            f.swing()
         );
         if load < 1.0 {
             assert!(f.good > 0.97 * f.asked, "{load}: {f:?}");
@@ -339,6 +350,7 @@
             assert!(f.good > 0.95 * at_capacity && f.late < 0.03 * f.good, "{load}: {} {}", f.good, f.late);
         }
         assert!(again <= 0.12, "{load}: {again}");
+        assert!(f.swing() < 0.1, "{load}: {}", f.swing());
         assert!(f.spread() < 0.05, "{load}: {}", f.spread());
     }
 }
