--- a/crates/core/src/carry.rs
+++ b/crates/core/src/carry.rs
@@ -1,7 +1,7 @@
 //! Carries out what the decision module decides.
 
 use bitternlatch_overload::{Ask, Told};
-use bitternlatch_policy::interface::{Action, AttemptEnd, Event, Outcome, RequestId, Role, ServerId};
+use bitternlatch_policy::interface::{Action, AttemptEnd, Event, Outcome, RequestId, Role, ServerId, Sight};
 use bitternlatch_protocol::engine::{encode, CompletionRequest, KvTransferParams, ToEngine};
 
 use crate::links::{Given, Queued};
@@ -57,7 +57,6 @@
         if number == 0 && !self.may_take(now, class) {
             return self.not_sent(id, number, host, Outcome::Moot);
         }
-        let Some(request) = self.requests.get_mut(&id) else { return };
         if let Some(most) = self.shed.most_out(now, host) {
             let at = |r: &&Request| r.attempt.as_ref().is_some_and(|a| a.host == host);
             if self.requests.values().filter(at).count() >= most as usize {
@@ -234,7 +233,20 @@
     pub(crate) fn on_overload(&mut self, now: Micros, told: Told, out: &mut Vec<Output>) {
         match told {
             Told::Cut(cut) => self.shed.cut(cut),
-            Told::Trial { host, many, until } => self.shed.trial(host, many, until),
+            Told::Trial { host, many, until } => {
+                self.shed.trial(host, many, until);
+                // The module does better to choose another one: several saw it fail, or this one did in a row.
+                if self.shed.most_out(now, host).is_some() {
+                    let sight = Sight::Failing;
+                    self.events.push_back(Event::Hearsay {
+                        server: host,
+                        sight,
+                        voices: 2,
+                        of: 2,
+                        age_s: 0.0,
+                    });
+                }
+            }
             Told::Probe { host } => {
                 let Some(link) = self.links.open(host).filter(|_| self.shed.is_on()) else { return };
                 let id = self.next_probe;
