--- a/crates/core/src/answers.rs
+++ b/crates/core/src/answers.rs
@@ -9,6 +9,7 @@
 use crate::budgets::Denied;
 use crate::contexts::Context;
 use crate::intake::Wanted;
+use crate::keys::Key;
 use crate::lengths::Lengths;
 use crate::machine::{log, Machine};
 use crate::requests::{Listener, Purpose, Request, Stage};
@@ -253,7 +254,9 @@
     ) {
         let taken = self.wanted(now, asked.session, &asked.create).map_err(Denied::from).and_then(|w| {
             let time_left_s = w.time_left_s - now.since(asked.at);
-            let wanted = Wanted { time_left_s, step: Some((intent.clone(), until)), ..w };
+            let (tenant, class, owner) = (w.tenant, w.class, w.owner.clone());
+            let key = Some(Key { tenant, class, owner, text: intent.key.clone() });
+            let wanted = Wanted { time_left_s, key, step: Some((intent.clone(), until)), ..w };
             self.admit(now, asked.session, &asked.create, wanted, out)
         });
         if let Err(denied) = taken {
--- a/crates/core/src/workflows/words.rs
+++ b/crates/core/src/workflows/words.rs
@@ -57,7 +57,9 @@
                 settings::Effect::Unsafe => Effect::Unsafe,
             };
             let asks = digest(create, &class.name, key);
-            Question::Step(Intent { workflow, epoch, step, effect, key: key.to_string(), asks })
+            // Without one of the caller's a repeat still has to be known for one.
+            let key = if key.is_empty() { format!("{workflow}/{step}") } else { key.to_string() };
+            Question::Step(Intent { workflow, epoch, step, effect, key, asks })
         }
     }
 }
