--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -154,6 +154,12 @@
     fn judge(&mut self, now: Micros, create: &Create, wanted: &Wanted) -> Result<Counted, f64> {
         let class = &self.settings.classes[usize::from(wanted.class)];
         let prompt_tokens = f64::from(tokens_of(wanted.prompt.len()));
+        let expected = self.lengths.expect(
+            &create.model,
+            &class.name,
+            tokens_of(wanted.prompt.len()),
+            wanted.max_tokens,
+        );
         let words = fingerprint(create);
         let fingerprint = wanted.key.as_ref().map_or(words, |k| xxh3_64(k.text.as_bytes()));
         let (spent, identity) = match &wanted.step {
@@ -168,7 +174,7 @@
             prompt_tokens,
             prefix: prefix(create),
             prefix_tokens: f64::from(tokens_of(create.instructions.len())),
-            answer_tokens: ANSWER_SHARE * f64::from(wanted.max_tokens),
+            answer_tokens: expected.map_or(ANSWER_SHARE * f64::from(wanted.max_tokens), |e| e.mean),
             spent,
             identity,
             fingerprint,
