Workflows: of two attempts under one epoch the first to end stands

Found in simulated time: a keyed step's first attempt ended while the second was under way; its result was told as held and stood nowhere. Told::Known may answer Ask::Ended now: another attempt's result stands.

--- a/crates/workflow/src/io.rs
+++ b/crates/workflow/src/io.rs
@@ -103,7 +103,8 @@
     Claimed { call: Call, epoch: u64, context: String, steps: Vec<Step>, lease_us: u64 },
     /// The intent is held by a majority: the effect may leave until then, checked at the act.
     Go { call: Call, until_us: u64 },
-    /// The step is done already; this is its result, and nothing may be sent.
+    /// The step is done already; this is its result, and nothing may be sent. In answer to [`Ask::Ended`]: another attempt's
+    /// result stands, and is what the worker is to be told.
     Known { call: Call, result: String },
     /// What was told is held by a majority.
     Held { call: Call },
--- a/crates/workflow/src/turns.rs
+++ b/crates/workflow/src/turns.rs
@@ -159,7 +159,10 @@
             Stage::Done { .. } | Stage::Abandoned => false,
         };
         match fate {
-            Fate::Done { result, tokens } if own => self.stand(at, result, *tokens, told),
+            // Of two attempts under one epoch either may be the first to end.
+            Fate::Done { result, tokens } if own || current && !entry.closed() => {
+                self.stand(at, result, *tokens, told)
+            }
             Fate::Done { result, .. } => self.beside(at, result, told),
             Fate::MayHaveRun if own && current => self.doubt(at, attempt, told),
             Fate::NeverRan if own => self.never(at, told),
@@ -191,24 +194,29 @@
         }
     }
 
-    /// A second result: the one that a majority held first stands, this one is kept beside it.
+    /// A second result: the one that a majority held first stands, and is what its teller is told; this one is kept beside it.
     fn beside(&mut self, at: usize, result: &str, told: Answer) -> Turn {
         let entry = &mut self.steps[at];
         let kept = cut(result, RESULT_MOST);
-        if matches!(&entry.stage, Stage::Done { result, .. } if *result == kept) {
-            return Turn::as_it_is(told);
-        }
+        let told = match &entry.stage {
+            Stage::Done { result, .. } if *result == kept => return Turn::as_it_is(told),
+            Stage::Done { result, .. } if told == Answer::Held => Answer::Known(result.clone()),
+            Stage::Abandoned if told == Answer::Held => Answer::Known(LEFT_OUT.to_string()),
+            _ => told,
+        };
         let number = entry.number;
         entry.keep_late(result);
         Turn::write(told).noting(Notice::TwoResults { step: number })
     }
 
     fn ended_long_ago(&mut self, step: u32, fate: &Fate, told: Answer) -> Turn {
-        if !matches!(self.compacted(step).answer, Answer::Known(_)) {
+        let known = self.compacted(step).answer;
+        if !matches!(known, Answer::Known(_)) {
             return Turn::refused(Refusal::Unknown);
         }
         let Fate::Done { result, .. } = fate else { return Turn::as_it_is(told) };
         self.context.late(step, result);
+        let told = if told == Answer::Held { known } else { told };
         Turn::write(told).noting(Notice::TwoResults { step })
     }
 
--- a/crates/workflow/tests/record.rs
+++ b/crates/workflow/tests/record.rs
@@ -64,6 +64,19 @@
     assert_eq!(r.shown().1[1].fate, Some(Fate::MayHaveRun));
 }
 
+#[test]
+fn of_two_attempts_under_one_epoch_the_first_to_end_stands() {
+    let mut r = begun();
+    for number in [1, 2] {
+        let attempt = attempt(number);
+        let intent = Intent { epoch: 1, step: 1, effect: Effect::Keyed, key: "k", asks: 1, attempt };
+        assert_eq!(r.intend(&intent, |_| Mine::Running, &LIMITS, KEPT).answer, Answer::Go);
+    }
+    assert_eq!(r.ended(1, 1, &done("x"), Some(attempt(1)), KEPT).answer, Answer::Held);
+    assert_eq!(r.ended(1, 1, &done("y"), Some(attempt(2)), KEPT).answer, Answer::Known("x".into()));
+    assert_eq!(r.shown().1[0].fate, Some(done("x")));
+}
+
 #[test]
 fn one_carries_it_and_each_claim_fences_those_before() {
     let mut r = begun();
