--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -119,7 +119,10 @@
             FromEngine::State { state } => self.on_state(now, link, state, out),
             FromEngine::Load { id, load } => {
                 let report = self.report(Some(&load));
-                self.end_probe(now, id, Outcome::Served, report);
+                match self.shed.probed(id, &report) {
+                    Some(ask) => out.push(Output::Overload(ask)),
+                    None => self.end_probe(now, id, Outcome::Served, report),
+                }
             }
             FromEngine::Chunk { id, body } => self.on_chunk(now, link, &id, body, out),
             FromEngine::Done { id, load } => self.on_done(now, link, &id, load.as_ref(), out),
@@ -163,17 +166,26 @@
             return self.hand_back(now, queued, out);
         }
         for message in queued {
-            self.told_late(now, link, &message.attempt);
-            out.push(self.tell_attempt(link, message));
+            let Some(id) = self.told_late(now, link, &message.attempt) else {
+                // Its permission has passed while it waited for the link.
+                self.hand_back(now, vec![message], out);
+                continue;
+            };
+            out.push(self.tell_attempt(now, id, link, message));
         }
     }
 
-    fn told_late(&mut self, now: Micros, link: LinkId, attempt: &str) {
-        let Some((id, number)) = read_wire_id(self.instance, attempt) else { return };
+    fn told_late(&mut self, now: Micros, link: LinkId, attempt: &str) -> Option<RequestId> {
+        let (id, number) = read_wire_id(self.instance, attempt)?;
+        let may = self.workflows.may_leave(now, id);
         let current = self.requests.get_mut(&id).and_then(|r| r.attempt.as_mut());
         if let Some(a) = current.filter(|a| a.number == number) {
+            if a.purpose != Purpose::Read && !may {
+                return None;
+            }
             (a.stage, a.link, a.heard) = (Stage::Out, link, now);
         }
+        Some(id)
     }
 
     fn on_state(&mut self, now: Micros, link: LinkId, state: EngineState, out: &mut Vec<Output>) {
@@ -244,6 +256,7 @@
         request.text.push_str(piece);
         if let Some(attempt) = request.attempt.as_mut().filter(|a| a.stage == Stage::Out) {
             attempt.stage = Stage::Streaming;
+            self.shed.begun(now, &mut request.counted);
             let (number, server, elapsed_s) = (attempt.number, attempt.host, now.since(attempt.sent));
             // The state has been fetched: nothing of it is held any more.
             request.state = None;
@@ -320,6 +333,13 @@
         if outcome == (Outcome::Full { state_gone: true }) {
             request.state = None;
         }
+        request.counted.repeats = match outcome {
+            Outcome::ReadDone | Outcome::Served | Outcome::Moot => false,
+            Outcome::Full { state_gone: false } | Outcome::ConnectFailed => request.counted.repeats,
+            // Of a read whose state is gone all is done again.
+            _ => true,
+        };
+        self.shed.reported(now, attempt.host, &report);
         self.note_outcome(now, attempt.host, outcome);
         if attempt.stage == Stage::Streaming && outcome != Outcome::Served {
             self.fail(now, id, "server_error", "the answer broke off; it may have run", out);
--- a/crates/core/src/budgets.rs
+++ b/crates/core/src/budgets.rs
@@ -6,11 +6,16 @@
 use bitternlatch_budget::charge::{Entry, Used};
 use bitternlatch_budget::Amount;
 use bitternlatch_policy::interface::RequestId;
-use bitternlatch_protocol::client::{self, BadRequest, Response, Status};
+use bitternlatch_protocol::client::{self, BadRequest, Create, Response, Status};
+use bitternlatch_workflow::Refusal;
 
 use crate::machine::Machine;
 use crate::requests::Request;
 use crate::types::{Micros, Output, SessionId};
+use crate::workflows::refused;
+
+/// Seconds after which a client that met one of this machine's own bounds may come back.
+pub(crate) const COME_BACK_S: f64 = 1.0;
 
 /// Why a request is not taken, and when to come back.
 pub(crate) struct Denied {
@@ -28,6 +33,19 @@
 }
 
 impl Denied {
+    /// The event that says so.
+    pub(crate) fn to_text(&self, create: &Create) -> String {
+        let own = (self.bad.status == 429).then_some(COME_BACK_S);
+        let again = self.retry_after_s.or(own).map(|s| (s * 1000.0).ceil() as u64);
+        client::error_elsewhere(&self.bad, again, Some(&create.metadata), &self.elsewhere)
+    }
+
+    pub(crate) fn by_workflow(why: Refusal) -> Denied {
+        let bad = refused(why);
+        let retry_after_s = (bad.status == 503).then_some(COME_BACK_S);
+        Denied { bad, retry_after_s, elsewhere: vec![] }
+    }
+
     pub(crate) fn by_budget(short: Short) -> Denied {
         let bad = |status, code, message: &str| BadRequest {
             status,
--- a/programs/measure/src/main.rs
+++ b/programs/measure/src/main.rs
@@ -1,15 +1,19 @@
 //! Measures the dispatcher in one run on one machine, each figure beside the plainest thing that could do the work.
 
+mod beside;
 mod charges;
 mod cluster;
 mod decision;
+mod engines;
 mod latency;
 mod members;
+mod overload;
 mod plot;
 mod relay;
 mod rig;
 mod secured;
 mod sessions;
+mod steps;
 
 use std::process::ExitCode;
 
@@ -76,6 +80,42 @@
         #[arg(long, default_value_t = 200)]
         requests: usize,
     },
+    /// First token and memory of three that know each other, with all machines beside the plane on and off.
+    Beside {
+        #[arg(long, default_value_t = 300)]
+        requests: usize,
+    },
+    /// What is answered in time as more is asked, with overload control off and on by turns; from the root, as it reads deploy/.
+    Overload {
+        #[arg(long, value_delimiter = ',', default_value = "60,120,240,480,900")]
+        rates: Vec<f64>,
+        #[arg(long, default_value_t = 15.0)]
+        for_s: f64,
+        #[arg(long, default_value_t = 4)]
+        dispatchers: usize,
+        /// Seconds that clients wait at the most, though told to wait for longer.
+        #[arg(long, default_value_t = 2.0)]
+        waits_most_s: f64,
+        #[arg(long)]
+        off_only: bool,
+    },
+    /// Answers thrown out of nearly full writers, and worth in time, with `[cluster.lengths]` off and on.
+    Engines {
+        /// Share of the writers' memory that is asked for.
+        #[arg(long, default_value_t = 0.9)]
+        fill: f64,
+        /// Seconds of each run; the first 30 do not count.
+        #[arg(long, default_value_t = 100.0)]
+        seconds: f64,
+        #[arg(long, default_value_t = 2)]
+        rounds: u64,
+        /// Tokens that each answer is allowed.
+        #[arg(long, default_value_t = 4096)]
+        ceiling: u32,
+        /// In place of that: what a step costs, with so many engines.
+        #[arg(long)]
+        cost: Option<usize>,
+    },
     /// Membership in simulated time: failures missed, halves healed, living ones removed, bytes.
     Members {
         #[arg(long, value_delimiter = ',', default_value = "3,10,100,300")]
@@ -113,6 +153,20 @@
                 Ok(())
             }
             What::Cluster { members, requests } => cluster::measure(members, requests),
+            What::Beside { requests } => beside::measure(requests),
+            What::Engines { cost: Some(engines), .. } => steps::cost(engines),
+            What::Engines { fill, seconds, rounds, ceiling, .. } => {
+                engines::measure(fill, seconds, rounds, ceiling)
+            }
+            What::Overload { rates, for_s, dispatchers, waits_most_s, off_only } => {
+                overload::measure(&overload::Wanted {
+                    rates: &rates,
+                    for_s,
+                    dispatchers,
+                    waits_most_s,
+                    off_only,
+                })
+            }
             What::Members { sizes, seeds, lossy_s, light, svg } => {
                 let losses = if light { &members::LOSSES[..1] } else { &members::LOSSES };
                 members::measure(&sizes, seeds, (lossy_s, losses), svg.as_deref())
