--- /dev/null
+++ b/crates/workflow/tests/simulated.rs
@@ -0,0 +1,43 @@
+//! Workflows over three to six dispatchers in simulated time: stopped at any point, cut, paused, restarted with their disks.
+
+mod fleet;
+
+use bitternlatch_workflow::Guards;
+use fleet::course::{play, Plan};
+
+fn many(seeds: std::ops::Range<u64>) {
+    let mut wrong = vec![];
+    let mut finished = 0;
+    for seed in seeds {
+        let seen = play(seed, Plan::of(seed));
+        finished += seen.finished.len();
+        wrong.extend(seen.wrong.into_iter().map(|w| format!("seed {seed}: {w}")));
+    }
+    println!("{finished} finished");
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+    assert!(finished > 0);
+}
+
+/// More by `SEEDS=1000`.
+fn seeds() -> u64 {
+    std::env::var("SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(100)
+}
+
+#[test]
+fn no_unsafe_effect_twice_no_told_result_lost_every_workflow_ends_or_says_why_not() {
+    many(0..seeds());
+}
+
+#[test]
+fn the_same_judge_fails_where_epochs_do_not_fence_and_where_effects_leave_before_a_majority() {
+    for (fencing, majority_first) in [(false, true), (true, false)] {
+        let guards = Guards { fencing, majority_first };
+        let broken = |seed: &u64| {
+            let seen = play(*seed, Plan { guards, ..Plan::of(*seed) });
+            seen.wrong.iter().any(|w| w.contains("effects"))
+        };
+        let found = (0..40).filter(broken).count();
+        println!("{guards:?}: {found} of 40 seeds");
+        assert!(found > 0, "{guards:?} went unnoticed");
+    }
+}
