--- a/crates/workflow/src/desk.rs
+++ b/crates/workflow/src/desk.rs
@@ -8,7 +8,7 @@
 
 use crate::attempts::Attempts;
 use crate::cache::Cache;
-use crate::io::{Ask, Call, Fate, Refusal, Settings, Told};
+use crate::io::{Ask, Call, Refusal, Settings, Told};
 use crate::job::{Act, Failure, Found, Job, Phase};
 use crate::queue::{Queue, Taken};
 use crate::record::{micros, Answer, Claimant, Guards, Limits, Notice, Record, State, Turn};
@@ -24,12 +24,12 @@
 /// How long a question waits for a majority that is not there, where its caller would wait longer. Results wait on.
 const PATIENCE: Duration = Duration::from_millis(1500);
 /// How long a result, or that something never ran, is offered to the register after its caller was refused.
-const SILENTLY: Duration = Duration::from_secs(60);
+pub(crate) const SILENTLY: Duration = Duration::from_secs(60);
 /// How long the short record of a finished workflow stays.
 pub(crate) const OVER_LASTS: Duration = Duration::from_secs(600);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
+pub(crate) enum Due {
     /// A question is answered now at the latest.
     Deadline(u64),
     Again(u64),
@@ -47,15 +47,15 @@
 pub(crate) struct Desk {
     own: Process,
     limits: Limits,
-    lease: Duration,
-    guards: Guards,
-    queue: Queue,
+    pub(crate) lease: Duration,
+    pub(crate) guards: Guards,
+    pub(crate) queue: Queue,
     ops: BTreeMap<u64, u64>,
     asked: u64,
-    cache: Cache,
+    pub(crate) cache: Cache,
     pub(crate) watches: Watches,
-    attempts: Attempts,
-    timers: Timers<Due>,
+    pub(crate) attempts: Attempts,
+    pub(crate) timers: Timers<Due>,
     /// Last time that a full table was logged.
     said_full: Option<Duration>,
 }
@@ -67,7 +67,7 @@
     RegisterKey(key)
 }
 
-fn us(at: Duration) -> u64 {
+pub(crate) fn us(at: Duration) -> u64 {
     u64::try_from(at.as_micros()).unwrap_or(u64::MAX)
 }
 
@@ -147,7 +147,7 @@
         }
     }
 
-    fn take(&mut self, now: Duration, job: Job, out: &mut Vec<Out>) {
+    pub(crate) fn take(&mut self, now: Duration, job: Job, out: &mut Vec<Out>) {
         let until = job.until;
         let (id, refused) = match self.queue.take(job) {
             Taken::Yes(id) => (Some(id), None),
@@ -377,26 +377,6 @@
         }
     }
 
-    /// An intent is held: its effect may leave for less than half of the lease that was asked for with it.
-    fn go(&mut self, now: Duration, asked: Duration, id: u64, out: &mut Vec<Out>) {
-        let Some(job) = self.queue.jobs.get_mut(&id) else { return };
-        let Act::Intend { attempt: Some(attempt), .. } = job.act else { return };
-        let until = match self.guards.fencing {
-            true => asked + leaves(self.lease),
-            false => Duration::from_micros(u64::MAX),
-        };
-        if now >= until {
-            job.doubt = true;
-            return self.undo(now, id, Refusal::NoMajority, out);
-        }
-        let key = job.key;
-        self.attempts.sent(now, key, attempt);
-        self.timers.set(Due::Carry(key), asked + self.lease / 3);
-        if let Some(call) = self.leave(now, id, out).and_then(|job| job.call) {
-            out.push(Out::Tell(Told::Go { call, until_us: us(until) }));
-        }
-    }
-
     /// A try has failed.
     fn failed(&mut self, now: Duration, id: u64, failure: Failure, out: &mut Vec<Out>) {
         let Some(job) = self.queue.jobs.get_mut(&id) else { return };
@@ -442,24 +422,12 @@
         }
     }
 
-    /// An intent that nobody was told to send, though the register may hold it: it is told so, silently.
-    fn undo(&mut self, now: Duration, id: u64, why: Refusal, out: &mut Vec<Out>) {
-        let Some(job) = self.leave(now, id, out) else { return };
-        self.refuse(job.call, why, out);
-        let Act::Intend { attempt: Some(attempt), step, epoch, .. } = job.act else { return };
-        if !job.doubt && !matches!(job.phase, Phase::Writes { .. }) {
-            return self.attempts.close(job.key, attempt);
-        }
-        let act = Act::Ended { epoch, step, fate: Fate::NeverRan, attempt: Some(attempt) };
-        self.take(now, new_job(now, job.key, job.name, None, act, now + SILENTLY), out)
-    }
-
-    fn refuse(&self, call: Option<Call>, why: Refusal, out: &mut Vec<Out>) {
+    pub(crate) fn refuse(&self, call: Option<Call>, why: Refusal, out: &mut Vec<Out>) {
         out.extend(call.map(|call| Out::Tell(Told::Refused { call, why })));
     }
 
     /// Takes a question out of hand, unanswered; the next ones go on.
-    fn leave(&mut self, now: Duration, id: u64, out: &mut Vec<Out>) -> Option<Job> {
+    pub(crate) fn leave(&mut self, now: Duration, id: u64, out: &mut Vec<Out>) -> Option<Job> {
         let job = self.queue.end(id)?;
         self.timers.clear(Due::Deadline(id));
         self.timers.clear(Due::Again(id));
@@ -497,42 +465,9 @@
         };
         out.push(Out::Tell(told));
     }
-
-    /// What this process remembers of its attempts when a question is answered.
-    fn settle_attempts(&mut self, now: Duration, job: &Job, answer: &Answer, record: Option<&Record>) {
-        if record.is_some_and(|r| matches!(r.state(), State::Over(_))) {
-            self.timers.clear(Due::Carry(job.key));
-            return self.attempts.close_all(job.key);
-        }
-        let unheard = matches!(
-            answer,
-            Answer::Refused(Refusal::NoMajority | Refusal::NotKept | Refusal::Busy | Refusal::Lost)
-        );
-        match &job.act {
-            Act::Ended { attempt: Some(attempt), .. } if !unheard => self.attempts.close(job.key, *attempt),
-            Act::Intend { attempt: Some(attempt), .. } => self.attempts.close(job.key, *attempt),
-            Act::Carry { epoch } if !unheard && *answer != Answer::Held => {
-                self.attempts.fenced(job.key, *epoch);
-            }
-            Act::Carry { .. } if self.attempts.carrying(now, job.key).is_some() => {
-                self.timers.set(Due::Carry(job.key), now + self.lease / 3);
-            }
-            _ => {}
-        }
-    }
-
-    /// While an attempt is under way here its workflow is carried, so that nobody adopts it in the middle of a long call.
-    fn carry(&mut self, now: Duration, key: RegisterKey, out: &mut Vec<Out>) {
-        let Some(epoch) = self.attempts.carrying(now, key) else { return };
-        self.timers.set(Due::Carry(key), now + self.lease / 3);
-        if !self.queue.busy(key) {
-            let name = self.cache.get(key).map(|(_, record)| record.name).unwrap_or_default();
-            self.take(now, new_job(now, key, name, None, Act::Carry { epoch }, now + self.lease / 2), out);
-        }
-    }
 }
 
-fn new_job(
+pub(crate) fn new_job(
     began: Duration,
     key: RegisterKey,
     name: String,
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -15,6 +15,7 @@
 mod machine;
 mod queue;
 mod record;
+mod sends;
 mod step;
 mod timers;
 mod turns;
