Measure lengths: pinball loss and coverage over steady, bimodal and drifting traffic

Need: what is learnt has to be held against a fifth of the ceiling, a mean and each alone. Change: the command over members in simulated time, whose harness moves from tests into the crate.

--- a/crates/lengths/src/coverage.rs
+++ b/crates/lengths/src/coverage.rs
@@ -50,6 +50,15 @@
         (self.judged > 0.0).then(|| self.covered / self.judged)
     }
 
+    /// Takes another one's calibration where there is none yet: a restart begins as its peers are, and goes on by itself.
+    pub fn begin_as(&mut self, other: Coverage) {
+        for (key, miss) in other.misses {
+            if self.misses.len() < KEPT || self.misses.contains_key(&key) {
+                self.misses.entry(key).or_insert(miss);
+            }
+        }
+    }
+
     /// Whether what a snapshot holds can have been made here.
     pub fn sound(&self) -> bool {
         self.misses.len() <= KEPT && self.misses.values().all(|m| (WITHIN.0..=WITHIN.1).contains(m))
--- a/crates/lengths/src/lib.rs
+++ b/crates/lengths/src/lib.rs
@@ -17,6 +17,7 @@
 mod message;
 mod odd;
 mod own;
+pub mod simulated;
 mod sketch;
 mod timed;
 mod windows;
--- a/crates/lengths/src/machine.rs
+++ b/crates/lengths/src/machine.rs
@@ -37,6 +37,8 @@
 const KEPT_AS: &[u8] = b"lengths";
 /// Bytes of a datagram and a frame beside their records.
 const HEAD: usize = 16;
+/// Bytes of a frame kept for what follows its records: how estimates are calibrated.
+const CALIBRATED: usize = 8 * 1024;
 
 /// One member's part in what all learn. Takes [`Ended`] answers, tells curves.
 pub struct Lengths {
@@ -246,9 +248,10 @@
             .collect();
         let mut records: Vec<(Origin, Record)> = self.records(now, |origin| lacks.contains(&origin));
         records.sort_by_key(|(origin, record)| (record.last, *origin));
-        let mut parts = pieces(records, FRAME_MOST - 1024);
+        let mut parts = pieces(records, FRAME_MOST - CALIBRATED);
         let last = parts.pop().unwrap_or_default();
-        let frames = parts.into_iter().map(|told| (told, false)).chain([(last, true)]);
+        let calibrated = Some(self.learner.coverage.clone());
+        let frames = parts.into_iter().map(|told| (told, None)).chain([(last, calibrated)]);
         for (told, last) in frames {
             let state = Message::State { told, last }.encode();
             self.bytes += state.len() as u64;
@@ -270,7 +273,9 @@
             Ok(Message::Want { have }) => self.answer(now, from, have, out),
             Ok(Message::State { told, last }) => {
                 self.learn(now, Duration::ZERO, told);
-                if last && !std::mem::replace(&mut self.caught_up, true) {
+                let Some(coverage) = last else { return };
+                self.learner.coverage.begin_as(coverage);
+                if !std::mem::replace(&mut self.caught_up, true) {
                     let answers = self.learner.windows.answers();
                     let text = format!("lengths: caught up answers={answers} by={}", shown(from));
                     out.push(Wanted::Log { warn: false, text });
--- a/crates/lengths/src/message.rs
+++ b/crates/lengths/src/message.rs
@@ -20,14 +20,14 @@
     pub records: Vec<Record>,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Message {
     /// The sender's own latest.
     News { generation: u64, records: Vec<Record> },
     /// All that differs from what the asker has.
     Want { have: Vec<(Origin, u64)> },
-    /// An answer's part; `last` where no more follows.
-    State { told: Vec<Told>, last: bool },
+    /// An answer's part; the last one, after which no more follows, tells how its sender's estimates are calibrated.
+    State { told: Vec<Told>, last: Option<Coverage> },
 }
 
 /// On disk.
@@ -58,7 +58,10 @@
         let sound = match &message {
             Message::News { records, .. } => records.iter().all(Record::sound),
             Message::Want { have } => have.len() <= ORIGINS_MOST,
-            Message::State { told, .. } => told.iter().all(|t| t.records.iter().all(Record::sound)),
+            Message::State { told, last } => {
+                let calibrated = last.as_ref().is_none_or(Coverage::sound);
+                calibrated && told.iter().all(|t| t.records.iter().all(Record::sound))
+            }
         };
         sound.then_some(message).ok_or(LengthsError::Unsound)
     }
--- a/crates/lengths/tests/common/mod.rs
+++ b/crates/lengths/src/simulated.rs
@@ -1,31 +1,37 @@
-//! Members over the simulated network, and answers of stated shapes.
-#![allow(dead_code)]
+//! Members over the simulated network, and answers of stated shapes, for tests and measurements.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bitternlatch_agreement::{Beside, Given, Part, Peers, Process, Wanted};
-use bitternlatch_lengths::*;
 use bitternlatch_membership::{NameKey, Standing};
 use bitternlatch_simulated::{ms, Network, Node, Sent, World};
 
+use crate::{Ask, ClassKey, Curves, End, Ended, Lengths, ModelKey, TenantKey, Told};
+
+/// A machine, and what it has told, said and kept.
 pub struct Member {
     pub machine: Lengths,
     pub curves: Curves,
     pub logs: Vec<String>,
     pub kept: Option<Vec<u8>>,
     pub there: BTreeSet<usize>,
+    /// Bytes of the longest datagram said.
+    pub longest: usize,
     peers_at: Duration,
 }
 
+/// What is under way: whether as a frame, and what.
 #[derive(Clone)]
 pub struct Said(pub bool, pub Vec<u8>);
 
+/// Of a place.
 pub fn name(i: usize) -> NameKey {
     NameKey(i as u32 + 1)
 }
 
 impl Member {
+    /// One of so many, at a place.
     pub fn new(i: usize, start: u64, of: usize, now: Duration) -> Member {
         Member {
             machine: Lengths::new(Process { name: name(i), start }, now),
@@ -33,17 +39,19 @@
             logs: vec![],
             kept: None,
             there: (0..of).filter(|other| *other != i).collect(),
+            longest: 0,
             peers_at: now,
         }
     }
 
+    /// Steps it, and gathers what it wants.
     pub fn give(&mut self, now: Duration, given: Given<Ask>, out: &mut Sent<Said>) {
         let mut wanted = vec![];
         self.machine.step(now, given, &mut wanted);
         for wanted in wanted {
             match wanted {
                 Wanted::Say(to, said) => {
-                    assert!(said.len() <= bitternlatch_membership::SAID_MOST);
+                    self.longest = self.longest.max(said.len());
                     out.push((to.0 as usize - 1, Said(false, said)));
                 }
                 Wanted::Send(to, said) => out.push((to.0 as usize - 1, Said(true, said))),
@@ -56,6 +64,7 @@
         }
     }
 
+    /// Answers that it knows of.
     pub fn answers(&self) -> u64 {
         self.machine.learner().windows().answers()
     }
@@ -86,12 +95,14 @@
     }
 }
 
+/// Members that all know each other.
 pub fn world(of: usize, seed: u64) -> World<Member> {
     let mut world = World::new(of, seed);
     (0..of).for_each(|i| world.start(i, Member::new(i, 1, of, Duration::ZERO)));
     world
 }
 
+/// A whole answer of one class.
 pub fn answer(class: u32, tokens: u32) -> Ended {
     Ended {
         model: ModelKey(1),
--- a/crates/lengths/tests/members.rs
+++ b/crates/lengths/tests/members.rs
@@ -1,12 +1,10 @@
 //! Members that learn together over a simulated network: loss, cuts, restarts, drift, liars, crowds.
-mod common;
-
 use std::time::Duration;
 
 use bitternlatch_agreement::{Given, KeepError};
+use bitternlatch_lengths::simulated::*;
 use bitternlatch_lengths::*;
 use bitternlatch_simulated::{ms, World};
-use common::*;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -55,6 +53,8 @@
         (1..4).for_each(|i| there(&mut world, i, true));
         let_pass(&mut world, 60);
         let all: Vec<u64> = (0..4).map(|i| answers(&world, i)).collect();
+        let longest = world.places.iter().filter_map(|p| Some(p.node.as_ref()?.longest)).max();
+        assert!(longest <= Some(bitternlatch_membership::SAID_MOST), "{longest:?}");
         assert_eq!(all, [600; 4], "seed {seed}");
     }
 }
--- a/programs/measure/src/main.rs
+++ b/programs/measure/src/main.rs
@@ -6,6 +6,7 @@
 mod decision;
 mod engines;
 mod latency;
+mod lengths;
 mod members;
 mod overload;
 mod plot;
@@ -116,6 +117,13 @@
         #[arg(long)]
         cost: Option<usize>,
     },
+    /// Lengths of answers in simulated time: coverage, loss, restarts, bytes, cost.
+    Lengths {
+        #[arg(long, default_value_t = 12)]
+        members: usize,
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+    },
     /// Membership in simulated time: failures missed, halves healed, living ones removed, bytes.
     Members {
         #[arg(long, value_delimiter = ',', default_value = "3,10,100,300")]
@@ -167,6 +175,10 @@
                     off_only,
                 })
             }
+            What::Lengths { members, seeds } => {
+                lengths::measure(members, seeds);
+                Ok(())
+            }
             What::Members { sizes, seeds, lossy_s, light, svg } => {
                 let losses = if light { &members::LOSSES[..1] } else { &members::LOSSES };
                 members::measure(&sizes, seeds, (lossy_s, losses), svg.as_deref())
