--- a/crates/lengths/src/windows.rs
+++ b/crates/lengths/src/windows.rs
@@ -15,7 +15,7 @@
 pub(crate) const ANSWERS_MOST: u32 = 256;
 /// Cells that are told apart; answers of further ones count for all cells together, peers' are passed over.
 pub const CELLS_MOST: usize = 512;
-/// Windows in all: with some 300 bytes each, 5 MB at the most. Past it the oldest sixteenth goes.
+/// Windows in all: with some 300 bytes each 5 MB, with 2 KB, the most that one can take, 32. Past it the oldest sixteenth goes.
 pub const WINDOWS_MOST: usize = 16 * 1024;
 /// After which a window counts half, what it counts at the least, and until when: a quiet night leaves a hint of what was.
 const HALF: Duration = Duration::from_secs(240);
--- a/programs/badday/tests/lengths.rs
+++ b/programs/badday/tests/lengths.rs
@@ -1,12 +1,14 @@
 //! Lengths of answers learnt together by real processes: cuts, restarts with what was kept in every state, clients that leave.
 mod common;
 
+use std::fs::File;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use bitternlatch_badday::between::{Between, Rule};
 use bitternlatch_badday::client::Came;
+use bitternlatch_core::record::read;
 use bitternlatch_peer_net::ask;
 use common::*;
 
@@ -150,5 +152,13 @@
         assert!(p50.last().is_some_and(|p| (27.0..36.0).contains(p)), "{p50:?}");
         assert_eq!(odd.last(), Some(&0.0));
     }
+    // What was told of lengths is in the records: they replay alike.
+    let records: Vec<PathBuf> = some.rig.dispatchers.iter().flat_map(|one| one.records()).collect();
     some.rig.end();
+    for record in records {
+        let entries = read(File::open(&record).expect("a record")).expect("a good record").entries;
+        let text = format!("{entries:?}");
+        assert!(text.contains("Curves(") && text.contains("Ended("), "{record:?}");
+        assert_eq!(bitternlatch_replay::one(&record, false), 0, "{record:?}");
+    }
 }
