--- a/programs/measure/src/engines.rs
+++ b/programs/measure/src/engines.rs
@@ -24,11 +24,11 @@
 use crate::rig::{folder, quantile};
 
 const SETTINGS: &str = include_str!("../../../deploy/dispatch.toml");
-const DISPATCHERS: usize = 4;
-const READERS: usize = 3;
-const WRITERS: usize = 4;
+pub const DISPATCHERS: usize = 4;
+pub const READERS: usize = 3;
+pub const WRITERS: usize = 4;
 /// Of one writer, tokens: some thirteen long answers in the midst of their run, and eight at their end.
-const MEMORY: u64 = 24_000;
+pub const MEMORY: u64 = 24_000;
 const BLOCK: f64 = 64.0;
 /// Seconds of a writer's step, and what each sequence adds.
 const STEP_S: f64 = 0.005;
@@ -38,45 +38,45 @@
 /// A whole answer is in time when its tokens came on average within this much of a full writer's step.
 const PATIENCE: f64 = 1.25;
 /// Seconds at the begin that do not count: memory fills, lengths are learnt.
-const WARM_S: f64 = 30.0;
+pub const WARM_S: f64 = 30.0;
 const JOINED_WITHIN: Duration = Duration::from_secs(60);
 const ANSWERED_WITHIN: Duration = Duration::from_secs(60);
 
 /// A kind of traffic: its class, its share of requests, tokens of prompts and answers from, to.
-struct Kind {
-    class: &'static str,
-    worth: f64,
-    share: f64,
-    prompt: [u64; 2],
-    answer: [u64; 2],
+pub struct Kind {
+    pub class: &'static str,
+    pub worth: f64,
+    pub share: f64,
+    pub prompt: [u64; 2],
+    pub answer: [u64; 2],
 }
 
 /// Bookings are bimodal, told apart by the length of the prompt alone.
-const KINDS: [Kind; 3] = [
+pub const KINDS: [Kind; 3] = [
     Kind { class: "slot-query", worth: 1.0, share: 0.5, prompt: [100, 300], answer: [20, 60] },
     Kind { class: "season-booking", worth: 2.0, share: 0.25, prompt: [100, 300], answer: [40, 120] },
     Kind { class: "season-booking", worth: 2.0, share: 0.25, prompt: [600, 1000], answer: [1200, 2000] },
 ];
 
-struct Asked {
-    at_s: f64,
-    kind: usize,
-    prompt: u64,
-    answer: u64,
+pub struct Asked {
+    pub at_s: f64,
+    pub kind: usize,
+    pub prompt: u64,
+    pub answer: u64,
 }
 
 /// How full writers come to be: requests a second, sequences at one writer, seconds of a step.
-struct Fill {
-    rate: f64,
-    running: f64,
-    step_s: f64,
+pub struct Fill {
+    pub rate: f64,
+    pub running: f64,
+    pub step_s: f64,
 }
 
-fn mean([from, to]: [u64; 2]) -> f64 {
+pub fn mean([from, to]: [u64; 2]) -> f64 {
     (from + to) as f64 / 2.0
 }
 
-fn fill(share: f64) -> Fill {
+pub fn fill(share: f64) -> Fill {
     let written: f64 = KINDS.iter().map(|k| k.share * mean(k.answer)).sum();
     // Of evenly drawn lengths; an answer holds half of its tokens in the mean of its run, and half a block more.
     let square = |k: &Kind| mean(k.answer).powi(2) + ((k.answer[1] - k.answer[0]) as f64).powi(2) / 12.0;
@@ -86,7 +86,7 @@
     Fill { rate: WRITERS as f64 * running / (step_s * written), running, step_s }
 }
 
-fn plan(rate: f64, for_s: f64, seed: u64) -> Vec<Asked> {
+pub fn plan(rate: f64, for_s: f64, seed: u64) -> Vec<Asked> {
     let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
     let mut draw = || (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
     let (mut all, mut at_s) = (Vec::new(), 0.0);
@@ -107,31 +107,63 @@
     }
 }
 
+/// Seconds a token at the most, of a whole answer that is in time.
+pub fn patience_s(fill: &Fill) -> f64 {
+    PATIENCE * fill.step_s
+}
+
 /// What one request came to.
-struct Got {
-    kind: usize,
-    first_s: f64,
+pub struct Got {
+    pub kind: usize,
+    pub first_s: f64,
     /// Mean seconds a token after the first.
-    gap_s: f64,
+    pub gap_s: f64,
 }
 
 /// When it was asked for, its kind, what came.
 type Answered = (f64, usize, Result<Got, String>);
 
 #[derive(Default)]
-struct Seen {
-    asked: f64,
-    asked_worth: f64,
-    served: usize,
-    unserved: BTreeMap<String, usize>,
-    first_in_time: f64,
-    whole_in_time: f64,
-    first_s: Vec<f64>,
-    long_gap_s: Vec<f64>,
-    preempted: usize,
+pub struct Seen {
+    pub asked: f64,
+    pub asked_worth: f64,
+    pub served: usize,
+    pub unserved: BTreeMap<String, usize>,
+    pub first_in_time: f64,
+    pub whole_in_time: f64,
+    pub first_s: Vec<f64>,
+    pub long_gap_s: Vec<f64>,
+    pub preempted: usize,
     /// Share of memory in use, by writer and look.
-    used: Vec<f64>,
-    most_used: Vec<f64>,
+    pub used: Vec<f64>,
+    pub most_used: Vec<f64>,
+}
+
+impl Seen {
+    pub fn sort(&mut self) {
+        self.first_s.sort_by(f64::total_cmp);
+        self.long_gap_s.sort_by(f64::total_cmp);
+    }
+
+    pub fn add(&mut self, mut other: Seen) {
+        self.asked += other.asked;
+        self.asked_worth += other.asked_worth;
+        self.served += other.served;
+        self.first_in_time += other.first_in_time;
+        self.whole_in_time += other.whole_in_time;
+        self.preempted += other.preempted;
+        other.unserved.into_iter().for_each(|(why, n)| *self.unserved.entry(why).or_default() += n);
+        self.first_s.append(&mut other.first_s);
+        self.long_gap_s.append(&mut other.long_gap_s);
+        self.used.append(&mut other.used);
+        self.most_used.append(&mut other.most_used);
+    }
+}
+
+/// A writer's engine, as the hosts have it.
+pub fn writer() -> Result<bitternlatch_engine::Constants, String> {
+    let hosts = hosts()?.hosts;
+    hosts.iter().find(|h| h.name == "writer-1").map(|h| h.constants()).ok_or_else(|| "no writer".to_string())
 }
 
 fn hosts() -> Result<Config, String> {
@@ -322,12 +354,11 @@
     for (_, kind, came) in got.into_iter().filter(|(at_s, ..)| *at_s >= WARM_S) {
         take(&mut seen, kind, came, gap_aim_s);
     }
-    seen.first_s.sort_by(f64::total_cmp);
-    seen.long_gap_s.sort_by(f64::total_cmp);
+    seen.sort();
     Ok(seen)
 }
 
-fn take(seen: &mut Seen, kind: usize, came: Result<Got, String>, gap_aim_s: f64) {
+pub fn take(seen: &mut Seen, kind: usize, came: Result<Got, String>, gap_aim_s: f64) {
     let of = &KINDS[kind];
     seen.asked += 1.0;
     seen.asked_worth += of.worth;
@@ -348,7 +379,7 @@
     }
 }
 
-fn row(name: &str, seen: &Seen) {
+pub fn row(name: &str, seen: &Seen) {
     let mean = |all: &[f64]| all.iter().sum::<f64>() / all.len().max(1) as f64;
     println!(
         "{name:<8} {:>6} {:>6} {:>9} {:>7.3} {:>7.3} {:>7.3} {:>8.3} {:>8.3} {:>8.2} {:>8.2} {:?}",
@@ -372,7 +403,7 @@
         return Err(format!("a share of memory of 0.05 to 2 and more than {WARM_S} s are expected"));
     }
     let fill = fill(share);
-    let gap_aim_s = PATIENCE * fill.step_s;
+    let gap_aim_s = patience_s(&fill);
     println!(
         "{DISPATCHERS} dispatchers, {WRITERS} writers of {MEMORY} tokens; {share} of it asked for by {:.1} requests a second under ceilings of {ceiling}: {:.1} \
          sequences at a writer, steps of {:.2} ms; whole in time: first token within its class's aim, {:.2} ms a token at the most",
--- a/programs/measure/src/main.rs
+++ b/programs/measure/src/main.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod decision;
 mod engines;
+mod filled;
 mod latency;
 mod members;
 mod overload;
@@ -112,6 +113,9 @@
         /// Tokens that each answer is allowed.
         #[arg(long, default_value_t = 4096)]
         ceiling: u32,
+        /// In simulated time, with lengths known as well as they can be.
+        #[arg(long)]
+        simulated: bool,
         /// In place of that: what a step costs, with so many engines.
         #[arg(long)]
         cost: Option<usize>,
@@ -155,6 +159,9 @@
             What::Cluster { members, requests } => cluster::measure(members, requests),
             What::Beside { requests } => beside::measure(requests),
             What::Engines { cost: Some(engines), .. } => steps::cost(engines),
+            What::Engines { simulated: true, fill, seconds, rounds, ceiling, .. } => {
+                filled::measure(fill, seconds, rounds, ceiling)
+            }
             What::Engines { fill, seconds, rounds, ceiling, .. } => {
                 engines::measure(fill, seconds, rounds, ceiling)
             }
