--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -6,9 +6,11 @@
 use bitternlatch_policy::interface::{Event, Request as Ask, RequestId};
 use bitternlatch_protocol::client::{self, BadRequest, ClientEvent, Create, Response, Status};
 use bitternlatch_protocol::tokens_of;
+use bitternlatch_protocol::workflow::{self, About};
+use bitternlatch_workflow::Refusal;
 use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
-use crate::budgets::{Charged, Denied};
+use crate::budgets::{Charged, Denied, COME_BACK_S};
 use crate::keys::{Key, Known};
 use crate::lengths::Lengths;
 use crate::machine::Machine;
@@ -17,9 +19,7 @@
 use crate::shed::{Counted, ANSWER_SHARE};
 use crate::timers::Timer;
 use crate::types::{Micros, Output, SessionId};
-
-/// Seconds after which a client that met one of this machine's own bounds may come back.
-const COME_BACK_S: f64 = 1.0;
+use crate::workflows::{self, Intent, Question};
 
 /// With what a request begins.
 struct Leave {
@@ -30,15 +30,17 @@
 }
 
 /// What of a message has been settled before the request is made.
-struct Wanted {
-    class: u16,
-    tenant: u32,
-    owner: String,
-    time_left_s: f64,
-    key: Option<Key>,
-    conversation: u64,
-    prompt: String,
-    max_tokens: u32,
+pub(crate) struct Wanted {
+    pub class: u16,
+    pub tenant: u32,
+    pub owner: String,
+    pub time_left_s: f64,
+    pub key: Option<Key>,
+    /// A step of a workflow whose intent is held, and until when it may leave.
+    pub step: Option<(Intent, Micros)>,
+    pub conversation: u64,
+    pub prompt: String,
+    pub max_tokens: u32,
 }
 
 fn too_many(message: &str) -> BadRequest {
@@ -59,11 +61,8 @@
         let say = |out: &mut Vec<Output>, text| out.push(Output::Say { session, text });
         match client::parse(text) {
             Ok(ClientEvent::Create(create)) => {
-                if let Err(Denied { bad, retry_after_s, elsewhere }) = self.create(now, session, &create, out)
-                {
-                    let own = (bad.status == 429).then_some(COME_BACK_S);
-                    let again = retry_after_s.or(own).map(|s| (s * 1000.0).ceil() as u64);
-                    say(out, client::error_elsewhere(&bad, again, Some(&create.metadata), &elsewhere));
+                if let Err(denied) = self.create(now, session, &create, out) {
+                    say(out, denied.to_text(&create));
                 }
             }
             Ok(ClientEvent::Cancel { response_id }) => {
@@ -82,10 +81,14 @@
         create: &Create,
         out: &mut Vec<Output>,
     ) -> Result<(), Denied> {
-        if self.sessions.in_hand(session) >= self.settings.listen.session_requests {
+        let in_hand = self.sessions.in_hand(session) + self.workflows.asked_by(session);
+        if in_hand >= self.settings.listen.session_requests {
             return Err(too_many("this session has as many requests in hand as it may").into());
         }
         let wanted = self.wanted(now, session, create)?;
+        if let Some(about) = self.about(create)? {
+            return self.ask_of_workflow(now, session, create, wanted, about, out);
+        }
         if let Some(key) = &wanted.key {
             let asked = fingerprint(create);
             match self.keys.know(key, asked) {
@@ -108,6 +111,18 @@
                 Known::NoRoom => return Err(too_many("no room for another idempotency key").into()),
             }
         }
+        self.admit(now, session, create, wanted, out)
+    }
+
+    /// What is neither known nor a bad request: the bounds, the budget, and on to the decision module.
+    pub(crate) fn admit(
+        &mut self,
+        now: Micros,
+        session: SessionId,
+        create: &Create,
+        wanted: Wanted,
+        out: &mut Vec<Output>,
+    ) -> Result<(), Denied> {
         if !self.may_take(now, wanted.class) {
             return Err(self.sent_elsewhere(now));
         }
@@ -139,17 +154,29 @@
     fn judge(&mut self, now: Micros, create: &Create, wanted: &Wanted) -> Result<Counted, f64> {
         let class = &self.settings.classes[usize::from(wanted.class)];
         let prompt_tokens = f64::from(tokens_of(wanted.prompt.len()));
+        let expected = self.lengths.expect(
+            &create.model,
+            &class.name,
+            tokens_of(wanted.prompt.len()),
+            wanted.max_tokens,
+        );
         let words = fingerprint(create);
         let fingerprint = wanted.key.as_ref().map_or(words, |k| xxh3_64(k.text.as_bytes()));
+        let (spent, identity) = match &wanted.step {
+            Some((intent, _)) if intent.step > 1 => (Spent::Steps, xxh3_64(intent.workflow.as_bytes())),
+            Some((intent, _)) => (Spent::Nothing, xxh3_64(intent.workflow.as_bytes())),
+            None if wanted.conversation == 0 => (Spent::Nothing, fingerprint),
+            None => (Spent::Turns, wanted.conversation),
+        };
         let quota = self.settings.tenants.get(wanted.tenant as usize).map(|t| t.quota_rps);
         let asked = Asked {
             worth: class.worth,
             prompt_tokens,
             prefix: prefix(create),
             prefix_tokens: f64::from(tokens_of(create.instructions.len())),
-            answer_tokens: ANSWER_SHARE * f64::from(wanted.max_tokens),
-            spent: if wanted.conversation == 0 { Spent::Nothing } else { Spent::Turns },
-            identity: if wanted.conversation == 0 { fingerprint } else { wanted.conversation },
+            answer_tokens: expected.map_or(ANSWER_SHARE * f64::from(wanted.max_tokens), |e| e.mean),
+            spent,
+            identity,
             fingerprint,
             tenant: wanted.tenant,
             quota_rps: quota.unwrap_or(f64::INFINITY),
@@ -158,7 +185,12 @@
         self.shed.judge(now, &asked).unwrap_or(Ok(Counted::default()))
     }
 
-    fn wanted(&self, now: Micros, session: SessionId, create: &Create) -> Result<Wanted, BadRequest> {
+    pub(crate) fn wanted(
+        &self,
+        now: Micros,
+        session: SessionId,
+        create: &Create,
+    ) -> Result<Wanted, BadRequest> {
         let meta = |name: &str| create.metadata.get(name).map(String::as_str);
         let field = |name: &str, why: String| BadRequest::field(&format!("metadata.{name}"), why);
         let class = match meta(client::META_CLASS) {
@@ -195,7 +227,7 @@
         let most = self.settings.requests.max_output_tokens;
         let allowed = grant.map_or(most, |g| most.min(g.max_output_tokens));
         let max_tokens = create.max_output_tokens.unwrap_or(allowed);
-        Ok(Wanted { class, tenant, owner, time_left_s, key, conversation, prompt, max_tokens })
+        Ok(Wanted { class, tenant, owner, time_left_s, key, step: None, conversation, prompt, max_tokens })
     }
 
     /// The whole prompt and the key of its conversation; 0 where it begins one.
@@ -246,7 +278,7 @@
         let prompt_tokens = tokens_of(wanted.prompt.len());
         let expected = self.lengths.expect(&create.model, class, prompt_tokens, wanted.max_tokens);
         ask.output_tokens = Lengths::for_module(expected);
-        if let Some(key) = &wanted.key {
+        if let Some(key) = wanted.key.as_ref().filter(|_| wanted.step.is_none()) {
             self.keys.begin(key.clone(), fingerprint(create), id);
         }
         let request = Request {
@@ -256,6 +288,7 @@
             tenant: wanted.tenant,
             owner: wanted.owner,
             key: wanted.key,
+            step: wanted.step.is_some(),
             conversation,
             prompt: wanted.prompt,
             max_tokens: wanted.max_tokens,
@@ -279,6 +312,9 @@
         };
         self.prompt_bytes += request.prompt.len();
         self.requests.insert(id, request);
+        if let Some((intent, until)) = wanted.step {
+            self.workflows.go(id, intent, until);
+        }
         self.sessions.listen(session, id);
         self.say_created(id, session, out);
         if let Err(after_s) = leave.judged {
@@ -300,7 +336,13 @@
         self.events.push_back(Event::Arrival(ask));
     }
 
-    fn new_response(&self, now: Micros, id: RequestId, create: &Create, max_tokens: u32) -> Response {
+    pub(crate) fn new_response(
+        &self,
+        now: Micros,
+        id: RequestId,
+        create: &Create,
+        max_tokens: u32,
+    ) -> Response {
         Response {
             id: self.names.response(id),
             object: "response".to_string(),
@@ -318,7 +360,7 @@
     }
 
     /// A further session listens to a running request: it is given all that has come so far.
-    fn attach(
+    pub(crate) fn attach(
         &mut self,
         session: SessionId,
         id: RequestId,
@@ -341,6 +383,51 @@
         Ok(())
     }
 
+    /// What a request is about, where workflows are on.
+    fn about(&self, create: &Create) -> Result<Option<About>, BadRequest> {
+        let on = self.settings.cluster.as_ref().is_some_and(|c| c.workflows.is_some());
+        if on {
+            workflow::read(&create.metadata)
+        } else {
+            Ok(None)
+        }
+    }
+
+    /// Asks the machine beside the plane what becomes of a request about a workflow; what follows is its answer's.
+    fn ask_of_workflow(
+        &mut self,
+        now: Micros,
+        session: SessionId,
+        create: &Create,
+        wanted: Wanted,
+        about: About,
+        out: &mut Vec<Output>,
+    ) -> Result<(), Denied> {
+        if self.stopping {
+            return Err(Denied::by_workflow(Refusal::Busy));
+        }
+        let tenant = self.settings.tenants.get(wanted.tenant as usize).map_or("", |t| t.name.as_str());
+        let workflow = workflows::name(tenant, &wanted.owner, &about.workflow);
+        let class = &self.settings.classes[usize::from(wanted.class)];
+        let key = wanted.key.as_ref().map_or("", |k| k.text.as_str());
+        let question = workflows::question(workflow, about.does, create, class, key);
+        if let Question::Step(intent) = &question {
+            match self.workflows.in_hand(intent) {
+                Some(Ok(id)) => return Ok(self.attach(session, id, create, out)?),
+                Some(Err(why)) => return Err(Denied::by_workflow(why)),
+                // Asked again when it is admitted; what is refused for certain costs no majority's word.
+                None if !self.may_take(now, wanted.class) => return Err(self.sent_elsewhere(now)),
+                None => {}
+            }
+        }
+        let until = now.after((wanted.time_left_s - self.settings.requests.answer_margin_s).max(0.0));
+        let asked = self.workflows.ask(now, (session, create), question, until);
+        let (call, ask) = asked.map_err(Denied::by_workflow)?;
+        self.timers.set(until, Timer::Call { call });
+        out.push(Output::Workflow(ask));
+        Ok(())
+    }
+
     fn cancel_by_client(
         &mut self,
         now: Micros,
@@ -365,11 +452,12 @@
     }
 
     pub(crate) fn on_session_closed(&mut self, now: Micros, session: SessionId, out: &mut Vec<Output>) {
+        self.workflows.session_closed(session);
         for id in self.sessions.close(session) {
             let Some(request) = self.requests.get_mut(&id) else { continue };
             request.listeners.retain(|l| l.session != session);
             // A keyed request with an effect goes on: its client may come back for the one answer that it has.
-            let lingers = request.key.is_some()
+            let lingers = (request.key.is_some() || request.step)
                 && self.settings.classes[usize::from(request.class)].effect != Effect::Safe;
             if request.listeners.is_empty() && !lingers {
                 self.abandon(now, id, out);
