--- a/crates/core/src/carry.rs
+++ b/crates/core/src/carry.rs
@@ -1,12 +1,12 @@
 //! Carries out what the decision module decides.
 
 use bitternlatch_overload::{Ask, Told};
-use bitternlatch_policy::interface::{Action, AttemptEnd, Event, Outcome, RequestId, Role, ServerId};
+use bitternlatch_policy::interface::{Action, AttemptEnd, Event, Outcome, RequestId, Role, ServerId, Sight};
 use bitternlatch_protocol::engine::{encode, CompletionRequest, KvTransferParams, ToEngine};
 
 use crate::links::{Given, Queued};
 use crate::machine::{log, Machine, Probe, PROBE_S};
-use crate::requests::{wire_id, Attempt, Purpose, Stage};
+use crate::requests::{wire_id, Attempt, Purpose, Request, Stage};
 use crate::settings::Effect;
 use crate::shed::LOOK_S;
 use crate::timers::Timer;
@@ -57,6 +57,13 @@
         if number == 0 && !self.may_take(now, class) {
             return self.not_sent(id, number, host, Outcome::Moot);
         }
+        if let Some(most) = self.shed.most_out(now, host) {
+            let at = |r: &&Request| r.attempt.as_ref().is_some_and(|a| a.host == host);
+            if self.requests.values().filter(at).count() >= most as usize {
+                // It is tried by one of all, a little at a time.
+                return self.not_sent(id, number, host, Outcome::Full { state_gone: false });
+            }
+        }
         let Some(request) = self.requests.get_mut(&id) else { return };
         // Work that would be done again goes by what all may repeat.
         if open.is_some() && !self.shed.may_send(now, &request.counted) {
@@ -226,6 +233,20 @@
     pub(crate) fn on_overload(&mut self, now: Micros, told: Told, out: &mut Vec<Output>) {
         match told {
             Told::Cut(cut) => self.shed.cut(cut),
+            Told::Trial { host, many, until } => {
+                self.shed.trial(host, many, until);
+                // The module does better to choose another one: several saw it fail, or this one did in a row.
+                if self.shed.most_out(now, host).is_some() {
+                    let sight = Sight::Failing;
+                    self.events.push_back(Event::Hearsay {
+                        server: host,
+                        sight,
+                        voices: 2,
+                        of: 2,
+                        age_s: 0.0,
+                    });
+                }
+            }
             Told::Probe { host } => {
                 let Some(link) = self.links.open(host).filter(|_| self.shed.is_on()) else { return };
                 let id = self.next_probe;
