The judge knows workflows: ends, results kept, done once, older epochs fenced

Change: tries keep their metadata, answer and response, so that a host's attempt is laid to the request that caused it; four rules more, a plan of workflows and pauses among the facts. Measured: cargo test -p bitternlatch-audit, seven tests, each rule fails on a capture made for it.

--- a/programs/audit/src/lib.rs
+++ b/programs/audit/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod answers;
 mod hosts;
+mod workflows;
 
 use std::collections::BTreeMap;
 use std::fs::File;
@@ -35,6 +36,35 @@
     pub list_ready: Vec<(u64, String)>,
     /// Hosts taken down by the script: when, and which.
     pub downs: Vec<(u64, String)>,
+    /// Dispatchers and workers that stood still or were away: from, to, and which.
+    #[serde(default)]
+    pub pauses: Vec<(u64, u64, String)>,
+    /// Workflows that the day's workers carry.
+    #[serde(default)]
+    pub workflows: Vec<WorkflowFacts>,
+    /// How long a worker carries one without a word, seconds.
+    #[serde(default)]
+    pub lease_s: f64,
+}
+
+/// A workflow as it is planned; its steps are marked `NAME.1` and so on.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WorkflowFacts {
+    pub name: String,
+    /// `safe`, `keyed` or `unsafe`, a step.
+    pub effects: Vec<String>,
+}
+
+impl WorkflowFacts {
+    /// The mark of a step's request.
+    pub fn mark(&self, step: usize) -> String {
+        format!("{}.{step}", self.name)
+    }
+
+    fn unsafe_marks(&self) -> impl Iterator<Item = String> + '_ {
+        let steps = self.effects.iter().enumerate().filter(|(_, effect)| *effect == "unsafe");
+        steps.map(|(i, _)| self.mark(i + 1))
+    }
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -65,7 +95,7 @@
     pub window_s: f64,
 }
 
-/// One of the five rules.
+/// One of the five rules, or of those that hold for workflows besides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Rule {
@@ -74,6 +104,14 @@
     DrainsKept,
     NoColdHostPushedOver,
     NothingLeftPinned,
+    /// Each workflow is finished, or unsettled with an unsafe step that may have run.
+    WorkflowsEnd,
+    /// What a worker was told of a step's result is shown to whoever claims the workflow later, alike.
+    NoResultLost,
+    /// A step whose result was told is not run again.
+    DoneOnce,
+    /// Once a later epoch was told, an older one does nothing.
+    FencedStays,
 }
 
 /// One breach, with what it is about and when.
@@ -106,14 +144,35 @@
     /// Times to first token of served requests, seconds from the first try, sorted.
     pub ttft_s: Vec<f64>,
     pub frames: usize,
+    pub workflows: Tally,
+}
+
+/// What became of a day's workflows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Tally {
+    pub planned: usize,
+    pub finished: usize,
+    pub unsettled: usize,
+    pub parked: usize,
+    /// Claims that were granted, and those of them by another than the worker before.
+    pub claims: usize,
+    pub taken_over: usize,
+    /// Steps whose result was told to a worker.
+    pub told: usize,
+    /// Requests refused for an older epoch.
+    pub fenced: usize,
+    /// Runs of steps at tool hosts.
+    pub runs: usize,
 }
 
 impl Verdict {
     /// Number of breaches by rule, all rules named.
     pub fn by_rule(&self) -> BTreeMap<Rule, usize> {
         use Rule::*;
-        let rules = [NoRequestLost, NoEffectTwice, DrainsKept, NoColdHostPushedOver, NothingLeftPinned];
-        rules.into_iter().map(|r| (r, self.breaches.iter().filter(|b| b.rule == r).count())).collect()
+        let five = [NoRequestLost, NoEffectTwice, DrainsKept, NoColdHostPushedOver, NothingLeftPinned];
+        let workflows = [WorkflowsEnd, NoResultLost, DoneOnce, FencedStays];
+        let rules = five.into_iter().chain(workflows);
+        rules.map(|r| (r, self.breaches.iter().filter(|b| b.rule == r).count())).collect()
     }
 }
 
@@ -123,7 +182,9 @@
     hosts.sort_by_key(|l| l.t);
     let mut verdict = Verdict { frames: clients.len() + hosts.len(), ..Verdict::default() };
     let seen = hosts::Seen::of(&hosts);
-    answers::judge(facts, &clients, &seen, &mut verdict);
+    let tries = answers::tries(&clients);
+    answers::judge(facts, &tries, &clients, &seen, &mut verdict);
+    workflows::judge(facts, &tries, &seen, &mut verdict);
     hosts::judge(facts, &hosts, &seen, &mut verdict);
     verdict.breaches.sort_by_key(|b| b.t);
     verdict
