--- a/programs/badday/src/clients.rs
+++ b/programs/badday/src/clients.rs
@@ -71,6 +71,9 @@
 
 /// All conversations of a day, in order of time.
 pub fn plan(day: &Day) -> Vec<Plan> {
+    if day.mix.is_empty() {
+        return Vec::new();
+    }
     let mut chance = Chance(Xoshiro256PlusPlus::seed_from_u64(day.seed));
     let total: f64 = day.mix.iter().map(|m| m.share).sum();
     let mean = |m: &Mix| m.share / total * f64::from(m.turns[0] + m.turns[1]) / 2.0;
--- a/programs/badday/src/day.rs
+++ b/programs/badday/src/day.rs
@@ -5,6 +5,7 @@
 use bitternlatch_standin::config::{Cold, Fault, HostConfig, Trouble};
 use serde::Deserialize;
 
+use crate::agents::Agents;
 use crate::parted::{self, BetweenFault, ProcessFault};
 use crate::secured::Secure;
 
@@ -38,6 +39,8 @@
     pub process: Vec<ProcessFault>,
     /// TLS on both sides, callers that prove who they are, and keys that change.
     pub secure: Option<Secure>,
+    /// Workers that carry workflows, and what is drawn to happen to all.
+    pub agents: Option<Agents>,
     #[serde(skip)]
     pub hosts: Vec<DayHost>,
 }
@@ -145,6 +148,10 @@
         if let Some((key, _)) = parted.iter().find(|(_, there)| *there && !day.dispatchers.cluster) {
             return Err(format!("{key}: needs dispatchers.cluster = true"));
         }
+        day.agents.as_ref().map_or(Ok(()), Agents::check)?;
+        if day.agents.is_some() && !day.dispatchers.cluster {
+            return Err("agents: needs dispatchers.cluster = true".to_string());
+        }
         parted::check(&day.between, &day.process, day.dispatchers.count)?;
         match day.dispatchers.count {
             1..=64 => Ok(day),
@@ -158,6 +165,7 @@
         (calm.faults, calm.drains, calm.drop_share) = (Vec::new(), Vec::new(), 0.0);
         (calm.between, calm.process) = (Vec::new(), Vec::new());
         calm.dispatchers.restarts.clear();
+        calm.agents.iter_mut().for_each(|agents| agents.kills = 0);
         calm
     }
 
@@ -169,6 +177,9 @@
         all.extend((self.drop_share > 0.0).then(|| "ClientsDrop".to_string()));
         all.extend((!self.between.is_empty()).then(|| "BetweenDispatchers".to_string()));
         all.extend(self.process.iter().map(|p| format!("Dispatcher{:?}", p.what)));
+        if self.agents.as_ref().is_some_and(|a| a.kills > 0) {
+            all.push("DrawnKillsPausesCuts".to_string());
+        }
         if self.secure.is_some() {
             all.extend(["KeysRotated", "CertificateRevoked"].map(str::to_string));
         }
--- a/programs/badday/src/lib.rs
+++ b/programs/badday/src/lib.rs
@@ -1,5 +1,6 @@
 //! A scripted bad day: stand-in hosts, dispatchers as processes, clients and troubles, judged from the sockets.
 
+pub mod agents;
 pub mod between;
 pub mod client;
 pub mod clients;
--- a/programs/badday/src/main.rs
+++ b/programs/badday/src/main.rs
@@ -3,6 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+use bitternlatch_badday::agents::{work, AS_WORKER};
 use bitternlatch_badday::day::Day;
 use bitternlatch_badday::process::AS_DISPATCHER;
 use bitternlatch_badday::run::{run, Outcome};
@@ -24,6 +25,9 @@
     /// Leave out the same day without trouble.
     #[arg(long)]
     no_calm: bool,
+    /// In place of the day's own seed.
+    #[arg(long)]
+    seed: Option<u64>,
 }
 
 fn main() -> ExitCode {
@@ -32,6 +36,11 @@
         let program = words.next().into_iter();
         return bitternlatch_dispatch::main_from(program.chain(words.skip(1)));
     }
+    if let (Some(word), Some(brief)) = (std::env::args_os().nth(1), std::env::args_os().nth(2)) {
+        if word == AS_WORKER {
+            return work(Path::new(&brief));
+        }
+    }
     let args = Args::parse();
     bitternlatch_net::logs::start();
     match play(&args) {
@@ -45,7 +54,8 @@
 
 fn play(args: &Args) -> Result<bool, String> {
     let image = std::env::current_exe().map_err(|e| format!("this program's own file: {e}"))?;
-    let day = Day::read(&args.day)?;
+    let mut day = Day::read(&args.day)?;
+    day.seed = args.seed.unwrap_or(day.seed);
     let base = args.day.parent().unwrap_or(Path::new("")).to_path_buf();
     let mut days = Vec::new();
     if !args.no_calm {
@@ -68,7 +78,7 @@
     let report = report(&day, &days, held);
     let path = args.out.join("report.json");
     std::fs::write(&path, format!("{report:#}\n")).map_err(|e| format!("{}: {e}", path.display()))?;
-    println!("{}", if held { "all five rules held" } else { "NOT HELD: see report.json" });
+    println!("{}", if held { "all rules held" } else { "NOT HELD: see report.json" });
     Ok(held)
 }
 
@@ -105,6 +115,9 @@
             format!("{}/{}", o.records_alike, o.records)
         );
     }
+    for (name, o) in days.iter().filter(|(_, o)| o.verdict.workflows.planned > 0) {
+        println!("{name}: {} troubles drawn, {:?}", o.drawn, o.verdict.workflows);
+    }
     for (name, o) in days {
         for (rule, n) in o.verdict.by_rule().iter().filter(|r| *r.1 > 0) {
             println!("{name}: {rule:?} broken {n} times");
@@ -127,6 +140,8 @@
         serde_json::json!({
             "breaches": o.verdict.breaches,
             "service": o.verdict.service,
+            "workflows": o.verdict.workflows,
+            "troubles_drawn": o.drawn,
             "ttft_p50_s": quantile(&o.verdict.ttft_s, 0.5),
             "ttft_p99_s": quantile(&o.verdict.ttft_s, 0.99),
             "frames": o.verdict.frames,
--- a/programs/badday/src/parted.rs
+++ b/programs/badday/src/parted.rs
@@ -201,6 +201,14 @@
             let mut table = toml::Table::try_from(cluster).map_err(std::io::Error::other)?;
             // What the day's or the settings' own table switches on besides.
             table.extend(beside.clone());
+            if let Some(workflows) = table.get_mut("workflows").and_then(|w| w.as_table_mut()) {
+                // One file a dispatcher, the same after a restart, and none from an earlier day in this folder.
+                let kept = format!("{}.workflows", one.name);
+                match std::fs::remove_file(self.dir.join(&kept)) {
+                    Err(e) if e.kind() != std::io::ErrorKind::NotFound => return Err(e),
+                    _ => drop(workflows.entry("kept").or_insert(kept.into())),
+                }
+            }
             one.set("cluster", table.into());
         }
         Ok(())
--- a/programs/badday/src/run.rs
+++ b/programs/badday/src/run.rs
@@ -12,6 +12,7 @@
 use bitternlatch_standin::capture::{unix_us, Capture};
 use bitternlatch_standin::Standins;
 
+use crate::agents::{draw, workflows, Drawn, Field};
 use crate::clients::{plan, play, Service};
 use crate::day::Day;
 use crate::parted::{self, Happened, Joined};
@@ -32,6 +33,8 @@
     pub secured: Option<SecuredFacts>,
     /// What dispatchers that know each other believed without cause, or failed to see.
     pub views: Vec<String>,
+    /// Kills, pauses and cuts that were drawn from the seed.
+    pub drawn: usize,
 }
 
 /// What a script's thread writes down.
@@ -54,9 +57,9 @@
     let settings_path = base.join(&day.dispatchers.settings);
     let shown = settings_path.display().to_string();
     let text = std::fs::read_to_string(&settings_path).map_err(|e| format!("{shown}: {e}"))?;
-    let settings = Settings::parse(&shown, &text).map_err(|e| e.to_string())?;
     let mut table: toml::Table = toml::from_str(&text).map_err(|e| e.to_string())?;
     table.extend(day.dispatchers.over.clone());
+    let settings = Settings::parse(&shown, &table.to_string()).map_err(|e| e.to_string())?;
     let proofs = day.secure.as_ref().map(|_| proofs(day, dir)).transpose()?.map(Arc::new);
     let mut standins = day.standins();
     if let Some(proofs) = &proofs {
@@ -96,15 +99,28 @@
     let keys = keys_script(day, &proofs, dispatchers.first().map(|d| d.address.clone()).unwrap_or_default());
     let dispatchers: Shared = Arc::new(Mutex::new(dispatchers));
     let noted = Arc::new(Mutex::new(Noted::default()));
+    let drawn = day.agents.as_ref().map(|a| draw(a, day.seed, day.dispatchers.count)).unwrap_or_default();
+    let field = match &day.agents {
+        Some(agents) => {
+            let named = &service.dispatchers;
+            Some(Field::start(agents, day.seed, dir, image, named).map_err(fail("the workers"))?)
+        }
+        None => None,
+    };
     let scripts = scripts(day, dir, image, &settings, &hosts, &dispatchers, &noted);
     let scripts = match &joined {
         Some(joined) => {
-            let more = joined.scripts(&day.between, &day.process, image, &dispatchers);
-            scripts.into_iter().chain(more).collect()
+            let Drawn { process, between, workers } = &drawn;
+            let (between, process) =
+                ([&day.between[..], between].concat(), [&day.process[..], process].concat());
+            let more = joined.scripts(&between, &process, image, &dispatchers);
+            let workers = field.iter().flat_map(|field| field.scripts(workers));
+            scripts.into_iter().chain(more).chain(workers).collect()
         }
         None => scripts,
     };
     clients(day, service);
+    field.iter().for_each(Field::wait);
     for script in scripts {
         let _ = script.join();
     }
@@ -114,6 +130,9 @@
     hosts.stop();
     host_lines.settle();
     client_lines.settle();
+    if let Some(field) = &field {
+        field.collect(&dir.join("clients.jsonl")).map_err(fail("the workers' captures"))?;
+    }
     let truths = joined.as_ref().map(|j| lock(&j.truths).clone()).unwrap_or_default();
     for truth in &truths {
         // One that was paused answers late, and is not asked for more than one that was killed.
@@ -127,7 +146,16 @@
         }
         _ => Vec::new(),
     };
-    let facts = facts(day, &settings, began, &noted);
+    let mut facts = facts(day, &settings, began, &noted);
+    if let (Some(field), Some(agents)) = (&field, &day.agents) {
+        facts.workflows = workflows(agents, day.seed).iter().map(|w| w.facts()).collect();
+        facts.lease_s = bitternlatch_workflow::Settings::default().lease_s;
+        facts.pauses = field.pauses();
+        facts.pauses.extend(truths.iter().filter_map(|truth| match truth.what {
+            Happened::Away(i) => Some((truth.from_us, truth.to_us, format!("dispatch-{}", i + 1))),
+            Happened::Between(_) => None,
+        }));
+    }
     let file = File::create(dir.join("facts.json")).map_err(fail("facts.json"))?;
     serde_json::to_writer_pretty(file, &facts).map_err(|e| format!("facts.json: {e}"))?;
     if let (Some(proofs), Some(facts)) = (&proofs, &mut secured) {
@@ -144,7 +172,8 @@
             records_alike += usize::from(found.difference.is_none());
         }
     }
-    Ok(Outcome { verdict, replayed_steps, records: records.len(), records_alike, orderly, secured, views })
+    let (records, drawn) = (records.len(), drawn.count());
+    Ok(Outcome { verdict, replayed_steps, records, records_alike, orderly, secured, views, drawn })
 }
 
 fn proofs(day: &Day, dir: &Path) -> Result<Proofs, String> {
@@ -334,5 +363,6 @@
         list_drains: noted.drains.clone(),
         list_ready: noted.readies.clone(),
         downs: day.downs().into_iter().map(|(s, h)| (began + (s * 1e6) as u64, h)).collect(),
+        ..Facts::default()
     }
 }
--- a/programs/standin/src/lib.rs
+++ b/programs/standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod capture;
 pub mod config;
 mod host;
+mod signed;
 mod world;
 
 pub use config::Config;
--- a/programs/standin/src/world.rs
+++ b/programs/standin/src/world.rs
@@ -22,6 +22,7 @@
 use crate::capture::Capture;
 use crate::config::{Config, Role, Trouble};
 use crate::host::{answer_len, Host, State, Work};
+use crate::signed::word;
 
 enum Message {
     Open(usize, u64, Outbox),
@@ -498,7 +499,8 @@
         let lost = self.hosts[i].trouble(Trouble::LostAnswers);
         let lost = self.hosts[i].works.get(&serial).is_some_and(|w| w.produced == 0) && self.chance(lost);
         let gap = self.hosts[i].config.token_gap_s * self.hosts[i].slowness(&self.config.cold, now);
-        let Some(work) = self.hosts[i].works.get_mut(&serial) else { return };
+        let Host { works, config, .. } = &mut self.hosts[i];
+        let Some(work) = works.get_mut(&serial) else { return };
         if lost {
             self.hosts[i].works.remove(&serial);
             return self.admit(i);
@@ -506,7 +508,7 @@
         work.produced += 1;
         let (conn, id, last) = (work.conn, work.id.clone(), work.produced >= work.out);
         let reason = if work.out == work.body.max_tokens { "length" } else { "stop" };
-        let (usage, text) = (usage(work), format!("w{} ", work.produced));
+        let (usage, text) = (usage(work), word(&work.body.prompt, &config.name, serial, work.produced));
         let choice = Choice { text, ..Choice::default() };
         self.say(
             i,
