--- a/crates/core/src/answers.rs
+++ b/crates/core/src/answers.rs
@@ -1,5 +1,6 @@
 //! What clients are told: each listener is given exactly one final event, and nothing after it.
 
+use bitternlatch_lengths::End;
 use bitternlatch_policy::interface::{Event, Outcome, RequestId};
 use bitternlatch_protocol::client::{self, Create, IncompleteDetails, Response, ResponseError, Status};
 use bitternlatch_workflow::{Fate, Refusal};
@@ -8,12 +9,13 @@
 use crate::budgets::Denied;
 use crate::contexts::Context;
 use crate::intake::Wanted;
+use crate::lengths::Lengths;
 use crate::machine::{log, Machine};
 use crate::requests::{Listener, Purpose, Request, Stage};
 use crate::settings::Effect;
 use crate::timers::Timer;
 use crate::types::{Level, Micros, Output, SessionId};
-use crate::workflows::{refused, Act, Asked, Intent, AGAIN_S, HELD_WITHIN_S};
+use crate::workflows::{refused, Act, Asked, Intent, AGAIN_S, FAILED_WITHIN_S, HELD_WITHIN_S};
 
 impl Request {
     /// The events to its listeners, each with its own next sequence number.
@@ -123,6 +125,7 @@
 
     /// The engine has ended the answer.
     pub(crate) fn serve(&mut self, now: Micros, id: RequestId, reason: &str, out: &mut Vec<Output>) {
+        self.learn(id, if reason == "length" { End::Ceiling } else { End::Whole }, out);
         let Some(request) = self.requests.get(&id) else { return };
         let mut answer = Response { usage: Some(request.usage), ..request.response.clone() };
         answer.status = if reason == "length" { Status::Incomplete } else { Status::Completed };
@@ -133,6 +136,16 @@
         self.finish(now, id, answer, out);
     }
 
+    /// Tells of an answer's length, where lengths are learnt; before its attempt is let go of.
+    fn learn(&self, id: RequestId, end: End, out: &mut Vec<Output>) {
+        let learns = self.settings.cluster.as_ref().is_some_and(|c| c.lengths.is_some());
+        let Some(request) = self.requests.get(&id).filter(|_| learns) else { return };
+        let host =
+            request.attempt.as_ref().and_then(|a| self.fleet.get(a.host)).map(|k| k.host.name.as_str());
+        let class = &self.settings.classes[usize::from(request.class)].name;
+        out.push(Output::Lengths(Lengths::ended(request, class, host.unwrap_or("unknown"), end)));
+    }
+
     /// The one place that gives final answers.
     fn finish(&mut self, now: Micros, id: RequestId, answer: Response, out: &mut Vec<Output>) {
         let Some(request) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
@@ -179,7 +192,11 @@
             }
             _ => request.unfinished(),
         };
-        let until = request.deadline.max(now.after(HELD_WITHIN_S));
+        // A failure is told soon, held or not: it says enough as it is.
+        let until = match &fate {
+            Fate::Done { .. } => request.deadline.max(now.after(HELD_WITHIN_S)),
+            _ => now.after(FAILED_WITHIN_S),
+        };
         self.drop_waiting(id);
         match self.workflows.end(id, fate, Box::new(answer), until) {
             Ok((call, ask)) => {
@@ -312,6 +329,7 @@
         self.close_key(now, id, answer);
         self.events.push_back(Event::ClientGone { request: id });
         if streaming {
+            self.learn(id, End::Left, out);
             self.tell_cancel(id, out);
             self.end_attempt(now, id, Outcome::Cancelled, 0, Vec::new(), out);
         }
@@ -344,8 +362,9 @@
         let over = |r: &Request| r.answered && r.attempt.is_none() && r.state.is_none();
         if self.requests.get(&id).is_some_and(over) && !self.workflows.is_ending(id) {
             self.settle(id, out);
-            let gone = self.requests.remove(&id);
-            self.prompt_bytes -= gone.map_or(0, |r| r.prompt.len());
+            let Some(mut gone) = self.requests.remove(&id) else { return };
+            self.shed.gone(&mut gone.counted);
+            self.prompt_bytes -= gone.prompt.len();
         }
     }
 }
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -24,10 +24,10 @@
 use crate::sessions::Sessions;
 use crate::settings::Settings;
 use crate::shares::Lent;
-use crate::shed::Shed;
+use crate::shed::{self, Shed};
 use crate::timers::{Timer, Timers};
 use crate::types::{Input, Level, LinkId, Micros, Output, SessionId};
-use crate::workflows::Workflows;
+use crate::workflows::{Workflows, HELD_WITHIN_S};
 
 /// Shortest time between two steps that the decision module may count on, seconds.
 pub(crate) const TICK_S: f64 = 0.002;
@@ -138,7 +138,7 @@
             peers: Peers::default(),
             lent: Lent::default(),
             evidence: Evidence::default(),
-            shed: Shed::default(),
+            shed: Shed::new(&settings, seed.rotate_left(17)),
             lengths: Lengths::default(),
             workflows: Workflows::default(),
             timers: Timers::default(),
@@ -193,6 +193,9 @@
             if self.settings.cluster.is_some() {
                 self.timers.set(now.after(evidence::LOOK_S), Timer::Evidence);
             }
+            if self.shed.is_on() {
+                self.timers.set(now.after(shed::LOOK_S), Timer::Shed);
+            }
         }
         self.follow_part(now);
         for timer in self.timers.take_due(now) {
@@ -231,7 +234,7 @@
             Input::LinkUnsent { link, attempt } => self.on_unsent(now, link, &attempt, out),
             Input::Standing { standing, there, until } => self.on_standing(standing, there, until),
             Input::Heard { at, of, heard } => self.on_heard(now, at, of, &heard, out),
-            Input::Overload(told) => self.shed.told(now, told),
+            Input::Overload(told) => self.shed.told(told),
             Input::Lengths(told) => self.lengths.told(now, told),
             Input::Workflow(told) => {
                 let act = self.workflows.told(now, told);
@@ -317,10 +320,14 @@
             Timer::Ledger => self.on_ledger_time(now, out),
             Timer::Evidence => self.look_at_hosts(now, out),
             Timer::Call { call } => {
-                let act = self.workflows.late(call, now);
+                let act = self.workflows.late(call);
+                if self.workflows.lingers(call) {
+                    self.timers.set(now.after(HELD_WITHIN_S), Timer::Call { call });
+                }
                 self.on_workflow(now, act, out);
             }
             Timer::End { request } => self.end_again(request, out),
+            Timer::Shed => self.tell_load(now, out),
         }
     }
 
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -4,12 +4,14 @@
 use std::collections::BTreeMap;
 
 use bitternlatch_budget::book::Hold;
+use bitternlatch_lengths::Expected;
 use bitternlatch_policy::interface::{RequestId, ServerId};
 use bitternlatch_protocol::client::{Response, Usage};
 use bitternlatch_protocol::engine::{EngineUsage, KvTransferParams};
 
 use crate::budgets::Charged;
 use crate::keys::Key;
+use crate::shed::Counted;
 use crate::types::{LinkId, Micros, SessionId};
 
 /// Sessions that may listen to one request; a further one is told to come back.
@@ -96,6 +98,8 @@
     pub conversation: u64,
     pub prompt: String,
     pub max_tokens: u32,
+    /// Of its answer's length, as known when it came.
+    pub expected: Option<Expected>,
     pub temperature: Option<f64>,
     pub top_p: Option<f64>,
     pub deadline: Micros,
@@ -105,6 +109,8 @@
     pub attempts: u16,
     pub attempt: Option<Attempt>,
     pub state: Option<HeldState>,
+    /// What the fleet's shedding counts of it.
+    pub counted: Counted,
     /// An attempt that could have had the effect was told to a host and not turned away.
     pub may_have_run: bool,
     /// When it was taken.
--- a/crates/core/src/settings/cluster.rs
+++ b/crates/core/src/settings/cluster.rs
@@ -53,6 +53,9 @@
         if let Some(workflows) = &self.workflows {
             check_workflows(workflows, c);
         }
+        if let Some(Err(why)) = self.overload.as_ref().map(bitternlatch_overload::Settings::check) {
+            c.fail("cluster.overload", format!("{why}; {}", why.advice()));
+        }
         if !self.seeds.is_empty() {
             return match self.roster.is_empty() {
                 true => self.check_seeds(c),
--- a/crates/peer-net/src/lib.rs
+++ b/crates/peer-net/src/lib.rs
@@ -9,6 +9,7 @@
 mod plane;
 mod routes;
 mod seeds;
+mod snapshot;
 mod start;
 mod views;
 
@@ -17,4 +18,5 @@
 pub use kept::Kept;
 pub use plane::{Plane, Told};
 pub use seeds::roster;
+pub use snapshot::Snapshot;
 pub use views::{ask, Line, Shown};
--- a/programs/audit/src/lib.rs
+++ b/programs/audit/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod answers;
 mod hosts;
+mod load;
 mod workflows;
 
 use std::collections::BTreeMap;
@@ -15,6 +16,8 @@
 use bitternlatch_standin::capture::Line;
 use serde::{Deserialize, Serialize};
 
+pub use load::{quantile, Load, Part, Recovery};
+
 /// What is allowed for times on a loaded machine beyond each rule's own figure, seconds.
 pub const SLACK_S: f64 = 0.25;
 
@@ -36,9 +39,12 @@
     pub list_ready: Vec<(u64, String)>,
     /// Hosts taken down by the script: when, and which.
     pub downs: Vec<(u64, String)>,
-    /// Dispatchers and workers that stood still or were away: from, to, and which.
+    /// Dispatchers and workers that the script paused, or kept away otherwise: from, to, and which.
+    #[serde(default)]
+    pub away: Vec<(u64, u64, String)>,
+    /// Troubles of the script: from, to, and which.
     #[serde(default)]
-    pub pauses: Vec<(u64, u64, String)>,
+    pub troubles: Vec<(u64, u64, String)>,
     /// Workflows that the day's workers carry.
     #[serde(default)]
     pub workflows: Vec<WorkflowFacts>,
@@ -85,6 +91,9 @@
     pub read_tokens_per_s: f64,
     pub token_gap_s: f64,
     pub slots: usize,
+    /// Seconds that each running answer adds to a step; facts of before know none.
+    #[serde(default)]
+    pub sequence_step_s: f64,
 }
 
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -143,6 +152,7 @@
     pub service: Service,
     /// Times to first token of served requests, seconds from the first try, sorted.
     pub ttft_s: Vec<f64>,
+    pub load: Load,
     pub frames: usize,
     pub workflows: Tally,
 }
@@ -182,8 +192,8 @@
     hosts.sort_by_key(|l| l.t);
     let mut verdict = Verdict { frames: clients.len() + hosts.len(), ..Verdict::default() };
     let seen = hosts::Seen::of(&hosts);
-    let tries = answers::tries(&clients);
-    answers::judge(facts, &tries, &clients, &seen, &mut verdict);
+    let tries = answers::judge(facts, &clients, &seen, &mut verdict);
+    verdict.load = load::judge(facts, &tries, &hosts, &seen);
     workflows::judge(facts, &tries, &seen, &mut verdict);
     hosts::judge(facts, &hosts, &seen, &mut verdict);
     verdict.breaches.sort_by_key(|b| b.t);
--- a/programs/badday/src/lib.rs
+++ b/programs/badday/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clients;
 pub mod day;
 mod links;
+pub mod manners;
 pub mod parted;
 pub mod process;
 pub mod run;
--- a/programs/badday/src/run.rs
+++ b/programs/badday/src/run.rs
@@ -15,7 +15,7 @@
 use crate::agents::{draw, workflows, Drawn, Field};
 use crate::clients::{plan, play, Service};
 use crate::day::Day;
-use crate::parted::{self, Happened, Joined};
+use crate::parted::{self, Happened, Joined, What};
 use crate::process::Dispatcher;
 use crate::secured::{Proofs, SecuredFacts};
 use crate::views;
@@ -57,8 +57,9 @@
     let settings_path = base.join(&day.dispatchers.settings);
     let shown = settings_path.display().to_string();
     let text = std::fs::read_to_string(&settings_path).map_err(|e| format!("{shown}: {e}"))?;
-    let mut table: toml::Table = toml::from_str(&text).map_err(|e| e.to_string())?;
+    let mut table: toml::Table = toml::from_str(&text).map_err(|e| format!("{shown}: {e}"))?;
     table.extend(day.dispatchers.over.clone());
+    // With what the day puts over it: clients and judge go by the classes that dispatchers are told.
     let settings = Settings::parse(&shown, &table.to_string()).map_err(|e| e.to_string())?;
     let proofs = day.secure.as_ref().map(|_| proofs(day, dir)).transpose()?.map(Arc::new);
     let mut standins = day.standins();
@@ -107,6 +108,7 @@
         }
         None => None,
     };
+    let scripted = unix_us();
     let scripts = scripts(day, dir, image, &settings, &hosts, &dispatchers, &noted);
     let scripts = match &joined {
         Some(joined) => {
@@ -150,19 +152,26 @@
     }
     let views = match joined {
         Some(_) if !day.dispatchers.strangers => {
-            views::judge(&views::read(dir)?, &truths, day.dispatchers.count, told_to_stop)
+            let mut said = views::read(dir)?;
+            if field.is_some() {
+                // A killed one's part is counted to the end that it might have had at the most: too long where many are killed
+                // that had been without a steward. Days of their own judge parts.
+                said.parts.clear();
+            }
+            views::judge(&said, &truths, day.dispatchers.count, told_to_stop)
         }
         _ => Vec::new(),
     };
-    let mut facts = facts(day, &settings, began, &noted);
+    let away = truths.iter().filter_map(|t| match t.what {
+        Happened::Away(i) => Some((t.from_us, t.to_us, format!("dispatch-{}", i + 1))),
+        Happened::Between(_) => None,
+    });
+    let troubles = troubles(day, began, scripted);
+    let mut facts = Facts { away: away.collect(), troubles, ..facts(day, &settings, began, &noted) };
     if let (Some(field), Some(agents)) = (&field, &day.agents) {
         facts.workflows = workflows(agents, day.seed).iter().map(|w| w.facts()).collect();
         facts.lease_s = bitternlatch_workflow::Settings::default().lease_s;
-        facts.pauses = field.pauses();
-        facts.pauses.extend(truths.iter().filter_map(|truth| match truth.what {
-            Happened::Away(i) => Some((truth.from_us, truth.to_us, format!("dispatch-{}", i + 1))),
-            Happened::Between(_) => None,
-        }));
+        facts.away.extend(field.pauses());
     }
     let file = File::create(dir.join("facts.json")).map_err(fail("facts.json"))?;
     serde_json::to_writer_pretty(file, &facts).map_err(|e| format!("facts.json: {e}"))?;
@@ -233,11 +242,15 @@
         capture,
         classes: settings.classes.iter().map(class).collect(),
         retries: day.retries,
+        manners: day.clients.clone(),
         proofs: None,
         killed: {
             let restarted = day.dispatchers.restarts.iter().map(|r| r.dispatcher);
             let away = day.process.iter().map(|p| p.dispatcher);
-            restarted.chain(away).map(|number| number.saturating_sub(1)).collect()
+            let steward = day.process.iter().any(|p| p.what == What::PauseSteward);
+            // Nobody knows beforehand which one that will be.
+            let any = (1..=day.dispatchers.count).filter(|_| steward);
+            restarted.chain(away).chain(any).map(|number| number.saturating_sub(1)).collect()
         },
     }
 }
@@ -331,6 +344,22 @@
     (orderly, all.iter().flat_map(Dispatcher::records).collect())
 }
 
+/// Troubles of the day's script: those of hosts from the hosts' start, the others from the scripts'.
+fn troubles(day: &Day, began: u64, scripted: u64) -> Vec<(u64, u64, String)> {
+    let span = |from: u64, at_s: f64, for_s: f64, what: String| {
+        (from + (at_s * 1e6) as u64, from + ((at_s + for_s) * 1e6) as u64, what)
+    };
+    let (of, by) = (&day.dispatchers, scripted);
+    let hosts = day.faults.iter().map(|f| span(began, f.at_s, f.for_s, format!("{:?} of hosts", f.trouble)));
+    let between = day.between.iter().map(|b| span(by, b.at_s, b.for_s, "between".into()));
+    let processes = day.process.iter().map(|p| span(by, p.at_s, p.for_s, format!("{:?}", p.what)));
+    let restarts = of.restarts.iter().map(|r| span(by, r.at_s, r.down_s, "restart".into()));
+    let surges = day.surge.iter().map(|s| span(by, s.at_s, s.for_s, format!("{} times", s.factor)));
+    let mut all: Vec<_> = hosts.chain(between).chain(processes).chain(restarts).chain(surges).collect();
+    all.sort();
+    all
+}
+
 fn facts(day: &Day, settings: &Settings, began: u64, noted: &Mutex<Noted>) -> Facts {
     let effect = |e: Effect| match e {
         Effect::Safe => "safe",
@@ -351,6 +380,7 @@
         read_tokens_per_s: h.config.read_tokens_per_s,
         token_gap_s: h.config.token_gap_s,
         slots: h.config.slots,
+        sequence_step_s: h.config.sequence_step_s,
     };
     let cold = day.standins().cold;
     let noted = lock(noted);
