--- a/programs/measure/src/main.rs
+++ b/programs/measure/src/main.rs
@@ -16,6 +16,7 @@
 mod secured;
 mod sessions;
 mod steps;
+mod workflows;
 
 use std::process::ExitCode;
 
@@ -82,6 +83,14 @@
         #[arg(long, default_value_t = 200)]
         requests: usize,
     },
+    /// Steps of workflows beside plain requests: added before a host is asked, a second, late steps beside early ones, takeovers.
+    Workflows {
+        /// Steps, and plain requests, of each comparison.
+        #[arg(long, default_value_t = 300)]
+        steps: usize,
+        #[arg(long, default_value_t = 10)]
+        kills: usize,
+    },
     /// First token and memory of three that know each other, with all machines beside the plane on and off.
     Beside {
         #[arg(long, default_value_t = 300)]
@@ -165,6 +174,7 @@
                 Ok(())
             }
             What::Cluster { members, requests } => cluster::measure(members, requests),
+            What::Workflows { steps, kills } => workflows::measure(steps, kills),
             What::Beside { requests } => beside::measure(requests),
             What::Engines { cost: Some(engines), .. } => steps::cost(engines),
             What::Engines { simulated: true, fill, seconds, rounds, ceiling, .. } => {
