--- a/programs/measure/src/main.rs
+++ b/programs/measure/src/main.rs
@@ -5,7 +5,9 @@
 mod cluster;
 mod decision;
 mod engines;
+mod filled;
 mod latency;
+mod lengths;
 mod members;
 mod overload;
 mod plot;
@@ -14,6 +16,7 @@
 mod secured;
 mod sessions;
 mod steps;
+mod workflows;
 
 use std::process::ExitCode;
 
@@ -80,6 +83,14 @@
         #[arg(long, default_value_t = 200)]
         requests: usize,
     },
+    /// Steps of workflows beside plain requests: added before a host is asked, a second, late steps beside early ones, takeovers.
+    Workflows {
+        /// Steps, and plain requests, of each comparison.
+        #[arg(long, default_value_t = 300)]
+        steps: usize,
+        #[arg(long, default_value_t = 10)]
+        kills: usize,
+    },
     /// First token and memory of three that know each other, with all machines beside the plane on and off.
     Beside {
         #[arg(long, default_value_t = 300)]
@@ -112,10 +123,20 @@
         /// Tokens that each answer is allowed.
         #[arg(long, default_value_t = 4096)]
         ceiling: u32,
+        /// In simulated time, with lengths known as well as they can be.
+        #[arg(long)]
+        simulated: bool,
         /// In place of that: what a step costs, with so many engines.
         #[arg(long)]
         cost: Option<usize>,
     },
+    /// Lengths of answers in simulated time: coverage, loss, restarts, bytes, cost.
+    Lengths {
+        #[arg(long, default_value_t = 12)]
+        members: usize,
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+    },
     /// Membership in simulated time: failures missed, halves healed, living ones removed, bytes.
     Members {
         #[arg(long, value_delimiter = ',', default_value = "3,10,100,300")]
@@ -153,8 +174,12 @@
                 Ok(())
             }
             What::Cluster { members, requests } => cluster::measure(members, requests),
+            What::Workflows { steps, kills } => workflows::measure(steps, kills),
             What::Beside { requests } => beside::measure(requests),
             What::Engines { cost: Some(engines), .. } => steps::cost(engines),
+            What::Engines { simulated: true, fill, seconds, rounds, ceiling, .. } => {
+                filled::measure(fill, seconds, rounds, ceiling)
+            }
             What::Engines { fill, seconds, rounds, ceiling, .. } => {
                 engines::measure(fill, seconds, rounds, ceiling)
             }
@@ -167,6 +192,10 @@
                     off_only,
                 })
             }
+            What::Lengths { members, seeds } => {
+                lengths::measure(members, seeds);
+                Ok(())
+            }
             What::Members { sizes, seeds, lossy_s, light, svg } => {
                 let losses = if light { &members::LOSSES[..1] } else { &members::LOSSES };
                 members::measure(&sizes, seeds, (lossy_s, losses), svg.as_deref())
--- a/programs/standin/src/serve.rs
+++ b/programs/standin/src/serve.rs
@@ -8,6 +8,7 @@
 
 use crate::config::{Role, Trouble};
 use crate::host::{answer_len, prompt, Work};
+use crate::signed::word;
 use crate::world::{Due, World};
 
 impl World {
@@ -151,7 +152,8 @@
         let (conn, name) = (work.conn, work.id.clone());
         let reason = if work.out == work.body.max_tokens { "length" } else { "stop" };
         let usage = usage(work, number, cached);
-        let choice = Choice { text: format!("w{number} "), ..Choice::default() };
+        let text = word(&work.body.prompt, &self.hosts[i].config.name, &name, number);
+        let choice = Choice { text, ..Choice::default() };
         let body = Chunk { choices: vec![choice], ..Chunk::default() };
         self.say(i, conn, &FromEngine::Chunk { id: name.clone(), body });
         if !last {
