--- a/crates/workflow/src/desk.rs
+++ b/crates/workflow/src/desk.rs
@@ -320,7 +320,7 @@
             return self.end(now, id, Answer::Refused(Refusal::Limit), None, out);
         };
         let op = self.op(id);
-        let (epoch, lease) = (record.epoch(), self.lease);
+        let (epoch, lease) = (record.epoch(), self.lease_of(&record));
         let Some(job) = self.queue.jobs.get_mut(&id) else { return };
         let early = turn.answer == Answer::Go && !self.guards.majority_first;
         let longest = if turn.answer == Answer::Go { leaves(lease).min(OP_MOST) } else { OP_MOST };
@@ -329,10 +329,15 @@
         let (key, until) = (job.key, job.until.min(now + longest));
         out.push(Out::Register(Input::Write { call: op, key, on, epoch, value, until }));
         if early {
-            self.go(now, now, id, out);
+            self.go(now, (now, lease), id, out);
         }
     }
 
+    /// What watchers go by is the lease in the record, whatever is set here.
+    pub(crate) fn lease_of(&self, record: &Record) -> Duration {
+        self.lease.min(Duration::from_micros(record.lease().1))
+    }
+
     fn forget(&mut self, now: Duration, id: u64, on: Version, out: &mut Vec<Out>) {
         let op = self.op(id);
         let Some(job) = self.queue.jobs.get_mut(&id) else { return };
@@ -372,7 +377,7 @@
             out.push(notice_text(&name, notice));
         }
         match turn.answer {
-            Answer::Go => self.go(now, asked, id, out),
+            Answer::Go => self.go(now, (asked, self.lease_of(&record)), id, out),
             answer => self.end(now, id, answer, Some(*record), out),
         }
     }
@@ -409,7 +414,9 @@
     /// A question's time is over.
     fn late(&mut self, now: Duration, id: u64, out: &mut Vec<Out>) {
         let Some(job) = self.queue.jobs.get_mut(&id) else { return };
-        let why = job.why;
+        // One that never came to its turn waited for others.
+        let turned = job.tries > 0 || !matches!(job.phase, Phase::Waits);
+        let why = if turned { job.why } else { Refusal::Busy };
         match job.act {
             Act::Intend { .. } => self.undo(now, id, why, out),
             Act::Ended { .. } if job.call.is_some() => {
--- a/crates/workflow/src/sends.rs
+++ b/crates/workflow/src/sends.rs
@@ -12,11 +12,12 @@
 
 impl Desk {
     /// An intent is held: its effect may leave for less than half of the lease that was asked for with it.
-    pub(crate) fn go(&mut self, now: Duration, asked: Duration, id: u64, out: &mut Vec<Out>) {
+    pub(crate) fn go(&mut self, now: Duration, asked: (Duration, Duration), id: u64, out: &mut Vec<Out>) {
+        let (asked, lease) = asked;
         let Some(job) = self.queue.jobs.get_mut(&id) else { return };
         let Act::Intend { attempt: Some(attempt), .. } = job.act else { return };
         let until = match self.guards.fencing {
-            true => asked + leaves(self.lease),
+            true => asked + leaves(lease),
             false => Duration::from_micros(u64::MAX),
         };
         if now >= until {
@@ -25,7 +26,7 @@
         }
         let key = job.key;
         self.attempts.sent(now, key, attempt);
-        self.timers.set(Due::Carry(key), asked + self.lease / 3);
+        self.timers.set(Due::Carry(key), asked + lease / 3);
         if let Some(call) = self.leave(now, id, out).and_then(|job| job.call) {
             out.push(Out::Tell(Told::Go { call, until_us: us(until) }));
         }
@@ -66,7 +67,8 @@
                 self.attempts.fenced(job.key, *epoch);
             }
             Act::Carry { .. } if self.attempts.carrying(now, job.key).is_some() => {
-                self.timers.set(Due::Carry(job.key), now + self.lease / 3);
+                let lease = record.map_or(self.lease, |r| self.lease_of(r));
+                self.timers.set(Due::Carry(job.key), now + lease / 3);
             }
             _ => {}
         }
@@ -75,10 +77,12 @@
     /// While an attempt is under way here its workflow is carried, so that nobody adopts it in the middle of a long call.
     pub(crate) fn carry(&mut self, now: Duration, key: RegisterKey, out: &mut Vec<Out>) {
         let Some(epoch) = self.attempts.carrying(now, key) else { return };
-        self.timers.set(Due::Carry(key), now + self.lease / 3);
+        let record = self.cache.get(key).map(|(_, record)| record);
+        let lease = record.as_ref().map_or(self.lease, |r| self.lease_of(r));
+        self.timers.set(Due::Carry(key), now + lease / 3);
         if !self.queue.busy(key) {
-            let name = self.cache.get(key).map(|(_, record)| record.name).unwrap_or_default();
-            self.take(now, new_job(now, key, name, None, Act::Carry { epoch }, now + self.lease / 2), out);
+            let name = record.map(|r| r.name).unwrap_or_default();
+            self.take(now, new_job(now, key, name, None, Act::Carry { epoch }, now + lease / 2), out);
         }
     }
 }
--- a/crates/workflow/src/tests.rs
+++ b/crates/workflow/src/tests.rs
@@ -172,6 +172,19 @@
     assert_eq!(why(&office.intend(0, 1, 21)), Some(Refusal::Fenced));
 }
 
+#[test]
+fn a_dispatcher_with_a_longer_lease_goes_by_the_one_that_others_watch() {
+    let mut office = Office::new(1);
+    let own = Process { name: NameKey(2), start: 1 };
+    let settings = Settings { lease_s: 30.0, ..Settings::default() };
+    office.desks.push(Desk::new(own, &settings, Guards::BUILT));
+    office.claim(0, "a");
+    let Some(Told::Go { until_us, .. }) = office.intend(1, 1, 1) else { panic!() };
+    assert!(until_us <= (office.now + ms(1500)).as_micros() as u64);
+    // Its own claim makes it the longer one.
+    assert!(matches!(office.claim(1, "a"), Some(Told::Claimed { lease_us: 30_000_000, .. })));
+}
+
 #[test]
 fn an_intent_whose_write_may_have_happened_never_leads_to_a_send_and_is_undone() {
     for next in [
