--- a/crates/workflow/tests/record.rs
+++ b/crates/workflow/tests/record.rs
@@ -265,6 +265,8 @@
 }
 
 proptest::proptest! {
+    #![proptest_config(proptest::prelude::ProptestConfig::with_cases(64))]
+
     /// Whatever is done, the record stays within its bound, its epoch never falls, and a result that stands stays.
     #[test]
     fn any_course_is_bounded_and_forward_only(course in proptest::collection::vec((0u8..7, 0u32..5, 0u8..4, 0usize..9000), 1..120)) {
