--- a/programs/standin/src/lib.rs
+++ b/programs/standin/src/lib.rs
@@ -5,7 +5,9 @@
 pub mod capture;
 pub mod config;
 mod host;
+
 mod serve;
+mod signed;
 mod world;
 
 pub use config::Config;
