A damaged disk at one copy of workflows costs nothing, and at two it is said

Need: torn and foreign stores are to be noticed and named, and no majority is to be made of copies that hold nothing.

--- a/programs/badday/tests/workflows.rs
+++ b/programs/badday/tests/workflows.rs
@@ -315,3 +315,30 @@
     assert_eq!(three.ran(5), 0);
     three.end();
 }
+
+#[test]
+fn a_copy_whose_disk_is_damaged_is_named_and_one_costs_nothing_while_two_are_said() {
+    let mut three = three("workflows-damaged", true);
+    let first = three.claimed(2, "a");
+    assert_eq!(three.step(2, BOOKING, first.epoch, 1).code, "done");
+    let damage = |three: &mut Three, of: usize| {
+        three.kill(of);
+        let text = "not a store, but a longer text about something else. ".repeat(200);
+        std::fs::write(three.rig.dir.join(format!("{of}.workflows")), text).expect("a file");
+        three.start(of);
+        (0..3).for_each(|i| three.until(i, "whole"));
+        let named = |log: String| log.contains(".workflows is no store, or is damaged");
+        wait_for("its name in the log", || three.rig.dispatchers[of].log().is_ok_and(named));
+    };
+    damage(&mut three, 0);
+    assert_eq!(three.step(2, BOOKING, first.epoch, 2).code, "done");
+    let second = three.claimed(0, "a");
+    assert_eq!(three.step(0, BOOKING, second.epoch, 3).code, "done", "asked where the damage is, as well");
+    damage(&mut three, 1);
+    let codes = ["workflow_not_kept", "workflow_no_majority", "workflow_lost"];
+    wait_for("its word", || three.claim(2, "a").is_err_and(|code| codes.contains(&code.as_str())));
+    let last = three.step(2, BOOKING, second.epoch, 4).code;
+    assert!(codes.contains(&last.as_str()), "{last}");
+    assert_eq!((1..=4).map(|n| three.ran(n)).collect::<Vec<_>>(), [1, 1, 1, 0]);
+    three.end();
+}
