--- a/programs/audit/src/lib.rs
+++ b/programs/audit/src/lib.rs
@@ -6,6 +6,7 @@
 mod answers;
 mod hosts;
 mod load;
+mod workflows;
 
 use std::collections::BTreeMap;
 use std::fs::File;
@@ -38,12 +39,38 @@
     pub list_ready: Vec<(u64, String)>,
     /// Hosts taken down by the script: when, and which.
     pub downs: Vec<(u64, String)>,
-    /// Dispatchers that the script paused, or kept away otherwise: from, to, and which.
+    /// Dispatchers and workers that the script paused, or kept away otherwise: from, to, and which.
     #[serde(default)]
     pub away: Vec<(u64, u64, String)>,
     /// Troubles of the script: from, to, and which.
     #[serde(default)]
     pub troubles: Vec<(u64, u64, String)>,
+    /// Workflows that the day's workers carry.
+    #[serde(default)]
+    pub workflows: Vec<WorkflowFacts>,
+    /// How long a worker carries one without a word, seconds.
+    #[serde(default)]
+    pub lease_s: f64,
+}
+
+/// A workflow as it is planned; its steps are marked `NAME.1` and so on.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WorkflowFacts {
+    pub name: String,
+    /// `safe`, `keyed` or `unsafe`, a step.
+    pub effects: Vec<String>,
+}
+
+impl WorkflowFacts {
+    /// The mark of a step's request.
+    pub fn mark(&self, step: usize) -> String {
+        format!("{}.{step}", self.name)
+    }
+
+    fn unsafe_marks(&self) -> impl Iterator<Item = String> + '_ {
+        let steps = self.effects.iter().enumerate().filter(|(_, effect)| *effect == "unsafe");
+        steps.map(|(i, _)| self.mark(i + 1))
+    }
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -77,7 +104,7 @@
     pub window_s: f64,
 }
 
-/// One of the five rules.
+/// One of the five rules, or of those that hold for workflows besides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Rule {
@@ -86,6 +113,14 @@
     DrainsKept,
     NoColdHostPushedOver,
     NothingLeftPinned,
+    /// Each workflow is finished, or unsettled with an unsafe step that may have run.
+    WorkflowsEnd,
+    /// What a worker was told of a step's result is shown to whoever claims the workflow later, alike.
+    NoResultLost,
+    /// A step whose result was told is not run again.
+    DoneOnce,
+    /// Once a later epoch was told, an older one does nothing.
+    FencedStays,
 }
 
 /// One breach, with what it is about and when.
@@ -119,14 +154,35 @@
     pub ttft_s: Vec<f64>,
     pub load: Load,
     pub frames: usize,
+    pub workflows: Tally,
+}
+
+/// What became of a day's workflows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Tally {
+    pub planned: usize,
+    pub finished: usize,
+    pub unsettled: usize,
+    pub parked: usize,
+    /// Claims that were granted, and those of them by another than the worker before.
+    pub claims: usize,
+    pub taken_over: usize,
+    /// Steps whose result was told to a worker.
+    pub told: usize,
+    /// Requests refused for an older epoch.
+    pub fenced: usize,
+    /// Runs of steps at tool hosts.
+    pub runs: usize,
 }
 
 impl Verdict {
     /// Number of breaches by rule, all rules named.
     pub fn by_rule(&self) -> BTreeMap<Rule, usize> {
         use Rule::*;
-        let rules = [NoRequestLost, NoEffectTwice, DrainsKept, NoColdHostPushedOver, NothingLeftPinned];
-        rules.into_iter().map(|r| (r, self.breaches.iter().filter(|b| b.rule == r).count())).collect()
+        let five = [NoRequestLost, NoEffectTwice, DrainsKept, NoColdHostPushedOver, NothingLeftPinned];
+        let workflows = [WorkflowsEnd, NoResultLost, DoneOnce, FencedStays];
+        let rules = five.into_iter().chain(workflows);
+        rules.map(|r| (r, self.breaches.iter().filter(|b| b.rule == r).count())).collect()
     }
 }
 
@@ -138,6 +194,7 @@
     let seen = hosts::Seen::of(&hosts);
     let tries = answers::judge(facts, &clients, &seen, &mut verdict);
     verdict.load = load::judge(facts, &tries, &hosts, &seen);
+    workflows::judge(facts, &tries, &seen, &mut verdict);
     hosts::judge(facts, &hosts, &seen, &mut verdict);
     verdict.breaches.sort_by_key(|b| b.t);
     verdict
