--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -119,7 +119,10 @@
             FromEngine::State { state } => self.on_state(now, link, state, out),
             FromEngine::Load { id, load } => {
                 let report = self.report(Some(&load));
-                self.end_probe(now, id, Outcome::Served, report);
+                match self.shed.probed(id, &report) {
+                    Some(ask) => out.push(Output::Overload(ask)),
+                    None => self.end_probe(now, id, Outcome::Served, report),
+                }
             }
             FromEngine::Chunk { id, body } => self.on_chunk(now, link, &id, body, out),
             FromEngine::Done { id, load } => self.on_done(now, link, &id, load.as_ref(), out),
@@ -338,6 +341,7 @@
         };
         self.shed.reported(now, attempt.host, &report);
         self.note_outcome(now, attempt.host, outcome);
+        out.extend(self.shed.tried(attempt.host, outcome).map(Output::Overload));
         if attempt.stage == Stage::Streaming && outcome != Outcome::Served {
             self.fail(now, id, "server_error", "the answer broke off; it may have run", out);
         }
--- a/crates/core/src/carry.rs
+++ b/crates/core/src/carry.rs
@@ -1,11 +1,12 @@
 //! Carries out what the decision module decides.
 
-use bitternlatch_policy::interface::{Action, AttemptEnd, Event, Outcome, RequestId, Role, ServerId};
+use bitternlatch_overload::{Ask, Told};
+use bitternlatch_policy::interface::{Action, AttemptEnd, Event, Outcome, RequestId, Role, ServerId, Sight};
 use bitternlatch_protocol::engine::{encode, CompletionRequest, KvTransferParams, ToEngine};
 
 use crate::links::{Given, Queued};
 use crate::machine::{log, Machine, Probe, PROBE_S};
-use crate::requests::{wire_id, Attempt, Purpose, Stage};
+use crate::requests::{wire_id, Attempt, Purpose, Request, Stage};
 use crate::settings::Effect;
 use crate::shed::LOOK_S;
 use crate::timers::Timer;
@@ -56,6 +57,13 @@
         if number == 0 && !self.may_take(now, class) {
             return self.not_sent(id, number, host, Outcome::Moot);
         }
+        if let Some(most) = self.shed.most_out(now, host) {
+            let at = |r: &&Request| r.attempt.as_ref().is_some_and(|a| a.host == host);
+            if self.requests.values().filter(at).count() >= most as usize {
+                // It is tried by one of all, a little at a time.
+                return self.not_sent(id, number, host, Outcome::Full { state_gone: false });
+            }
+        }
         let Some(request) = self.requests.get_mut(&id) else { return };
         // Work that would be done again goes by what all may repeat.
         if open.is_some() && !self.shed.may_send(now, &request.counted) {
@@ -221,6 +229,41 @@
         out.push(Output::Tell { link, text, stale: None });
     }
 
+    /// What all are to do together, and what was heard of hosts for this one.
+    pub(crate) fn on_overload(&mut self, now: Micros, told: Told, out: &mut Vec<Output>) {
+        match told {
+            Told::Cut(cut) => self.shed.cut(cut),
+            Told::Trial { host, many, until } => {
+                self.shed.trial(host, many, until);
+                // The module does better to choose another one: several saw it fail, or this one did in a row.
+                if self.shed.most_out(now, host).is_some() {
+                    let sight = Sight::Failing;
+                    self.events.push_back(Event::Hearsay {
+                        server: host,
+                        sight,
+                        voices: 2,
+                        of: 2,
+                        age_s: 0.0,
+                    });
+                }
+            }
+            Told::Probe { host } => {
+                let Some(link) = self.links.open(host).filter(|_| self.shed.is_on()) else { return };
+                let id = self.next_probe;
+                self.next_probe += 1;
+                self.shed.asks(now, id, host);
+                out.push(Output::Tell { link, text: encode(&ToEngine::Probe { id }), stale: None });
+            }
+            Told::Report { host, report, .. } => {
+                let mine = self.probes.iter().filter(|(_, p)| p.link.host == host).map(|(id, _)| *id);
+                let report: Vec<f64> = report.iter().map(|v| v.get()).collect();
+                for id in mine.collect::<Vec<u64>>() {
+                    self.end_probe(now, id, Outcome::Served, report.clone());
+                }
+            }
+        }
+    }
+
     /// Tells what was seen of the load, for what all shed together.
     pub(crate) fn tell_load(&mut self, now: Micros, out: &mut Vec<Output>) {
         self.timers.set(now.after(LOOK_S), Timer::Shed);
@@ -245,6 +288,10 @@
         self.next_probe += 1;
         self.probes.insert(id, Probe { link, sent: now });
         self.timers.set(now.after(PROBE_S), Timer::Probe { id });
+        if self.shed.is_on() {
+            // One of all asks; the answer, whoever is given it, ends this probe.
+            return out.push(Output::Overload(Ask::Probe { host: server }));
+        }
         out.push(Output::Tell { link, text: encode(&ToEngine::Probe { id }), stale: None });
     }
 
--- a/crates/core/src/shed.rs
+++ b/crates/core/src/shed.rs
@@ -2,9 +2,12 @@
 //!
 //! Knows nothing of the machine: it is asked by it, and tells it what to do. Off where the settings have no table for it.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use bitternlatch_overload::{Ask, Asked, Gate, Taken, Told, Verdict};
+use bitternlatch_overload::{Ask, Asked, Cut, Gate, Millionths, Taken, Verdict};
+
+use bitternlatch_policy::interface::Outcome;
 
 use crate::settings::{Meaning, Settings};
 use crate::types::Micros;
@@ -14,6 +17,11 @@
 /// Share of its ceiling that an answer is taken for where nothing tells more.
 pub(crate) const ANSWER_SHARE: f64 = 0.2;
 
+/// Seconds after which a probe for all has no answer.
+const PROBE_S: f64 = 1.0;
+/// Failures in a row that make a host one that failed.
+const ROW: u32 = 2;
+
 /// What a request has of it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Counted {
@@ -31,6 +39,11 @@
     gate: Option<Gate>,
     /// Where reports have what waits.
     queue: Option<usize>,
+    /// Probes that are out for all.
+    asked: BTreeMap<u64, (u32, Micros)>,
+    /// Hosts that failed here: attempts that may be out, and until when that counts; and failures in a row.
+    trials: BTreeMap<u32, (u32, Duration)>,
+    row: BTreeMap<u32, u32>,
 }
 
 fn clock(now: Micros) -> Duration {
@@ -45,6 +58,9 @@
         Shed {
             gate: on.map(|(own, roster)| Gate::new(own, roster, most_s, seed)),
             queue: settings.reports.fields.iter().position(|f| f.means == Meaning::Queue),
+            asked: BTreeMap::new(),
+            trials: BTreeMap::new(),
+            row: BTreeMap::new(),
         }
     }
 
@@ -52,12 +68,57 @@
         self.gate.is_some()
     }
 
-    pub(crate) fn told(&mut self, told: Told) {
-        let Some(gate) = &mut self.gate else { return };
-        match told {
-            Told::Cut(cut) => gate.told(cut),
-            Told::Report { .. } => {}
+    /// Takes what counts from now on.
+    pub(crate) fn cut(&mut self, cut: Cut) {
+        if let Some(gate) = &mut self.gate {
+            gate.told(cut);
+        }
+    }
+
+    /// A host that failed here may have so many attempts out until then.
+    pub(crate) fn trial(&mut self, host: u32, many: u32, until: Duration) {
+        if self.gate.is_some() {
+            self.trials.insert(host, (many, until));
+        }
+    }
+
+    /// Attempts that may be out at a host; `None` for any number. What was told ends by time, at the act.
+    pub(crate) fn most_out(&mut self, now: Micros, host: u32) -> Option<u32> {
+        let (many, until) = *self.trials.get(&host)?;
+        if clock(now) >= until {
+            self.trials.remove(&host);
+            return None;
         }
+        Some(many)
+    }
+
+    /// An attempt at a host ended.
+    pub(crate) fn tried(&mut self, host: u32, outcome: Outcome) -> Option<Ask> {
+        self.gate.as_ref()?;
+        match outcome {
+            Outcome::Served | Outcome::ReadDone => {
+                self.row.remove(&host);
+                self.trials.contains_key(&host).then_some(Ask::Tried { host, well: true })
+            }
+            Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::ConnectFailed => {
+                let row = self.row.entry(host).or_default();
+                *row = row.saturating_add(1);
+                (*row >= ROW).then_some(Ask::Tried { host, well: false })
+            }
+            Outcome::Full { .. } | Outcome::Cancelled | Outcome::Moot => None,
+        }
+    }
+
+    /// A probe with this id goes to a host, for all.
+    pub(crate) fn asks(&mut self, now: Micros, id: u64, host: u32) {
+        self.asked.retain(|_, (_, at)| now.since(*at) < PROBE_S);
+        self.asked.insert(id, (host, now));
+    }
+
+    /// What is to be passed on, where this answers a probe that went for all.
+    pub(crate) fn probed(&mut self, id: u64, report: &[f64]) -> Option<Ask> {
+        let (host, _) = self.asked.remove(&id)?;
+        Some(Ask::Probed { host, report: report.iter().map(|v| Millionths::of(*v)).collect() })
     }
 
     /// Judges a request that comes; `None` where it is off. A refusal says when to come back.
--- a/crates/overload/src/machine.rs
+++ b/crates/overload/src/machine.rs
@@ -10,7 +10,9 @@
 use crate::cut::{below, cut};
 use crate::io::{Ask, Cut, Millionths, Seen, Settings, Told};
 use crate::order::{spread, LEVELS};
+use crate::probes::{Do, Probes, Saying};
 use crate::sums::{Sums, Words};
+use crate::trials::{Leave, Trials};
 use crate::{OverloadError, Word};
 
 /// Between two looks at the sums, and two words to the others.
@@ -20,6 +22,8 @@
 /// Others that are told a word at a beat; where there are more, they are drawn anew each time, less often.
 const TOLD_MOST: usize = 16;
 const SAMPLE_BEATS: u32 = 4;
+/// Others that are told of a failed host at once.
+const SAID_MOST: usize = 64;
 /// Between two lines in the log.
 const LOG: Duration = Duration::from_secs(1);
 /// Weight of the others' mean cut.
@@ -40,6 +44,10 @@
     number: u64,
     seen: Option<(Duration, Seen)>,
     words: Words,
+    probes: Probes,
+    trials: Trials,
+    /// Hosts of which the dispatcher was told a leave.
+    on_trial: BTreeSet<u32>,
     peers: Option<Peers>,
     capacity: Capacity,
     rank: f64,
@@ -71,6 +79,9 @@
             number: 0,
             seen: None,
             words: Words::default(),
+            probes: Probes::new(own.name),
+            trials: Trials::new(own.name),
+            on_trial: BTreeSet::new(),
             peers: None,
             capacity: Capacity::default(),
             rank: 0.0,
@@ -96,17 +107,28 @@
         *many = many.saturating_add(1);
     }
 
-    fn hear(&mut self, now: Duration, from: Process, said: &[u8]) {
+    fn hear(&mut self, now: Duration, from: Process, said: &[u8], out: &mut Vec<Wanted<Told>>) {
         if from.name == self.own.name || !self.roster.contains(&from.name) {
             return;
         }
         match Word::read(said) {
-            Ok(word) => self.words.hear(now, from, word),
+            Ok(word) => return self.words.hear(now, from, word),
+            Err(OverloadError::OtherVersion) => {}
+            Err(why) => return self.drop_word(why),
+        }
+        match Saying::read(said) {
+            Ok(Saying::Failed(host)) => self.trials.heard(now, from.name, host, true),
+            Ok(Saying::Well(host)) => self.trials.heard(now, from.name, host, false),
+            Ok(saying) => {
+                let mut done = Vec::new();
+                self.probes.hear(now, from.name, saying, &mut done);
+                carry(done, out);
+            }
             Err(why) => self.drop_word(why),
         }
     }
 
-    fn asked(&mut self, now: Duration, ask: Ask) {
+    fn asked(&mut self, now: Duration, ask: Ask, out: &mut Vec<Wanted<Told>>) {
         match ask {
             Ask::Seen(seen) => {
                 self.counts.0 = self.counts.0.saturating_add(seen.taken_count);
@@ -114,10 +136,42 @@
                 self.counts.2 = self.counts.2.saturating_add(seen.repeat_count);
                 self.seen = Some((now, seen));
             }
-            Ask::Probe { .. } | Ask::Probed { .. } => {}
+            Ask::Probe { host } => {
+                let others = self.peers(now).map(|p| p.there.clone());
+                let mut done = Vec::new();
+                self.probes.want(now, host, others.as_deref(), self.roster.len(), &mut done);
+                carry(done, out);
+            }
+            Ask::Tried { host, well } => {
+                let saying = if well { self.trials.answered(host) } else { self.trials.failed(now, host) };
+                let to = self.peers(now).map(|p| p.there.clone()).unwrap_or_default();
+                // As many as hear a word at a time; of many members a sample, as the rest hear of it from their own attempts.
+                if let Some(bytes) = saying.map(|s| s.write()) {
+                    out.extend(to.into_iter().take(SAID_MOST).map(|n| Wanted::Say(n, bytes.clone())));
+                }
+                self.tell_trials(now, out);
+            }
+            Ask::Probed { host, report } => {
+                let mut done = Vec::new();
+                self.probes.answered(now, host, report, &mut done);
+                carry(done, out);
+            }
         }
     }
 
+    /// Tells what may be tried, and of what is as any other again.
+    fn tell_trials(&mut self, now: Duration, out: &mut Vec<Wanted<Told>>) {
+        let others = self.peers(now).map(|p| p.there.clone());
+        let leaves = self.trials.leaves(now, others.as_deref());
+        let hosts: BTreeSet<u32> = leaves.iter().map(|l| l.host).collect();
+        let well =
+            self.on_trial.difference(&hosts).map(|host| Told::Trial { host: *host, many: 0, until: now });
+        out.extend(well.map(Wanted::Tell));
+        let trial = |l: Leave| Wanted::Tell(Told::Trial { host: l.host, many: l.many, until: l.until });
+        out.extend(leaves.into_iter().map(trial));
+        self.on_trial = hosts;
+    }
+
     /// The own word. What the dispatcher told too long ago is nothing: it stands still, and takes nothing.
     fn word(&mut self, now: Duration, capacity: f64) -> Word {
         self.number += 1;
@@ -129,6 +183,7 @@
             taken: seen.taken.get(),
             completed: seen.completed.get(),
             backlog: seen.backlog.get(),
+            each: seen.each.get(),
             waits: seen.waits.get(),
             hosts: seen.hosts.get(),
             delay: seen.delay.get(),
@@ -164,9 +219,11 @@
         let Some(known) = self.seen.as_ref() else { return };
         let stale = now.saturating_sub(known.0) >= COUNTS_FOR;
         self.words.forget(now);
+        self.probes.forget(now);
+        self.tell_trials(now, out);
         let there = self.peers(now).map_or(0, |p| p.there.len());
         let together = self.together(now);
-        let word = self.word(now, 0.0);
+        let word = self.word(now, self.capacity.per_s());
         let sampled = (there > TOLD_MOST).then_some(there + 1);
         let sums = self.words.sums(now, &word, sampled);
         // Cut off it goes by the part of the hosts that is its own whatever the others do.
@@ -244,6 +301,15 @@
     }
 }
 
+/// What is to be done for probes, as the loop is told it.
+fn carry(done: Vec<Do>, out: &mut Vec<Wanted<Told>>) {
+    out.extend(done.into_iter().map(|what| match what {
+        Do::Probe(host) => Wanted::Tell(Told::Probe { host }),
+        Do::Tell { host, age, report } => Wanted::Tell(Told::Report { host, age, report }),
+        Do::Say(to, saying) => Wanted::Say(to, saying.write()),
+    }));
+}
+
 impl Beside for Overload {
     const TOPIC: Topic = Topic::Overload;
     type Ask = Ask;
@@ -255,9 +321,9 @@
 
     fn step(&mut self, now: Duration, given: Given<Ask>, out: &mut Vec<Wanted<Told>>) {
         match given {
-            Given::Said { from, said } => self.hear(now, from, &said),
+            Given::Said { from, said } => self.hear(now, from, &said, out),
             Given::Peers(peers) => self.peers = Some(peers),
-            Given::Ask(ask) => self.asked(now, ask),
+            Given::Ask(ask) => self.asked(now, ask, out),
             Given::Wake | Given::Frame { .. } | Given::Found(_) | Given::Kept { .. } | Given::Leave => {}
         }
         if now >= self.beat_at {
--- a/programs/measure/src/main.rs
+++ b/programs/measure/src/main.rs
@@ -5,7 +5,9 @@
 mod cluster;
 mod decision;
 mod engines;
+mod filled;
 mod latency;
+mod lengths;
 mod members;
 mod overload;
 mod plot;
@@ -121,10 +123,20 @@
         /// Tokens that each answer is allowed.
         #[arg(long, default_value_t = 4096)]
         ceiling: u32,
+        /// In simulated time, with lengths known as well as they can be.
+        #[arg(long)]
+        simulated: bool,
         /// In place of that: what a step costs, with so many engines.
         #[arg(long)]
         cost: Option<usize>,
     },
+    /// Lengths of answers in simulated time: coverage, loss, restarts, bytes, cost.
+    Lengths {
+        #[arg(long, default_value_t = 12)]
+        members: usize,
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+    },
     /// Membership in simulated time: failures missed, halves healed, living ones removed, bytes.
     Members {
         #[arg(long, value_delimiter = ',', default_value = "3,10,100,300")]
@@ -165,6 +177,9 @@
             What::Workflows { steps, kills } => workflows::measure(steps, kills),
             What::Beside { requests } => beside::measure(requests),
             What::Engines { cost: Some(engines), .. } => steps::cost(engines),
+            What::Engines { simulated: true, fill, seconds, rounds, ceiling, .. } => {
+                filled::measure(fill, seconds, rounds, ceiling)
+            }
             What::Engines { fill, seconds, rounds, ceiling, .. } => {
                 engines::measure(fill, seconds, rounds, ceiling)
             }
@@ -177,6 +192,10 @@
                     off_only,
                 })
             }
+            What::Lengths { members, seeds } => {
+                lengths::measure(members, seeds);
+                Ok(())
+            }
             What::Members { sizes, seeds, lossy_s, light, svg } => {
                 let losses = if light { &members::LOSSES[..1] } else { &members::LOSSES };
                 members::measure(&sizes, seeds, (lossy_s, losses), svg.as_deref())
