A step's send that waits for its permission lets go of a pinned state in time

Change: where a state is held the send waits for half of the limit, then is told as never sent, and the request is refused.

--- a/crates/core/src/carry.rs
+++ b/crates/core/src/carry.rs
@@ -13,6 +13,9 @@
 use crate::types::{Level, LinkId, Micros, Output, Stale};
 use crate::workflows::Waits;
 
+/// Of the time for which a state may be pinned: how long a send that would fetch it waits for its permission.
+const PINNED_SHARE: f64 = 0.5;
+
 impl Machine {
     pub(crate) fn carry_out(&mut self, now: Micros, action: Action, out: &mut Vec<Output>) {
         match action {
@@ -90,8 +93,10 @@
 
     fn wait_to_send(&mut self, now: Micros, id: RequestId, send: Waits, out: &mut Vec<Output>) {
         let live = self.requests.get(&id).filter(|r| !r.answered && r.attempt.is_none());
-        let asked = live.map(|r| (r.may_run(), r.deadline)).and_then(|(may_have_run, ends)| {
-            let ends = ends.max(now.after(PROBE_S));
+        // A state that waits to be fetched keeps its place for so long at the most, whatever time the request has left.
+        let pinned = now.after(self.settings.rules.pin_limit_s * PINNED_SHARE);
+        let ends = |r: &Request| if r.state.is_some() { pinned } else { r.deadline.max(now.after(PROBE_S)) };
+        let asked = live.map(|r| (r.may_run(), ends(r))).and_then(|(may_have_run, ends)| {
             self.workflows.wait(id, send, may_have_run, ends).map(|(call, tell)| (call, tell, ends))
         });
         let Some((call, tell, ends)) = asked else { return self.send_not(id, send) };
