--- a/programs/badday/src/agents/troubles.rs
+++ b/programs/badday/src/agents/troubles.rs
@@ -51,8 +51,9 @@
     }
 }
 
-/// So many troubles over dispatchers, workers and what lies between dispatchers. Those of one process do not overlap.
-pub fn draw(agents: &Agents, seed: u64, dispatchers: usize) -> Drawn {
+/// So many troubles over dispatchers, workers and what lies between dispatchers. Those of one process do not overlap, nor those
+/// that the script has for it.
+pub fn draw(agents: &Agents, seed: u64, dispatchers: usize, scripted: &[ProcessFault]) -> Drawn {
     let mut chance = Chance(Xoshiro256PlusPlus::seed_from_u64(seed ^ 0x7b0b1e));
     let mut drawn = Drawn::default();
     // A bound on draws, for days that are too short for so many.
@@ -62,7 +63,7 @@
         }
         let at_s = chance.within(1.0, agents.kills_within_s.max(1.5));
         match chance.below(8) {
-            0 | 1 => dispatcher(&mut drawn, &mut chance, at_s, dispatchers),
+            0 | 1 => dispatcher(&mut drawn, &mut chance, at_s, (dispatchers, scripted)),
             2..=4 => worker(&mut drawn, &mut chance, at_s, agents.workers),
             _ => link(&mut drawn, &mut chance, at_s, dispatchers),
         }
@@ -70,7 +71,12 @@
     drawn
 }
 
-fn dispatcher(drawn: &mut Drawn, chance: &mut Chance, at_s: f64, count: usize) {
+fn dispatcher(
+    drawn: &mut Drawn,
+    chance: &mut Chance,
+    at_s: f64,
+    (count, scripted): (usize, &[ProcessFault]),
+) {
     let killed = chance.share() < 0.5;
     let for_s = if killed { chance.within(0.1, 1.5) } else { chance.within(0.2, 4.0) };
     let fault = ProcessFault {
@@ -81,7 +87,7 @@
     };
     let near = |f: &&ProcessFault| f.at_s < at_s + for_s + REST_S && at_s < f.at_s + f.for_s + REST_S;
     let most = AWAY_MOST.min(count.saturating_sub(1) / 2);
-    let away = drawn.process.iter().filter(near);
+    let away = scripted.iter().chain(&drawn.process).filter(near);
     if away.clone().all(|f| f.dispatcher != fault.dispatcher) && away.count() < most {
         drawn.process.push(fault);
     }
--- a/programs/badday/src/process.rs
+++ b/programs/badday/src/process.rs
@@ -95,11 +95,12 @@
         self.manner = manner;
     }
 
-    /// Starts it from `image`, this program or another that takes [`AS_DISPATCHER`].
+    /// Starts it from `image`, this program or another that takes [`AS_DISPATCHER`]; ends a process that is still there.
     ///
     /// # Errors
     /// Where files or the process cannot be made.
     pub fn start(&mut self, image: &Path) -> io::Result<()> {
+        self.kill();
         self.starts += 1;
         let run = format!("{}.{}", self.name, self.starts);
         let record = toml::Table::from_iter([("file".to_string(), format!("{run}.rec").into())]);
--- a/programs/badday/src/run.rs
+++ b/programs/badday/src/run.rs
@@ -100,7 +100,8 @@
     let keys = keys_script(day, &proofs, dispatchers.first().map(|d| d.address.clone()).unwrap_or_default());
     let dispatchers: Shared = Arc::new(Mutex::new(dispatchers));
     let noted = Arc::new(Mutex::new(Noted::default()));
-    let drawn = day.agents.as_ref().map(|a| draw(a, day.seed, day.dispatchers.count)).unwrap_or_default();
+    let draw = |a| draw(a, day.seed, day.dispatchers.count, &day.process);
+    let drawn = day.agents.as_ref().map(draw).unwrap_or_default();
     let field = match &day.agents {
         Some(agents) => {
             let named = &service.dispatchers;
--- a/programs/badday/tests/workers.rs
+++ b/programs/badday/tests/workers.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bitternlatch_badday::agents::{carry_all, draw, workflows, Agents, Brief};
+use bitternlatch_badday::parted::ProcessFault;
 use bitternlatch_net::accept::{Acceptor, Door, Handler};
 use bitternlatch_net::socket::{Limits, Outbox};
 use bitternlatch_protocol::client::{error, finished, parse, BadRequest, ClientEvent, Response, Status};
@@ -199,9 +200,12 @@
     let effects: Vec<usize> = plan.iter().flat_map(|w| &w.steps).map(|s| s.effect).collect();
     let share = |of: usize| effects.iter().filter(|e| **e == of).count() as f64 / effects.len() as f64;
     assert!((share(1) - 0.3).abs() < 0.05 && (share(2) - 0.3).abs() < 0.05);
-    let drawn = draw(&agents, 9, 6);
+    let scripted = toml::from_str("at_s = 30\nfor_s = 2\ndispatcher = 5\nwhat = \"kill\"").expect("a fault");
+    let drawn = draw(&agents, 9, 6, &[scripted]);
     assert_eq!(drawn.count(), 200);
     let away = |at: f64| drawn.process.iter().filter(|f| f.at_s <= at && at < f.at_s + f.for_s).count();
     assert!((0..900).all(|tenth| away(f64::from(tenth) / 10.0) <= 2), "a majority of six is there");
+    let meets = |f: &&ProcessFault| f.dispatcher == 5 && f.at_s < 32.0 && f.at_s + f.for_s > 30.0;
+    assert_eq!(drawn.process.iter().filter(meets).count(), 0, "what is scripted for a process is its own");
     assert!(drawn.workers.iter().any(|f| f.killed) && drawn.workers.iter().any(|f| !f.killed));
 }
