--- a/programs/audit/src/answers.rs
+++ b/programs/audit/src/answers.rs
@@ -255,7 +255,7 @@
 fn refused_though_run(all: &[Try], seen: &Seen, is_unsafe: impl Fn(&str) -> bool, verdict: &mut Verdict) {
     let by_mark = seen.by_mark();
     // Asking a step of a workflow again is harmless whatever was run: its log stands before it.
-    let bare = |t: &&Try| is_unsafe(&t.mark) && !t.said.starts_with("workflow_");
+    let bare = |t: &&Try| is_unsafe(&t.mark) && !t.metadata.contains_key("workflow");
     for one in all.iter().filter(bare) {
         let Some((t, _)) = one.finals.iter().find(|f| f.1 == Final::Refused) else { continue };
         let runs = by_mark.get(one.mark.as_str()).into_iter().flatten();
