A workflow's step is judged by what all shed before its intent is asked for

Need: a step that overload control refuses had cost two majority writes first, as it was judged at its admission. Cause: the gate stood behind Told::Go (core's take_step). Change: it is judged when it comes, refused at once with a time to come back, and what the gate has taken of it goes with the waiting question, given back where it ends unasked. What a message comes to before it is a request moves out of intake into a file that knows nothing of the machine. Measured: cargo test -p bitternlatch-core; the new test finds no question to the machine for a refused step.

--- a/crates/core/src/answers.rs
+++ b/crates/core/src/answers.rs
@@ -8,7 +8,6 @@
 
 use crate::budgets::Denied;
 use crate::contexts::Context;
-use crate::intake::Wanted;
 use crate::keys::Key;
 use crate::lengths::Lengths;
 use crate::machine::{log, Machine};
@@ -16,6 +15,7 @@
 use crate::settings::Effect;
 use crate::timers::Timer;
 use crate::types::{Level, Micros, Output, SessionId};
+use crate::wanted::Wanted;
 use crate::workflows::{refused, Act, Asked, Intent, AGAIN_S, FAILED_WITHIN_S, HELD_WITHIN_S};
 
 impl Request {
@@ -230,12 +230,16 @@
     pub(crate) fn on_workflow(&mut self, now: Micros, act: Option<Act>, out: &mut Vec<Output>) {
         match act {
             None => {}
-            Some(Act::Answer { asked, text, known }) => self.answer_alone(now, &asked, &text, known, out),
-            Some(Act::Refuse { asked, why }) => {
+            Some(Act::Answer { mut asked, text, known }) => {
+                self.shed.gone(&mut asked.counted);
+                self.answer_alone(now, &asked, &text, known, out);
+            }
+            Some(Act::Refuse { mut asked, why }) => {
+                self.shed.gone(&mut asked.counted);
                 let text = Denied::by_workflow(why).to_text(&asked.create);
                 out.push(Output::Say { session: asked.session, text });
             }
-            Some(Act::Go { asked, intent, until }) => self.take_step(now, &asked, intent, until, out),
+            Some(Act::Go { asked, intent, until }) => self.take_step(now, asked, intent, until, out),
             Some(Act::Send { request, send, may }) => self.send_on(now, request, send, may, out),
             Some(Act::Again(id)) => self.timers.set(now.after(AGAIN_S), Timer::End { request: id }),
             Some(Act::Give { request, answer, held }) => self.give_step(now, request, *answer, held, out),
@@ -247,18 +251,25 @@
     fn take_step(
         &mut self,
         now: Micros,
-        asked: &Asked,
+        mut asked: Asked,
         intent: Intent,
         until: Micros,
         out: &mut Vec<Output>,
     ) {
-        let taken = self.wanted(now, asked.session, &asked.create).map_err(Denied::from).and_then(|w| {
-            let time_left_s = w.time_left_s - now.since(asked.at);
-            let (tenant, class, owner) = (w.tenant, w.class, w.owner.clone());
-            let key = Some(Key { tenant, class, owner, text: intent.key.clone() });
-            let wanted = Wanted { time_left_s, key, step: Some((intent.clone(), until)), ..w };
-            self.admit(now, asked.session, &asked.create, wanted, out)
-        });
+        let taken = match self.wanted(now, asked.session, &asked.create) {
+            Ok(w) => {
+                let time_left_s = w.time_left_s - now.since(asked.at);
+                let (tenant, class, owner) = (w.tenant, w.class, w.owner.clone());
+                let key = Some(Key { tenant, class, owner, text: intent.key.clone() });
+                let (step, counted) = (Some((intent.clone(), until)), Some(asked.counted));
+                let wanted = Wanted { time_left_s, key, step, counted, ..w };
+                self.admit(now, asked.session, &asked.create, wanted, out)
+            }
+            Err(bad) => {
+                self.shed.gone(&mut asked.counted);
+                Err(Denied::from(bad))
+            }
+        };
         if let Err(denied) = taken {
             out.push(Output::Say { session: asked.session, text: denied.to_text(&asked.create) });
             let ask = self.workflows.never_ran(intent, now.after(HELD_WITHIN_S));
--- a/crates/core/src/budgets.rs
+++ b/crates/core/src/budgets.rs
@@ -46,6 +46,13 @@
         Denied { bad, retry_after_s, elsewhere: vec![] }
     }
 
+    /// Refused at once by what all shed together; asking again is harmless.
+    pub(crate) fn by_shedding(retry_after_s: f64) -> Denied {
+        let message = "no place now for what it asks; asking again is harmless".to_string();
+        let bad = BadRequest { status: 429, code: "rate_limit_exceeded", message, param: None };
+        Denied { bad, retry_after_s: Some(retry_after_s), elsewhere: vec![] }
+    }
+
     pub(crate) fn by_budget(short: Short) -> Denied {
         let bad = |status, code, message: &str| BadRequest {
             status,
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -2,13 +2,12 @@
 
 use bitternlatch_budget::book::Hold;
 use bitternlatch_budget::Amount;
-use bitternlatch_overload::{Asked, Spent};
-use bitternlatch_policy::interface::{Event, Request as Ask, RequestId};
+use bitternlatch_policy::interface::{Event, RequestId};
 use bitternlatch_protocol::client::{self, BadRequest, ClientEvent, Create, Response, Status};
 use bitternlatch_protocol::tokens_of;
 use bitternlatch_protocol::workflow::{self, About};
 use bitternlatch_workflow::Refusal;
-use xxhash_rust::xxh3::{xxh3_64, Xxh3};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::budgets::{Charged, Denied, COME_BACK_S};
 use crate::keys::{Key, Known};
@@ -16,10 +15,11 @@
 use crate::machine::Machine;
 use crate::requests::{Listener, Request, LISTENERS_MOST};
 use crate::settings::Effect;
-use crate::shed::{Counted, ANSWER_SHARE};
+use crate::shed::Counted;
 use crate::timers::Timer;
 use crate::types::{Micros, Output, SessionId};
-use crate::workflows::{self, Intent, Question};
+use crate::wanted::{fingerprint, Wanted};
+use crate::workflows::{self, Question};
 
 /// With what a request begins.
 struct Leave {
@@ -29,20 +29,6 @@
     judged: Result<Counted, f64>,
 }
 
-/// What of a message has been settled before the request is made.
-pub(crate) struct Wanted {
-    pub class: u16,
-    pub tenant: u32,
-    pub owner: String,
-    pub time_left_s: f64,
-    pub key: Option<Key>,
-    /// A step of a workflow whose intent is held, and until when it may leave.
-    pub step: Option<(Intent, Micros)>,
-    pub conversation: u64,
-    pub prompt: String,
-    pub max_tokens: u32,
-}
-
 fn too_many(message: &str) -> BadRequest {
     BadRequest { status: 429, code: "too_many_requests", message: message.to_string(), param: None }
 }
@@ -120,19 +106,14 @@
         now: Micros,
         session: SessionId,
         create: &Create,
-        wanted: Wanted,
+        mut wanted: Wanted,
         out: &mut Vec<Output>,
     ) -> Result<(), Denied> {
-        if !self.may_take(now, wanted.class) {
-            return Err(self.sent_elsewhere(now));
-        }
-        if self.requests.len() >= self.settings.requests.in_hand {
-            return Err(too_many("the dispatcher has as many requests in hand as it may").into());
-        }
-        if self.prompt_bytes + wanted.prompt.len() > self.settings.requests.prompt_bytes_in_hand {
-            return Err(too_many("the prompts in hand take as much memory as they may").into());
+        if let Err(denied) = self.has_room(now, &wanted) {
+            wanted.counted.iter_mut().for_each(|counted| self.shed.gone(counted));
+            return Err(denied);
         }
-        let judged = self.judge(now, create, &wanted);
+        let judged = wanted.counted.map_or_else(|| self.judge(now, create, &wanted), Ok);
         let Ok(mut counted) = judged else {
             self.begin(now, session, create, wanted, Leave { hold: None, judged }, out);
             return Ok(());
@@ -150,38 +131,27 @@
         Ok(())
     }
 
+    /// The bounds that hold for each request.
+    fn has_room(&self, now: Micros, wanted: &Wanted) -> Result<(), Denied> {
+        if !self.may_take(now, wanted.class) {
+            return Err(self.sent_elsewhere(now));
+        }
+        if self.requests.len() >= self.settings.requests.in_hand {
+            return Err(too_many("the dispatcher has as many requests in hand as it may").into());
+        }
+        if self.prompt_bytes + wanted.prompt.len() > self.settings.requests.prompt_bytes_in_hand {
+            return Err(too_many("the prompts in hand take as much memory as they may").into());
+        }
+        Ok(())
+    }
+
     /// What the fleet's shedding says of a request, and when one that it refuses may come back.
     fn judge(&mut self, now: Micros, create: &Create, wanted: &Wanted) -> Result<Counted, f64> {
         let class = &self.settings.classes[usize::from(wanted.class)];
-        let prompt_tokens = f64::from(tokens_of(wanted.prompt.len()));
-        let expected = self.lengths.expect(
-            &create.model,
-            &class.name,
-            tokens_of(wanted.prompt.len()),
-            wanted.max_tokens,
-        );
-        let words = fingerprint(create);
-        let fingerprint = wanted.key.as_ref().map_or(words, |k| xxh3_64(k.text.as_bytes()));
-        let (spent, identity) = match &wanted.step {
-            Some((intent, _)) if intent.step > 1 => (Spent::Steps, xxh3_64(intent.workflow.as_bytes())),
-            Some((intent, _)) => (Spent::Nothing, xxh3_64(intent.workflow.as_bytes())),
-            None if wanted.conversation == 0 => (Spent::Nothing, fingerprint),
-            None => (Spent::Turns, wanted.conversation),
-        };
+        let expected =
+            self.lengths.expect(&create.model, &class.name, wanted.prompt_tokens(), wanted.max_tokens);
         let quota = self.settings.tenants.get(wanted.tenant as usize).map(|t| t.quota_rps);
-        let asked = Asked {
-            worth: class.worth,
-            prompt_tokens,
-            prefix: prefix(create),
-            prefix_tokens: f64::from(tokens_of(create.instructions.len())),
-            answer_tokens: expected.map_or(ANSWER_SHARE * f64::from(wanted.max_tokens), |e| e.mean),
-            spent,
-            identity,
-            fingerprint,
-            tenant: wanted.tenant,
-            quota_rps: quota.unwrap_or(f64::INFINITY),
-            aim_s: class.ttft_aim_s + class.ttft_aim_ms_per_1000_tokens * prompt_tokens / 1e6,
-        };
+        let asked = wanted.asked(create, class, expected.map(|e| e.mean), quota.unwrap_or(f64::INFINITY));
         self.shed.judge(now, &asked).unwrap_or(Ok(Counted::default()))
     }
 
@@ -227,7 +197,18 @@
         let most = self.settings.requests.max_output_tokens;
         let allowed = grant.map_or(most, |g| most.min(g.max_output_tokens));
         let max_tokens = create.max_output_tokens.unwrap_or(allowed);
-        Ok(Wanted { class, tenant, owner, time_left_s, key, step: None, conversation, prompt, max_tokens })
+        Ok(Wanted {
+            class,
+            tenant,
+            owner,
+            time_left_s,
+            key,
+            step: None,
+            counted: None,
+            conversation,
+            prompt,
+            max_tokens,
+        })
     }
 
     /// The whole prompt and the key of its conversation; 0 where it begins one.
@@ -273,7 +254,7 @@
             0 => xxh3_64(response.id.as_bytes()),
             known => known,
         };
-        let mut ask = ask(id, create, &wanted, conversation, left_s);
+        let mut ask = wanted.ask(id, create, conversation, left_s);
         let class = &self.settings.classes[usize::from(wanted.class)].name;
         let prompt_tokens = tokens_of(wanted.prompt.len());
         let expected = self.lengths.expect(&create.model, class, prompt_tokens, wanted.max_tokens);
@@ -399,7 +380,7 @@
         now: Micros,
         session: SessionId,
         create: &Create,
-        wanted: Wanted,
+        mut wanted: Wanted,
         about: About,
         out: &mut Vec<Output>,
     ) -> Result<(), Denied> {
@@ -411,18 +392,25 @@
         let class = &self.settings.classes[usize::from(wanted.class)];
         let key = wanted.key.as_ref().map_or("", |k| k.text.as_str());
         let question = workflows::question(workflow, about.does, create, class, key);
+        let mut counted = Counted::default();
         if let Question::Step(intent) = &question {
             match self.workflows.in_hand(intent) {
                 Some(Ok(id)) => return Ok(self.attach(session, id, create, out)?),
                 Some(Err(why)) => return Err(Denied::by_workflow(why)),
                 // Asked again when it is admitted; what is refused for certain costs no majority's word.
                 None if !self.may_take(now, wanted.class) => return Err(self.sent_elsewhere(now)),
-                None => {}
+                None => {
+                    wanted.step = Some((intent.clone(), now));
+                    counted = self.judge(now, create, &wanted).map_err(Denied::by_shedding)?;
+                }
             }
         }
         let until = now.after((wanted.time_left_s - self.settings.requests.answer_margin_s).max(0.0));
-        let asked = self.workflows.ask(now, (session, create), question, until);
-        let (call, ask) = asked.map_err(Denied::by_workflow)?;
+        let asked = self.workflows.ask(now, (session, create), question, counted, until);
+        let (call, ask) = asked.map_err(|why| {
+            self.shed.gone(&mut counted);
+            Denied::by_workflow(why)
+        })?;
         self.timers.set(until, Timer::Call { call });
         out.push(Output::Workflow(ask));
         Ok(())
@@ -452,7 +440,9 @@
     }
 
     pub(crate) fn on_session_closed(&mut self, now: Micros, session: SessionId, out: &mut Vec<Output>) {
-        self.workflows.session_closed(session);
+        for mut counted in self.workflows.session_closed(session) {
+            self.shed.gone(&mut counted);
+        }
         for id in self.sessions.close(session) {
             let Some(request) = self.requests.get_mut(&id) else { continue };
             request.listeners.retain(|l| l.session != session);
@@ -465,42 +455,3 @@
         }
     }
 }
-
-/// What the decision module is told of a request. The shared prefix goes by the caller's own key where it gives one,
-/// else by the instructions; token counts are the text's bytes over four.
-fn ask(id: RequestId, create: &Create, wanted: &Wanted, conversation: u64, left_s: f64) -> Ask {
-    let prefix = prefix(create);
-    Ask {
-        id,
-        class: wanted.class,
-        tenant: wanted.tenant,
-        session: conversation,
-        prefix,
-        prompt_tokens: f64::from(tokens_of(wanted.prompt.len())),
-        prefix_tokens: f64::from(tokens_of(create.instructions.len())),
-        max_output_tokens: f64::from(wanted.max_tokens),
-        output_tokens: None,
-        output_hint_s: None,
-        time_left_s: left_s,
-    }
-}
-
-fn prefix(create: &Create) -> u64 {
-    match (&create.prompt_cache_key, create.instructions.is_empty()) {
-        (Some(key), _) => xxh3_64(key.as_bytes()),
-        (None, false) => xxh3_64(create.instructions.as_bytes()),
-        (None, true) => 0,
-    }
-}
-
-/// Hash of what is asked, without what may differ between a first try and its repeat.
-fn fingerprint(create: &Create) -> u64 {
-    let mut hash = Xxh3::new();
-    let previous = create.previous_response_id.as_deref().unwrap_or("");
-    for part in [create.model.as_str(), &create.instructions, &create.input, previous] {
-        hash.update(&(part.len() as u64).to_le_bytes());
-        hash.update(part.as_bytes());
-    }
-    hash.update(&create.max_output_tokens.unwrap_or(0).to_le_bytes());
-    hash.digest()
-}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,7 @@
 mod shed;
 mod timers;
 mod types;
+mod wanted;
 mod workflows;
 
 pub use callers::CLOSE_UNPROVEN;
--- /dev/null
+++ b/crates/core/src/wanted.rs
@@ -0,0 +1,105 @@
+//! What a client's message comes to before it is a request, and how others are told of it.
+
+use bitternlatch_overload::{Asked, Spent};
+use bitternlatch_policy::interface::{Request as Ask, RequestId};
+use bitternlatch_protocol::client::Create;
+use bitternlatch_protocol::tokens_of;
+use xxhash_rust::xxh3::{xxh3_64, Xxh3};
+
+use crate::keys::Key;
+use crate::settings::Class;
+use crate::shed::{Counted, ANSWER_SHARE};
+use crate::types::Micros;
+use crate::workflows::Intent;
+
+/// What of a message has been settled before the request is made.
+pub(crate) struct Wanted {
+    pub class: u16,
+    pub tenant: u32,
+    pub owner: String,
+    pub time_left_s: f64,
+    pub key: Option<Key>,
+    /// A step of a workflow whose intent is held, and until when it may leave.
+    pub step: Option<(Intent, Micros)>,
+    /// What the fleet's shedding has taken of it already.
+    pub counted: Option<Counted>,
+    pub conversation: u64,
+    pub prompt: String,
+    pub max_tokens: u32,
+}
+
+impl Wanted {
+    pub(crate) fn prompt_tokens(&self) -> u32 {
+        tokens_of(self.prompt.len())
+    }
+
+    /// What the decision module is told of a request. The shared prefix goes by the caller's own key where it gives one,
+    /// else by the instructions; token counts are the text's bytes over four.
+    pub(crate) fn ask(&self, id: RequestId, create: &Create, conversation: u64, left_s: f64) -> Ask {
+        Ask {
+            id,
+            class: self.class,
+            tenant: self.tenant,
+            session: conversation,
+            prefix: prefix(create),
+            prompt_tokens: f64::from(self.prompt_tokens()),
+            prefix_tokens: f64::from(tokens_of(create.instructions.len())),
+            max_output_tokens: f64::from(self.max_tokens),
+            output_tokens: None,
+            output_hint_s: None,
+            time_left_s: left_s,
+        }
+    }
+
+    /// What the fleet's shedding is told, with its answer's mean length where that is known, and its tenant's requests a second.
+    pub(crate) fn asked(
+        &self,
+        create: &Create,
+        class: &Class,
+        answer_tokens: Option<f64>,
+        quota_rps: f64,
+    ) -> Asked {
+        let prompt_tokens = f64::from(self.prompt_tokens());
+        let words = fingerprint(create);
+        let fingerprint = self.key.as_ref().map_or(words, |k| xxh3_64(k.text.as_bytes()));
+        let (spent, identity) = match &self.step {
+            Some((intent, _)) if intent.step > 1 => (Spent::Steps, xxh3_64(intent.workflow.as_bytes())),
+            Some((intent, _)) => (Spent::Nothing, xxh3_64(intent.workflow.as_bytes())),
+            None if self.conversation == 0 => (Spent::Nothing, fingerprint),
+            None => (Spent::Turns, self.conversation),
+        };
+        Asked {
+            worth: class.worth,
+            prompt_tokens,
+            prefix: prefix(create),
+            prefix_tokens: f64::from(tokens_of(create.instructions.len())),
+            answer_tokens: answer_tokens.unwrap_or(ANSWER_SHARE * f64::from(self.max_tokens)),
+            spent,
+            identity,
+            fingerprint,
+            tenant: self.tenant,
+            quota_rps,
+            aim_s: class.ttft_aim_s + class.ttft_aim_ms_per_1000_tokens * prompt_tokens / 1e6,
+        }
+    }
+}
+
+fn prefix(create: &Create) -> u64 {
+    match (&create.prompt_cache_key, create.instructions.is_empty()) {
+        (Some(key), _) => xxh3_64(key.as_bytes()),
+        (None, false) => xxh3_64(create.instructions.as_bytes()),
+        (None, true) => 0,
+    }
+}
+
+/// Hash of what is asked, without what may differ between a first try and its repeat.
+pub(crate) fn fingerprint(create: &Create) -> u64 {
+    let mut hash = Xxh3::new();
+    let previous = create.previous_response_id.as_deref().unwrap_or("");
+    for part in [create.model.as_str(), &create.instructions, &create.input, previous] {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part.as_bytes());
+    }
+    hash.update(&create.max_output_tokens.unwrap_or(0).to_le_bytes());
+    hash.digest()
+}
--- a/crates/core/src/workflows.rs
+++ b/crates/core/src/workflows.rs
@@ -12,6 +12,7 @@
 use bitternlatch_protocol::workflow::{Carried, Claimed};
 use bitternlatch_workflow::{Ask, Call, Effect, Fate, Refusal, Told};
 
+use crate::shed::Counted;
 use crate::types::{Micros, SessionId};
 use words::{json, shown};
 pub(crate) use words::{name, question, refused};
@@ -55,6 +56,8 @@
     pub session: SessionId,
     pub create: Box<Create>,
     pub at: Micros,
+    /// What the fleet's shedding has taken of it, until it is a request or over.
+    pub counted: Counted,
     question: Question,
     /// Its session has closed.
     gone: bool,
@@ -129,6 +132,7 @@
         now: Micros,
         (session, create): (SessionId, &Create),
         question: Question,
+        counted: Counted,
         until: Micros,
     ) -> Result<(Call, Ask), Refusal> {
         if self.asked.len() >= ASKED_MOST {
@@ -146,7 +150,7 @@
             Question::Step(intent) => intend(call, intent, until),
         };
         let create = Box::new(create.clone());
-        self.asked.insert(call, Asked { session, create, at: now, question, gone: false });
+        self.asked.insert(call, Asked { session, create, at: now, counted, question, gone: false });
         Ok((call, ask))
     }
 
@@ -172,8 +176,14 @@
         self.asked.values().any(|a| !a.gone) || self.steps.values().any(ending)
     }
 
-    pub(crate) fn session_closed(&mut self, session: SessionId) {
-        self.asked.values_mut().filter(|a| a.session == session).for_each(|a| a.gone = true);
+    /// Gives back what was taken of those that nobody waits for now.
+    pub(crate) fn session_closed(&mut self, session: SessionId) -> Vec<Counted> {
+        let of_session = self.asked.values_mut().filter(|a| a.session == session);
+        let gone = of_session.map(|asked| {
+            asked.gone = true;
+            std::mem::take(&mut asked.counted)
+        });
+        gone.collect()
     }
 
     /// A step goes on as this request.
@@ -318,7 +328,7 @@
                 return None;
             }
             if matches!(asked.question, Question::Step(_)) {
-                self.asked.insert(call, Asked { gone: true, ..asked.clone() });
+                self.asked.insert(call, Asked { gone: true, counted: Counted::default(), ..asked.clone() });
             }
             asked.gone = true;
             return Some(Act::Refuse { asked, why: Refusal::NoMajority });
--- a/crates/core/src/workflows/tests.rs
+++ b/crates/core/src/workflows/tests.rs
@@ -28,7 +28,7 @@
 }
 
 fn asks(w: &mut Workflows, question: Question) -> (Call, Ask) {
-    w.ask(Micros(0), (S, &Create::default()), question, Micros(1_000)).expect("taken")
+    w.ask(Micros(0), (S, &Create::default()), question, Counted::default(), Micros(1_000)).expect("taken")
 }
 
 fn done() -> Fate {
@@ -146,6 +146,6 @@
         asks(&mut w, Question::Carry { workflow: "t//w".into(), epoch: 2 });
     }
     let carry = Question::Carry { workflow: "t//w".into(), epoch: 2 };
-    let more = w.ask(Micros(0), (S, &Create::default()), carry, Micros(1));
+    let more = w.ask(Micros(0), (S, &Create::default()), carry, Counted::default(), Micros(1));
     assert_eq!(more, Err(Refusal::Busy));
 }
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -168,3 +168,26 @@
     let told = |o: &&Output| matches!(o, Output::Overload(Ask::Tried { host, well: false }) if *host == r1);
     assert_eq!(bench.out.iter().filter(told).count(), 2, "from the second on");
 }
+
+#[test]
+fn a_step_that_the_cut_refuses_costs_no_majority_s_word() {
+    let mut bench = bench("overload = {}\nworkflows = {}\n");
+    let step = |bench: &mut Bench, number: u64, step: u32| {
+        let session = bench.open(number);
+        let meta = serde_json::json!({ "class": "query", "idempotency_key": format!("k{number}"), "workflow": "season",
+            "workflow_epoch": "1", "workflow_step": step.to_string() });
+        let create = serde_json::json!({ "type": "response.create", "model": "m", "input": "words", "metadata": meta });
+        bench.step(Input::SessionText { session, text: create.to_string() });
+        let asks = std::mem::take(&mut bench.out).into_iter().filter(|o| matches!(o, Output::Workflow(_)));
+        (asks.count(), bench.heard(session))
+    };
+    told(&mut bench, 48.0, 100.0, 1.0);
+    let (asks, heard) = step(&mut bench, 1, 1);
+    assert_eq!(asks, 0, "refused before its intent is asked for");
+    let error = heard.last().and_then(|e| e.error.clone()).expect("a refusal");
+    assert_eq!(error["code"], "rate_limit_exceeded");
+    assert!(error["retry_after_ms"].as_u64().is_some_and(|ms| (100..=5000).contains(&ms)), "{error}");
+    told(&mut bench, 0.0, 100.0, 1.0);
+    let (asks, heard) = step(&mut bench, 2, 2);
+    assert_eq!((asks, heard.len()), (1, 0), "it waits for its intent");
+}
