--- a/crates/overload/src/capacity.rs
+++ b/crates/overload/src/capacity.rs
@@ -8,7 +8,7 @@
 const MEND_S: f64 = 1.0;
 /// How fast more, and less, is believed.
 const UP_S: f64 = 0.5;
-const DOWN_S: f64 = 2.0;
+const DOWN_S: f64 = 0.7;
 /// Bounds of what is believed, in what the hosts were taken for.
 const LEAST: f64 = 0.05;
 const MOST: f64 = 50.0;
@@ -19,7 +19,9 @@
 /// Of what others take the hosts to do, a second.
 const LEAN: f64 = 1.0;
 /// Busy for so long, seconds, what hosts do is known from them.
-const LEARNT_S: f64 = 1.0;
+const LEARNT_S: f64 = 0.4;
+/// Requests a host until then.
+const FIRST: f64 = 3.0;
 
 /// What hosts are taken to do.
 #[derive(Clone, Debug, Default)]
@@ -57,7 +59,11 @@
         let waiting = waiting(sums);
         // One request at each host is at work and waits for nothing.
         let at_work = hosts * sums.each;
-        let busy = waiting > at_work + 0.5 * wait_s * self.work_per_s;
+        // Before anything is known of them a few requests a host find out, and no more than that is late.
+        let unknown = self.busy_s < LEARNT_S;
+        let first = if sums.each > 0.0 { FIRST * at_work } else { 0.25 * wait_s * self.work_per_s };
+        let full = if unknown { 0.7 * first } else { f64::INFINITY };
+        let busy = waiting > (at_work + 0.5 * wait_s * self.work_per_s).min(full);
         self.busy_s += if busy { passed } else { 0.0 };
         let step = |over: f64| 1.0 - (-passed / over).exp();
         if sums.completed > self.work_per_s {
@@ -72,6 +78,7 @@
         let late = if sums.delay > LATE { LATE / sums.delay } else { 1.0 };
         let room = at_work + self.work_per_s * wait_s * late.max(0.25);
         let admits = self.work_per_s + (room - waiting) / MEND_S;
+        let room = if unknown { room.min(first) } else { room };
         Takes { capacity: self.work_per_s, admits: admits.max(0.05 * self.work_per_s), room }
     }
 }
