--- a/crates/overload/tests/fleet.rs
+++ b/crates/overload/tests/fleet.rs
@@ -6,7 +6,7 @@
 use bitternlatch_agreement::{Beside, Given, Part, Peers, Process, Wanted};
 use bitternlatch_membership::{NameKey, Standing};
 use bitternlatch_overload::{Ask, Asked, Gate, Overload, Settings, Taken, Told, Verdict};
-use bitternlatch_simulated::{ms, Network, Node, Sent, World};
+use bitternlatch_simulated::{ms, Node, Sent, World};
 
 const AIM_S: f64 = 1.5;
 /// Far from 0, as the clocks in service are.
