--- a/crates/workflow/tests/fleet/course.rs
+++ b/crates/workflow/tests/fleet/course.rs
@@ -333,6 +333,10 @@
     /// A dispatcher was stopped before something: killed, or paused.
     fn caught(&mut self, now: Duration) {
         let Some(i) = self.trap.frozen.take() else { return };
+        if self.world.places[i].node.is_none() {
+            // It was killed in the same moment, and is on its way back.
+            return;
+        }
         if self.troubled(i) {
             self.back.retain(|(_, other), _| *other != i);
         }
