Crowding of writers counts at admission too, where lengths are told

Cause: with lengths told, what pushes answers out of a writer's memory counted where a writer is chosen and in the read's price, not in the first-token wait that admission refuses by (choice.rs, scene and place), so long answers were let in until the fullest writer stood at 0.97 of its memory; queries then waited behind those thrown out. Where none are told nothing changes.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -64,8 +64,8 @@
 const WRITER_READ_S: f64 = 1.0;
 /// Seconds for which a server that said `full` is passed over.
 const FULL_PAUSE_S: f64 = 0.2;
-/// Writer load at which answers wait for memory, and the seconds of an answer's run in which it turns over.
-const WRITER_FULL: (f64, f64) = (0.9, 5.0);
+/// Writer load at which answers wait for memory; seconds in which it turns over; and of care for the pushed.
+const WRITER_FULL: (f64, f64, f64) = (0.9, 5.0, 100.0);
 /// Share of the output ceiling that an answer holds of memory in the mean of its run.
 const OUTPUT_SHARE: f64 = 0.2;
 /// Refuse when the first token is expected later than this multiple of its aim; over its tenant's share.
@@ -416,8 +416,8 @@
         let far = if s.entry.zone == self.set.zone { 0.0 } else { 2.0 * CELL_MARGIN * WRITER_LOAD_S };
         let (write, dear) = match s.role {
             Role::Reader => (scene.lightest_wait(s), 0.0),
-            Role::Writer => (self.write_wait(s, now), WRITER_READ_S + self.crowding_s(s, job, now)),
-            Role::Mixed => (self.write_wait(s, now), self.crowding_s(s, job, now)),
+            Role::Writer => (self.write_wait(s, now), WRITER_READ_S + self.crowd(s, job, now)),
+            Role::Mixed => (self.write_wait(s, now), self.crowd(s, job, now)),
         };
         let total_s = queue_s + read_s + write + self.risk_s(s, job, now);
         let step = home.map_or(2.0 + self.draw(job, s), |h| h as f64) * SPREAD;
@@ -431,7 +431,7 @@
         (mix(mix(self.seed, u64::from(job.ask.id)), u64::from(s.entry.id)) >> 40) as f64 / (1u64 << 24) as f64
     }
 
-    fn scene(&self, now: f64) -> Scene {
+    fn scene(&self, job: &Job, now: f64) -> Scene {
         let mut scene = Scene::default();
         for (cell, seen) in &self.links {
             scene.cells.entry(*cell).or_default().link = fade(*seen, now, FADE_HALF_S);
@@ -442,7 +442,7 @@
                 cell.link = cell.link.max(s.late(now, Some(link)));
             }
             if s.ready() && s.role == Role::Writer {
-                let wait = self.write_wait(s, now) + s.overdue(now) + s.excess(now);
+                let wait = self.write_wait(s, now) + self.crowd(s, job, now) + s.overdue(now) + s.excess(now);
                 for cell in [&mut scene.all, scene.cells.entry(s.entry.cell).or_default()] {
                     cell.writers += 1.0;
                     cell.wait = Some(cell.wait.map_or(wait, |least| least.min(wait)));
@@ -464,7 +464,7 @@
 
     /// The mechanism: the lowest estimated first-token time among readers and mixed servers.
     fn best_reader(&self, job: &Job, now: f64) -> Option<Estimate> {
-        let scene = self.scene(now);
+        let scene = self.scene(job, now);
         let homes = self.homes(now, job, &scene);
         let whole = self.set.writers_read && self.class(job).effect != Effect::Unsafe;
         let may = |s: &&Server| {
@@ -489,16 +489,16 @@
         load * WRITER_LOAD_S + ((load - WRITER_FULL.0).max(0.0) + queued) * WRITER_FULL.1
     }
 
-    /// What pushing answers out of memory costs, by told lengths. Harm: not all are at their longest at once.
-    fn crowding_s(&self, s: &Server, job: &Job, now: f64) -> f64 {
+    /// Seconds that answers pushed out of memory stand for, by told lengths. Harm: refuses before it is full.
+    fn crowd(&self, s: &Server, job: &Job, now: f64) -> f64 {
         let Some(_) = job.ask.output_tokens else { return 0.0 };
         let peak = s.own(|t| t.1) + job.tokens.0 + job.tokens.1;
-        (self.load(s, now) + peak / s.memory - 1.0).max(0.0) * WRITER_FULL.1
+        (self.load(s, now) + peak / s.memory - 1.0).max(0.0) * WRITER_FULL.2
     }
 
     fn best_writer(&self, job: &Job, now: f64) -> Option<ServerId> {
         let from = job.state_at.and_then(|id| self.servers.get(&id)).map(|s| (s.entry.cell, s.entry.zone));
-        let scene = self.scene(now);
+        let scene = self.scene(job, now);
         let link = from.and_then(|(cell, _)| scene.cells.get(&cell)).map_or(0.0, |c| c.link);
         let near = |s: &Server| from.is_some_and(|(cell, _)| cell == s.entry.cell);
         let price = |s: &Server| {
@@ -507,7 +507,7 @@
                 Some((_, zone)) if zone != s.entry.zone => 2.0 * CELL_MARGIN + link,
                 _ => CELL_MARGIN + link,
             };
-            let mixed = self.crowding_s(s, job, now) + f64::from(s.role == Role::Mixed) * 2.0 * CELL_MARGIN;
+            let mixed = self.crowd(s, job, now) + f64::from(s.role == Role::Mixed) * 2.0 * CELL_MARGIN;
             let delay = s.overdue(now) + s.excess(now) + self.risk_s(s, job, now);
             self.load(s, now) + self.write_wait(s, now) + delay + apart + mixed + SPREAD * self.draw(job, s)
         };
@@ -534,7 +534,7 @@
         let late_s = (aim * if over { REFUSE_AT.1 } else { REFUSE_AT.0 }).min(left);
         let job = Job { ask, tokens, deadline: now + left, late_s, promised: now + aim, ..Job::default() };
         self.retries = (self.retries + RETRIES.0).min(RETRIES.1);
-        let homes = self.homes(now, &job, &self.scene(now));
+        let homes = self.homes(now, &job, &self.scene(&job, now));
         self.jobs.insert(id, job);
         wake(id, now + (left - 2.0 * self.set.tick_s).max(0.0), out);
         let asked = self.probe(now, homes.into_iter(), out);
