--- a/programs/audit/src/hosts.rs
+++ b/programs/audit/src/hosts.rs
@@ -291,6 +291,8 @@
 fn stood_still(facts: &Facts, lines: &[Line], of: &Attempt, from: u64, to: u64) -> bool {
     // What was under way to the host when it stopped may be read there later, on a loaded machine.
     let under_way = us(2.0 * SLACK_S);
+    // The script notes the end when it has told it to go on.
+    let noted = us(SLACK_S);
     let said = |from: u64, to: u64| {
         let begin = lines.partition_point(|l| l.t < from);
         let here = |l: &Line| l.who == of.host && l.peer == of.peer && l.dir == "in";
@@ -301,7 +303,7 @@
         let late = us(facts.pin_limit_s + SLACK_S);
         begin.saturating_sub(from) <= late
             && to.saturating_sub(*end) <= late
-            && !said(begin + under_way, *end)
+            && !said(begin + under_way, end.saturating_sub(noted))
     })
 }
 
--- a/programs/audit/src/load.rs
+++ b/programs/audit/src/load.rs
@@ -337,7 +337,96 @@
 
 #[cfg(test)]
 mod tests {
+    use bitternlatch_protocol::engine::{encode, CompletionRequest, KvTransferParams, ToEngine};
+    use bitternlatch_standin::capture::Line;
+    use serde_json::{json, Value};
+
     use super::recovery;
+    use crate::{judge, ClassFacts, Facts};
+
+    fn line(t_ms: u64, who: &str, peer: &str, dir: &str, text: String) -> Line {
+        Line { t: 1_000 * (100_000 + t_ms), who: who.into(), peer: peer.into(), dir: dir.into(), text }
+    }
+
+    #[test]
+    fn what_is_asked_refused_served_and_done_again_is_counted_from_the_sockets() {
+        let said = |t_ms, peer: &str, name: &str| {
+            let text = json!({ "type": "response.create", "model": "m", "input": "[req=1.0]", "max_output_tokens": 9,
+                "metadata": { "class": "q", "try": name, "tenant": "north" } });
+            line(t_ms, "c", peer, "out", text.to_string())
+        };
+        let heard = |t_ms, peer: &str, event: Value| line(t_ms, "c", peer, "in", event.to_string());
+        let response = |status: &str| {
+            json!({ "id": "r", "object": "response", "created_at": 0, "status": status, "model": "m",
+            "output": [], "metadata": { "try": "c-2" } })
+        };
+        let clients = vec![
+            said(0, "dispatch-1#1", "c-1"),
+            heard(
+                20,
+                "dispatch-1#1",
+                json!({ "type": "error", "error": { "retry_after_ms": 1, "metadata": { "try": "c-1" } } }),
+            ),
+            said(1000, "dispatch-2#1", "c-2"),
+            heard(
+                1100,
+                "dispatch-2#1",
+                json!({ "type": "response.created", "response": response("in_progress") }),
+            ),
+            heard(
+                1300,
+                "dispatch-2#1",
+                json!({ "type": "response.output_text.delta", "response_id": "r", "delta": "w" }),
+            ),
+            heard(
+                1500,
+                "dispatch-2#1",
+                json!({ "type": "response.completed", "response": response("completed") }),
+            ),
+        ];
+        let run = |t_ms, id: &str, read: bool| {
+            let kv = KvTransferParams { do_remote_decode: read, ..KvTransferParams::default() };
+            let body = CompletionRequest {
+                prompt: "[req=1.0]".into(),
+                kv_transfer_params: Some(kv),
+                ..CompletionRequest::default()
+            };
+            line(t_ms, "h", "1", "in", encode(&ToEngine::Completion { id: id.into(), body: Box::new(body) }))
+        };
+        let probe = |t_ms| line(t_ms, "h", "1", "in", encode(&ToEngine::Probe { id: 1 }));
+        let hosts = vec![
+            run(0, "a", true),
+            run(1, "b", true),
+            run(2, "c", false),
+            probe(100),
+            probe(200),
+            probe(2000),
+        ];
+        let class = ClassFacts {
+            name: "q".into(),
+            effect: "safe".into(),
+            deadline_s: 6.0,
+            worth: 2.0,
+            late_worth: 0.5,
+            ttft_aim_s: 1.0,
+            ttft_aim_ms_per_1000_tokens: 0.0,
+        };
+        let load = judge(&Facts { classes: vec![class], ..Facts::default() }, clients, hosts).load;
+        assert_eq!(
+            (load.attempts, load.attempts_per_asked, load.repeats),
+            (3, 3.0, 1.5),
+            "one read was repeated"
+        );
+        assert_eq!(load.probes_per_s["h"], (1.5, 2));
+        assert_eq!((load.roamed, load.roamed_refused), (1, 0));
+        assert_eq!(load.refusal_p99_s, 0.02);
+        let part = &load.parts["q"];
+        assert_eq!((part.asked, part.served, part.tries, part.refused), (1, 1, 2, 1));
+        assert_eq!((part.first_token_p50_s, part.from_first_try_p99_s, part.within_aim), (0.3, 1.3, 1.0));
+        assert_eq!(part.worth, 0.5, "late by its first try");
+        assert_eq!(load.parts["tenant north"], *part);
+        assert_eq!((load.asked_by_s, load.goodput_by_s), (vec![2.0], vec![1.0]));
+    }
 
     #[test]
     fn goodput_is_back_when_it_is_what_it_was_or_what_is_asked() {
--- a/programs/badday/src/views.rs
+++ b/programs/badday/src/views.rs
@@ -13,6 +13,8 @@
 const KNOWN_US: u64 = 5_000_000;
 /// How long a part may be used after it was asked for.
 const PART_US: u64 = 1_470_000;
+/// One that was killed asked for its last part up to so long before: it asks five times in a part's life.
+const ASKS_EVERY_US: u64 = 300_000;
 /// What is not spent carefully by each, and the width of the figures.
 const MOST_LENT: f64 = 0.9 + 1e-6;
 /// Loss above which a living member may be taken for dead.
@@ -145,7 +147,7 @@
     let between = part.at..next.at;
     let killed =
         |t: &&Truth| matches!(t.what, Happened::Away(i) if i == member) && between.contains(&t.from_us);
-    let killed = truths.iter().find(killed).map(|t| t.from_us + PART_US);
+    let killed = truths.iter().find(killed).map(|t| t.from_us + PART_US - ASKS_EVERY_US);
     killed.map_or(next.at, |end| end.min(next.at))
 }
 
