--- a/programs/measure/src/beside.rs
+++ b/programs/measure/src/beside.rs
@@ -10,7 +10,7 @@
 use bitternlatch_standin::capture::Capture;
 
 use crate::latency::{ask, Times};
-use crate::rig::{dispatcher_of, folder, stand_ins, Hosts};
+use crate::rig::{dispatcher_of, folder, ready, stand_ins, Hosts};
 
 const MEMBERS: usize = 3;
 const TABLES: [&str; 3] = ["overload", "lengths", "workflows"];
@@ -46,6 +46,7 @@
         }
         std::thread::sleep(Duration::from_millis(50));
     }
+    all.iter().try_for_each(ready)?;
     Ok(all)
 }
 
--- a/programs/measure/src/rig.rs
+++ b/programs/measure/src/rig.rs
@@ -54,10 +54,11 @@
     manner: &Manner,
     edit: impl Fn(&mut toml::Table),
 ) -> Result<Dispatcher, String> {
-    started(hosts, 1, manner, edit)
+    let one = started(hosts, 1, manner, edit)?;
+    ready(&one).map(|()| one)
 }
 
-/// As [`dispatcher`], one of several by its number from 1.
+/// One of several by its number from 1, which may be ready only when others are there: see [`ready`].
 pub fn dispatcher_of(
     hosts: &Hosts,
     number: usize,
@@ -86,9 +87,14 @@
     one.without_record();
     one.secured(manner.clone());
     one.start(&std::env::current_exe().map_err(|e| e.to_string())?).map_err(|e| e.to_string())?;
+    Ok(one)
+}
+
+/// Waits until one is ready.
+pub fn ready(one: &Dispatcher) -> Result<(), String> {
     match one.ready(Duration::from_secs(20)) {
-        true => Ok(one),
-        false => Err(format!("the dispatcher is not ready; see its log in {}", dir.display())),
+        true => Ok(()),
+        false => Err(format!("{} is not ready; see its log in the temporary folder", one.name)),
     }
 }
 
