--- a/programs/badday/tests/common/mod.rs
+++ b/programs/badday/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod cluster;
+pub mod lengths;
 pub mod surge;
 
 use std::net::SocketAddrV4;
--- a/programs/badday/tests/lengths.rs
+++ b/programs/badday/tests/lengths.rs
@@ -2,83 +2,15 @@
 mod common;
 
 use std::fs::File;
-use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use bitternlatch_badday::between::{Between, Rule};
+use bitternlatch_badday::between::Rule;
 use bitternlatch_badday::client::Came;
 use bitternlatch_core::record::read;
-use bitternlatch_peer_net::ask;
+use common::lengths::some;
 use common::*;
 
-struct Some {
-    rig: Rig,
-    between: Between,
-}
-
-fn some(name: &str, count: usize) -> Some {
-    let peers = free_for_peers(count);
-    let (between, roster) = between(&peers);
-    let dir = folder_of(name);
-    let rig = rig_each(name, FOUR, count, |i, one| {
-        if i == 0 {
-            std::fs::write(dir.join("secret"), "sixteen bytes or more").expect("a secret");
-        }
-        let mut table = cluster_table("secret", peers[i], &format!("{i}.start"), &roster);
-        let lengths = toml::Table::from_iter([("kept".to_string(), format!("{i}.lengths").into())]);
-        table.as_table_mut().expect("a table").insert("lengths".into(), lengths.into());
-        one.set("cluster", table);
-    });
-    let whole = |at: &std::net::SocketAddrV4| {
-        ask(SocketAddr::V4(*at), Duration::from_secs(2)).is_ok_and(|v| v.standing == "whole")
-    };
-    wait_for("a whole", || peers.iter().all(whole));
-    Some { rig, between }
-}
-
-impl Some {
-    /// Answers of so many tokens, at one dispatcher, over one session.
-    fn answers(&self, at: usize, class: &str, count: usize, tokens: usize) {
-        let client = self.rig.client(at);
-        for n in 0..count {
-            let key = format!("{at}-{class}-{tokens}-{n}-{:?}", Instant::now());
-            client.say(&create(class, &key, &format!("words [len={tokens}]")));
-            assert_eq!(final_kind(&client), "response.completed");
-        }
-        client.close();
-    }
-
-    fn log(&self, of: usize) -> String {
-        self.rig.dispatchers[of].log().unwrap_or_default()
-    }
-
-    /// All that its latest run has told of one figure, in order.
-    fn told(&self, of: usize, figure: &str) -> Vec<f64> {
-        let log = self.log(of);
-        let lines = log.lines().filter(|l| l.contains("lengths: "));
-        let value = |l: &str| l.split(&format!(" {figure}=")).nth(1)?.split([' ', '"']).next()?.parse().ok();
-        lines.filter_map(value).collect()
-    }
-
-    fn all_have(&self, answers: f64) {
-        let all = 0..self.rig.dispatchers.len();
-        wait_for(&format!("{answers} answers at all"), || {
-            all.clone().all(|i| self.told(i, "answers").last() == Some(&answers))
-        });
-        // Nor has any of them ever counted more.
-        assert!(all.clone().all(|i| self.told(i, "answers").iter().all(|n| *n <= answers)));
-    }
-
-    fn kept(&self, of: usize) -> PathBuf {
-        self.rig.dir.join(format!("{of}.lengths"))
-    }
-
-    fn start(&mut self, of: usize) {
-        self.rig.dispatchers[of].start(&image()).expect("a process");
-    }
-}
-
 #[test]
 fn what_is_learnt_while_one_is_cut_off_is_known_to_all_after_it_and_counted_once() {
     let some = some("lengths-cut", 3);
--- a/programs/standin/src/config.rs
+++ b/programs/standin/src/config.rs
@@ -134,6 +134,8 @@
     BadLoad,
     /// Loads are those of a host without work, whatever it does.
     LowLoad,
+    /// Answers' ends tell `strength` tokens, whatever was written.
+    OddUsage,
     /// Drains for the time, then starts anew, cold.
     Deploy,
     /// Dies at the begin and starts anew, cold, at the end.
--- a/programs/standin/src/serve.rs
+++ b/programs/standin/src/serve.rs
@@ -151,7 +151,8 @@
         let Some(work) = self.hosts[i].works.get(&id) else { return };
         let (conn, name) = (work.conn, work.id.clone());
         let reason = if work.out == work.body.max_tokens { "length" } else { "stop" };
-        let usage = usage(work, number, cached);
+        let odd = self.hosts[i].trouble(Trouble::OddUsage);
+        let usage = usage(work, odd.map_or(number, |told| told as u32), cached);
         let text = word(&work.body.prompt, &self.hosts[i].config.name, &name, number);
         let choice = Choice { text, ..Choice::default() };
         let body = Chunk { choices: vec![choice], ..Chunk::default() };
