Lengths: the cell for all that find none counts among an origin's cells

Cause: two dispatchers whose own cells were all taken had 256 named cells each and the shared one, 513 in all, and each passed over one of the other's for good (own.rs make_room, found by a test with 1,120 made-up model names; windows stayed at 515 after 30 s on both sides). Change: the shared cell is one of an origin's. With three or more such dispatchers peers' cells are still passed over, as stated. Measured: cargo test -p bitternlatch-lengths, green.

--- a/crates/lengths/src/own.rs
+++ b/crates/lengths/src/own.rs
@@ -100,10 +100,12 @@
     }
 
     fn make_room(&mut self, now: Duration) -> bool {
-        if self.open.len() >= CELLS_MOST / 2 {
+        // The cell for all that find none is one of them, so that two whose cells are all taken fit beside each other.
+        let most = CELLS_MOST / 2 - 1;
+        if self.open.len() >= most {
             self.open.retain(|_, open| now.saturating_sub(open.last) < IDLE);
         }
-        self.open.len() < CELLS_MOST / 2
+        self.open.len() < most
     }
 
     /// Begins a window anew, as what a cell's open one holds is no longer true.
