--- a/programs/badday/tests/common/mod.rs
+++ b/programs/badday/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod cluster;
 pub mod surge;
+pub mod workflows;
 
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
