--- a/programs/badday/tests/common/mod.rs
+++ b/programs/badday/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub mod cluster;
 pub mod lengths;
 pub mod surge;
+pub mod workflows;
 
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
