One way to run a machine beside the plane; chance by the library's SplitMix64

Cause: read again, three starts in the dispatcher were alike but for names, and told an error without what to do; SplitMix64 was written out in the simulated network, registers and overload, though rand_xoshiro has it. Change: one function runs a machine and tells the error with its advice; the library's generator gives the same numbers, held by its published first ones, as all dispatchers have to draw alike.

--- a/crates/overload/src/order.rs
+++ b/crates/overload/src/order.rs
@@ -3,6 +3,9 @@
 
 use std::time::Duration;
 
+use rand_core::{Rng, SeedableRng};
+use rand_xoshiro::SplitMix64;
+
 /// Levels of the order, the lowest first.
 pub const LEVELS: usize = 48;
 /// Levels for each doubling of worth by work.
@@ -43,12 +46,9 @@
     (MIDDLE + by_work + spent.lifts()).clamp(0.0, LEVELS as f64 - 1.0) as u8
 }
 
-/// 64 bits that are spread whatever goes in (SplitMix64's last step).
+/// 64 bits that are spread whatever goes in: the first of SplitMix64 from there.
 pub(crate) fn spread(bits: u64) -> u64 {
-    let z = bits.wrapping_add(0x9E37_79B9_7F4A_7C15);
-    let z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-    let z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-    z ^ (z >> 31)
+    SplitMix64::seed_from_u64(bits).next_u64()
 }
 
 /// From 0 to 1, without 1.
@@ -67,6 +67,12 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn all_versions_draw_alike() {
+        // The first of SplitMix64 from 0 and from 1, as published.
+        assert_eq!((spread(0), spread(1)), (0xE220_A839_7B1D_CDAF, 0x910A_2DEC_8902_5CC1));
+    }
+
     #[test]
     fn worth_for_work_then_what_is_spent_then_a_draw_that_changes_by_the_minute() {
         let query = level(1.0, 0.03, Spent::Nothing);
--- a/crates/replica/src/replica/mod.rs
+++ b/crates/replica/src/replica/mod.rs
@@ -9,6 +9,8 @@
 
 use bitternlatch_agreement::{KeepError, Peers, Process};
 use bitternlatch_membership::NameKey;
+use rand_core::{Rng, SeedableRng};
+use rand_xoshiro::SplitMix64;
 
 use crate::job::{Job, Lead, Mint};
 use crate::memory::{Kind, Memory};
@@ -100,7 +102,7 @@
     inbox: VecDeque<Said>,
     odd: BTreeSet<NameKey>,
     counts: Counts,
-    draws: u64,
+    draws: SplitMix64,
 }
 
 impl Replica {
@@ -145,7 +147,7 @@
             inbox: VecDeque::new(),
             odd: BTreeSet::new(),
             counts: Counts::default(),
-            draws: seed,
+            draws: SplitMix64::seed_from_u64(seed),
         }
     }
 
@@ -297,11 +299,8 @@
         }
     }
 
-    /// 64 bits of chance, by SplitMix64 (Steele and others, 2014).
+    /// 64 bits of chance.
     fn draw(&mut self) -> u64 {
-        self.draws = self.draws.wrapping_add(0x9E37_79B9_7F4A_7C15);
-        let z = (self.draws ^ (self.draws >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        let z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        z ^ (z >> 31)
+        self.draws.next_u64()
     }
 }
--- a/crates/simulated/src/network.rs
+++ b/crates/simulated/src/network.rs
@@ -3,6 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use rand_core::{Rng, SeedableRng};
+use rand_xoshiro::SplitMix64;
+
 /// Messages between numbered places in simulated time.
 pub struct Network<M> {
     pub now: Duration,
@@ -15,7 +18,7 @@
     pub delay: (Duration, Duration),
     way: BTreeMap<(Duration, u64), (usize, usize, M)>,
     count: u64,
-    draws: u64,
+    draws: SplitMix64,
 }
 
 impl<M: Clone> Network<M> {
@@ -29,7 +32,7 @@
             delay: (Duration::from_micros(200), Duration::from_micros(3000)),
             way: BTreeMap::new(),
             count: 0,
-            draws: seed,
+            draws: SplitMix64::seed_from_u64(seed),
         }
     }
 
@@ -38,12 +41,9 @@
         (self.draw_bits() >> 11) as f64 / (1u64 << 53) as f64
     }
 
-    /// 64 bits of chance, by SplitMix64 (Steele and others, 2014).
+    /// 64 bits of chance.
     pub fn draw_bits(&mut self) -> u64 {
-        self.draws = self.draws.wrapping_add(0x9E37_79B9_7F4A_7C15);
-        let z = (self.draws ^ (self.draws >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        let z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        z ^ (z >> 31)
+        self.draws.next_u64()
     }
 
     /// Puts a message on its way, or loses it, or doubles it.
--- a/programs/dispatch/src/beside.rs
+++ b/programs/dispatch/src/beside.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use bitternlatch_agreement::Beside as Machine;
 use bitternlatch_core::{Input, Settings};
 use bitternlatch_lengths::Lengths;
 use bitternlatch_net::driver::{Beside, Event};
@@ -21,6 +22,29 @@
     to: &'a Sender<Event>,
 }
 
+/// Takes what the core asks of a machine; false where it is not taken.
+type Taker<A> = Box<dyn Fn(A) -> bool>;
+
+impl Place<'_> {
+    /// Runs a machine; what it tells enters the core as an input, or is lost where the loop is behind.
+    fn run<B>(
+        &mut self,
+        machine: B,
+        store: Option<Box<dyn Store>>,
+        input: fn(B::Told) -> Input,
+    ) -> Result<Taker<B::Ask>, String>
+    where
+        B: Machine + Send + 'static,
+        B::Ask: Send + 'static,
+        B::Told: 'static,
+    {
+        let to = self.to.clone();
+        let told = move |told| drop(to.try_send(Event::Input(input(told))));
+        let asker = self.plane.beside(machine, store, told).map_err(|e| e.told())?;
+        Ok(Box::new(move |ask| asker.ask(ask).is_ok()))
+    }
+}
+
 pub(crate) fn start(
     settings: &Settings,
     base: &Path,
@@ -43,12 +67,8 @@
     let aim_s = aims.fold(f64::INFINITY, f64::min);
     let seed = getrandom::u64().map_err(|e| format!("no randomness: {e}"))?;
     let machine = Overload::new(process, roster, own, aim_s, seed, Duration::ZERO);
-    let to = place.to.clone();
     // A loop that is behind gets the next cut; what it has is no longer believed then.
-    let told = move |told| drop(to.try_send(Event::Input(Input::Overload(told))));
-    let asker = place.plane.beside(machine, None, told);
-    let asker = asker.map_err(|e| format!("no thread for overload: {e}"))?;
-    beside.overload = Some(Box::new(move |ask| asker.ask(ask).is_ok()));
+    beside.overload = Some(place.run(machine, None, Input::Overload)?);
     Ok(())
 }
 
@@ -59,11 +79,8 @@
     let machine = Lengths::new(place.plane.own().0, place.plane.now());
     let kept = wanted.kept.as_ref().map(|kept| Snapshot::at(place.base.join(kept)));
     let store = kept.map(|kept| -> Box<dyn Store> { Box::new(kept) });
-    let to = place.to.clone();
-    let told = move |told| drop(to.try_send(Event::Input(Input::Lengths(told))));
-    let asker = place.plane.beside(machine, store, told).map_err(|e| format!("cluster.lengths: {e}"))?;
     // An answer that finds it busy is not counted.
-    beside.lengths = Some(Box::new(move |ask| asker.ask(ask).is_ok()));
+    beside.lengths = Some(place.run(machine, store, Input::Lengths)?);
     Ok(())
 }
 
@@ -76,12 +93,7 @@
     let seed = getrandom::u64().map_err(|e| format!("no randomness: {e}"))?;
     let machine = Workflows::new(own, roster, settings, kept.is_some(), seed, place.plane.now());
     let store = kept.map(|path| -> Box<dyn Store> { Box::new(Kept::at(&path)) });
-    let to = place.to.clone();
-    let told = move |told| {
-        // As for all that it tells: a question that hears nothing ends by its own time.
-        let _ = to.try_send(Event::Input(Input::Workflow(told)));
-    };
-    let asker = place.plane.beside(machine, store, told).map_err(|e| format!("cluster.workflows: {e}"))?;
-    beside.workflow = Some(Box::new(move |ask| asker.ask(ask).is_ok()));
+    // A question that hears nothing ends by its own time.
+    beside.workflow = Some(place.run(machine, store, Input::Workflow)?);
     Ok(())
 }
