platform: log what a request's state goes through, why it ended, and each release

The line of the access log (BITTERNLATCH_LOG=info,explain=debug) names each change of a request's state with its time, and why the module refused or failed it (interface::Cause). Releases that are confirmed later than the platform allows, that no host confirms, or that the table's bound drops are warned of by default, each with the request's id. Counters: releases, release_calls, releases_confirmed, releases_late, releases_unconfirmed; all counters are logged every 10 s where they changed, as a killed process has no last word.

--- a/crates/platform/src/attempts.rs
+++ b/crates/platform/src/attempts.rs
@@ -9,9 +9,9 @@
 use crate::answers::{read_load, Answer, Came, Whole};
 use crate::node::{Due, Node};
 use crate::pool::{Link, Place, Use};
-use crate::releases::ANSWER_S;
+use crate::releases::{Release, ANSWER_S};
 use crate::requests::Out;
-use crate::types::{Command, ConnId};
+use crate::types::{Command, ConnId, Level};
 
 /// A stream whose host has said nothing for this long has broken, seconds. The platform counts a client left
 /// waiting for 5 s as lost.
@@ -246,11 +246,27 @@
                 let outcome = if whole.status == 200 { Outcome::Served } else { Outcome::Error };
                 self.probed(now, server, outcome, report);
             }
-            Use::Release { id } if (200..300).contains(&whole.status) => self.releases.done(id),
+            Use::Release { id } if (200..300).contains(&whole.status) => self.released(now, id, out),
             Use::Release { id } => self.call_release(now, id, out),
         }
     }
 
+    /// A host has confirmed that it holds nothing more.
+    fn released(&mut self, now: Micros, id: u64, out: &mut Vec<Command>) {
+        let Some(release) = self.releases.done(id) else { return };
+        self.counts.releases_confirmed += 1;
+        let server = release.asked.last().copied().unwrap_or_default();
+        if let Some(line) = release.late_line(now, server) {
+            self.counts.releases_late += 1;
+            self.log(out, Level::Warn, line);
+        }
+    }
+
+    fn unconfirmed(&mut self, now: Micros, release: &Release, why: &str, out: &mut Vec<Command>) {
+        self.counts.releases_unconfirmed += 1;
+        self.log(out, Level::Warn, release.unconfirmed_line(now, why));
+    }
+
     // ---- attempts -----------------------------------------------------------------------------
 
     pub(crate) fn send(
@@ -449,7 +465,11 @@
             let bytes = open.passed.as_ref().map_or(0, |p| p.body_bytes());
             self.held_bytes = self.held_bytes.saturating_sub(bytes);
             if open.release || open.left_at.is_some() {
-                let release = self.releases.put(open.id, open.held_at.or(open.left_at));
+                self.counts.releases += 1;
+                let (release, dropped) = self.releases.put(now, open.id, open.held_at.or(open.left_at));
+                if let Some(dropped) = dropped {
+                    self.unconfirmed(now, &dropped, "too many states are to be released", out);
+                }
                 self.call_release(now, release, out);
             }
         }
@@ -475,8 +495,10 @@
 
     fn call_release(&mut self, now: Micros, id: u64, out: &mut Vec<Command>) {
         let Some((server, to, call)) = self.releases.next_call(id, now, &self.fleet, &self.pool) else {
-            return self.releases.done(id);
+            let Some(release) = self.releases.done(id) else { return };
+            return self.unconfirmed(now, &release, "no model host has answered", out);
         };
+        self.counts.release_calls += 1;
         if self.exchange(now, (server, to), Use::Release { id }, call, out).is_none() {
             // What is held stays held until somebody is told: the call goes out once a connection is free.
             self.releases.wait(id);
--- a/crates/platform/src/explain.rs
+++ b/crates/platform/src/explain.rs
@@ -6,13 +6,34 @@
 
 use bitternlatch_core::Traced;
 use bitternlatch_policy::interface::{
-    Action, Event, Outcome, Reckoned, Request, RequestId, ServerId, Settings,
+    Action, Cause, Event, Outcome, Reckoned, Request, RequestId, ServerId, Settings,
 };
 
 /// Most requests accounted for at once; those that come on top are not.
 const MOST: usize = 4096;
 /// Most attempts named in a line.
 const MOST_ATTEMPTS: usize = 8;
+/// Most changes of what is held that a line names.
+const MOST_CHANGES: usize = 8;
+
+/// What became of the state that a prefill server holds for a request, as the module knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StateChange {
+    HeldAt(ServerId),
+    MayBeHeldAt(ServerId),
+    Taken,
+    Missing,
+    Released,
+}
+
+/// What the module can say of its last decision on a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Reasons {
+    /// What stood behind its last choice of a prefill server.
+    pub reckoned: Option<Reckoned>,
+    /// Why it was ended without being served.
+    pub cause: Option<Cause>,
+}
 
 #[derive(Debug)]
 struct Attempt {
@@ -34,7 +55,10 @@
     made: usize,
     first_token_s: Option<f64>,
     answer: Option<&'static str>,
-    reckoned: Option<Reckoned>,
+    /// Why it was refused or failed.
+    ended_by: Reasons,
+    /// What became of its state, and when, seconds from its arrival.
+    states: Vec<(f64, StateChange)>,
 }
 
 /// Accounts of the requests in hand.
@@ -60,13 +84,13 @@
         self.open.is_empty()
     }
 
-    /// Takes in one event with the module's answer to it. `id` gives the client's id of a request, `reckoned` what
-    /// the module reckoned for it last. Gives the lines of those that have ended and are worth one.
+    /// Takes in one event with the module's answer to it. `id` gives the client's id of a request, `reasons` what
+    /// the module says of its last decision on it. Gives the lines of those that have ended and are worth one.
     pub fn see(
         &mut self,
         traced: &Traced,
         id: impl Fn(RequestId) -> String,
-        reckoned: impl Fn(RequestId) -> Option<Reckoned>,
+        reasons: impl Fn(RequestId) -> Reasons,
     ) -> Vec<String> {
         let mut touched = Vec::new();
         match &traced.event {
@@ -81,13 +105,16 @@
                     made: 0,
                     first_token_s: None,
                     answer: None,
-                    reckoned: None,
+                    ended_by: Reasons::default(),
+                    states: Vec::new(),
                 };
                 self.open.insert(ask.id, account);
             }
             Event::FirstToken { request, .. } => {
-                let arrived = |a: &Account| traced.now_s - a.arrived_s;
-                self.on(*request, |a| a.first_token_s = Some(arrived(a)));
+                self.on(*request, |a| {
+                    a.first_token_s = Some(traced.now_s - a.arrived_s);
+                    a.state(traced.now_s, StateChange::Taken);
+                });
             }
             Event::AttemptEnded(end) => {
                 self.on(end.request, |a| {
@@ -95,6 +122,14 @@
                     if let Some(attempt) = a.attempts.iter_mut().rev().find(out) {
                         attempt.ended = Some((end.outcome, end.elapsed_s, end.prefix_hit_tokens));
                     }
+                    match end.outcome {
+                        Outcome::ReadDone => a.state(traced.now_s, StateChange::HeldAt(end.server)),
+                        Outcome::Full { state_gone: true } => a.state(traced.now_s, StateChange::Missing),
+                        Outcome::Reset | Outcome::TimedOut | Outcome::Cancelled if !a.holds_state() => {
+                            a.state(traced.now_s, StateChange::MayBeHeldAt(end.server));
+                        }
+                        _ => {}
+                    }
                     if end.outcome == Outcome::Served {
                         a.answer.get_or_insert("served");
                     } else if a.first_token_s.is_some() {
@@ -112,18 +147,23 @@
         for action in &traced.actions {
             match action {
                 Action::Send { request, server, .. } => {
-                    let told = reckoned(*request);
+                    let told = reasons(*request).reckoned;
                     self.on(*request, |a| a.send(*server, traced.now_s, told));
                 }
                 Action::Refuse { request, .. } => {
-                    let told = reckoned(*request);
-                    self.on(*request, |a| (a.answer, a.reckoned) = (Some("refused"), told));
+                    let told = reasons(*request);
+                    self.on(*request, |a| (a.answer, a.ended_by) = (Some("refused"), told));
                     touched.push(*request);
                 }
                 Action::Fail { request } => {
-                    self.on(*request, |a| a.answer = Some("failed"));
+                    let cause = reasons(*request).cause;
+                    let told = Reasons { reckoned: None, cause };
+                    self.on(*request, |a| (a.answer, a.ended_by) = (Some("failed"), told));
                     touched.push(*request);
                 }
+                Action::Release { request } => {
+                    self.on(*request, |a| a.state(traced.now_s, StateChange::Released));
+                }
                 _ => {}
             }
         }
@@ -155,6 +195,16 @@
         }
     }
 
+    fn state(&mut self, now_s: f64, change: StateChange) {
+        if self.states.len() < MOST_CHANGES {
+            self.states.push((now_s - self.arrived_s, change));
+        }
+    }
+
+    fn holds_state(&self) -> bool {
+        matches!(self.states.last(), Some((_, StateChange::HeldAt(_) | StateChange::MayBeHeldAt(_))))
+    }
+
     fn late(&self) -> bool {
         self.first_token_s.is_some_and(|s| s > self.aim_s)
     }
@@ -185,7 +235,10 @@
         if let Some(first) = self.first_token_s {
             let _ = write!(line, " first token {first:.3}");
         }
-        if let Some(r) = self.reckoned {
+        if let Some(cause) = self.ended_by.cause {
+            let _ = write!(line, " because {cause:?}");
+        }
+        if let Some(r) = self.ended_by.reckoned {
             let _ = write!(line, " refused at {r}");
         }
         for t in &self.attempts {
@@ -197,6 +250,9 @@
                 let _ = write!(line, " {outcome:?} after {took:.3} found {hit}");
             }
         }
+        for (at_s, change) in &self.states {
+            let _ = write!(line, "; {at_s:.3} state {change:?}");
+        }
         line
     }
 }
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -13,7 +13,7 @@
 use crate::clients::Clients;
 use crate::config::{Config, Limits};
 use crate::discovery::Fleet;
-use crate::explain::Explainer;
+use crate::explain::{Explainer, Reasons};
 use crate::pool::Pool;
 use crate::releases::Releases;
 use crate::requests::Requests;
@@ -24,6 +24,8 @@
 
 /// Connections and streams are looked over this often, seconds.
 const SWEEP_S: f64 = 0.2;
+/// Counts that have changed are logged this often, seconds.
+const COUNTS_EVERY_S: f64 = 10.0;
 /// Longest message between dispatchers, bytes.
 const MOST_DATAGRAM: usize = 256;
 
@@ -99,6 +101,8 @@
     pub(crate) deaf: bool,
     stopped: bool,
     pub(crate) counts: Counts,
+    /// The counts as last logged, and when they may be logged again.
+    logged: (Counts, Micros),
 }
 
 /// What the node's tables hold.
@@ -125,6 +129,15 @@
     pub gone: u64,
     pub turned_away: u64,
     pub attempts: u64,
+    /// Requests whose state was to be released.
+    pub releases: u64,
+    /// Calls made for them, and those of them that a model host has answered.
+    pub release_calls: u64,
+    pub releases_confirmed: u64,
+    /// Confirmed later than the platform allows from their begin on.
+    pub releases_late: u64,
+    /// Given up with no answer, or dropped at the table's bound.
+    pub releases_unconfirmed: u64,
 }
 
 impl Node {
@@ -177,6 +190,7 @@
             deaf: false,
             stopped: false,
             counts: Counts::default(),
+            logged: (Counts::default(), now.after(COUNTS_EVERY_S)),
         };
         if let Some(known) = config.known {
             let entries = node.fleet.apply(known).entries;
@@ -332,7 +346,12 @@
         let traced = Traced { now_s: now.seconds(), event, actions: actions.to_vec() };
         let id = |request| self.requests.get(request).map_or_else(String::new, |open| open.id.clone());
         let (last, reckoned) = self.router.reckoned;
-        for text in explainer.see(&traced, id, |request| (request == last).then_some(reckoned)) {
+        let cause = self.router.cause;
+        let reasons = |request| Reasons {
+            reckoned: (request == last).then_some(reckoned),
+            cause: cause.filter(|c| c.0 == request).map(|c| c.1),
+        };
+        for text in explainer.see(&traced, id, reasons) {
             out.push(Command::Explain { text });
         }
     }
@@ -433,9 +452,20 @@
             self.drop_link(conn, out);
         }
         self.break_stalled(now, out);
+        self.log_counts(now, out);
         self.timers.set(now.after(SWEEP_S), Due::Sweep);
     }
 
+    /// A process that is killed has no last word: what it has counted stands in its log a few seconds old.
+    fn log_counts(&mut self, now: Micros, out: &mut Vec<Command>) {
+        let (before, due) = self.logged;
+        if now < due || before == self.counts {
+            return;
+        }
+        self.logged = (self.counts, now.after(COUNTS_EVERY_S));
+        self.log(out, Level::Info, format!("counts {:?}", self.counts));
+    }
+
     fn stop(&mut self, now: Micros, out: &mut Vec<Command>) {
         if self.last_answer.is_some() {
             return;
--- a/crates/platform/src/releases.rs
+++ b/crates/platform/src/releases.rs
@@ -16,6 +16,8 @@
 pub const ANSWER_S: f64 = 0.15;
 /// Most requests whose states are being let go of at once; past them the oldest is given up.
 const MOST: usize = 1024;
+/// What the platform allows for a release beyond the limit of the settings, seconds.
+const SLACK_S: f64 = 0.3;
 
 /// A state to let go of.
 #[derive(Debug)]
@@ -24,6 +26,23 @@
     /// Where it is believed to be.
     pub holder: Option<ServerId>,
     pub asked: Vec<ServerId>,
+    pub begun: Micros,
+}
+
+impl Release {
+    /// A line for the log once a host has confirmed it, where that took longer than the platform allows.
+    pub fn late_line(&self, now: Micros, server: ServerId) -> Option<String> {
+        let (took_s, calls) = (now.since(self.begun), self.asked.len());
+        let line =
+            || format!("state of {} released late: {took_s:.3} s, call {calls}, by {server}", self.request);
+        (took_s > SLACK_S).then(line)
+    }
+
+    /// A line for the log where no host has confirmed it.
+    pub fn unconfirmed_line(&self, now: Micros, why: &str) -> String {
+        let (took_s, calls) = (now.since(self.begun), self.asked.len());
+        format!("state of {} may still be held: {why} after {took_s:.3} s and {calls} calls", self.request)
+    }
 }
 
 /// All that are under way.
@@ -44,21 +63,20 @@
         self.open.len()
     }
 
-    pub fn put(&mut self, request: String, holder: Option<ServerId>) -> u64 {
-        if self.open.len() >= MOST {
-            self.open.pop_first();
-        }
+    /// Begins one; gives its number, and the one that had to give way at the table's bound.
+    pub fn put(&mut self, now: Micros, request: String, holder: Option<ServerId>) -> (u64, Option<Release>) {
+        let dropped = if self.open.len() >= MOST { self.open.pop_first() } else { None };
         self.last += 1;
-        self.open.insert(self.last, Release { request, holder, asked: Vec::new() });
-        self.last
+        self.open.insert(self.last, Release { request, holder, asked: Vec::new(), begun: now });
+        (self.last, dropped.map(|d| d.1))
     }
 
     pub fn get(&self, id: u64) -> Option<&Release> {
         self.open.get(&id)
     }
 
-    pub fn done(&mut self, id: u64) {
-        self.open.remove(&id);
+    pub fn done(&mut self, id: u64) -> Option<Release> {
+        self.open.remove(&id)
     }
 
     /// A call could not go out: its host is not asked yet, and it waits for a connection.
--- a/crates/platform/tests/explain.rs
+++ b/crates/platform/tests/explain.rs
@@ -1,7 +1,7 @@
 //! The line that says why a request fared as it did.
 mod common;
 
-use bitternlatch_platform::explain::Explainer;
+use bitternlatch_platform::explain::{Explainer, Reasons};
 use bitternlatch_platform::types::Input;
 use common::*;
 
@@ -50,7 +50,7 @@
                 let (_, writer) = rig.at_writer("x1", "book");
                 rig.text(writer, &plain("500 Oops", "", ""));
             },
-            &["x1 failed", "Error after"],
+            &["x1 failed", "because MayHaveRun", "Error after", "state HeldAt(", "state Released"],
         ),
         (
             "again",
@@ -98,7 +98,7 @@
         answer(&mut rig, writer);
     }
     for traced in rig.node.take_trace() {
-        explainer.see(&traced, |_| String::new(), |_| None);
+        explainer.see(&traced, |_| String::new(), |_| Reasons::default());
         assert!(explainer.len() <= 2);
     }
     assert!(explainer.is_empty());
--- a/crates/platform/tests/held.rs
+++ b/crates/platform/tests/held.rs
@@ -41,6 +41,23 @@
     assert_eq!(places.len(), calls.len(), "each to another host");
     rig.pass(20.0);
     assert!(deletes(&rig, "p2").len() <= 6, "not for ever");
+    let counts = rig.node.counts();
+    assert_eq!((counts.releases, counts.releases_confirmed, counts.releases_unconfirmed), (1, 0, 1));
+    assert!(rig.logs.iter().any(|l| l.starts_with("state of p2 may still be held")), "{:?}", rig.logs);
+    assert!(rig.logs.iter().any(|l| l.starts_with("counts") && l.contains("releases_unconfirmed: 1")));
+}
+
+#[test]
+fn a_release_that_is_confirmed_late_is_logged_and_counted() {
+    let mut rig = Rig::new();
+    let (_, writer) = rig.at_writer("p9", "book");
+    rig.text(writer, "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n");
+    rig.pass(0.4);
+    let last = deletes(&rig, "p9").pop().expect("called again");
+    rig.text(last.conn, "HTTP/1.1 204 No Content\r\n\r\n");
+    let counts = rig.node.counts();
+    assert_eq!((counts.releases_confirmed, counts.releases_late), (1, 1));
+    assert!(rig.logs.iter().any(|l| l.starts_with("state of p9 released late")), "{:?}", rig.logs);
 }
 
 #[test]
@@ -75,8 +92,8 @@
         }
         let mut releases = Releases::default();
         let without = (0..4).find(|i| !order.contains(i)).expect("one has no connection");
-        let id = releases.put("p7".into(), Some(all[without].0));
         let now = START.after(5.0);
+        let (id, _) = releases.put(now, "p7".into(), Some(all[without].0));
         let called: Vec<usize> = std::iter::from_fn(|| releases.next_call(id, now, &fleet, &pool))
             .map(|call| all.iter().position(|host| host.0 == call.0).expect("a host of the list"))
             .collect();
--- a/crates/policy/src/choice/admission.rs
+++ b/crates/policy/src/choice/admission.rs
@@ -54,12 +54,14 @@
     pub(super) fn place(&mut self, now: f64, id: RequestId, out: &mut Actions) {
         self.jobs.entry(id).and_modify(|j| j.stage = Stage::Idle);
         let Some(job) = self.jobs.get(&id) else { return };
-        let Some(e) = self.best_reader(job, now) else { return self.give_up(id, 1.0, out) };
+        let Some(e) = self.best_reader(job, now) else {
+            return self.give_up(id, 1.0, Cause::NoPrefillServer, out);
+        };
         let (total_s, late_s, slip_s) = (e.total_s, job.late_s, self.slip(now).min(SLIP_MOST * e.total_s));
         self.reckoned = (id, Reckoned { queue_s: e.queue_s, read_s: e.read_s, total_s, slip_s, late_s });
         self.jobs.entry(id).and_modify(|j| j.promised = now + e.total_s);
         if total_s + slip_s > late_s {
-            return self.give_up(id, (total_s + slip_s - late_s).max(0.2), out);
+            return self.give_up(id, (total_s + slip_s - late_s).max(0.2), Cause::ExpectedLate, out);
         }
         self.send_read(now, id, e, out);
     }
--- a/crates/policy/src/choice/mod.rs
+++ b/crates/policy/src/choice/mod.rs
@@ -59,9 +59,10 @@
     part: f64,                  // This router's of what all share.
     lateness: (f64, f64),       // Mean first-token delay beyond promise, and when it was seen.
     retries: f64,
-    recent: VecDeque<u64>,               // Keys of the latest requests.
+    recent: VecDeque<u64>,                 // Keys of the latest requests.
     answers: [(f64, f64); 3], // By role: not drawn on yet, and the most held; choices draw on them.
     pub reckoned: (RequestId, Reckoned), // What stood behind the last choice of a reader, for logs.
+    pub cause: Option<(RequestId, Cause)>, // Why the last request that was not served ended, for logs.
 }
 
 fn mix(a: u64, b: u64) -> u64 {
@@ -100,6 +101,7 @@
             recent: VecDeque::new(),
             answers: [(UNSEEN_ANSWERS / BLEND, UNSEEN_ANSWERS / BLEND); 3],
             reckoned: Default::default(),
+            cause: None,
         }
     }
 
--- a/crates/policy/src/choice/requests.rs
+++ b/crates/policy/src/choice/requests.rs
@@ -116,7 +116,7 @@
             None if job.state_at.is_some_and(|at| now - at.1 <= self.set.pin_limit_s * HOLD_SHARE) => {
                 wake(id, now + 2.0 * ASK_WAIT_S, out);
             }
-            None => self.give_up(id, 0.5, out),
+            None => self.give_up(id, 0.5, Cause::NoDecodeServer, out),
         }
     }
 
@@ -129,7 +129,7 @@
             && now < job.deadline
             && self.usable(s, job, now);
         if !allowed {
-            return self.give_up(id, 0.5, out);
+            return self.give_up(id, 0.5, Cause::Forbidden, out);
         }
         let holder = job.state_at.and_then(|at| self.servers.get(&at.0)).map(|r| r.entry.cell);
         let link = holder.filter(|cell| *cell != s.entry.cell);
@@ -143,7 +143,8 @@
         wake(id, now + silence_s, out);
     }
 
-    pub(super) fn give_up(&mut self, id: RequestId, retry_after_s: f64, out: &mut Actions) {
+    pub(super) fn give_up(&mut self, id: RequestId, retry_after_s: f64, cause: Cause, out: &mut Actions) {
+        self.cause = Some((id, cause));
         let Some(job) = self.jobs.get(&id) else { return };
         let retry_after_s = retry_after_s.min(self.set.limits.max_retry_after_s.max(0.0));
         let refusal = Action::Refuse { request: id, retry_after_s };
@@ -191,14 +192,22 @@
         let spent = self.class(job).effect == Effect::Unsafe && job.may_have_run.is_some();
         // Nobody has taken its state; it would be held too long, did another way there come up no sooner.
         let most_s = self.set.pin_limit_s + 3.0 * self.set.tick_s;
-        let late = |at: (ServerId, f64)| now + sane(end.elapsed_s) > at.1 + most_s;
-        let held = outcome == Outcome::ConnectFailed && job.state_at.is_some_and(late);
-        if spent || held || now + 2.0 * self.set.tick_s >= job.deadline || outcome == Outcome::NotSent {
-            return self.give_up(id, 0.2, out);
+        let overdue = |at: (ServerId, f64)| now + sane(end.elapsed_s) > at.1 + most_s;
+        let held = outcome == Outcome::ConnectFailed && job.state_at.is_some_and(overdue);
+        let late = now + 2.0 * self.set.tick_s >= job.deadline;
+        let cause = match outcome {
+            _ if spent => Some(Cause::MayHaveRun),
+            _ if held => Some(Cause::StateExpired),
+            _ if late => Some(Cause::Deadline),
+            Outcome::NotSent => Some(Cause::NotSent),
+            _ => None,
+        };
+        if let Some(cause) = cause {
+            return self.give_up(id, 0.2, cause, out);
         }
         let left = self.retries - f64::from(outcome != Outcome::ReadDone);
         if left < 0.0 {
-            return self.give_up(id, 0.5, out);
+            return self.give_up(id, 0.5, Cause::NoRetryLeft, out);
         }
         self.retries = left;
         if job.state_at.is_some() {
@@ -206,7 +215,8 @@
         }
         match self.best_reader(job, now) {
             Some(e) if now + e.total_s < job.deadline => self.send_read(now, id, e, out),
-            _ => self.give_up(id, 0.5, out),
+            Some(_) => self.give_up(id, 0.5, Cause::Deadline, out),
+            None => self.give_up(id, 0.5, Cause::NoPrefillServer, out),
         }
     }
 }
--- a/crates/policy/src/choice/timers.rs
+++ b/crates/policy/src/choice/timers.rs
@@ -7,6 +7,7 @@
         let id = label as RequestId;
         let Some(job) = self.jobs.get(&id) else { return };
         if now + 3.0 * self.set.tick_s >= job.deadline && job.stage != Stage::Streaming {
+            self.cause = Some((id, Cause::Deadline));
             self.cancel(id, out);
             return self.finish(id, Some(Action::Fail { request: id }), out);
         }
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -381,6 +381,29 @@
     },
 }
 
+/// Why the module ended a request without serving it. For logs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// No server that may take the prompt.
+    NoPrefillServer,
+    /// No server that may take the state in the time for which it may wait.
+    NoDecodeServer,
+    /// The first token was expected too late.
+    ExpectedLate,
+    /// The budget of further attempts is used up.
+    NoRetryLeft,
+    /// An attempt may have run, and the class allows no other.
+    MayHaveRun,
+    /// Its state waited as long as it may.
+    StateExpired,
+    /// The client's deadline is near.
+    Deadline,
+    /// The attempt could not be sent.
+    NotSent,
+    /// A rule forbids the attempt that was chosen.
+    Forbidden,
+}
+
 /// Seconds behind a choice of reader: its parts, and the latest first token that is taken. For logs.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Reckoned {
