--- a/programs/dispatch/tests/common/gated.rs
+++ b/programs/dispatch/tests/common/gated.rs
@@ -1,7 +1,7 @@
 //! Model hosts that hold every answer until the test lets it go, and keep what has come to them, in order.
 #![allow(dead_code)]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
@@ -46,6 +46,8 @@
     hold_probes: bool,
     /// Connections that a host has taken, the newest last.
     taken: Vec<(usize, TcpStream)>,
+    /// Hosts to which nothing arrives any more, though their connections stay open and new ones come up.
+    silent: BTreeSet<usize>,
 }
 
 /// Hosts and what has come to them.
@@ -89,6 +91,10 @@
         self.lock().taken.push((host, stream.try_clone().ok()?));
         let mut from = BufReader::new(stream);
         while let Some(Message { first: line, fields, .. }) = whole_message(&mut from) {
+            if self.lock().silent.contains(&host) {
+                // The book holds the other handle of this connection, so that it stays open.
+                return None;
+            }
             let id = fields.get("req-id").cloned().unwrap_or_default();
             let answer = if line.starts_with("DELETE") {
                 let id = line.split(' ').nth(1)?.rsplit('/').next()?;
@@ -162,6 +168,16 @@
         }
     }
 
+    /// From now on nothing that is sent to a host arrives, and nothing says so.
+    pub fn fall_silent(&self, host: usize) {
+        self.lock().silent.insert(host);
+    }
+
+    /// When this came first for a request.
+    pub fn first(&self, what: What, id: &str) -> Option<Instant> {
+        self.lock().seen.iter().find(|s| s.what == what && s.id == id).map(|s| s.at)
+    }
+
     pub fn hold_probes(&self, hold: bool) {
         self.lock().hold_probes = hold;
     }
