Release held states within the limit, whatever is out, until a server has confirmed it

- policy: choice/held_states.rs owns what may be held for a request, with one clock from the prefill's end on.
At 0.9 of the limit the state is released whatever is out: WIRE says that a release lets go of what no attempt is waiting for, so one that has arrived keeps its state.
What an attempt's end then tells (it may have kept the state, or not) is decided in one place; states that a prefill without an answer may have left run on the same clock, which the node judged before (left_at, held_at, gone).
- platform: a release calls more and more hosts (0.05 s, doubling), those first that nothing speaks against, in rounds until one has confirmed it, for a minute; some connections are kept free for it; an attempt that has not gone out ends with it.
A stop waits for releases until the kill is near.
- core: a release while an attempt waits for the state is carried out at its end, as the wire means it.

--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -283,7 +283,7 @@
         let Some(params) = attempt.state.clone() else {
             return self.end_attempt(now, id, Outcome::Error, 0, report, out);
         };
-        let state = HeldState { host: attempt.host, made_by: made_by(attempt), params };
+        let state = HeldState { host: attempt.host, made_by: made_by(attempt), params, release: false };
         let cached = cached_tokens(attempt);
         if let Some(request) = self.requests.get_mut(&id) {
             request.state = Some(state);
@@ -345,6 +345,9 @@
         if attempt.stage == Stage::Streaming && outcome != Outcome::Served {
             self.fail(now, id, "server_error", "the answer broke off; it may have run", out);
         }
+        if self.requests.get(&id).and_then(|r| r.state.as_ref()).is_some_and(|state| state.release) {
+            self.release(id, out);
+        }
         let finished = self.requests.get(&id).is_none_or(|r| r.answered);
         self.events.push_back(Event::AttemptEnded(AttemptEnd {
             request: id,
--- a/crates/core/src/carry.rs
+++ b/crates/core/src/carry.rs
@@ -218,10 +218,14 @@
         out.push(Output::Tell { link: attempt.link, text, stale: None });
     }
 
-    /// Lets go of the state held for a request. Without a link there is nothing to do: a host lets go of what a lost
+    /// Lets go of the state held for a request, unless an attempt waits for it: then once that has ended. Without a link there is nothing to do: a host lets go of what a lost
     /// link's dispatcher held there.
     pub(crate) fn release(&mut self, id: RequestId, out: &mut Vec<Output>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
+        if request.attempt.is_some() {
+            request.state.iter_mut().for_each(|state| state.release = true);
+            return;
+        }
         let Some(state) = request.state.take() else { return };
         if let Some(link) = self.links.open(state.host) {
             self.tell_release(link, &state.made_by, out);
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -62,6 +62,8 @@
     /// Wire id of the attempt that made it.
     pub made_by: String,
     pub params: KvTransferParams,
+    /// It is released once the attempt that waits for it ends without it.
+    pub release: bool,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/platform/src/attempts.rs
+++ b/crates/platform/src/attempts.rs
@@ -9,9 +9,8 @@
 use crate::answers::{read_load, Answer, Came, Whole};
 use crate::node::{Due, Node};
 use crate::pool::{Link, Place, Use};
-use crate::releases::{Release, ANSWER_S};
 use crate::requests::Out;
-use crate::types::{Command, ConnId, Level};
+use crate::types::{Command, ConnId};
 
 /// A stream whose host has said nothing for this long has broken, seconds. The platform counts a client left
 /// waiting for 5 s as lost.
@@ -35,7 +34,7 @@
 
     /// Begins an exchange with a host on a kept connection or a new one. `call` is what a probe or a release says; an
     /// attempt's request is made when it can be written.
-    fn exchange(
+    pub(crate) fn exchange(
         &mut self,
         now: Micros,
         host: (ServerId, SocketAddr),
@@ -43,7 +42,7 @@
         call: Vec<u8>,
         out: &mut Vec<Command>,
     ) -> Option<ConnId> {
-        let conn = match self.pool.place(now, host.1) {
+        let conn = match self.pool.place(now, host.1, used_for) {
             Place::Full => return None,
             Place::Kept(conn) => self.reuse(now, conn, host.0, used_for, call, out),
             Place::New { instead_of } => {
@@ -91,7 +90,17 @@
     ) -> ConnId {
         let conn = self.next_conn();
         let answer = answer_to(used_for);
-        let link = Link { to, server, up: false, used_for, since: now, waiting: call, unsent: 0, answer };
+        let link = Link {
+            to,
+            server,
+            up: false,
+            used_for,
+            since: now,
+            waiting: call,
+            unsent: 0,
+            answer,
+            heard: None,
+        };
         self.pool.put(conn, link);
         out.push(Command::Connect { conn, to });
         let late = now.after(self.bounds.connect_timeout_s);
@@ -104,7 +113,7 @@
         match used_for {
             // As long as for a connection: a host that says nothing to a probe in that time is as good as silent.
             Use::Probe { .. } => Some(self.bounds.connect_timeout_s),
-            Use::Release { .. } => Some(ANSWER_S),
+            Use::Release { id, .. } => Some(self.releases.answer_limit_s(id)),
             Use::Attempt { .. } | Use::Idle => None,
         }
     }
@@ -189,12 +198,13 @@
             Use::Idle => {}
             Use::Attempt { request, .. } => self.attempt_failed(now, request, outcome, out),
             Use::Probe { server } => self.probed(now, server, outcome, Vec::new()),
-            Use::Release { id } => self.call_release(now, id, out),
+            Use::Release { id, server } => self.release_failed(now, id, server, outcome, out),
         }
     }
 
     pub(crate) fn on_link_bytes(&mut self, now: Micros, conn: ConnId, bytes: &[u8], out: &mut Vec<Command>) {
         let Some(link) = self.pool.get_mut(conn) else { return };
+        link.heard = Some(now);
         let used_for = link.used_for;
         if used_for == Use::Idle {
             // Nothing was asked: whatever this is, the next answer could not be told from it.
@@ -246,27 +256,10 @@
                 let outcome = if whole.status == 200 { Outcome::Served } else { Outcome::Error };
                 self.probed(now, server, outcome, report);
             }
-            Use::Release { id } if (200..300).contains(&whole.status) => self.released(now, id, out),
-            Use::Release { id } => self.call_release(now, id, out),
-        }
-    }
-
-    /// A host has confirmed that it holds nothing more.
-    fn released(&mut self, now: Micros, id: u64, out: &mut Vec<Command>) {
-        let Some(release) = self.releases.done(id) else { return };
-        self.counts.releases_confirmed += 1;
-        let server = release.asked.last().copied().unwrap_or_default();
-        if let Some(line) = release.late_line(now, server) {
-            self.counts.releases_late += 1;
-            self.log(out, Level::Warn, line);
+            Use::Release { id, server } => self.release_answered(now, id, server, whole.status, out),
         }
     }
 
-    fn unconfirmed(&mut self, now: Micros, release: &Release, why: &str, out: &mut Vec<Command>) {
-        self.counts.releases_unconfirmed += 1;
-        self.log(out, Level::Warn, release.unconfirmed_line(now, why));
-    }
-
     // ---- attempts -----------------------------------------------------------------------------
 
     pub(crate) fn send(
@@ -294,7 +287,7 @@
         };
         self.counts.attempts += 1;
         if let Some(open) = self.requests.get_mut(request) {
-            open.out = Some(Out { number, server, reader: role == Role::Reader, conn, sent: now });
+            open.out = Some(Out { number, server, prefill: role == Role::Reader, conn, sent: now });
         }
         self.timers.set(until, Due::Attempt { request, number });
     }
@@ -313,7 +306,7 @@
         }));
     }
 
-    /// The one place where an attempt ends: the module is told, and what a reader may still hold is noted.
+    /// The one place where an attempt ends: the module is told.
     fn attempt_over(
         &mut self,
         now: Micros,
@@ -324,13 +317,6 @@
     ) {
         let Some(open) = self.requests.get_mut(request) else { return };
         let Some(was) = open.out.take() else { return };
-        // A read may have ended well just as its connection ended: its state is then held like any other.
-        if was.reader && matches!(outcome, Outcome::Cancelled | Outcome::TimedOut | Outcome::Reset) {
-            open.left_at = Some(was.server);
-        }
-        if outcome == Outcome::ReadDone {
-            open.held_at = Some(was.server);
-        }
         self.touched.push(request);
         self.events.push_back(Event::AttemptEnded(AttemptEnd {
             request,
@@ -354,12 +340,12 @@
     ) {
         let Some(open) = self.requests.get(request) else { return };
         let streaming = open.streaming.is_some();
-        let reader = open.out.is_some_and(|o| o.reader);
+        let prefill = open.out.is_some_and(|o| o.prefill);
         let outcome = match whole.status {
             200 if streaming => Outcome::Served,
             // A stream without an event gives the client nothing.
             200 => Outcome::Error,
-            202 if reader => Outcome::ReadDone,
+            202 if prefill => Outcome::ReadDone,
             503 | 504 if whole.declined => Outcome::Full { state_gone: false },
             410 if whole.declined => Outcome::Full { state_gone: true },
             _ => Outcome::Error,
@@ -451,10 +437,7 @@
 
     /// Lets go of requests that have their answer and nothing out.
     pub(crate) fn reap(&mut self, now: Micros, out: &mut Vec<Command>) {
-        while self.pool.has_room() {
-            let Some(release) = self.releases.next_waiting() else { break };
-            self.call_release(now, release, out);
-        }
+        self.call_waiting_releases(now, out);
         let done = std::mem::take(&mut self.touched);
         for id in done {
             let Some(open) = self.requests.get(id) else { continue };
@@ -464,18 +447,10 @@
             let Some(open) = self.requests.remove(id) else { continue };
             let bytes = open.passed.as_ref().map_or(0, |p| p.body_bytes());
             self.held_bytes = self.held_bytes.saturating_sub(bytes);
-            if open.release || open.left_at.is_some() {
-                self.counts.releases += 1;
-                let (release, dropped) = self.releases.put(now, open.id, open.held_at.or(open.left_at));
-                if let Some(dropped) = dropped {
-                    self.unconfirmed(now, &dropped, "too many states are to be released", out);
-                }
-                self.call_release(now, release, out);
-            }
         }
     }
 
-    // ---- probes and letting go ----------------------------------------------------------------
+    // ---- probes ----------------------------------------------------------------
 
     pub(crate) fn probe(&mut self, now: Micros, server: ServerId, out: &mut Vec<Command>) {
         let Some(to) = self.fleet.get(server).map(|t| (server, t.endpoint)) else {
@@ -492,16 +467,4 @@
         let elapsed_s = self.probes.remove(&server).map_or(0.0, |sent| now.since(sent));
         self.events.push_back(Event::ProbeEnded { server, outcome, elapsed_s, report });
     }
-
-    fn call_release(&mut self, now: Micros, id: u64, out: &mut Vec<Command>) {
-        let Some((server, to, call)) = self.releases.next_call(id, now, &self.fleet, &self.pool) else {
-            let Some(release) = self.releases.done(id) else { return };
-            return self.unconfirmed(now, &release, "no model host has answered", out);
-        };
-        self.counts.release_calls += 1;
-        if self.exchange(now, (server, to), Use::Release { id }, call, out).is_none() {
-            // What is held stays held until somebody is told: the call goes out once a connection is free.
-            self.releases.wait(id);
-        }
-    }
 }
--- a/crates/platform/src/intake.rs
+++ b/crates/platform/src/intake.rs
@@ -87,9 +87,6 @@
             attempts: 0,
             out: None,
             streaming: None,
-            left_at: None,
-            held_at: None,
-            release: false,
             over: false,
         });
         self.by_client.insert(conn, request.id);
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -49,6 +49,10 @@
         conn: ConnId,
         since: Micros,
     },
+    /// A release that no host has confirmed yet is tried elsewhere too.
+    Release {
+        id: u64,
+    },
     Sweep,
     /// Discovery may be called again, or has brought nothing in time.
     Watch,
@@ -302,6 +306,7 @@
                 Due::Router { label } => self.events.push_back(Event::Timer { label }),
                 Due::Attempt { request, number } => self.on_time_up(now, request, number, out),
                 Due::Link { conn, since } => self.on_link_late(now, conn, since, out),
+                Due::Release { id } => self.hedge_release(now, id, out),
                 Due::Sweep => self.sweep(now, out),
                 Due::Watch => self.follow(now, out),
                 Due::Deaf => out.push(Command::StopListening),
@@ -334,7 +339,9 @@
             }
         }
         self.reap(now, out);
-        let idle = self.clients.is_empty() && self.requests.is_empty() && self.releases.is_empty();
+        // Releases that no host answers are waited for as long as a stop may take.
+        let released = self.releases.is_empty() || self.last_answer.is_some_and(|end| now >= end);
+        let idle = self.clients.is_empty() && self.requests.is_empty() && released;
         if self.deaf && idle && !self.stopped {
             self.stopped = true;
             out.push(Command::Stopped);
@@ -362,11 +369,7 @@
             Action::Cancel { request, attempt } => self.cancel(now, request, attempt, out),
             Action::Refuse { request, retry_after_s } => self.refuse(now, request, retry_after_s, out),
             Action::Fail { request } => self.fail(now, request, out),
-            Action::Release { request } => {
-                if let Some(open) = self.requests.get_mut(request) {
-                    open.release = true;
-                }
-            }
+            Action::Release { request } => self.release(now, request, out),
             Action::Probe { server } => self.probe(now, server, out),
             Action::SetTimer { at, label } => self.timers.set(Micros::at(at), Due::Router { label }),
             // The watch is always open; the whole list comes with it after a gap.
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -18,6 +18,14 @@
 /// closes it. Longer than that and a few turns of a busy process; few connections are asked for again so soon.
 pub const REST_S: f64 = 0.03;
 
+/// A host counts as silent once it has said nothing for so long after it was asked, seconds.
+const SILENT_S: f64 = 0.1;
+
+/// Connections that releases of held states find free, whatever attempts wait: a share of all, within bounds.
+const RESERVED_SHARE: usize = 8;
+const FEWEST_RESERVED: usize = 1;
+const MOST_RESERVED: usize = 16;
+
 /// What a connection is used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Use {
@@ -31,8 +39,10 @@
     Probe {
         server: ServerId,
     },
+    /// A call that lets go of a held state.
     Release {
         id: u64,
+        server: ServerId,
     },
 }
 
@@ -51,6 +61,8 @@
     /// Bytes given to it that have not gone to the system.
     pub unsent: usize,
     pub answer: Answer,
+    /// When anything came on it last.
+    pub heard: Option<Micros>,
 }
 
 impl Link {
@@ -65,9 +77,44 @@
 pub struct Pool {
     links: BTreeMap<ConnId, Link>,
     most: usize,
+    /// Of those, kept free for releases.
+    reserved: usize,
     kept_s: f64,
 }
 
+/// What the connections tell of hosts at one time.
+#[derive(Debug, Default)]
+pub struct Contacts {
+    hosts: BTreeMap<ServerId, Contact>,
+    kept: BTreeMap<(ServerId, SocketAddr), Micros>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Contact {
+    heard: Option<Micros>,
+    /// Since when the oldest exchange there has had no answer.
+    unanswered: Option<Micros>,
+}
+
+impl Contacts {
+    /// The host was asked a while ago, and has said nothing since on any connection.
+    pub fn silent(&self, now: Micros, server: ServerId) -> bool {
+        let contact = self.hosts.get(&server).copied().unwrap_or_default();
+        let waits = contact.unanswered.filter(|since| now.since(*since) >= SILENT_S);
+        waits.is_some_and(|since| contact.heard.is_none_or(|heard| heard < since))
+    }
+
+    /// When it was heard of last.
+    pub fn heard(&self, server: ServerId) -> Option<Micros> {
+        self.hosts.get(&server).and_then(|c| c.heard)
+    }
+
+    /// Since when the connection that may carry the next exchange has stood idle.
+    pub fn kept(&self, server: ServerId, to: SocketAddr) -> Option<Micros> {
+        self.kept.get(&(server, to)).copied()
+    }
+}
+
 /// Where an exchange can go out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Place {
@@ -82,7 +129,13 @@
 impl Pool {
     /// With room for so many, kept below an idle limit in seconds.
     pub fn new(most: usize, idle_s: f64) -> Pool {
-        Pool { links: BTreeMap::new(), most: most.max(4), kept_s: idle_s * KEPT_SHARE }
+        let most = most.max(4);
+        Pool { links: BTreeMap::new(), most, reserved: Pool::reserved(most), kept_s: idle_s * KEPT_SHARE }
+    }
+
+    /// How many of so many connections are kept free for releases.
+    pub fn reserved(most: usize) -> usize {
+        (most / RESERVED_SHARE).clamp(FEWEST_RESERVED, MOST_RESERVED)
     }
 
     pub fn len(&self) -> usize {
@@ -102,11 +155,12 @@
     }
 
     /// Where an exchange with a host can go out.
-    pub fn place(&self, now: Micros, to: SocketAddr) -> Place {
+    pub fn place(&self, now: Micros, to: SocketAddr, used_for: Use) -> Place {
         if let Some(conn) = self.kept(now, to) {
             return Place::Kept(conn);
         }
-        if self.links.len() < self.most {
+        let reserved = if matches!(used_for, Use::Release { .. }) { 0 } else { self.reserved };
+        if self.links.len() < self.most - reserved {
             return Place::New { instead_of: None };
         }
         self.idle_longest().map_or(Place::Full, |id| Place::New { instead_of: Some(id) })
@@ -118,11 +172,28 @@
         idle.min_by_key(|(_, l)| l.since).map(|(id, _)| *id)
     }
 
-    /// Whether an exchange with any host can go out.
+    /// Whether a release can go out.
     pub fn has_room(&self) -> bool {
         self.links.len() < self.most || self.links.values().any(|l| l.used_for == Use::Idle)
     }
 
+    /// What they tell of hosts now.
+    pub fn contacts(&self, now: Micros) -> Contacts {
+        let mut contacts = Contacts::default();
+        for link in self.links.values() {
+            let host = contacts.hosts.entry(link.server).or_default();
+            host.heard = host.heard.max(link.heard);
+            if link.used_for != Use::Idle && link.heard.is_none_or(|heard| heard < link.since) {
+                host.unanswered = Some(host.unanswered.map_or(link.since, |since| since.min(link.since)));
+            }
+            if link.used_for == Use::Idle && (REST_S..self.kept_s).contains(&now.since(link.since)) {
+                let kept = contacts.kept.entry((link.server, link.to)).or_insert(link.since);
+                *kept = link.since.max(*kept);
+            }
+        }
+        contacts
+    }
+
     pub fn put(&mut self, conn: ConnId, link: Link) {
         self.links.insert(conn, link);
     }
--- a/crates/platform/src/releases.rs
+++ b/crates/platform/src/releases.rs
@@ -1,46 +1,77 @@
-//! States that nobody will take are let go of, until that has certainly arrived.
+//! Releases of held states: each is called for, at more and more model hosts, until one of them has confirmed it.
+//!
+//! Any host takes a release, whoever holds the state. Which of them can be reached is not known while hosts fall silent
+//! with no error, so a call without an answer is hedged soon: by one more, then two, then four and so on, those first
+//! that nothing speaks against. Once enough have been called a new round begins, with more patience.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use bitternlatch_core::Micros;
-use bitternlatch_policy::interface::{ServerId, Standing};
+use bitternlatch_policy::interface::{Outcome, RequestId, ServerId, Standing};
 
 use crate::discovery::Fleet;
-use crate::pool::Pool;
+use crate::node::{Due, Node};
+use crate::pool::{Contacts, Pool, Use};
+use crate::types::{Command, Level};
 
-/// Calls for one request; each goes to another host, as any of them lets go of all that is held.
-const MOST_CALLS: usize = 6;
-/// A call that has no answer after this is made again elsewhere, seconds.
-pub const ANSWER_S: f64 = 0.15;
-/// Most requests whose states are being let go of at once; past them the oldest is given up.
+/// Hosts called in one round.
+const MOST_CALLS: usize = 32;
+/// A release that is not confirmed by then is called for at further hosts, seconds.
+const HEDGE_S: f64 = 0.05;
+/// Calls of one hedge double up to this.
+const MOST_HEDGED: usize = 16;
+/// A call waits for its answer for so long in the first round, twice as long in each further one, seconds.
+const ANSWER_S: f64 = 0.15;
+const MOST_ANSWER_S: f64 = 1.2;
+/// Pause before the second round, twice as long before each further one, seconds.
+const ROUND_S: f64 = 0.25;
+const MOST_ROUND_S: f64 = 2.0;
+/// Doublings that are told apart.
+const MOST_DOUBLINGS: u32 = 8;
+/// A release that no host has confirmed by then is given up, seconds.
+const GIVE_UP_S: f64 = 60.0;
+/// Most requests whose states are being released at once; past them the oldest is given up.
 const MOST: usize = 1024;
+/// A host that has failed a call is called after the others for so long, seconds.
+const AVOIDED_S: f64 = 2.0;
 /// What the platform allows for a release beyond the limit of the settings, seconds.
 const SLACK_S: f64 = 0.3;
 
-/// A state to let go of.
+/// A time that doubles so often, and no further than to its bound.
+fn doubled(first_s: f64, times: u32, most_s: f64) -> f64 {
+    (first_s * f64::from(1u32 << times.min(MOST_DOUBLINGS))).min(most_s)
+}
+
+/// One request's state that is to be released.
 #[derive(Debug)]
 pub struct Release {
-    pub request: String,
-    /// Where it is believed to be.
-    pub holder: Option<ServerId>,
-    pub asked: Vec<ServerId>,
-    pub begun: Micros,
+    request: String,
+    begun: Micros,
+    /// Hosts called in this round.
+    asked: BTreeSet<ServerId>,
+    round: u32,
+    hedges: u32,
+    calls: u32,
 }
 
 impl Release {
+    fn new(now: Micros, request: String) -> Release {
+        Release { request, begun: now, asked: BTreeSet::new(), round: 0, hedges: 0, calls: 0 }
+    }
+
     /// A line for the log once a host has confirmed it, where that took longer than the platform allows.
-    pub fn late_line(&self, now: Micros, server: ServerId) -> Option<String> {
-        let (took_s, calls) = (now.since(self.begun), self.asked.len());
+    fn late_line(&self, now: Micros, server: ServerId) -> Option<String> {
+        let (took_s, calls) = (now.since(self.begun), self.calls);
         let line =
-            || format!("state of {} released late: {took_s:.3} s, call {calls}, by {server}", self.request);
+            || format!("state of {} released late: {took_s:.3} s, {calls} calls, by {server}", self.request);
         (took_s > SLACK_S).then(line)
     }
 
     /// A line for the log where no host has confirmed it.
-    pub fn unconfirmed_line(&self, now: Micros, why: &str) -> String {
-        let (took_s, calls) = (now.since(self.begun), self.asked.len());
+    fn unconfirmed_line(&self, now: Micros, why: &str) -> String {
+        let (took_s, calls) = (now.since(self.begun), self.calls);
         format!("state of {} may still be held: {why} after {took_s:.3} s and {calls} calls", self.request)
     }
 }
@@ -50,7 +81,9 @@
 pub struct Releases {
     open: BTreeMap<u64, Release>,
     /// Those whose call found all connections in use.
-    waiting: VecDeque<u64>,
+    waiting: BTreeSet<u64>,
+    /// Hosts that have failed a call, and when last.
+    failed: BTreeMap<ServerId, Micros>,
     last: u64,
 }
 
@@ -64,35 +97,33 @@
     }
 
     /// Begins one; gives its number, and the one that had to give way at the table's bound.
-    pub fn put(&mut self, now: Micros, request: String, holder: Option<ServerId>) -> (u64, Option<Release>) {
+    pub fn put(&mut self, now: Micros, request: String) -> (u64, Option<Release>) {
         let dropped = if self.open.len() >= MOST { self.open.pop_first() } else { None };
         self.last += 1;
-        self.open.insert(self.last, Release { request, holder, asked: Vec::new(), begun: now });
+        self.open.insert(self.last, Release::new(now, request));
         (self.last, dropped.map(|d| d.1))
     }
 
-    pub fn get(&self, id: u64) -> Option<&Release> {
-        self.open.get(&id)
-    }
-
-    pub fn done(&mut self, id: u64) -> Option<Release> {
+    fn done(&mut self, id: u64) -> Option<Release> {
+        self.waiting.remove(&id);
         self.open.remove(&id)
     }
 
     /// A call could not go out: its host is not asked yet, and it waits for a connection.
-    pub fn wait(&mut self, id: u64) {
+    fn wait(&mut self, id: u64, server: ServerId) {
         if let Some(release) = self.open.get_mut(&id) {
-            release.asked.pop();
-            self.waiting.push_back(id);
+            release.asked.remove(&server);
+            release.calls -= 1;
+            self.waiting.insert(id);
         }
     }
 
-    /// The one that has waited longest.
-    pub fn next_waiting(&mut self) -> Option<u64> {
-        self.waiting.pop_front()
+    /// How long a call waits for its answer, seconds.
+    pub fn answer_limit_s(&self, id: u64) -> f64 {
+        doubled(ANSWER_S, self.open.get(&id).map_or(0, |r| r.round), MOST_ANSWER_S)
     }
 
-    /// The next host to call, and what to say; `None` once enough were called or none is left.
+    /// The next host to call, and what to say; `None` once enough were called in this round or none is left.
     pub fn next_call(
         &mut self,
         id: u64,
@@ -100,20 +131,154 @@
         fleet: &Fleet,
         pool: &Pool,
     ) -> Option<(ServerId, SocketAddr, Vec<u8>)> {
-        let release = self.open.get_mut(&id)?;
-        let fresh = |s: &ServerId| !release.asked.contains(s);
+        self.call_after(id, now, fleet, &pool.contacts(now))
+    }
+
+    fn call_after(
+        &mut self,
+        id: u64,
+        now: Micros,
+        fleet: &Fleet,
+        contacts: &Contacts,
+    ) -> Option<(ServerId, SocketAddr, Vec<u8>)> {
+        let failed = |server| self.failed.get(&server).is_some_and(|at| now.since(*at) < AVOIDED_S);
+        let release = self.open.get_mut(&id).filter(|r| r.asked.len() < MOST_CALLS)?;
         let rank = |(server, to, standing): (ServerId, SocketAddr, Standing)| {
-            // A kept connection carries it at once, and a host that has answered of late is likeliest to answer: time
-            // runs on while hosts are silent. The holder is as good as any other, and likelier near.
-            let heard = pool.kept(now, to).and_then(|conn| pool.get(conn)).map(|link| link.since);
-            (Reverse(heard), standing != Standing::Ready, Some(server) != release.holder, server, to)
+            // A kept connection carries it at once, and a host that has answered of late is likeliest to answer.
+            let silent = contacts.silent(now, server) || failed(server);
+            let kept = contacts.kept(server, to);
+            (silent, Reverse(kept), Reverse(contacts.heard(server)), standing != Standing::Ready, server, to)
         };
-        let hosts = fleet.iter().map(|(id, t)| (id, t.endpoint, t.standing)).filter(|h| fresh(&h.0));
-        let best = hosts.map(rank).min().filter(|_| release.asked.len() < MOST_CALLS)?;
-        let (_, _, _, server, to) = best;
-        release.asked.push(server);
+        let fresh = fleet.iter().filter(|(server, _)| !release.asked.contains(server));
+        let best = fresh.map(|(server, t)| rank((server, t.endpoint, t.standing))).min()?;
+        let (_, _, _, _, server, to) = best;
+        release.asked.insert(server);
+        release.calls += 1;
         let call =
             format!("DELETE /bootstrap/rooms/{} HTTP/1.1\r\nHost: origin.svc\r\n\r\n", release.request);
         Some((server, to, call.into_bytes()))
     }
+
+    fn call_failed(&mut self, now: Micros, server: ServerId) {
+        self.failed.retain(|_, at| now.since(*at) < AVOIDED_S);
+        self.failed.insert(server, now);
+    }
+
+    /// Calls that a hedge makes, twice as many each time.
+    fn hedge(&mut self, id: u64) -> usize {
+        let Some(release) = self.open.get_mut(&id) else { return 0 };
+        let calls = 1usize << release.hedges.min(MOST_DOUBLINGS);
+        release.hedges += 1;
+        calls.min(MOST_HEDGED)
+    }
+
+    /// All hosts of a round were called: the next one begins after this pause, seconds. `None` where it is given up.
+    fn next_round(&mut self, id: u64, now: Micros) -> Option<f64> {
+        let release = self.open.get_mut(&id).filter(|r| now.since(r.begun) < GIVE_UP_S)?;
+        let pause_s = doubled(ROUND_S, release.round, MOST_ROUND_S);
+        release.asked.clear();
+        (release.round, release.hedges) = (release.round + 1, 0);
+        Some(pause_s)
+    }
+}
+
+impl Node {
+    /// Releases what is held for a request. An attempt that has not gone out would find nothing: it ends.
+    pub(crate) fn release(&mut self, now: Micros, request: RequestId, out: &mut Vec<Command>) {
+        let Some(open) = self.requests.get(request) else { return };
+        let (release, dropped) = self.releases.put(now, open.id.clone());
+        self.counts.releases += 1;
+        if let Some(dropped) = dropped {
+            self.unconfirmed(now, &dropped, "too many states are to be released", out);
+        }
+        self.end_unwritten(now, request, out);
+        self.call_release(now, release, out);
+        self.timers.set(now.after(HEDGE_S), Due::Release { id: release });
+    }
+
+    /// Calls one more host. False where none is left in this round.
+    fn call_release(&mut self, now: Micros, id: u64, out: &mut Vec<Command>) -> bool {
+        let Some((server, to, call)) = self.releases.next_call(id, now, &self.fleet, &self.pool) else {
+            return false;
+        };
+        self.counts.release_calls += 1;
+        if self.exchange(now, (server, to), Use::Release { id, server }, call, out).is_none() {
+            // What is held stays held until somebody is told: the call goes out once a connection is free.
+            self.counts.release_calls -= 1;
+            self.releases.wait(id, server);
+        }
+        true
+    }
+
+    /// Calls that found all connections in use go out as some are free, the oldest first.
+    pub(crate) fn call_waiting_releases(&mut self, now: Micros, out: &mut Vec<Command>) {
+        while self.pool.has_room() {
+            let Some(id) = self.releases.waiting.pop_first() else { return };
+            self.call_release(now, id, out);
+        }
+    }
+
+    /// No host has confirmed it yet.
+    pub(crate) fn hedge_release(&mut self, now: Micros, id: u64, out: &mut Vec<Command>) {
+        for _ in 0..self.releases.hedge(id) {
+            if self.releases.waiting.contains(&id) {
+                break;
+            }
+            if !self.call_release(now, id, out) {
+                return self.begin_round(now, id, out);
+            }
+        }
+        if self.releases.open.contains_key(&id) {
+            self.timers.set(now.after(HEDGE_S), Due::Release { id });
+        }
+    }
+
+    fn begin_round(&mut self, now: Micros, id: u64, out: &mut Vec<Command>) {
+        if let Some(pause_s) = self.releases.next_round(id, now) {
+            return self.timers.set(now.after(pause_s), Due::Release { id });
+        }
+        if let Some(release) = self.releases.done(id) {
+            self.unconfirmed(now, &release, "no model host has answered", out);
+        }
+    }
+
+    pub(crate) fn release_answered(
+        &mut self,
+        now: Micros,
+        id: u64,
+        server: ServerId,
+        status: u16,
+        out: &mut Vec<Command>,
+    ) {
+        if !(200..300).contains(&status) {
+            return self.release_failed(now, id, server, Outcome::Error, out);
+        }
+        self.releases.failed.remove(&server);
+        let Some(release) = self.releases.done(id) else { return };
+        self.counts.releases_confirmed += 1;
+        if let Some(line) = release.late_line(now, server) {
+            self.counts.releases_late += 1;
+            self.log(out, Level::Warn, line);
+        }
+    }
+
+    /// One call has failed: another host is called at once. One that has had no answer has been hedged by now.
+    pub(crate) fn release_failed(
+        &mut self,
+        now: Micros,
+        id: u64,
+        server: ServerId,
+        outcome: Outcome,
+        out: &mut Vec<Command>,
+    ) {
+        self.releases.call_failed(now, server);
+        if outcome != Outcome::TimedOut {
+            self.call_release(now, id, out);
+        }
+    }
+
+    fn unconfirmed(&mut self, now: Micros, release: &Release, why: &str, out: &mut Vec<Command>) {
+        self.counts.releases_unconfirmed += 1;
+        self.log(out, Level::Warn, release.unconfirmed_line(now, why));
+    }
 }
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -171,7 +171,7 @@
 pub struct Out {
     pub number: u16,
     pub server: ServerId,
-    pub reader: bool,
+    pub prefill: bool,
     pub conn: ConnId,
     pub sent: Micros,
 }
@@ -189,12 +189,6 @@
     pub out: Option<Out>,
     /// The client's, since this event came last.
     pub streaming: Option<Micros>,
-    /// A reader may hold a state of it that no send will take.
-    pub left_at: Option<ServerId>,
-    /// The reader that answered that its state waits there.
-    pub held_at: Option<ServerId>,
-    /// The module has let go of what is held.
-    pub release: bool,
     /// The final answer is given.
     pub over: bool,
 }
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -10,6 +10,9 @@
 use bitternlatch_platform::types::{Command, ConnId, Input};
 
 pub const START: Micros = Micros(1_800_000_000_000_000);
+/// A release that no host confirms is given up after this, seconds, and its last round ends so much later at the most.
+pub const RELEASE_GIVEN_UP_S: f64 = 60.0;
+pub const LONGEST_ROUND_S: f64 = 4.0;
 pub const LOAD: &str = "util=0.10,queue=0,x0=0.05";
 
 /// Two readers and two writers of one cell.
@@ -110,6 +113,7 @@
     /// Connections on which nothing that is written leaves.
     pub stuck: BTreeSet<SocketAddr>,
     pub answers_probes: bool,
+    pub answers_releases: bool,
     pub load: &'static str,
     /// Clients take nothing of what is written to them.
     pub slow: bool,
@@ -153,6 +157,7 @@
             stale: BTreeSet::new(),
             stuck: BTreeSet::new(),
             answers_probes: true,
+            answers_releases: false,
             load: LOAD,
             slow: false,
             peers: BTreeMap::new(),
@@ -226,11 +231,15 @@
             self.tell(Input::Wrote { conn, count: bytes.len() });
         }
         let probe = text.starts_with("GET /status/load");
+        let release = text.starts_with("DELETE ");
         self.calls.push(Call { conn, to, text });
         if probe && self.answers_probes {
             let body = plain("200 OK", "", self.load);
             self.tell(Input::Received { conn, bytes: body.as_bytes() });
         }
+        if release && self.answers_releases {
+            self.tell(Input::Received { conn, bytes: RELEASED.as_bytes() });
+        }
     }
 
     /// Moves the clock, with every timer on its way.
@@ -314,6 +323,8 @@
     format!("HTTP/1.1 {status}\r\n{more}Content-Length: {}\r\n\r\n{body}", body.len())
 }
 
+pub const RELEASED: &str = "HTTP/1.1 204 No Content\r\n\r\n";
+
 pub const STREAM_HEAD: &str =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
--- a/crates/platform/tests/stop.rs
+++ b/crates/platform/tests/stop.rs
@@ -47,6 +47,7 @@
     for how in ["served", "a stream in hand", "refused"] {
         for before_stop in [true, false] {
             let mut rig = Rig::new();
+            rig.answers_releases = true;
             let (client, writer) = rig.at_writer("first", "ask");
             if before_stop {
                 rig.text(client, &request("second", "ask", 4800));
@@ -65,8 +66,8 @@
             serve(&mut rig, "second", "two");
             assert!(rig.said(client).contains("two"), "{case}: {}", rig.said(client));
             assert!(rig.finished.contains(&client), "{case}: then it ends");
-            // No host answers the calls that let go of what was held; they are made within a second.
-            rig.pass(1.0);
+            // What was held has been released by then: nothing is left to wait for.
+            rig.pass(0.1);
             assert!(rig.stopped, "{case}");
         }
     }
@@ -232,3 +233,19 @@
         assert!(rig.said(client).ends_with("0\r\n\r\n"));
     }
 }
+
+/// A release that no host answers is called for as long as a stop may take, and no longer.
+#[test]
+fn a_stop_waits_for_releases_until_the_kill_is_near() {
+    for answers in [true, false] {
+        let mut rig = Rig::new();
+        let (_, writer) = rig.at_writer("held", "book");
+        rig.text(writer, &plain("500 Oops", "", ""));
+        rig.answers_releases = answers;
+        rig.tell(Input::Stop);
+        rig.pass(1.0);
+        assert_eq!(rig.stopped, answers, "hosts answer: {answers}");
+        rig.pass(2.6);
+        assert!(rig.stopped, "hosts answer: {answers}");
+    }
+}
--- a/crates/policy/src/choice/health.rs
+++ b/crates/policy/src/choice/health.rs
@@ -12,7 +12,8 @@
 impl Router {
     pub(super) fn on_first(&mut self, now: f64, id: RequestId, server: ServerId, elapsed: f64) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        (job.stage, job.first_after, job.state_at) = (Stage::Streaming, sane(elapsed), None);
+        (job.stage, job.first_after) = (Stage::Streaming, sane(elapsed));
+        job.held.taken();
         let slip = (now - job.promised).max(0.0);
         let before = fade(self.lateness, now, FADE_HALF_S);
         self.lateness = (before + 0.5 * BLEND * (slip - before), now);
@@ -40,19 +41,18 @@
         let (id, job) = (end.request, job.clone());
         self.judge(now, &end, &job, waited);
         let ran = self.execution(&end) == Execution::MayHaveRun;
+        let at_prefill = self.servers.get(&end.server).is_some_and(|s| s.role == Role::Reader);
         let Some(j) = self.jobs.get_mut(&id) else { return };
         j.may_have_run = j.may_have_run.or(ran.then_some((end.server, j.sent)));
-        j.state_at = match end.outcome {
-            Outcome::ReadDone => Some((end.server, now)),
-            Outcome::Full { state_gone: true } => None,
-            _ => j.state_at,
-        };
-        j.stage = if j.state_at.is_some() { Stage::Held } else { Stage::Idle };
+        let expired = j.held.is_released();
+        j.held.attempt_ended(now, &end, at_prefill);
+        j.stage = if j.held.known().is_some() { Stage::Held } else { Stage::Idle };
         if end.finished || j.over {
             j.over = true;
             return self.finish(id, None, out);
         }
-        self.go_on(now, &end, out);
+        self.watch_held(id, out);
+        self.go_on(now, &end, expired, out);
     }
 
     fn judge(&mut self, now: f64, end: &AttemptEnd, job: &Job, waited: bool) {
@@ -64,7 +64,7 @@
             _ => None,
         };
         let Some(s) = self.servers.get_mut(&end.server) else { return };
-        let whole = s.role != Role::Reader && job.state_at.is_none();
+        let whole = s.role != Role::Reader && job.held.known().is_none();
         mark.into_iter().for_each(|bad| s.mark(now, bad, end.elapsed_s));
         match end.outcome {
             Outcome::TimedOut | Outcome::Cancelled if waited => {
--- a/crates/policy/src/choice/mod.rs
+++ b/crates/policy/src/choice/mod.rs
@@ -5,6 +5,7 @@
 mod decode;
 mod estimate;
 mod health;
+mod held_states;
 mod prefix_index;
 mod requests;
 mod server_table;
@@ -14,6 +15,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use self::estimate::{Estimate, Scene};
+use self::held_states::HeldState;
 use self::prefix_index::PrefixIndex;
 use self::requests::{Execution, Job, Stage};
 use self::server_table::{Pending, Report, Server};
--- a/crates/policy/src/choice/requests.rs
+++ b/crates/policy/src/choice/requests.rs
@@ -41,8 +41,8 @@
     pub attempts: u32,
     pub at: ServerId, // Server of the attempt that is out, or that streams, and when it was sent.
     pub sent: f64,
-    pub state_at: Option<(ServerId, f64)>, // The reader that holds the state, and since when.
-    pub queue_s: f64,                      // As estimated when it was sent to be read.
+    pub held: HeldState,
+    pub queue_s: f64, // As estimated when it was sent to be read.
     pub read_s: f64,
     pub asked: Vec<ServerId>, // Servers whose probes it waits for.
     /// The first attempt that may have had an effect: server and time of sending.
@@ -113,7 +113,7 @@
                 self.launch(now, id, to, expected_s, out);
             }
             // No writer can take the state now: it waits a little within the pin limit.
-            None if job.state_at.is_some_and(|at| now - at.1 <= self.set.pin_limit_s * HOLD_SHARE) => {
+            None if job.held.known().is_some_and(|at| now - at.1 <= self.set.pin_limit_s * HOLD_SHARE) => {
                 wake(id, now + 2.0 * ASK_WAIT_S, out);
             }
             None => self.give_up(id, 0.5, Cause::NoDecodeServer, out),
@@ -131,13 +131,13 @@
         if !allowed {
             return self.give_up(id, 0.5, Cause::Forbidden, out);
         }
-        let holder = job.state_at.and_then(|at| self.servers.get(&at.0)).map(|r| r.entry.cell);
+        let holder = job.held.known().and_then(|at| self.servers.get(&at.0)).map(|r| r.entry.cell);
         let link = holder.filter(|cell| *cell != s.entry.cell);
         let silence_s = 2.0 * expected_s + self.silence_s(&job.ask, s, now);
         let timeout_s = if self.once(job, s) || self.set.limits.may_cancel { 0.0 } else { silence_s };
         let (Some(job), Some(s)) = (self.jobs.get_mut(&id), self.servers.get_mut(&to)) else { return };
         (job.stage, job.at, job.sent, job.attempts) = (Stage::Out, to, now, job.attempts + 1);
-        let work_s = if job.state_at.is_none() { job.read_s } else { 0.0 };
+        let work_s = if job.held.known().is_none() { job.read_s } else { 0.0 };
         s.pending.insert(id, Pending { work_s, due: now + expected_s, tokens: job.tokens, link });
         out.push(Action::Send { request: id, server: to, timeout_s });
         wake(id, now + silence_s, out);
@@ -161,7 +161,7 @@
         if matches!(job.stage, Stage::Out | Stage::Streaming) {
             return;
         }
-        out.extend(job.state_at.map(|_| Action::Release { request: id }));
+        out.extend(job.held.needs_release().then_some(Action::Release { request: id }));
         self.jobs.remove(&id);
     }
 
@@ -186,14 +186,16 @@
         }
     }
 
-    pub(super) fn go_on(&mut self, now: f64, end: &AttemptEnd, out: &mut Actions) {
+    /// After an attempt that has not served it; `expired`: its state was released while that was out.
+    pub(super) fn go_on(&mut self, now: f64, end: &AttemptEnd, expired: bool, out: &mut Actions) {
         let (id, outcome) = (end.request, end.outcome);
         let Some(job) = self.jobs.get(&id) else { return };
         let spent = self.class(job).effect == Effect::Unsafe && job.may_have_run.is_some();
         // Nobody has taken its state; it would be held too long, did another way there come up no sooner.
         let most_s = self.set.pin_limit_s + 3.0 * self.set.tick_s;
         let overdue = |at: (ServerId, f64)| now + sane(end.elapsed_s) > at.1 + most_s;
-        let held = outcome == Outcome::ConnectFailed && job.state_at.is_some_and(overdue);
+        let expired = expired || job.held.known().is_some_and(overdue);
+        let held = outcome == Outcome::ConnectFailed && expired;
         let late = now + 2.0 * self.set.tick_s >= job.deadline;
         let cause = match outcome {
             _ if spent => Some(Cause::MayHaveRun),
@@ -210,7 +212,7 @@
             return self.give_up(id, 0.5, Cause::NoRetryLeft, out);
         }
         self.retries = left;
-        if job.state_at.is_some() {
+        if job.held.known().is_some() {
             return self.send_write(now, id, out);
         }
         match self.best_reader(job, now) {
--- a/crates/policy/src/choice/timers.rs
+++ b/crates/policy/src/choice/timers.rs
@@ -5,6 +5,7 @@
 impl Router {
     pub(super) fn on_timer(&mut self, now: f64, label: u64, out: &mut Actions) {
         let id = label as RequestId;
+        self.release_due(now, id, out);
         let Some(job) = self.jobs.get(&id) else { return };
         if now + 3.0 * self.set.tick_s >= job.deadline && job.stage != Stage::Streaming {
             self.cause = Some((id, Cause::Deadline));
--- /dev/null
+++ b/crates/policy/tests/held_states.rs
@@ -0,0 +1,118 @@
+//! What prefill servers may hold for a request is released within the pin limit, whatever is out.
+mod common;
+
+use bitternlatch_policy::interface::*;
+use common::*;
+
+const LIMIT_S: f64 = 1.0;
+/// The module releases before the limit, so that the release arrives by then.
+const RELEASED_BY_S: f64 = 0.92;
+
+fn releases(actions: &[Action]) -> usize {
+    actions.iter().filter(|a| matches!(a, Action::Release { .. })).count()
+}
+
+/// A request whose prefill has ended and whose hand-over is out; patient, so that nothing is called back.
+fn handed_over(effect: Effect, may_cancel: bool) -> Desk {
+    let mut set = Settings { pin_limit_s: LIMIT_S, unseen_reads_run: true, ..settings(effect) };
+    set.classes[0].ttft_aim_s = 300.0;
+    set.limits.may_cancel = may_cancel;
+    let mut desk = Desk::new(set);
+    desk.arrive(ask(1));
+    desk.pass(0.05);
+    desk.end(1, Outcome::ReadDone, 0.05, 0.0);
+    assert!(desk.sends.len() == 2 && desk.last().1 > 10, "handed over");
+    desk
+}
+
+const KEYED: Effect = Effect::Keyed { scope: KeyScope::All, window_s: 5.0 };
+const EFFECTS: [Effect; 3] = [Effect::Safe, KEYED, Effect::Unsafe];
+
+#[test]
+fn a_state_is_released_once_before_the_limit_though_its_hand_over_is_out() {
+    for effect in EFFECTS {
+        for may_cancel in [true, false] {
+            for client_gone in [true, false] {
+                let case = format!("{effect:?} cancel {may_cancel} gone {client_gone}");
+                let mut desk = handed_over(effect, may_cancel);
+                if client_gone {
+                    desk.tell(Event::ClientGone { request: 1 });
+                }
+                assert_eq!(releases(&desk.pass(0.85)), 0, "{case}: not while it may well arrive");
+                assert_eq!(releases(&desk.pass(RELEASED_BY_S - 0.85)), 1, "{case}");
+                assert_eq!(releases(&desk.pass(3.0)), 0, "{case}: once");
+            }
+        }
+    }
+}
+
+/// What an attempt's end tells of a state that was released while it was out, and of one that was not.
+#[test]
+fn an_end_after_the_release_says_whether_something_may_be_held_again() {
+    let ends = [
+        (Outcome::ConnectFailed, false),
+        (Outcome::Full { state_gone: true }, false),
+        (Outcome::Served, false),
+        (Outcome::Full { state_gone: false }, true),
+        (Outcome::Error, true),
+        (Outcome::Reset, true),
+        (Outcome::Cancelled, true),
+    ];
+    for effect in EFFECTS {
+        for (outcome, held_again) in ends {
+            let case = format!("{effect:?} {outcome:?}");
+            let mut desk = handed_over(effect, true);
+            assert_eq!(releases(&desk.pass(RELEASED_BY_S)), 1, "{case}");
+            let before = desk.sends.len();
+            let mut after = desk.end(1, outcome, RELEASED_BY_S, 0.0);
+            let again = desk.sends.len() > before;
+            assert!(!again || desk.last().1 < 10, "{case}: a further attempt begins with its prefill");
+            // The further prefill does not arrive either.
+            after.extend(desk.pass(RELEASED_BY_S));
+            assert_eq!(releases(&after), usize::from(held_again), "{case}");
+        }
+    }
+}
+
+/// An answer shows that the hand-over had arrived: until then the state was waited for.
+#[test]
+fn a_hand_over_that_was_turned_away_starts_the_clock_anew() {
+    let mut desk = handed_over(Effect::Safe, true);
+    desk.pass(0.3);
+    desk.end(1, Outcome::Full { state_gone: false }, 0.3, 0.0);
+    assert!(desk.last().1 > 10, "handed over elsewhere");
+    assert_eq!(releases(&desk.pass(0.85)), 0);
+    assert_eq!(releases(&desk.pass(RELEASED_BY_S - 0.85)), 1);
+}
+
+/// One that broke may never have arrived: the time runs on.
+#[test]
+fn a_hand_over_that_broke_does_not_stop_the_clock() {
+    let mut desk = handed_over(Effect::Safe, true);
+    desk.pass(0.3);
+    desk.end(1, Outcome::Reset, 0.3, 0.0);
+    assert!(desk.sends.len() == 3 && desk.last().1 > 10, "handed over elsewhere");
+    assert_eq!(releases(&desk.pass(RELEASED_BY_S - 0.3)), 1);
+}
+
+#[test]
+fn what_a_prefill_without_an_answer_may_have_left_is_released_before_the_limit_or_with_the_answer() {
+    for outcome in [Outcome::Reset, Outcome::TimedOut, Outcome::Cancelled] {
+        for served in [true, false] {
+            let case = format!("{outcome:?} served {served}");
+            let set = settings(Effect::Safe);
+            let mut desk = Desk::new(Settings { pin_limit_s: LIMIT_S, unseen_reads_run: true, ..set });
+            desk.arrive(ask(1));
+            desk.end(1, outcome, 0.0, 0.0);
+            assert_eq!(desk.sends.len(), 2, "{case}: read elsewhere");
+            if served {
+                desk.end(1, Outcome::ReadDone, 0.0, 0.0);
+                desk.stream(1);
+                assert_eq!(releases(&desk.pass(RELEASED_BY_S)), 0, "{case}: it begins, so nothing waits");
+                assert_eq!(releases(&desk.end(1, Outcome::Served, 1.0, 0.0)), 1, "{case}");
+            } else {
+                assert_eq!(releases(&desk.pass(RELEASED_BY_S)), 1, "{case}");
+            }
+        }
+    }
+}
