--- /dev/null
+++ b/programs/soak/src/faults.rs
@@ -0,0 +1,84 @@
+//! The classes of faults that a day may hold.
+
+use std::fmt;
+use std::str::FromStr;
+
+use thiserror::Error;
+
+/// One class of faults.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Fault {
+    /// Most decode servers fall silent together, with their connections open and no error.
+    SilentDecode,
+    /// The same of prefill servers.
+    SilentPrefill,
+    /// Only connections from before fall silent; new ones are fine.
+    SilentKept,
+    /// Connections to some servers do not come up.
+    Unreachable,
+    /// Servers reset connections under requests that have arrived.
+    Reset,
+    /// Servers drain and are replaced.
+    Drain,
+    /// Discovery says nothing for a while.
+    Discovery,
+    /// Processes are told to end, killed at the earliest, and started again.
+    Restart,
+    /// Configurations in a row, whole and half written.
+    Reload,
+    /// Processes are stopped for up to 0.15 s.
+    Pause,
+    /// Clients leave early, write in pieces, or stop within a request.
+    Clients,
+    /// `accept`, `socket` and `connect` fail for a moment.
+    Calls,
+    /// Waits are interrupted, reads and writes are short.
+    Short,
+    /// The wall clock is an hour off.
+    Clock,
+}
+
+/// All classes by their names.
+pub const FAULTS: [(&str, Fault); 14] = [
+    ("silent-decode", Fault::SilentDecode),
+    ("silent-prefill", Fault::SilentPrefill),
+    ("silent-kept", Fault::SilentKept),
+    ("unreachable", Fault::Unreachable),
+    ("reset", Fault::Reset),
+    ("drain", Fault::Drain),
+    ("discovery", Fault::Discovery),
+    ("restart", Fault::Restart),
+    ("reload", Fault::Reload),
+    ("pause", Fault::Pause),
+    ("clients", Fault::Clients),
+    ("calls", Fault::Calls),
+    ("short", Fault::Short),
+    ("clock", Fault::Clock),
+];
+
+/// A word that names no class.
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("--faults: '{word}' is not known; name some of {known}, with commas between", known = names())]
+pub struct UnknownFault {
+    word: String,
+}
+
+fn names() -> String {
+    FAULTS.map(|f| f.0).join(", ")
+}
+
+impl FromStr for Fault {
+    type Err = UnknownFault;
+
+    fn from_str(word: &str) -> Result<Fault, UnknownFault> {
+        let found = FAULTS.iter().find(|f| f.0 == word).map(|f| f.1);
+        found.ok_or_else(|| UnknownFault { word: word.to_string() })
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = FAULTS.iter().find(|known| known.1 == *self).map_or("", |known| known.0);
+        f.write_str(name)
+    }
+}
--- /dev/null
+++ b/programs/soak/src/judge.rs
@@ -0,0 +1,288 @@
+//! The rules, judged from a day's record.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use crate::record::{End, Entry, Seen};
+
+/// What every time limit is longer by on sockets, and the further slack of the rule on what is held.
+const SOCKETS: Duration = Duration::from_millis(50);
+const HELD_SLACK: Duration = Duration::from_millis(300);
+/// A final answer may come so late, and earns nothing.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// What comes so soon after the signal to end has to have its answer before the kill.
+const TAKEN_AFTER_SIGNAL: Duration = Duration::from_millis(700);
+/// Grace of a drain after it was told.
+const DRAIN_GRACE: Duration = Duration::from_millis(550);
+/// Two attempts of a request at once by less than that: servers see a close a little late.
+const OVERLAP: Duration = Duration::from_millis(150);
+/// What the time that is passed on may exceed the time left by, the way there included.
+const TOLD_SLACK: Duration = Duration::from_millis(200);
+const READY_WITHIN_S: f64 = 10.0;
+
+/// A rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    Lost,
+    Duplicate,
+    Drain,
+    Pinned,
+    Deadline,
+    Crash,
+}
+
+/// A rule that was broken, and how.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Break {
+    pub rule: Rule,
+    pub what: String,
+}
+
+impl fmt::Display for Break {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}: {}", self.rule, self.what)
+    }
+}
+
+/// What a day was played with, as far as the rules need it.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    pub pin_limit: Duration,
+    /// Servers reset connections, so that a stream may break without the dispatcher's doing.
+    pub servers_break: bool,
+}
+
+struct Asked<'a> {
+    id: &'a str,
+    at: Instant,
+    process: usize,
+    deadline: Duration,
+    is_unsafe: bool,
+    seen: Vec<&'a Entry>,
+}
+
+/// All that the record shows to be broken.
+pub fn judge(record: &[Entry], terms: Terms) -> Vec<Break> {
+    let Some(last) = record.last() else { return Vec::new() };
+    let mut breaks = processes(record);
+    for asked in requests(record).values() {
+        let of = |what: Option<(Rule, String)>| {
+            what.map(|(rule, what)| Break { rule, what: format!("{}: {what}", asked.id) })
+        };
+        let process = process_end(record, asked);
+        breaks.extend(of(lost(asked, process, terms, last.at)));
+        breaks.extend(of(duplicate(asked)));
+        breaks.extend(of(pinned(asked, process.gone, terms, last.at)));
+        breaks.extend(of(told_too_much(asked)));
+    }
+    breaks.extend(drained(record));
+    breaks
+}
+
+fn id_of(seen: &Seen) -> Option<&str> {
+    match seen {
+        Seen::Asked { id, .. }
+        | Seen::Ended { id, .. }
+        | Seen::HalfRequest { id, .. }
+        | Seen::Arrived { id, .. }
+        | Seen::Over { id, .. }
+        | Seen::Held { id }
+        | Seen::Taken { id }
+        | Seen::Released { id }
+        | Seen::StreamWhole { id } => Some(id),
+        Seen::Drained { .. } | Seen::Told { .. } | Seen::Gone { .. } | Seen::Ready { .. } => None,
+    }
+}
+
+fn requests(record: &[Entry]) -> BTreeMap<&str, Asked<'_>> {
+    let mut all = BTreeMap::new();
+    for entry in record {
+        if let Seen::Asked { id, process, deadline_s, is_unsafe } = &entry.seen {
+            let deadline = Duration::from_secs_f64(*deadline_s);
+            let asked = Asked {
+                id,
+                at: entry.at,
+                process: *process,
+                deadline,
+                is_unsafe: *is_unsafe,
+                seen: Vec::new(),
+            };
+            all.insert(id.as_str(), asked);
+        }
+    }
+    for entry in record {
+        if let Some(asked) = id_of(&entry.seen).and_then(|id| all.get_mut(id)) {
+            asked.seen.push(entry);
+        }
+    }
+    all
+}
+
+/// The end of the process that had a request.
+#[derive(Clone, Copy, Debug, Default)]
+struct ProcessEnd {
+    told: Option<Instant>,
+    gone: Option<Instant>,
+    killed: bool,
+}
+
+fn process_end(record: &[Entry], asked: &Asked) -> ProcessEnd {
+    let mut end = ProcessEnd::default();
+    for entry in record {
+        match &entry.seen {
+            Seen::Told { process } if *process == asked.process => end.told = Some(entry.at),
+            Seen::Gone { process, killed, .. } if *process == asked.process => {
+                (end.gone, end.killed) = (Some(entry.at), *killed);
+                if entry.at >= asked.at {
+                    return end;
+                }
+                end = ProcessEnd::default();
+            }
+            _ => {}
+        }
+    }
+    end
+}
+
+impl ProcessEnd {
+    /// A request without an answer at this time is not owed one any more.
+    fn excuses(&self, asked: &Asked, at: Instant) -> bool {
+        let came_late = self.told.is_some_and(|told| asked.at > told + TAKEN_AFTER_SIGNAL);
+        let was_read = asked.seen.iter().any(|e| matches!(e.seen, Seen::Arrived { .. }));
+        // A request that crosses the close of its connection, and was not read, its client sends elsewhere.
+        let crossed = self.told.is_some_and(|told| asked.at + SOCKETS >= told) && !was_read;
+        let killed = self.killed && self.gone.is_some_and(|gone| gone <= at + SOCKETS);
+        crossed || killed && !came_late
+    }
+}
+
+fn lost(asked: &Asked, process: ProcessEnd, terms: Terms, day_end: Instant) -> Option<(Rule, String)> {
+    let due = asked.at + asked.deadline + ANSWER_SLACK + SOCKETS;
+    let ended = asked.seen.iter().find_map(|e| match &e.seen {
+        Seen::Ended { end, .. } => Some((*end, e.at)),
+        _ => None,
+    });
+    let Some((end, at)) = ended else {
+        let owed = day_end > due && !process.excuses(asked, due);
+        return owed.then(|| (Rule::Lost, "no answer".to_string()));
+    };
+    let is_whole = asked.seen.iter().any(|e| matches!(e.seen, Seen::StreamWhole { .. }));
+    let begun = asked.seen.iter().any(|e| matches!(e.seen, Seen::Taken { .. }));
+    let what = match end {
+        End::Left | End::Served => None,
+        End::Refused | End::Failed => (at > due).then_some("its answer came after its time"),
+        _ if process.excuses(asked, at) => None,
+        End::Broken if is_whole => Some("its stream was cut though its server wrote all of it"),
+        End::Broken | End::Nothing if begun && terms.servers_break => None,
+        End::Broken => Some("its stream was cut while its server wrote"),
+        End::Closed => Some("its connection was closed with no answer"),
+        End::Nothing => Some("no answer"),
+    };
+    what.map(|what| (Rule::Lost, what.to_string()))
+}
+
+fn duplicate(asked: &Asked) -> Option<(Rule, String)> {
+    let mut out: Vec<(usize, Instant)> = Vec::new();
+    let mut may_have_run = false;
+    for entry in &asked.seen {
+        match &entry.seen {
+            Seen::Arrived { server, decode, .. } => {
+                if *decode && may_have_run && asked.is_unsafe {
+                    return Some((
+                        Rule::Duplicate,
+                        "an unsafe request that may have run was sent again".into(),
+                    ));
+                }
+                out.push((*server, entry.at));
+            }
+            Seen::Over { server, decode, declined, .. } => {
+                may_have_run |= *decode && !*declined;
+                out.retain(|o| o.0 != *server);
+                let overlaps = |o: &(usize, Instant)| entry.at.saturating_duration_since(o.1) > OVERLAP;
+                if out.iter().any(overlaps) {
+                    return Some((Rule::Duplicate, "two attempts were out at once".into()));
+                }
+            }
+            _ => {}
+        }
+    }
+    None
+}
+
+fn pinned(asked: &Asked, gone: Option<Instant>, terms: Terms, day_end: Instant) -> Option<(Rule, String)> {
+    let (mut out, mut held, mut since) = (0usize, false, None::<Instant>);
+    let limit = terms.pin_limit + SOCKETS + HELD_SLACK;
+    let too_long = |since: Option<Instant>, until: Instant| {
+        let since = since?;
+        let until = gone.map_or(until, |gone| gone.min(until));
+        let took = until.saturating_duration_since(since);
+        (took > limit).then(|| (Rule::Pinned, format!("held for {:.2} s", took.as_secs_f64())))
+    };
+    for entry in &asked.seen {
+        let was_held = held;
+        match &entry.seen {
+            Seen::Arrived { .. } => out += 1,
+            Seen::Over { .. } => out = out.saturating_sub(1),
+            Seen::Held { .. } => held = true,
+            Seen::Taken { .. } | Seen::Released { .. } => held = false,
+            _ => continue,
+        }
+        if out > 0 || !held {
+            if let Some(broken) = too_long(since.take(), entry.at) {
+                return Some(broken);
+            }
+        } else if since.is_none() || !was_held {
+            since = Some(entry.at);
+        }
+    }
+    too_long(since, day_end)
+}
+
+fn told_too_much(asked: &Asked) -> Option<(Rule, String)> {
+    asked.seen.iter().find_map(|entry| {
+        let Seen::Arrived { told_ms, .. } = &entry.seen else { return None };
+        let left = (asked.at + asked.deadline).saturating_duration_since(entry.at);
+        let told = Duration::from_millis(*told_ms);
+        let what = || format!("a server was told {told:?} with {left:?} left");
+        (told > left + TOLD_SLACK).then(|| (Rule::Deadline, what()))
+    })
+}
+
+fn drained(record: &[Entry]) -> Vec<Break> {
+    let mut told: BTreeMap<(usize, usize), Instant> = BTreeMap::new();
+    let mut process_of: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut breaks = Vec::new();
+    for entry in record {
+        match &entry.seen {
+            Seen::Asked { id, process, .. } => drop(process_of.insert(id, *process)),
+            Seen::Drained { process, server } => {
+                told.entry((*process, *server)).or_insert(entry.at);
+            }
+            Seen::Arrived { id, server, .. } => {
+                let known = process_of.get(id.as_str()).and_then(|p| told.get(&(*p, *server)));
+                if known.is_some_and(|at| entry.at.saturating_duration_since(*at) > DRAIN_GRACE) {
+                    let what = format!("{id}: sent to server {server}, which drains");
+                    breaks.push(Break { rule: Rule::Drain, what });
+                }
+            }
+            _ => {}
+        }
+    }
+    breaks
+}
+
+fn processes(record: &[Entry]) -> Vec<Break> {
+    let broken = |entry: &Entry| match &entry.seen {
+        Seen::Gone { process, expected: false, .. } => Some(format!("process {process} ended by itself")),
+        Seen::Ready { process, after_s } if *after_s > READY_WITHIN_S => {
+            Some(format!("process {process} was ready after {after_s:.1} s"))
+        }
+        Seen::HalfRequest { id, ended: false } => {
+            Some(format!("{id}: half a request was neither answered nor ended"))
+        }
+        _ => None,
+    };
+    let broken = record.iter().filter_map(broken);
+    broken.map(|what| Break { rule: Rule::Crash, what }).collect()
+}
--- /dev/null
+++ b/programs/soak/src/lib.rs
@@ -0,0 +1,12 @@
+//! Seeded days of faults on the platform: dispatchers as processes between mock servers, discovery and clients, judged
+//! from what those have seen.
+
+pub mod clients;
+pub mod discovery;
+pub mod draw;
+pub mod faults;
+pub mod judge;
+pub mod play;
+pub mod process;
+pub mod record;
+pub mod servers;
--- /dev/null
+++ b/programs/soak/src/play.rs
@@ -0,0 +1,204 @@
+//! Plays one day: servers, discovery, processes and clients, with each trouble at its time.
+
+use std::path::Path;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use rustix::process::Signal;
+
+use crate::clients::{Clients, Reach};
+use crate::discovery::Discovery;
+use crate::draw::{Day, Spell, Trouble};
+use crate::faults::Fault;
+use crate::judge::{judge, Break, Terms};
+use crate::process::Process;
+use crate::record::{End, Entry, Record, Seen};
+use crate::servers::Servers;
+
+/// New connections keep coming for so long after a process was told to end.
+const FRONT_NOTICES: Duration = Duration::from_millis(300);
+/// What a half-written configuration is left like, before it is whole.
+const HALF_WRITTEN: Duration = Duration::from_millis(60);
+/// After the clients' last answers states may still have to be released.
+const AFTERMATH: Duration = Duration::from_millis(1800);
+
+/// What a day came to.
+pub struct Played {
+    pub breaks: Vec<Break>,
+    pub requests: usize,
+    pub served: usize,
+    /// Refused or failed.
+    pub unserved: usize,
+    /// Injections that the day asks for and that no process met.
+    pub never_injected: Vec<&'static str>,
+}
+
+struct World {
+    day: Day,
+    servers: Arc<Servers>,
+    discovery: Discovery,
+    processes: Vec<Mutex<Process>>,
+    clients: Vec<Arc<Clients>>,
+    began: Instant,
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// Plays a day in a folder of its own, and judges it.
+///
+/// # Errors
+/// One line where something of the day cannot be started.
+pub fn play(day: &Day, folder: &Path) -> Result<Played, String> {
+    let record = Record::default();
+    let world = World::start(day, folder, &record)?;
+    thread::scope(|scope| {
+        for clients in &world.clients {
+            scope.spawn(|| clients.ask(day));
+        }
+        for spell in &day.spells {
+            scope.spawn(|| world.suffer(*spell));
+        }
+        world.sleep_until(day.length_s);
+        world.clients.iter().for_each(|c| c.stop());
+    });
+    thread::sleep(AFTERMATH);
+    let never_injected = world.end();
+    let terms = Terms {
+        pin_limit: Duration::from_secs_f64(day.deployment.pin_limit_s),
+        servers_break: [Fault::Reset, Fault::SilentDecode, Fault::SilentKept].iter().any(|f| day.has(*f)),
+    };
+    let entries = record.take();
+    let count = |fits: fn(&Seen) -> bool| entries.iter().filter(|e| fits(&e.seen)).count();
+    let requests = count(|s| matches!(s, Seen::Asked { .. }));
+    let served = count(|s| matches!(s, Seen::Ended { end: End::Served, .. }));
+    let unserved = count(|s| matches!(s, Seen::Ended { end: End::Refused | End::Failed, .. }));
+    let breaks = judge(&entries, terms);
+    if !breaks.is_empty() {
+        write_record(folder, &entries, world.began);
+    }
+    Ok(Played { breaks, requests, served, unserved, never_injected })
+}
+
+fn write_record(folder: &Path, entries: &[Entry], began: Instant) {
+    let line =
+        |e: &Entry| format!("{:.3} {:?}\n", e.at.saturating_duration_since(began).as_secs_f64(), e.seen);
+    // The verdict stands without it.
+    let _ = std::fs::write(folder.join("record.txt"), entries.iter().map(line).collect::<String>());
+}
+
+impl World {
+    fn start(day: &Day, folder: &Path, record: &Record) -> Result<World, String> {
+        let fault = |e: std::io::Error| format!("a mock of the platform: {e}");
+        let servers = Servers::new(record.clone(), day.seed);
+        let discovery = Discovery::new(record.clone());
+        for number in 0..2 * day.deployment.servers_by_role {
+            discovery.add(servers.start(number % 2 == 1, 0).map_err(fault)?);
+        }
+        let mut processes = Vec::new();
+        for number in 0..day.processes {
+            let agent = discovery.agent(number).map_err(fault)?;
+            processes.push(Process::new(day, number, folder, agent, &discovery.known(), record.clone())?);
+        }
+        for process in &mut processes {
+            process.start()?;
+        }
+        let clients = processes.iter().map(|p| Clients::new(p.number, p.listen, record.clone())).collect();
+        let processes = processes.into_iter().map(Mutex::new).collect();
+        Ok(World { day: day.clone(), servers, discovery, processes, clients, began: Instant::now() })
+    }
+
+    fn end(&self) -> Vec<&'static str> {
+        let mut missing: Option<Vec<&'static str>> = None;
+        for process in &self.processes {
+            let mut process = process.lock().unwrap_or_else(|e| e.into_inner());
+            process.end(false);
+            let here = process.never_injected();
+            // A kind counts as injected where any process has met it.
+            missing =
+                Some(missing.map_or(here.clone(), |m| m.into_iter().filter(|k| here.contains(k)).collect()));
+        }
+        missing.unwrap_or_default()
+    }
+
+    fn sleep_until(&self, at_s: f64) {
+        let at = self.began + Duration::from_secs_f64(at_s);
+        thread::sleep(at.saturating_duration_since(Instant::now()));
+    }
+
+    fn process(&self, number: usize) -> MutexGuard<'_, Process> {
+        self.processes[number].lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn suffer(&self, spell: Spell) {
+        self.sleep_until(spell.from_s);
+        let over = || self.sleep_until(spell.to_s);
+        match spell.trouble {
+            Trouble::Silence { decode, servers, kept_only } => {
+                let struck: Vec<_> = self.servers.of_role(decode).into_iter().take(servers).collect();
+                struck.iter().for_each(|s| s.fall_silent(kept_only));
+                over();
+                struck.iter().for_each(|s| s.return_from_silence());
+            }
+            Trouble::Unreachable { server } => {
+                let server = self.servers.get(server);
+                let fill = server.be_unreachable();
+                over();
+                server.be_reachable(fill);
+            }
+            Trouble::Reset { share } => {
+                self.servers.reset(share);
+                over();
+                self.servers.reset(0.0);
+            }
+            Trouble::Drain { server } => self.replace(server),
+            Trouble::DiscoveryDown => {
+                self.discovery.set_down(true);
+                over();
+                self.discovery.set_down(false);
+            }
+            Trouble::Restart { process } => self.restart(process),
+            Trouble::Reload { process, whole } => self.reload(process, whole),
+            Trouble::Pause { process } => {
+                self.process(process).signal(Signal::STOP);
+                over();
+                self.process(process).signal(Signal::CONT);
+            }
+        }
+    }
+
+    fn replace(&self, number: usize) {
+        let decode = self.servers.get(number).decode;
+        if let Ok(server) = self.servers.start(decode, unix_ms()) {
+            self.discovery.add(server);
+            self.discovery.drain(number);
+        }
+    }
+
+    fn restart(&self, number: usize) {
+        let longest_s = self.day.deployment.safe_deadline_s.max(self.day.deployment.unsafe_deadline_s);
+        let clients = &self.clients[number];
+        let mut process = self.process(number);
+        thread::scope(|scope| {
+            scope.spawn(|| {
+                thread::sleep(FRONT_NOTICES);
+                clients.set_reach(Reach::KeptOnly);
+            });
+            process.stop(longest_s);
+        });
+        clients.set_reach(Reach::Down);
+        // One that does not start is found by its clients and by the record.
+        let _ = process.start();
+        clients.set_reach(Reach::Open);
+    }
+
+    fn reload(&self, number: usize, whole: bool) {
+        self.process(number).write_configuration(whole);
+        self.process(number).signal(Signal::HUP);
+        thread::sleep(HALF_WRITTEN);
+        self.process(number).write_configuration(true);
+        self.process(number).signal(Signal::HUP);
+    }
+}
--- /dev/null
+++ b/programs/soak/src/record.rs
@@ -0,0 +1,116 @@
+//! What clients and servers have seen, by monotonic time. The dispatcher's own word is not in it.
+
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+/// How a request ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// A whole stream.
+    Served,
+    /// The stream ended before its last chunk.
+    Broken,
+    /// 429 or 503.
+    Refused,
+    /// Any other answer.
+    Failed,
+    /// The connection ended with no answer.
+    Closed,
+    /// The client left.
+    Left,
+    /// No answer within the client's patience.
+    Nothing,
+}
+
+/// One thing seen.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Seen {
+    /// A client has written the last byte of a request.
+    Asked {
+        id: String,
+        process: usize,
+        deadline_s: f64,
+        is_unsafe: bool,
+    },
+    Ended {
+        id: String,
+        end: End,
+    },
+    /// A client that stopped within a request: its connection was ended, or was not in time.
+    HalfRequest {
+        id: String,
+        ended: bool,
+    },
+    /// An attempt's last byte has reached a running server.
+    Arrived {
+        id: String,
+        server: usize,
+        decode: bool,
+        told_ms: u64,
+    },
+    /// It has its answer, or its connection has ended. `declined`: it never ran.
+    Over {
+        id: String,
+        server: usize,
+        decode: bool,
+        declined: bool,
+    },
+    /// A prefill has ended, and its state is held.
+    Held {
+        id: String,
+    },
+    /// The state is handed over, and the answer begins.
+    Taken {
+        id: String,
+    },
+    /// A release has reached a running server, and the state was let go of.
+    Released {
+        id: String,
+    },
+    /// The last byte of a stream was written.
+    StreamWhole {
+        id: String,
+    },
+    /// Discovery has told a process that a server drains.
+    Drained {
+        process: usize,
+        server: usize,
+    },
+    /// A process was told to end.
+    Told {
+        process: usize,
+    },
+    /// It has ended: by a signal that it cannot heed, by itself after it was told, or without.
+    Gone {
+        process: usize,
+        killed: bool,
+        expected: bool,
+    },
+    Ready {
+        process: usize,
+        after_s: f64,
+    },
+}
+
+/// One thing and its time.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub at: Instant,
+    pub seen: Seen,
+}
+
+/// The record of one day, shared by all that write it.
+#[derive(Clone, Default)]
+pub struct Record(Arc<Mutex<Vec<Entry>>>);
+
+impl Record {
+    pub fn note(&self, seen: Seen) {
+        // The time is taken under the lock, so that entries stand in order of time.
+        let mut entries = self.0.lock().unwrap_or_else(|e| e.into_inner());
+        entries.push(Entry { at: Instant::now(), seen });
+    }
+
+    pub fn take(&self) -> Vec<Entry> {
+        std::mem::take(&mut *self.0.lock().unwrap_or_else(|e| e.into_inner()))
+    }
+}
--- /dev/null
+++ b/programs/soak/src/servers.rs
@@ -0,0 +1,412 @@
+//! Mock model servers: a prefill server really holds a state from its prefill's end until a decode server takes it or a
+//! release arrives at any running server. They fall silent, reset, and become unreachable as a day says.
+
+use std::collections::BTreeMap;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rustix::net::sockopt::set_socket_linger;
+
+use crate::draw::Chance;
+use crate::record::{Record, Seen};
+
+/// How often a connection's thread looks at what has changed.
+const LOOK: Duration = Duration::from_millis(4);
+/// What an accept queue holds, and the connections that fill a short one.
+const QUEUE: i32 = 256;
+const FILLED_BY: usize = 6;
+const RELEASED: &[u8] = b"HTTP/1.1 204 No Content\r\n\r\n";
+const GONE: &[u8] = b"HTTP/1.1 410 Gone\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
+const REPORT: &str = "util=0.1,queue=0,x0=0.1";
+/// Share of prefills that end well though their connection has just ended.
+const LEFT_SHARE: f64 = 0.3;
+
+/// What is held for requests, and the hand-overs that wait for it.
+#[derive(Default)]
+struct States {
+    held: BTreeMap<String, usize>,
+    waiting: BTreeMap<String, usize>,
+}
+
+/// One server's place.
+pub struct Server {
+    pub number: usize,
+    pub decode: bool,
+    pub uid: String,
+    pub address: SocketAddr,
+    pub booted_ms: u64,
+    listener: TcpListener,
+    /// Nothing arrives, on any connection or on those from before alone.
+    silent: AtomicBool,
+    kept_only: AtomicBool,
+    /// Counts the spells of silence: connections from before one are reset at its end.
+    spells: AtomicU64,
+    accepts: AtomicBool,
+}
+
+/// All servers of a day.
+pub struct Servers {
+    pub record: Record,
+    all: Mutex<Vec<Arc<Server>>>,
+    states: Mutex<States>,
+    /// Thousandths of attempts that are reset as they arrive.
+    resets: AtomicU64,
+    seed: u64,
+    connections: AtomicU64,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+impl Servers {
+    pub fn new(record: Record, seed: u64) -> Arc<Servers> {
+        Arc::new(Servers {
+            record,
+            all: Mutex::default(),
+            states: Mutex::default(),
+            resets: AtomicU64::new(0),
+            seed,
+            connections: AtomicU64::new(0),
+        })
+    }
+
+    /// Starts one more; gives it.
+    ///
+    /// # Errors
+    /// Where there is no address for it.
+    pub fn start(self: &Arc<Servers>, decode: bool, booted_ms: u64) -> std::io::Result<Arc<Server>> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        rustix::net::listen(&listener, QUEUE)?;
+        listener.set_nonblocking(true)?;
+        let mut all = lock(&self.all);
+        let server = Arc::new(Server {
+            number: all.len(),
+            decode,
+            uid: format!("m-{}", all.len()),
+            address: listener.local_addr()?,
+            booted_ms,
+            listener,
+            silent: AtomicBool::new(false),
+            kept_only: AtomicBool::new(false),
+            spells: AtomicU64::new(0),
+            accepts: AtomicBool::new(true),
+        });
+        all.push(Arc::clone(&server));
+        let (servers, accepting) = (Arc::clone(self), Arc::clone(&server));
+        thread::spawn(move || servers.accept(&accepting));
+        Ok(server)
+    }
+
+    pub fn get(&self, number: usize) -> Arc<Server> {
+        Arc::clone(&lock(&self.all)[number])
+    }
+
+    pub fn of_role(&self, decode: bool) -> Vec<Arc<Server>> {
+        lock(&self.all).iter().filter(|s| s.decode == decode).cloned().collect()
+    }
+
+    /// So much of what arrives is reset from now on.
+    pub fn reset(&self, share: f64) {
+        self.resets.store((share * 1000.0) as u64, Ordering::SeqCst);
+    }
+
+    fn accept(self: &Arc<Servers>, server: &Arc<Server>) {
+        loop {
+            if !server.accepts.load(Ordering::SeqCst) {
+                thread::sleep(LOOK);
+                continue;
+            }
+            match server.listener.accept() {
+                Ok((stream, _)) => {
+                    let (servers, server) = (Arc::clone(self), Arc::clone(server));
+                    thread::spawn(move || {
+                        let number = servers.connections.fetch_add(1, Ordering::SeqCst);
+                        let chance = Chance::new(servers.seed ^ number.wrapping_mul(0x9E37_79B9));
+                        let spell = server.spells.load(Ordering::SeqCst);
+                        let connection =
+                            Connection { servers, server, stream, spell, chance, unread: Vec::new() };
+                        // A connection that breaks has nobody left to be told.
+                        let _ = connection.serve();
+                    });
+                }
+                Err(_) => thread::sleep(LOOK),
+            }
+        }
+    }
+}
+
+impl Server {
+    /// From now on nothing arrives; connections stay open.
+    pub fn fall_silent(&self, kept_only: bool) {
+        self.kept_only.store(kept_only, Ordering::SeqCst);
+        self.spells.fetch_add(1, Ordering::SeqCst);
+        self.silent.store(true, Ordering::SeqCst);
+    }
+
+    pub fn return_from_silence(&self) {
+        self.silent.store(false, Ordering::SeqCst);
+    }
+
+    /// From now on no connection comes up; what is given back keeps it so.
+    pub fn be_unreachable(&self) -> Vec<TcpStream> {
+        self.accepts.store(false, Ordering::SeqCst);
+        thread::sleep(2 * LOOK);
+        // A shorter queue counts from now on.
+        let _ = rustix::net::listen(&self.listener, 0);
+        let within = Duration::from_millis(30);
+        (0..FILLED_BY).map_while(|_| TcpStream::connect_timeout(&self.address, within).ok()).collect()
+    }
+
+    pub fn be_reachable(&self, fill: Vec<TcpStream>) {
+        drop(fill);
+        // What stood in the queue has waited for nothing: it is reset, as by a machine that comes back.
+        while let Ok((stream, _)) = self.listener.accept() {
+            let _ = set_socket_linger(&stream, Some(Duration::ZERO));
+        }
+        let _ = rustix::net::listen(&self.listener, QUEUE);
+        self.accepts.store(true, Ordering::SeqCst);
+    }
+}
+
+struct Connection {
+    servers: Arc<Servers>,
+    server: Arc<Server>,
+    stream: TcpStream,
+    /// The spell of silence before which it was made.
+    spell: u64,
+    chance: Chance,
+    unread: Vec<u8>,
+}
+
+/// A request as it has arrived.
+struct Call {
+    method: String,
+    path: String,
+    id: String,
+    told_ms: u64,
+}
+
+/// The other side has ended the connection, or it was reset.
+struct Ended;
+
+impl Connection {
+    fn serve(mut self) -> Result<(), Ended> {
+        self.stream.set_nodelay(true).map_err(|_| Ended)?;
+        self.stream.set_read_timeout(Some(LOOK)).map_err(|_| Ended)?;
+        loop {
+            let call = self.next_call()?;
+            match call.method.as_str() {
+                "DELETE" => self.release(&call)?,
+                "GET" => self.say(&plain("200 OK", REPORT))?,
+                _ if self.server.decode => self.decode(&call)?,
+                _ => self.prefill(&call)?,
+            }
+        }
+    }
+
+    /// Waits while the server is silent; connections from before and during a silence are reset at its end.
+    fn hear(&mut self) -> Result<(), Ended> {
+        let server = &self.server;
+        let is_kept = self.spell < server.spells.load(Ordering::SeqCst);
+        if !is_kept && server.kept_only.load(Ordering::SeqCst) {
+            return Ok(());
+        }
+        let mut was_silent = false;
+        while server.silent.load(Ordering::SeqCst) {
+            was_silent = true;
+            if !self.is_open() {
+                return Err(Ended);
+            }
+            thread::sleep(LOOK);
+        }
+        if is_kept || was_silent {
+            return self.reset();
+        }
+        Ok(())
+    }
+
+    fn reset(&mut self) -> Result<(), Ended> {
+        // Without the option the connection ends in order, which is as good an end.
+        let _ = set_socket_linger(&self.stream, Some(Duration::ZERO));
+        Err(Ended)
+    }
+
+    /// Whether the other side still holds the connection open.
+    fn is_open(&self) -> bool {
+        match self.stream.peek(&mut [0]) {
+            Ok(0) => false,
+            Ok(_) => true,
+            Err(e) => matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
+        }
+    }
+
+    fn next_call(&mut self) -> Result<Call, Ended> {
+        let mut buffer = [0; 4096];
+        loop {
+            self.hear()?;
+            if let Some(call) = self.whole_call() {
+                return Ok(call);
+            }
+            match self.stream.read(&mut buffer) {
+                Ok(0) => return Err(Ended),
+                Ok(n) => self.unread.extend_from_slice(&buffer[..n]),
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+                Err(_) => return Err(Ended),
+            }
+        }
+    }
+
+    fn whole_call(&mut self) -> Option<Call> {
+        let head_end = self.unread.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
+        let head = String::from_utf8_lossy(&self.unread[..head_end]).into_owned();
+        let field = |name: &str| {
+            let line = head.lines().find(|l| l.to_ascii_lowercase().starts_with(name))?;
+            line.split_once(':').map(|pair| pair.1.trim().to_string())
+        };
+        let length: usize = field("content-length:").and_then(|n| n.parse().ok()).unwrap_or(0);
+        if self.unread.len() < head_end + length {
+            return None;
+        }
+        self.unread.drain(..head_end + length);
+        let mut words = head.split(' ');
+        let (method, path) = (words.next()?.to_string(), words.next()?.to_string());
+        let id = field("req-id:").unwrap_or_else(|| path.rsplit('/').next().unwrap_or_default().to_string());
+        let told_ms = field("req-deadline-ms:").and_then(|ms| ms.parse().ok()).unwrap_or(0);
+        Some(Call { method, path, id, told_ms })
+    }
+
+    fn say(&mut self, text: &str) -> Result<(), Ended> {
+        self.hear()?;
+        self.stream.write_all(text.as_bytes()).map_err(|_| Ended)
+    }
+
+    /// Works for a while; an error where the connection ends meanwhile.
+    fn work(&mut self, for_s: f64) -> Result<(), Ended> {
+        let until = Instant::now() + Duration::from_secs_f64(for_s);
+        loop {
+            self.hear()?;
+            if !self.is_open() {
+                return Err(Ended);
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Ok(());
+            }
+            thread::sleep(left.min(LOOK));
+        }
+    }
+
+    fn note(&self, seen: Seen) {
+        self.servers.record.note(seen);
+    }
+
+    fn arrived(&mut self, call: &Call) {
+        let (id, server) = (call.id.clone(), self.server.number);
+        self.note(Seen::Arrived { id, server, decode: self.server.decode, told_ms: call.told_ms });
+    }
+
+    fn over(&self, call: &Call, declined: bool) {
+        let (id, server) = (call.id.clone(), self.server.number);
+        self.note(Seen::Over { id, server, decode: self.server.decode, declined });
+    }
+
+    fn is_reset(&mut self) -> bool {
+        let share = self.servers.resets.load(Ordering::SeqCst) as f64 / 1000.0;
+        self.chance.happens(share)
+    }
+
+    fn release(&mut self, call: &Call) -> Result<(), Ended> {
+        if !call.path.starts_with("/bootstrap/rooms/") {
+            return self.say(&plain("404 Not Found", ""));
+        }
+        {
+            let mut states = lock(&self.servers.states);
+            let waits = states.waiting.get(&call.id).is_some_and(|n| *n > 0);
+            if !waits && states.held.remove(&call.id).is_some() {
+                self.note(Seen::Released { id: call.id.clone() });
+            }
+        }
+        self.say(std::str::from_utf8(RELEASED).unwrap_or_default())
+    }
+
+    fn prefill(&mut self, call: &Call) -> Result<(), Ended> {
+        self.arrived(call);
+        let breaks = self.is_reset();
+        let for_s = self.chance.between(0.005, 0.06);
+        let worked = self.work(for_s);
+        let ends_well = !breaks && worked.is_ok() || self.chance.happens(LEFT_SHARE);
+        if ends_well {
+            // Under the lock, as a release may come in the same moment.
+            let mut states = lock(&self.servers.states);
+            states.held.insert(call.id.clone(), self.server.number);
+            self.note(Seen::Held { id: call.id.clone() });
+        }
+        self.over(call, false);
+        worked?;
+        if breaks {
+            return self.reset();
+        }
+        self.say(&plain("202 Accepted", r#"{"cached_tokens":0}"#))
+    }
+
+    fn decode(&mut self, call: &Call) -> Result<(), Ended> {
+        *lock(&self.servers.states).waiting.entry(call.id.clone()).or_default() += 1;
+        self.arrived(call);
+        let breaks = self.is_reset();
+        let for_s = self.chance.between(0.005, 0.08);
+        let worked = self.work(for_s);
+        let is_taken = {
+            let mut states = lock(&self.servers.states);
+            states.waiting.entry(call.id.clone()).and_modify(|n| *n -= 1);
+            let is_taken = worked.is_ok() && states.held.remove(&call.id).is_some();
+            if is_taken {
+                self.note(Seen::Taken { id: call.id.clone() });
+            }
+            is_taken
+        };
+        if worked.is_ok() && !is_taken {
+            self.over(call, true);
+            return self.say(std::str::from_utf8(GONE).unwrap_or_default());
+        }
+        let ended = worked.and_then(|()| self.stream_events(call, breaks));
+        self.over(call, false);
+        ended
+    }
+
+    fn stream_events(&mut self, call: &Call, breaks: bool) -> Result<(), Ended> {
+        let events = 2 + self.chance.below(6);
+        let broken_at = if breaks { self.chance.below(events) } else { events };
+        self.say("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+        for event in 0..events {
+            if event == broken_at {
+                return self.reset();
+            }
+            self.say(&chunk(&format!(
+                "data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{event}\"}}}}]}}\n\n"
+            )))?;
+            self.work(0.02)?;
+        }
+        self.say(&format!("{}0\r\n\r\n", chunk("data: [DONE]\n\n")))?;
+        self.note(Seen::StreamWhole { id: call.id.clone() });
+        Ok(())
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+fn plain(status: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nSrv-Load: {REPORT}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
--- /dev/null
+++ b/programs/soak/tests/soak.rs
@@ -0,0 +1,72 @@
+//! Short seeded days over real processes: what CI plays of the soak. The long run is started by hand.
+
+use std::process::Command;
+use std::thread;
+
+use bitternlatch_soak::faults::FAULTS;
+
+/// Days at a time: each has a process or three, some threads, and seconds in which it waits.
+const AT_A_TIME: usize = 5;
+const LENGTH_S: &str = "7";
+
+/// Plays days; gives what the program printed, and its exit code.
+fn soak(words: &[&str]) -> (String, Option<i32>) {
+    let out = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(words.join("_"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_bitternlatch-soak"));
+    let output = command.args(words).arg("--out").arg(&out).output().expect("the program");
+    let said = [output.stdout, output.stderr].concat();
+    (String::from_utf8_lossy(&said).into_owned(), output.status.code())
+}
+
+/// Plays each, some at a time; gives what was printed of those that did not hold.
+fn broken(days: &[Vec<&str>]) -> Vec<String> {
+    let mut broken = Vec::new();
+    for some in days.chunks(AT_A_TIME) {
+        thread::scope(|scope| {
+            let plays: Vec<_> = some.iter().map(|words| scope.spawn(|| soak(words))).collect();
+            let played = plays.into_iter().map(|play| play.join().expect("a day"));
+            broken.extend(played.filter(|(_, code)| *code != Some(0)).map(|(said, _)| said));
+        });
+    }
+    broken
+}
+
+#[test]
+fn a_short_day_of_each_fault_class_holds_all_rules() {
+    let day = |(name, _)| vec!["--faults", name, "--seed", "7", "--length", LENGTH_S];
+    let broken = broken(&FAULTS.map(day));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+#[test]
+fn short_days_of_three_processes_and_two_fault_classes_hold_all_rules() {
+    const SEEDS: [&str; 5] = ["21", "22", "23", "25", "26"];
+    let day = |seed| vec!["--processes", "3", "--seed", seed, "--length", LENGTH_S];
+    let broken = broken(&SEEDS.map(day));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// Calls that fail for a moment succeed when they are made again: they cost no request, at the start or later.
+#[test]
+fn system_calls_that_fail_for_a_moment_cost_no_request() {
+    const SEEDS: [&str; 4] = ["300", "301", "302", "303"];
+    for seed in SEEDS {
+        let (said, code) = soak(&["--faults", "calls", "--seed", seed, "--length", LENGTH_S]);
+        assert!(code == Some(0) && said.contains(" 0 refused or failed"), "{said}");
+    }
+}
+
+#[test]
+fn what_is_unknown_or_out_of_range_is_told_with_a_remedy() {
+    let table: [(&[&str], &str); 5] = [
+        (&["--faults", "quakes"], "'quakes' is not known; name some of silent-decode"),
+        (&["--length", "2"], "2 is not from 5 to 300 s"),
+        (&["--length", "long"], "'long' is no number of seconds"),
+        (&["--processes", "0"], "not in 1..=12"),
+        (&["--seeds", "0"], "not in 1..=10000"),
+    ];
+    for (words, told) in table {
+        let (said, code) = soak(words);
+        assert!(code == Some(2) && said.contains(told), "{words:?}: {said}");
+    }
+}
