--- a/crates/platform-net/src/lib.rs
+++ b/crates/platform-net/src/lib.rs
@@ -2,8 +2,10 @@
 //! `bitternlatch-platform`. It decides nothing on requests.
 
 mod descriptors;
+mod dial;
 mod lingering;
 mod listen;
+mod momentary;
 mod signals;
 mod socket;
 
@@ -21,6 +23,8 @@
 use mio::net::{TcpListener, TcpStream, UdpSocket};
 use mio::{Events, Interest, Poll, Token};
 
+use dial::Redials;
+use momentary::patient;
 use signals::{Signal, Signals};
 use socket::{Socket, Then};
 
@@ -43,8 +47,10 @@
 const TURN_ACCEPTS: usize = 64;
 /// Turns of accepting before the listener is closed: more than its queue holds.
 const MOST_LAST_ACCEPTS: usize = 32;
-/// Pause after a connection could not be taken for want of descriptors.
+/// Pause after a connection could not be taken.
 const ACCEPT_PAUSE_S: f64 = 0.02;
+/// Descriptors that are wanting a second time within this, seconds, are not wanting for a moment alone.
+const WANTING_S: f64 = 0.1;
 /// A configuration that cannot be read is looked at again until it can be, as it may be half written and names where
 /// discovery is: so many times after the first pause, then after the second, seconds.
 const AGAIN_S: (f64, f64) = (0.1, 0.5);
@@ -58,7 +64,7 @@
 /// One line that names the file, the field and the cause.
 pub fn read_config(path: &Path) -> Result<Config, String> {
     let shown = path.display();
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: {e}"))?;
+    let text = patient(|| std::fs::read_to_string(path)).map_err(|e| format!("{shown}: {e}"))?;
     Config::parse(&text).map_err(|e| format!("{shown}: {e}"))
 }
 
@@ -82,6 +88,9 @@
     listener: Option<TcpListener>,
     /// Connections wait to be taken, not before this time.
     accept_at: Option<Micros>,
+    /// When there was no descriptor for a client last.
+    wanting_at: Option<Micros>,
+    redials: Redials,
     peers: Option<UdpSocket>,
     signals: Signals,
     sockets: BTreeMap<ConnId, Socket>,
@@ -111,7 +120,7 @@
             let what = what.to_string();
             move |e: io::Error| format!("{what}: {e}")
         };
-        let poll = Poll::new().map_err(fault("no readiness queue"))?;
+        let poll = patient(Poll::new).map_err(fault("no readiness queue"))?;
         let address = config.listen;
         let mut listener = listen::once_free(address, listen::listener)
             .map_err(fault(&format!("field 'listen': cannot listen on {address}")))?;
@@ -129,7 +138,8 @@
         if let Some(socket) = &mut peers {
             registry.register(socket, PEERS, Interest::READABLE).map_err(fault("cannot wait for peers"))?;
         }
-        let signals = Signals::start(registry, SIGNALS).map_err(fault("cannot wait for signals"))?;
+        let signals =
+            patient(|| Signals::start(registry, SIGNALS)).map_err(fault("cannot wait for signals"))?;
         config.limits = descriptors::found(config.limits);
         let clock = Clock::start();
         let mut commands = Vec::new();
@@ -150,6 +160,8 @@
             node,
             listener: Some(listener),
             accept_at: None,
+            wanting_at: None,
+            redials: Redials::default(),
             peers,
             signals,
             sockets: BTreeMap::new(),
@@ -190,7 +202,8 @@
             return Duration::ZERO;
         }
         let reload = self.reload_at.map(|r| r.0);
-        let due = [self.node.next_due(), self.accept_at, reload, self.next_cut()].into_iter().flatten().min();
+        let due = [self.node.next_due(), self.accept_at, reload, self.next_cut(), self.redials.next()];
+        let due = due.into_iter().flatten().min();
         due.map_or(Duration::from_secs(1), |at| self.clock.until(at))
     }
 
@@ -220,6 +233,7 @@
             self.serve_socket(conn);
         }
         self.hear_again(events);
+        self.redial();
         self.accept();
         self.reload();
         self.cut_lingering();
@@ -364,14 +378,6 @@
         }
     }
 
-    fn connect(&mut self, conn: ConnId, to: std::net::SocketAddr) {
-        match self.with_descriptor(|| TcpStream::connect(to)).and_then(|stream| self.put(conn, stream, false))
-        {
-            Ok(()) => {}
-            Err(_) => self.told.push_back(Told::Ended(conn)),
-        }
-    }
-
     fn put(&mut self, conn: ConnId, mut stream: TcpStream, accepted: bool) -> io::Result<()> {
         let token = Token(conn.0 as usize);
         self.poll.registry().register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
@@ -384,6 +390,7 @@
             let _ = self.poll.registry().deregister(&mut socket.stream);
         }
         self.more.remove(&conn);
+        self.redials.forget(conn);
     }
 
     /// Writes to a connection that stood idle, if it still does: what came on it since would be taken for the answer, and
@@ -475,16 +482,23 @@
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return self.accept_at = None,
                 Err(e) if is_own_loss(&e) => {}
                 // As at the clients' bound: a newcomer displaces.
-                Err(e) if descriptors::exhausted(&e) && self.displace_client() => {}
+                Err(e) if descriptors::exhausted(&e) && self.wants_again() && self.displace_client() => {}
                 Err(e) => {
                     // Without descriptors an accept fails at once: asking again and again would spin.
-                    tracing::warn!("a connection could not be taken: {e}");
+                    tracing::debug!("a connection could not be taken: {e}");
                     return self.accept_at = Some(self.clock.now().after(ACCEPT_PAUSE_S));
                 }
             }
         }
     }
 
+    /// There was no descriptor, as a moment ago: then it is no passing want.
+    fn wants_again(&mut self) -> bool {
+        let now = self.clock.now();
+        let before = self.wanting_at.replace(now);
+        before.is_some_and(|at| now.since(at) < WANTING_S)
+    }
+
     /// Takes a connection, and hears what it has said already before the next one, which may displace it: the front's
     /// call may stand among hundreds in the accept queue.
     fn admit(&mut self, stream: TcpStream) {
--- a/crates/platform-net/src/listen.rs
+++ b/crates/platform-net/src/listen.rs
@@ -7,6 +7,8 @@
 use mio::net::TcpListener;
 use socket2::{Domain, Socket, Type};
 
+use crate::momentary::is_momentary;
+
 /// The accept queue's length (the listener's backlog). What comes while the process starts or is held up waits there;
 /// past it connections are dropped, and tried again only after 1, 3 and 7 s. The system may cap it.
 const ACCEPT_QUEUE: i32 = 1024;
@@ -38,6 +40,7 @@
     let mut said = false;
     loop {
         match open(at) {
+            Err(e) if is_momentary(&e) && began.elapsed() < IN_USE => std::thread::sleep(PAUSE),
             Err(e) if e.kind() == io::ErrorKind::AddrInUse && began.elapsed() < IN_USE => {
                 if !std::mem::replace(&mut said, true) {
                     tracing::warn!("{at} is in use, by the process before perhaps: tried for {IN_USE:?}");
--- a/crates/platform/src/attempts.rs
+++ b/crates/platform/src/attempts.rs
@@ -198,7 +198,7 @@
             Use::Idle => {}
             Use::Attempt { request, .. } => self.attempt_failed(now, request, outcome, out),
             Use::Probe { server } => self.probed(now, server, outcome, Vec::new()),
-            Use::Release { id, server } => self.release_failed(now, id, server, outcome, out),
+            Use::Release { id, server, .. } => self.release_failed(now, id, server, outcome, out),
         }
     }
 
@@ -256,7 +256,9 @@
                 let outcome = if whole.status == 200 { Outcome::Served } else { Outcome::Error };
                 self.probed(now, server, outcome, report);
             }
-            Use::Release { id, server } => self.release_answered(now, id, server, whole.status, out),
+            Use::Release { id, server, begun } => {
+                self.release_answered(now, id, (server, begun), whole.status, out)
+            }
         }
     }
 
@@ -317,6 +319,9 @@
     ) {
         let Some(open) = self.requests.get_mut(request) else { return };
         let Some(was) = open.out.take() else { return };
+        if matches!(outcome, Outcome::Cancelled | Outcome::TimedOut | Outcome::Reset) {
+            open.broke_at = Some(now);
+        }
         self.touched.push(request);
         self.events.push_back(Event::AttemptEnded(AttemptEnd {
             request,
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -12,6 +12,8 @@
 pub const FIRST_REQUEST_S: f64 = 2.6;
 /// A later one within this of its first byte, seconds; who has asked in order before may be slow.
 pub const REQUEST_S: f64 = 8.0;
+/// Who stops within a request and stays is owed an error or a close within 3 s, whoever it is: seconds without a byte.
+const STOPPED_S: f64 = 2.6;
 /// A newcomer that has said nothing for this long gives way before those that keep their connections, seconds.
 const SILENT_S: f64 = 0.5;
 /// A client whose answer is whole but not all taken is let be, where places are short, unless it takes nothing for this
@@ -101,6 +103,8 @@
     dropped: usize,
     /// Since it has connected, had its last answer, or sent the first byte of what it is sending.
     since: Micros,
+    /// When bytes came last.
+    heard_at: Micros,
     /// It has had an answer.
     served: bool,
     /// It waits to be told to send its body.
@@ -121,6 +125,7 @@
             came: now,
             dropped: 0,
             since: now,
+            heard_at: now,
             served: false,
             expects: false,
             keep_alive: true,
@@ -142,7 +147,9 @@
     /// It may hold its connection between requests for as long as there is room; nobody may hold half a request.
     pub fn overdue(&self, now: Micros) -> bool {
         let waits = self.busy() || self.quiet() && self.served;
-        !waits && now.since(self.since) >= if self.served { REQUEST_S } else { FIRST_REQUEST_S }
+        let most_s = if self.served { REQUEST_S } else { FIRST_REQUEST_S };
+        let stopped = now.since(self.since.max(self.heard_at)) >= STOPPED_S;
+        !waits && (stopped || now.since(self.since) >= most_s)
     }
 
     /// Rank by which room is made: those silent since they came go first, then kept connections, then those that
@@ -167,6 +174,7 @@
 
     /// Takes bytes; true where enough has come and nothing more should be read for now.
     pub fn take(&mut self, now: Micros, bytes: &[u8]) -> bool {
+        self.heard_at = now;
         if self.quiet() && self.served {
             self.since = now;
         }
--- a/crates/platform/src/intake.rs
+++ b/crates/platform/src/intake.rs
@@ -86,6 +86,7 @@
             deadline,
             attempts: 0,
             out: None,
+            broke_at: None,
             streaming: None,
             over: false,
         });
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -43,6 +43,7 @@
     Release {
         id: u64,
         server: ServerId,
+        begun: Micros,
     },
 }
 
--- a/crates/platform/src/releases.rs
+++ b/crates/platform/src/releases.rs
@@ -36,6 +36,9 @@
 const MOST: usize = 1024;
 /// A host that has failed a call is called after the others for so long, seconds.
 const AVOIDED_S: f64 = 2.0;
+/// The close of an attempt that may wait for the state, or make it, has arrived everywhere by then, seconds. A release
+/// that overtakes it finds the state in use, or not made yet, and is confirmed all the same.
+const CLOSE_ARRIVES_S: f64 = 0.12;
 /// What the platform allows for a release beyond the limit of the settings, seconds.
 const SLACK_S: f64 = 0.3;
 
@@ -49,6 +52,10 @@
 pub struct Release {
     request: String,
     begun: Micros,
+    /// Calls that began earlier prove nothing.
+    valid_from: Micros,
+    /// An earlier one was confirmed: no other before that time.
+    waits: bool,
     /// Hosts called in this round.
     asked: BTreeSet<ServerId>,
     round: u32,
@@ -57,8 +64,9 @@
 }
 
 impl Release {
-    fn new(now: Micros, request: String) -> Release {
-        Release { request, begun: now, asked: BTreeSet::new(), round: 0, hedges: 0, calls: 0 }
+    fn new(now: Micros, valid_from: Micros, request: String) -> Release {
+        let asked = BTreeSet::new();
+        Release { request, begun: now, valid_from, waits: false, asked, round: 0, hedges: 0, calls: 0 }
     }
 
     /// A line for the log once a host has confirmed it, where that took longer than the platform allows.
@@ -96,11 +104,12 @@
         self.open.len()
     }
 
-    /// Begins one; gives its number, and the one that had to give way at the table's bound.
-    pub fn put(&mut self, now: Micros, request: String) -> (u64, Option<Release>) {
+    /// Begins one, which a call proves that began at a time or later; gives its number, and the one that had to give
+    /// way at the table's bound.
+    pub fn put(&mut self, now: Micros, valid_from: Micros, request: String) -> (u64, Option<Release>) {
         let dropped = if self.open.len() >= MOST { self.open.pop_first() } else { None };
         self.last += 1;
-        self.open.insert(self.last, Release::new(now, request));
+        self.open.insert(self.last, Release::new(now, valid_from, request));
         (self.last, dropped.map(|d| d.1))
     }
 
@@ -164,6 +173,24 @@
         self.failed.insert(server, now);
     }
 
+    /// A confirmed call began too early to prove anything: it is made once more when it can.
+    fn overtook(&mut self, id: u64, begun: Micros) -> bool {
+        let Some(release) = self.open.get_mut(&id).filter(|r| begun < r.valid_from) else { return false };
+        (release.waits, release.hedges) = (true, 0);
+        release.asked.clear();
+        true
+    }
+
+    /// When the next call is to be made, where that is later than now.
+    fn waits_until(&mut self, id: u64, now: Micros) -> Option<Micros> {
+        let release = self.open.get_mut(&id).filter(|r| r.waits)?;
+        if now < release.valid_from {
+            return Some(release.valid_from);
+        }
+        release.waits = false;
+        None
+    }
+
     /// Calls that a hedge makes, twice as many each time.
     fn hedge(&mut self, id: u64) -> usize {
         let Some(release) = self.open.get_mut(&id) else { return 0 };
@@ -186,7 +213,8 @@
     /// Releases what is held for a request. An attempt that has not gone out would find nothing: it ends.
     pub(crate) fn release(&mut self, now: Micros, request: RequestId, out: &mut Vec<Command>) {
         let Some(open) = self.requests.get(request) else { return };
-        let (release, dropped) = self.releases.put(now, open.id.clone());
+        let valid_from = open.broke_at.map_or(now, |at| at.after(CLOSE_ARRIVES_S));
+        let (release, dropped) = self.releases.put(now, valid_from, open.id.clone());
         self.counts.releases += 1;
         if let Some(dropped) = dropped {
             self.unconfirmed(now, &dropped, "too many states are to be released", out);
@@ -202,7 +230,7 @@
             return false;
         };
         self.counts.release_calls += 1;
-        if self.exchange(now, (server, to), Use::Release { id, server }, call, out).is_none() {
+        if self.exchange(now, (server, to), Use::Release { id, server, begun: now }, call, out).is_none() {
             // What is held stays held until somebody is told: the call goes out once a connection is free.
             self.counts.release_calls -= 1;
             self.releases.wait(id, server);
@@ -220,6 +248,9 @@
 
     /// No host has confirmed it yet.
     pub(crate) fn hedge_release(&mut self, now: Micros, id: u64, out: &mut Vec<Command>) {
+        if let Some(at) = self.releases.waits_until(id, now) {
+            return self.timers.set(at, Due::Release { id });
+        }
         for _ in 0..self.releases.hedge(id) {
             if self.releases.waiting.contains(&id) {
                 break;
@@ -246,7 +277,7 @@
         &mut self,
         now: Micros,
         id: u64,
-        server: ServerId,
+        (server, begun): (ServerId, Micros),
         status: u16,
         out: &mut Vec<Command>,
     ) {
@@ -254,6 +285,9 @@
             return self.release_failed(now, id, server, Outcome::Error, out);
         }
         self.releases.failed.remove(&server);
+        if self.releases.overtook(id, begun) {
+            return;
+        }
         let Some(release) = self.releases.done(id) else { return };
         self.counts.releases_confirmed += 1;
         if let Some(line) = release.late_line(now, server) {
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -187,6 +187,8 @@
     pub passed: Option<Rc<Passed>>,
     pub attempts: u16,
     pub out: Option<Out>,
+    /// When an attempt ended without its server's word: the server may see that a little later.
+    pub broke_at: Option<Micros>,
     /// The client's, since this event came last.
     pub streaming: Option<Micros>,
     /// The final answer is given.
--- a/crates/platform/tests/bad_clients.rs
+++ b/crates/platform/tests/bad_clients.rs
@@ -65,6 +65,31 @@
     }
 }
 
+/// Whoever has asked in order before may be slow, but not stop within a request and stay.
+#[test]
+fn half_a_later_request_that_stops_is_ended_within_three_seconds() {
+    let good = request("h2", "ask", 4800);
+    for half in ["POST /v1/chat", &good[..good.len() - 5]] {
+        for slow in [true, false] {
+            let mut rig = Rig::new();
+            let (client, writer) = rig.at_writer("h1", "ask");
+            rig.text(writer, &format!("{STREAM_HEAD}{}0\r\n\r\n", chunk(&event("one"))));
+            rig.pass(5.0);
+            for piece in half.as_bytes().chunks(half.len().div_ceil(3)).filter(|_| slow) {
+                rig.pass(1.0);
+                rig.bytes(client, piece);
+            }
+            if !slow {
+                rig.text(client, half);
+            }
+            rig.pass(2.5);
+            assert!(!rig.finished.contains(&client), "{half:?}, slow {slow}");
+            rig.pass(0.4);
+            assert!(rig.finished.contains(&client), "{half:?}, slow {slow}");
+        }
+    }
+}
+
 #[test]
 fn one_that_asks_piece_by_piece_is_served_and_one_that_has_asked_may_keep_its_connection() {
     let mut rig = Rig::new();
--- a/programs/soak/src/draw.rs
+++ b/programs/soak/src/draw.rs
@@ -172,7 +172,7 @@
         Fault::Discovery => (2, (1.0, 3.0)),
         Fault::Restart => (2, (0.0, 0.0)),
         Fault::Reload => (6, (0.0, 0.0)),
-        Fault::Pause => (20, (0.02, 0.15)),
+        Fault::Pause => (12, (0.02, 0.15)),
         Fault::Clients | Fault::Calls | Fault::Short | Fault::Clock => (0, (0.0, 0.0)),
     }
 }
@@ -187,8 +187,14 @@
     let (times, (shortest_s, longest_s)) = pattern(fault);
     let servers = deployment.servers_by_role;
     let last_s = (length_s - QUIET_S.1).max(QUIET_S.0);
-    let one = |_| {
-        let from_s = chance.between(QUIET_S.0, last_s);
+    let one = |at: usize| {
+        let from_s = match fault {
+            // One after the other: a process is held up for no longer than each says.
+            Fault::Pause => {
+                QUIET_S.0 + (at as f64 + chance.between(0.0, 0.4)) * (last_s - QUIET_S.0) / times as f64
+            }
+            _ => chance.between(QUIET_S.0, last_s),
+        };
         let to_s = from_s + chance.between(shortest_s, longest_s);
         let most = (servers * 4).div_ceil(5);
         let process = chance.below(processes);
--- a/programs/soak/src/servers.rs
+++ b/programs/soak/src/servers.rs
@@ -346,12 +346,14 @@
             states.held.insert(call.id.clone(), self.server.number);
             self.note(Seen::Held { id: call.id.clone() });
         }
+        let said = match worked {
+            Ok(()) if breaks => self.reset(),
+            Ok(()) => self.say(&plain("202 Accepted", r#"{"cached_tokens":0}"#)),
+            Err(ended) => Err(ended),
+        };
+        // It is out until its answer has left, or its connection has ended.
         self.over(call, false);
-        worked?;
-        if breaks {
-            return self.reset();
-        }
-        self.say(&plain("202 Accepted", r#"{"cached_tokens":0}"#))
+        said
     }
 
     fn decode(&mut self, call: &Call) -> Result<(), Ended> {
@@ -370,8 +372,9 @@
             is_taken
         };
         if worked.is_ok() && !is_taken {
+            let said = self.say(std::str::from_utf8(GONE).unwrap_or_default());
             self.over(call, true);
-            return self.say(std::str::from_utf8(GONE).unwrap_or_default());
+            return said;
         }
         let ended = worked.and_then(|()| self.stream_events(call, breaks));
         self.over(call, false);
