platform: failing tests of model hosts' starts by clocks that are an hour apart

A listed start is taken by this machine's wall clock alone (discovery.rs target()). Where that is an hour ahead, or the hosts' clock was stepped back, a host that has just started looks warm and the slow-start ramp is off; where it is behind, a host stays cold for an hour.

--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -128,17 +128,18 @@
     pub fn with(config: Config) -> Rig {
         let mut out = Vec::new();
         let node = Node::new(START, config, &mut out);
-        Rig::around(node, out)
+        Rig::begun(node, out)
     }
 
     /// One whose node keeps what its module is told from the first event on.
     pub fn tracing() -> Rig {
         let mut out = Vec::new();
         let node = Node::traced(START, config(), &mut out);
-        Rig::around(node, out)
+        Rig::begun(node, out)
     }
 
-    fn around(node: Node, out: Vec<Command>) -> Rig {
+    /// Around a node that has begun, and what it has said by then.
+    pub fn begun(node: Node, out: Vec<Command>) -> Rig {
         let mut rig = Rig {
             node,
             now: START,
--- /dev/null
+++ b/crates/platform/tests/start_times.rs
@@ -0,0 +1,108 @@
+//! When model hosts started, as the module is told, though the wall clocks that name it are steps of an hour apart.
+mod common;
+
+use bitternlatch_platform::node::Node;
+use bitternlatch_policy::interface::Event;
+use common::*;
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const DISCOVERY: &str = "127.0.2.1:8500";
+const NEW: &str = "h-r9";
+const HOUR_S: f64 = 3600.0;
+
+/// A new host that is listed with a start so long ago.
+fn started(rig: &Rig, age_s: f64) -> String {
+    let boot_ms = (rig.now.seconds() - age_s) * 1e3;
+    target(NEW, "127.0.1.9:80", "reads", "in_service")
+        .replace("\"boot_ms\":0", &format!("\"boot_ms\":{boot_ms:.0}"))
+}
+
+fn call(rig: &Rig) -> bitternlatch_platform::types::ConnId {
+    let to = DISCOVERY.parse().expect("an address");
+    rig.connects.iter().rev().find(|c| c.1 == to).expect("a watch").0
+}
+
+/// The age of the new host that the module was told last, seconds.
+fn told_age_s(rig: &mut Rig) -> f64 {
+    let told = rig.node.take_trace().into_iter().filter_map(|traced| match traced.event {
+        Event::Servers { entries, .. } => {
+            entries.into_iter().max_by(|a, b| a.booted_at.total_cmp(&b.booted_at))
+        }
+        _ => None,
+    });
+    rig.now.seconds() - told.last().expect("a list was told").booted_at
+}
+
+#[test]
+fn a_start_that_is_told_while_the_watch_runs_is_no_older_than_what_was_heard_before() {
+    // What is listed, and what it is taken for: a start may be told some seconds late.
+    let table = [(0.5, 0.5), (8.0, 8.0), (HOUR_S, 0.0), (-HOUR_S, 0.0), (-7.0, 0.0)];
+    for (listed_s, taken_s) in table {
+        let mut rig = Rig::tracing();
+        let conn = call(&rig);
+        rig.text(conn, HEAD);
+        rig.text(conn, &chunk("\n"));
+        rig.pass(2.0);
+        rig.text(conn, &chunk("\n"));
+        rig.pass(0.5);
+        let line = list(8, false, &[started(&rig, listed_s)]);
+        rig.text(conn, &chunk(&format!("{line}\n")));
+        let told_s = told_age_s(&mut rig);
+        assert!(
+            (told_s - taken_s).abs() < 0.01,
+            "listed {listed_s} s ago, told {told_s:.3}, wanted {taken_s}"
+        );
+    }
+}
+
+#[test]
+fn the_first_list_of_a_process_is_believed_where_it_does_not_contradict_itself() {
+    // Listed age, whether other hosts have started "long ago", and the age that it is taken for.
+    let table = [
+        (30.0, true, 30.0),
+        (-HOUR_S, true, 0.0),
+        // A host that started an hour ago is one of long ago, if others are.
+        (HOUR_S, true, 0.0),
+        (HOUR_S, false, HOUR_S),
+    ];
+    for (listed_s, others_long_ago, taken_s) in table {
+        let text = config_json(256);
+        let known = text.find(r#""known":"#).expect("what it knows");
+        let settings = text.find(r#""settings":"#).expect("its settings");
+        let text = format!("{}\"known\":null,{}", &text[..known], &text[settings..]);
+        let config = bitternlatch_platform::config::Config::parse(&text).expect("the test's configuration");
+        let mut out = Vec::new();
+        let node = Node::traced(START, config, &mut out);
+        let mut rig = Rig::begun(node, out);
+        let conn = call(&rig);
+        rig.text(conn, HEAD);
+        let others = hosts().into_iter().filter(|_| others_long_ago);
+        let mut all: Vec<String> = others.map(|h| target(h.0, h.1, h.2, "in_service")).collect();
+        all.push(started(&rig, listed_s));
+        rig.text(conn, &chunk(&format!("{}\n", list(8, true, &all))));
+        let told_s = told_age_s(&mut rig);
+        assert!(
+            (told_s - taken_s).abs() < 0.01,
+            "listed {listed_s} s ago, told {told_s:.3}, wanted {taken_s}"
+        );
+    }
+}
+
+/// The same list once more, whole, changes nothing: a start is reckoned once.
+#[test]
+fn a_start_that_is_listed_again_stays_where_it_was() {
+    let mut rig = Rig::tracing();
+    let conn = call(&rig);
+    rig.text(conn, HEAD);
+    let new = started(&rig, -HOUR_S);
+    for (rev, passes_s, taken_s) in [(8, 0.0, 0.0), (9, 5.0, 5.0), (10, 5.0, 10.0)] {
+        rig.text(conn, &chunk("\n"));
+        for _ in 0..(passes_s as usize) {
+            rig.pass(1.0);
+            rig.text(conn, &chunk("\n"));
+        }
+        rig.text(conn, &chunk(&format!("{}\n", list(rev, false, std::slice::from_ref(&new)))));
+        let told_s = told_age_s(&mut rig);
+        assert!((told_s - taken_s).abs() < 0.01, "version {rev}: {told_s:.3} for {taken_s}");
+    }
+}
