platform: a model host's start is held against what was heard of discovery before

discovery.rs target() took boot_ms by this machine's wall clock alone. start_times.rs: a new start that lies ahead, or further back than discovery would be late since it was last heard (20 s), is taken for one of now; in a process's first list one of over ten minutes ago is so where other hosts are listed as of long ago. A start is reckoned once. Left: a wall clock a few seconds ahead before the start shortens the ramp by as much; nothing on the platform tells of it.

--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -3,11 +3,14 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use bitternlatch_core::Micros;
 use bitternlatch_policy::interface::{ListForm, ServerEntry, ServerId, Standing};
 use bitternlatch_settings::Names;
 use serde::Deserialize;
 use serde_json::Value;
 
+use crate::start_times::Knowledge;
+
 #[derive(Deserialize)]
 struct RawList {
     rev: u64,
@@ -40,8 +43,10 @@
     pub zone: u16,
     pub cell: u16,
     pub weight: f64,
-    /// Unix time, seconds; 0 for long ago.
+    /// Its start as listed: Unix time, seconds; 0 for long ago.
     pub booted_at: f64,
+    /// The same by the node's own clock; as listed until the fleet has taken it over.
+    pub started_at: f64,
 }
 
 /// One version of the list, or what changed since the one before.
@@ -105,7 +110,17 @@
     };
     let booted_at = figure("boot_ms", raw.boot_ms)? / 1e3;
     let weight = figure("capacity_hint", raw.capacity_hint.unwrap_or(1.0))?;
-    Ok(Target { uid: raw.uid, endpoint, standing, kind, zone, cell: raw.pod_group, weight, booted_at })
+    Ok(Target {
+        uid: raw.uid,
+        endpoint,
+        standing,
+        kind,
+        zone,
+        cell: raw.pod_group,
+        weight,
+        booted_at,
+        started_at: booted_at,
+    })
 }
 
 /// What a list has changed.
@@ -124,6 +139,8 @@
     ids: BTreeMap<String, ServerId>,
     hosts: BTreeMap<ServerId, Target>,
     rev: u64,
+    /// When discovery said something whole last.
+    heard_at: Option<Micros>,
 }
 
 impl Fleet {
@@ -140,9 +157,16 @@
         self.hosts.iter().map(|(id, t)| (*id, t))
     }
 
+    /// Discovery has said something whole, if only that nothing has changed.
+    pub fn heard(&mut self, now: Micros) {
+        self.heard_at = Some(now);
+    }
+
     /// Takes a list over.
-    pub fn apply(&mut self, list: List) -> Applied {
+    pub fn apply(&mut self, now: Micros, list: List) -> Applied {
         self.rev = list.rev;
+        let names_long_ago = list.targets.iter().any(|t| t.booted_at <= 0.0);
+        let knowledge = Knowledge { now, heard_at: self.heard_at, names_long_ago };
         let form = if list.all { ListForm::Full } else { ListForm::Delta };
         if list.all {
             let listed = |uid: &String| list.targets.iter().any(|t| t.uid == *uid);
@@ -151,7 +175,7 @@
             hosts.retain(|id, t| ids.get(&t.uid) == Some(id));
         }
         let restarted = list.targets.iter().filter_map(|t| self.restarted(t)).collect();
-        let entries = list.targets.into_iter().map(|t| self.put(t)).collect();
+        let entries = list.targets.into_iter().map(|t| self.put(t, knowledge)).collect();
         Applied { form, entries, restarted }
     }
 
@@ -162,8 +186,11 @@
         (before.booted_at != target.booted_at).then_some(id)
     }
 
-    fn put(&mut self, target: Target) -> ServerEntry {
+    fn put(&mut self, mut target: Target, knowledge: Knowledge) -> ServerEntry {
         let id = self.id_of(&target.uid);
+        let before = self.hosts.get(&id).filter(|before| before.booted_at == target.booted_at);
+        // One start is reckoned once.
+        target.started_at = before.map_or_else(|| knowledge.started_s(target.booted_at), |b| b.started_at);
         let entry = ServerEntry {
             id,
             standing: target.standing,
@@ -171,7 +198,7 @@
             cell: target.cell,
             zone: target.zone,
             weight: target.weight,
-            booted_at: target.booted_at,
+            booted_at: target.started_at,
         };
         if target.standing == Standing::Gone {
             // Ids are always new: what is gone must not stay for good.
--- a/crates/platform/src/discovery_client.rs
+++ b/crates/platform/src/discovery_client.rs
@@ -23,7 +23,13 @@
 
     pub(crate) fn on_discovery(&mut self, now: Micros, bytes: &[u8], out: &mut Vec<Command>) {
         let taken = self.watch.take(now, bytes);
-        let read = taken.objects.iter().try_for_each(|o| self.on_list(List::parse(o, &self.names)?, out));
+        let read = taken.objects.iter().try_for_each(|o| {
+            let list = List::parse(o, &self.names)?;
+            self.on_list(now, list, out)
+        });
+        if taken.any_line && read.is_ok() {
+            self.fleet.heard(now);
+        }
         if let Some(cause) = read.err().or(taken.broken) {
             self.break_watch(now, &cause, out);
         }
@@ -56,11 +62,11 @@
     ///
     /// # Errors
     /// A version that goes back.
-    fn on_list(&mut self, list: List, out: &mut Vec<Command>) -> Result<(), String> {
+    fn on_list(&mut self, now: Micros, list: List, out: &mut Vec<Command>) -> Result<(), String> {
         if list.rev < self.fleet.rev() {
             return Err(format!("version {} comes after {}", list.rev, self.fleet.rev()));
         }
-        let Applied { form, entries, restarted } = self.fleet.apply(list);
+        let Applied { form, entries, restarted } = self.fleet.apply(now, list);
         self.listed = true;
         for server in restarted {
             for conn in self.pool.idle_at(server) {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod requests;
 pub mod resource_limits;
 pub mod shutdown;
+pub mod start_times;
 pub mod types;
 pub mod watch;
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -197,7 +197,7 @@
             logged: (Counts::default(), now.after(COUNTS_EVERY_S)),
         };
         if let Some(known) = config.known {
-            let entries = node.fleet.apply(known).entries;
+            let entries = node.fleet.apply(now, known).entries;
             node.listed = true;
             node.events.push_back(Event::Servers { form: ListForm::Cached, entries });
         }
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -67,6 +67,8 @@
 pub struct Taken {
     /// Whole lines that are not empty; they count also where the watch has broken after them.
     pub objects: Vec<Vec<u8>>,
+    /// A line was whole, an empty one included.
+    pub any_line: bool,
     /// Why the watch has to be begun anew.
     pub broken: Option<String>,
 }
@@ -181,7 +183,7 @@
             Err(e) => taken.broken = Some(e.to_string()),
         }
         let (objects, any) = self.lines.take();
-        taken.objects = objects;
+        (taken.objects, taken.any_line) = (objects, any);
         if any {
             (self.whole_at, self.has_line) = (Some(now), true);
         }
--- a/crates/platform/tests/held.rs
+++ b/crates/platform/tests/held.rs
@@ -88,7 +88,7 @@
 #[test]
 fn hosts_that_answered_last_are_called_first() {
     let mut fleet = Fleet::default();
-    fleet.apply(config().known.expect("the test's list"));
+    fleet.apply(START, config().known.expect("the test's list"));
     let all: Vec<(ServerId, SocketAddr)> = fleet.iter().map(|(id, t)| (id, t.endpoint)).collect();
     for order in [[0, 1, 2], [2, 1, 0], [1, 3, 0]] {
         let mut pool = Pool::new(64, 15.0);
