platform: failing test of a list of 3,200 hosts in one chunk

465 KiB in one chunk of the watch is refused (http1.rs MOST_CHUNK, 256 KiB, which is the bound on bodies), over and over: such a dispatcher never has a list. Also a lint of the tests of starts.

--- a/crates/platform/tests/lists.rs
+++ b/crates/platform/tests/lists.rs
@@ -136,3 +136,41 @@
         assert!(rig.said(client).ends_with("0\r\n\r\n"), "{case}");
     }
 }
+
+/// The whole list of the largest fleet, in one chunk, in pieces, indented or not, is taken; one past the bound is refused
+/// by one line in the log, and the last good one stays.
+#[test]
+fn a_list_of_the_largest_fleet_is_taken_in_one_chunk() {
+    let hosts: Vec<String> = (0..3200)
+        .map(|i| {
+            target(
+                &format!("s-{i:08x}"),
+                &format!("10.{}.{}.1:8081", i / 256, i % 256),
+                "reads",
+                "in_service",
+            )
+        })
+        .collect();
+    let compact = list(8, true, &hosts);
+    let indented = compact.replace('{', "{\n    ").replace(',', ",\n    ");
+    assert!(compact.len() > 400_000 && indented.len() > 500_000);
+    for text in [compact, indented] {
+        for (in_chunks_of, in_pieces_of) in
+            [(usize::MAX, 1 << 15), (usize::MAX, 1000), (100_000, 1 << 15), (1, 4096)]
+        {
+            let (mut rig, conn) = watching();
+            let line = format!("{text}\n");
+            let chunks = line.as_bytes().chunks(in_chunks_of);
+            let said: Vec<u8> =
+                chunks.flat_map(|c| chunk(std::str::from_utf8(c).expect("a text")).into_bytes()).collect();
+            said.chunks(in_pieces_of).for_each(|piece| rig.bytes(conn, piece));
+            let case = format!("{} bytes in chunks of {in_chunks_of}", text.len());
+            assert_eq!(hosts_known(&rig), 3200, "{case}: {:?}", rig.logs);
+            assert!(!rig.closed.contains(&conn), "{case}");
+        }
+    }
+    let (mut rig, conn) = watching();
+    rig.text(conn, &chunk(&"x".repeat(5 << 20)));
+    assert!(rig.closed.contains(&conn) && hosts_known(&rig) == 4);
+    assert_eq!(rig.logs.iter().filter(|l| l.contains("discovery")).count(), 1);
+}
--- a/crates/platform/tests/start_times.rs
+++ b/crates/platform/tests/start_times.rs
@@ -24,13 +24,13 @@
 
 /// The age of the new host that the module was told last, seconds.
 fn told_age_s(rig: &mut Rig) -> f64 {
-    let told = rig.node.take_trace().into_iter().filter_map(|traced| match traced.event {
+    let mut told = rig.node.take_trace().into_iter().filter_map(|traced| match traced.event {
         Event::Servers { entries, .. } => {
             entries.into_iter().max_by(|a, b| a.booted_at.total_cmp(&b.booted_at))
         }
         _ => None,
     });
-    rig.now.seconds() - told.last().expect("a list was told").booted_at
+    rig.now.seconds() - told.next_back().expect("a list was told").booted_at
 }
 
 #[test]
