platform: a list of 3,200 hosts is taken in one chunk, and held once while it is read

Cause: Body bounded every chunk by MOST_CHUNK, the bound on bodies. The watch's chunks have the bound of its lines now (1.5 MiB, 3,200 hosts indented), client bodies keep theirs, and a line that is all that has come is handed on without a second copy.

--- a/crates/platform/src/http1.rs
+++ b/crates/platform/src/http1.rs
@@ -206,17 +206,23 @@
 #[derive(Clone, Debug)]
 pub struct Body {
     step: Step,
+    most_chunk: u64,
 }
 
 impl Body {
     pub fn new(framing: Framing) -> Body {
+        Body::with_chunks_up_to(framing, MOST_CHUNK)
+    }
+
+    /// One whose chunks may be larger or have to be smaller, bytes.
+    pub fn with_chunks_up_to(framing: Framing, most_chunk: u64) -> Body {
         let step = match framing {
             Framing::Length(0) => Step::Done,
             Framing::Length(n) => Step::Length(n),
             Framing::Chunked => Step::ChunkSize,
             Framing::Close => Step::Close,
         };
-        Body { step }
+        Body { step, most_chunk }
     }
 
     /// The body's last byte has come.
@@ -228,7 +234,7 @@
     /// What is left belongs to a line that is not whole yet or, once [`Body::done`], to the next message.
     ///
     /// # Errors
-    /// A chunk that cannot be read, does not fit or is larger than [`MOST_CHUNK`].
+    /// A chunk that cannot be read, does not fit or is larger than its bound.
     pub fn take(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<usize, Bad> {
         let mut at = 0;
         while at < bytes.len() {
@@ -279,7 +285,7 @@
         let hex = !digits.is_empty() && digits.len() <= 16 && digits.iter().all(u8::is_ascii_hexdigit);
         let text = std::str::from_utf8(digits).ok().filter(|_| hex).ok_or(Bad::Chunk)?;
         let size = u64::from_str_radix(text, 16).map_err(|_| Bad::Chunk)?;
-        if size > MOST_CHUNK {
+        if size > self.most_chunk {
             return Err(Bad::Chunk);
         }
         self.step = if size == 0 { Step::Trailers(0) } else { Step::ChunkData(size) };
--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -39,7 +39,12 @@
             self.seen += 1;
             if self.ends_line(byte) {
                 let object = self.text[from..self.seen].trim_ascii();
-                if !object.is_empty() {
+                let is_all = from == 0 && self.seen == self.text.len();
+                if !object.is_empty() && is_all {
+                    // No second copy of what may be the whole list of a large fleet.
+                    objects.push(std::mem::take(&mut self.text));
+                    self.seen = 0;
+                } else if !object.is_empty() {
                     objects.push(object.to_vec());
                 }
                 from = self.seen;
@@ -48,7 +53,8 @@
         }
         self.text.drain(..from);
         self.seen -= from;
-        (objects, from > 0)
+        let any = from > 0 || !objects.is_empty();
+        (objects, any)
     }
 
     /// What is left where an answer has ended in order: its last line may lack the line feed.
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -20,8 +20,8 @@
 use crate::lines::Lines;
 use crate::types::ConnId;
 
-/// Longest line, bytes: the whole list of some thousand hosts.
-const MOST_LINE: usize = 1 << 20;
+/// Longest line, and largest chunk, bytes: the whole list of 3,200 hosts, indented.
+const MOST_LINE: usize = 3 << 19;
 /// From a call's begin until its answer's head is whole, seconds. The agent answers at once; a first packet that was
 /// lost is sent again after 1 s.
 const HEAD_S: f64 = 2.0;
@@ -170,7 +170,8 @@
                 Ok(None) => return taken,
                 Ok(Some((head, length))) if head.status == 200 => {
                     self.unread.drain(..length);
-                    (self.body, self.whole_at) = (Some(Body::new(head.framing)), Some(now));
+                    (self.body, self.whole_at) =
+                        (Some(Body::with_chunks_up_to(head.framing, MOST_LINE as u64)), Some(now));
                 }
                 // Its `Retry-After` does not count: what discovery has is told, whenever it would like to be asked.
                 Ok(Some((head, _))) => taken.broken = Some(format!("the answer is {}", head.status)),
