--- a/programs/soak/src/draw.rs
+++ b/programs/soak/src/draw.rs
@@ -128,6 +128,9 @@
             .iter()
             .flat_map(|fault| spells(*fault, &deployment, processes, length_s, &mut chance))
             .collect();
+        if faults.contains(&Fault::SilentDecode) && faults.contains(&Fault::SilentPrefill) {
+            leave_one_running(&mut spells, deployment.servers_by_role);
+        }
         spells.sort_by(|a, b| a.from_s.total_cmp(&b.from_s));
         Day { seed, processes, length_s, faults, deployment, spells }
     }
@@ -147,6 +150,15 @@
     }
 }
 
+/// Where both roles fall silent some server still runs: nothing can be released while none does.
+fn leave_one_running(spells: &mut [Spell], servers_by_role: usize) {
+    for spell in spells {
+        if let Trouble::Silence { servers, .. } = &mut spell.trouble {
+            *servers = (*servers).min(servers_by_role - 1);
+        }
+    }
+}
+
 /// One class for a fourth of the seeds, else two.
 fn drawn_faults(seed: u64) -> Vec<Fault> {
     // Not the day's own chance: a day plays the same where its classes are named.
