platform: a stop leaves releases that begin with its last answers time to be confirmed

A request whose time ends with the stop is failed at the last answer, 0.3 s before the kill; node.rs settle() then said Stopped at once, so that its release was cut and the one after the close never made. 0.22 s are left for them now. stop.rs: a_state_that_is_held_up_to_the_last_answer_of_a_stop_is_released.

--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -26,6 +26,9 @@
 const SWEEP_S: f64 = 0.2;
 /// Counts that have changed are logged this often, seconds.
 const COUNTS_EVERY_S: f64 = 10.0;
+/// At a stop, releases that begin with the last answers have this long to be confirmed, seconds: the kill comes 0.3 s
+/// after those.
+const LAST_RELEASES_S: f64 = 0.22;
 /// Longest message between dispatchers, bytes.
 const MOST_DATAGRAM: usize = 256;
 
@@ -60,6 +63,8 @@
     Deaf,
     /// Streams are waited for no longer.
     StreamsEnd,
+    /// Nor are releases.
+    ReleasesEnd,
 }
 
 /// One dispatcher on the platform.
@@ -311,6 +316,8 @@
                 Due::Watch => self.follow(now, out),
                 Due::Deaf => out.push(Command::StopListening),
                 Due::StreamsEnd => self.end_streams(now, out),
+                // What is left is looked at below.
+                Due::ReleasesEnd => {}
             }
             self.settle(now, out);
         }
@@ -340,7 +347,8 @@
         }
         self.reap(now, out);
         // Releases that no host answers are waited for as long as a stop may take.
-        let released = self.releases.is_empty() || self.last_answer.is_some_and(|end| now >= end);
+        let over = |last_answer: Micros| now >= last_answer.after(LAST_RELEASES_S);
+        let released = self.releases.is_empty() || self.last_answer.is_some_and(over);
         let idle = self.clients.is_empty() && self.requests.is_empty() && released;
         if self.deaf && idle && !self.stopped {
             self.stopped = true;
@@ -474,7 +482,9 @@
             return;
         }
         self.log(out, Level::Info, format!("stopping with {} requests in hand", self.requests.len()));
-        self.last_answer = Some(now.after(self.shutdown.last_answer_s));
+        let last_answer = now.after(self.shutdown.last_answer_s);
+        self.last_answer = Some(last_answer);
+        self.timers.set(last_answer.after(LAST_RELEASES_S), Due::ReleasesEnd);
         self.timers.set(now.after(self.shutdown.deaf_s), Due::Deaf);
         if let Some(streams_end_s) = self.shutdown.streams_end_s {
             self.timers.set(now.after(streams_end_s), Due::StreamsEnd);
