--- a/crates/policy/src/choice/admission.rs
+++ b/crates/policy/src/choice/admission.rs
@@ -39,7 +39,7 @@
         let (deadline, promised) = (now + left, now + aim);
         let job = Job { ask, key, alike, tokens, deadline, late_s, promised, ..Job::default() };
         self.retries = (self.retries + RETRIES_EARNED).min(RETRIES_MOST);
-        let homes = self.homes(now, &job, &self.scene(&job, now));
+        let homes = self.homes(now, &job, &self.scene(now));
         self.jobs.insert(id, job);
         wake(id, now + (left - 2.0 * self.set.tick_s).max(0.0), out);
         let asked = self.probe(now, &homes, out);
@@ -87,8 +87,15 @@
         let (Some(job), Some(from)) = (self.jobs.get(&id), self.servers.get(&reader)) else { return };
         let writes = |s: &&Server| s.role == Role::Writer && s.ready() && from.role == Role::Reader;
         let rank = |s: &Server| (s.entry.cell != from.entry.cell, self.draw(job, s), s.entry.id);
-        let mut few: Vec<_> = self.servers.values().filter(writes).map(rank).collect();
-        few.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let before =
+            |a: &(bool, f64, ServerId), b: &(bool, f64, ServerId)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1));
+        // The first few of them in order, without ordering the others.
+        let mut few: Vec<_> = Vec::with_capacity(PROBES + 1);
+        for ranked in self.servers.values().filter(writes).map(rank) {
+            let at = few.partition_point(|known| before(known, &ranked).is_le());
+            few.insert(at, ranked);
+            few.truncate(PROBES);
+        }
         let few: Vec<ServerId> = few.into_iter().map(|w| w.2).collect();
         self.probe(now, &few, out);
     }
--- a/crates/policy/src/choice/decode.rs
+++ b/crates/policy/src/choice/decode.rs
@@ -29,7 +29,7 @@
     pub(super) fn best_writer(&self, job: &Job, now: f64) -> Option<ServerId> {
         let from =
             job.held.known().and_then(|at| self.servers.get(&at.0)).map(|s| (s.entry.cell, s.entry.zone));
-        let scene = self.scene(job, now);
+        let scene = self.scene(now);
         let link = from.and_then(|(cell, _)| scene.cells.get(&cell)).map_or(0.0, |c| c.link);
         let price = |s: &Server| {
             let apart = match from {
--- a/crates/policy/src/choice/estimate.rs
+++ b/crates/policy/src/choice/estimate.rs
@@ -85,7 +85,14 @@
         [cell.wait, far].into_iter().flatten().min_by(f64::total_cmp).unwrap_or(0.0)
     }
 
-    fn estimate(&self, s: &Server, job: &Job, homes: &[ServerId], scene: &Scene, now: f64) -> Estimate {
+    fn estimate(
+        &self,
+        s: &Server,
+        job: &Job,
+        (homes, known): (&[ServerId], &KnownPrefixes),
+        scene: &Scene,
+        now: f64,
+    ) -> Estimate {
         let ask = &job.ask;
         let home = homes.iter().position(|h| *h == s.entry.id);
         let capacity = self.capacity(s, now);
@@ -94,7 +101,7 @@
         let past = if home == Some(0) { ask.prompt_tokens - ask.prefix_tokens } else { 0.0 };
         let believed = (ask.prefix_tokens + turns * past).max(0.1 * ask.prompt_tokens);
         let at_home = if home.is_some() && capacity >= 1.0 { believed } else { 0.0 };
-        let hit = self.prefixes.known_hit(s, ask).max(at_home).min((ask.prompt_tokens - 1.0).max(0.0));
+        let hit = known.hit(s).max(at_home).min((ask.prompt_tokens - 1.0).max(0.0));
         let read_s = self.read_s(s, ask.prompt_tokens - hit, ask.prompt_tokens) / capacity;
         let own_s = s.pending.values().map(|p| p.work_s).sum::<f64>();
         let queue_s = own_s + self.others_s(s, now) + s.overdue(now);
@@ -112,7 +119,9 @@
         Estimate { server: s.entry.id, queue_s, read_s, total_s, price_s }
     }
 
-    pub(super) fn scene(&self, job: &Job, now: f64) -> Scene {
+    /// What all candidates share, without the waits at decode servers: a choice of prefill server alone needs
+    /// those.
+    pub(super) fn scene(&self, now: f64) -> Scene {
         let links = self.links.iter().map(|(cell, seen)| (*cell, fade(*seen, now, FADE_HALF_S)));
         let cells = links.map(|(cell, link)| (cell, Cell { link, ..Cell::default() })).collect();
         let mut scene = Scene { cells, ..Scene::default() };
@@ -126,6 +135,13 @@
             (*ready, *able) = (*ready + live, *able + live * self.capacity(s, now));
             scene.homes += usize::from(s.ready() && s.role == Role::Reader && s.entry.zone == self.set.zone);
         }
+        scene.homes = FEWEST_HOMES.max((scene.homes as f64 * HOMES_SHARE).round() as usize);
+        scene
+    }
+
+    /// The same with the least waits at decode servers that a request may go to.
+    fn scene_with_waits(&self, job: &Job, now: f64) -> Scene {
+        let mut scene = self.scene(now);
         // Whoever may not go to an idle cold writer waits for another.
         let counted = Scene { ready: scene.ready, ..Scene::default() };
         let writes = |s: &&Server| s.role == Role::Writer && self.usable(s, job, now);
@@ -136,7 +152,6 @@
                 cell.wait = Some(cell.wait.map_or(wait, |least| least.min(wait)));
             }
         }
-        scene.homes = FEWEST_HOMES.max((scene.homes as f64 * HOMES_SHARE).round() as usize);
         scene
     }
 
@@ -147,15 +162,17 @@
 
     /// The mechanism: the lowest estimated first-token time among readers and mixed servers.
     pub(super) fn best_reader(&self, job: &Job, now: f64) -> Option<Estimate> {
-        let scene = self.scene(job, now);
+        let scene = self.scene_with_waits(job, now);
         let homes = self.homes(now, job, &scene);
+        let known = self.prefixes.known(&job.ask);
         let whole = self.set.writers_read && self.class(job).effect != Effect::Unsafe;
         let may = |s: &&Server| {
             (whole || s.role != Role::Writer)
                 && self.usable(s, job, now)
                 && self.cold_turn(s, job, &scene, homes.contains(&s.entry.id), now)
         };
-        let estimates = self.servers.values().filter(may).map(|s| self.estimate(s, job, &homes, &scene, now));
+        let estimates =
+            self.servers.values().filter(may).map(|s| self.estimate(s, job, (&homes, &known), &scene, now));
         estimates.min_by(|a, b| a.price_s.total_cmp(&b.price_s))
     }
 
--- a/crates/policy/src/choice/mod.rs
+++ b/crates/policy/src/choice/mod.rs
@@ -16,7 +16,7 @@
 
 use self::estimate::{Estimate, Scene};
 use self::held_states::HeldState;
-use self::prefix_index::PrefixIndex;
+use self::prefix_index::{KnownPrefixes, PrefixIndex};
 use self::requests::{Execution, Job, Stage};
 use self::server_table::{Pending, Report, Server};
 use crate::interface::*;
@@ -74,6 +74,10 @@
 }
 
 fn fade((value, at): (f64, f64), now: f64, half_s: f64) -> f64 {
+    // Most servers have nothing to fade, and powers are most of a decision's time over thousands of them.
+    if value == 0.0 {
+        return 0.0;
+    }
     value * 0.5f64.powf((now - at).max(0.0) / half_s)
 }
 
--- a/crates/policy/src/choice/prefix_index.rs
+++ b/crates/policy/src/choice/prefix_index.rs
@@ -7,10 +7,11 @@
 const MIXED_WEIGHT: f64 = 0.35; // Weight of a mixed server among the homes, as it also writes.
 
 type Key = (bool, u64); // Whether it is a session's.
+type Holders = BTreeMap<ServerId, (f64, f64)>; // Tokens that each has read, and when.
 
 /// Which servers have read a prefix or a session: how many tokens of it, and when.
 #[derive(Default)]
-pub(super) struct PrefixIndex(BTreeMap<Key, BTreeMap<ServerId, (f64, f64)>>);
+pub(super) struct PrefixIndex(BTreeMap<Key, Holders>);
 
 impl PrefixIndex {
     fn keys(ask: &Request) -> [(Key, f64); 2] {
@@ -25,13 +26,23 @@
         self.0.retain(|_, held| held.values().any(|h| now - h.1 < PREFIX_AGE_S));
     }
 
-    /// Tokens of a prompt that a server is known to hold: what it has read since its start.
-    pub fn known_hit(&self, s: &Server, ask: &Request) -> f64 {
-        let held = |(key, most)| {
-            let read = self.0.get(&key).and_then(|h| h.get(&s.entry.id));
-            read.filter(|h| h.1 > s.entry.booted_at).map_or(0.0, |h: &(f64, f64)| h.0.min(most))
+    /// What is known of a prompt's session and prefix, looked up once for all servers.
+    pub fn known(&self, ask: &Request) -> KnownPrefixes<'_> {
+        KnownPrefixes(Self::keys(ask).map(|(key, most)| (self.0.get(&key), most)))
+    }
+}
+
+/// Which servers have read a prompt's session and its prefix, and how many tokens of it each may be.
+pub(super) struct KnownPrefixes<'a>([(Option<&'a Holders>, f64); 2]);
+
+impl KnownPrefixes<'_> {
+    /// Tokens of the prompt that a server is known to hold: what it has read since its start.
+    pub fn hit(&self, s: &Server) -> f64 {
+        let held = |(servers, most): &(Option<&Holders>, f64)| {
+            let read = servers.and_then(|servers| servers.get(&s.entry.id));
+            read.filter(|h| h.1 > s.entry.booted_at).map_or(0.0, |h| h.0.min(*most))
         };
-        Self::keys(ask).into_iter().map(held).fold(0.0, f64::max)
+        self.0.iter().map(held).fold(0.0, f64::max)
     }
 }
 
--- a/programs/measure/src/decision.rs
+++ b/programs/measure/src/decision.rs
@@ -7,7 +7,15 @@
 
 use crate::rig::quantile;
 
+/// Requests for a fleet of up to so many hosts; larger ones are asked fewer, as each decision takes longer.
 const REQUESTS: u32 = 20_000;
+const SMALL_FLEET: u32 = 110;
+const REQUESTS_OF_LARGE: u32 = 2_000;
+/// Hosts whose state changes at once, and how often that is timed.
+const CHANGED: u32 = 16;
+const CHANGES: u32 = 200;
+/// A load report, by the fields of the settings.
+const REPORT: [f64; 3] = [0.2, 1.0, 0.3];
 
 fn settings() -> Settings {
     let class = ClassSettings {
@@ -26,13 +34,13 @@
         classes: vec![class],
         tenants: vec![],
         kinds: vec![kind(Role::Reader), kind(Role::Writer)],
-        report_fields: vec![],
-        report_mode: ReportMode::Off,
+        report_fields: vec![ReportField::SlotShare, ReportField::Queue, ReportField::MemoryShare],
+        report_mode: ReportMode::WithAnswers,
         cold: ColdStart { start_capacity: 0.25, overload_factor: 2.5, window_s: 3.0, warm_after_s: 14.0 },
         limits: Limits {
             max_attempts: 4,
             may_cancel: true,
-            may_probe: false,
+            may_probe: true,
             max_retry_after_s: 1.0,
             connect_timeout_s: 0.25,
         },
@@ -45,11 +53,16 @@
     }
 }
 
-/// Prints microseconds for fleets of 25, 57 and 110 hosts.
+/// Prints microseconds for fleets of 25 to 3,200 hosts.
 pub fn measure() {
-    println!("{REQUESTS} requests; microseconds of one event handled, by the clock of one thread");
-    println!("{:>6} {:>16} {:>16} {:>16}", "hosts", "arrival p50/p99", "read end p50/p99", "request mean");
-    for hosts in [25, 57, 110] {
+    println!(
+        "microseconds of one event handled, by the clock of one thread; a change is one of {CHANGED} hosts"
+    );
+    println!(
+        "{:>6} {:>16} {:>16} {:>16} {:>16}",
+        "hosts", "arrival p50/p99", "read end p50/p99", "request mean", "change p50/p99"
+    );
+    for hosts in [25, 57, 110, 200, 800, 3200] {
         one(hosts);
     }
 }
@@ -68,8 +81,9 @@
     };
     let entries = (0..hosts).map(entry).collect();
     router.handle(1.0, Event::Servers { form: ListForm::Full, entries }, &mut out);
+    let requests = if hosts > SMALL_FLEET { REQUESTS_OF_LARGE } else { REQUESTS };
     let (mut arrival, mut read_end, mut total) = (Vec::new(), Vec::new(), 0.0);
-    for id in 1..=REQUESTS {
+    for id in 1..=requests {
         let now = 1.0 + f64::from(id) * 0.05;
         let mut timed = |event: Event, out: &mut Vec<Action>| {
             out.clear();
@@ -90,7 +104,18 @@
         let took = timed(Event::Arrival(ask), &mut out);
         arrival.push(took);
         total += took;
-        let Some(reader) = sent_to(&out) else { continue };
+        // Probes are answered at once, which places the request.
+        let probed: Vec<ServerId> = out.iter().filter_map(probed).collect();
+        let mut sent = sent_to(&out);
+        for server in probed {
+            let report = REPORT.to_vec();
+            total += timed(
+                Event::ProbeEnded { server, outcome: Outcome::Served, elapsed_s: 0.001, report },
+                &mut out,
+            );
+            sent = sent.or(sent_to(&out));
+        }
+        let Some(reader) = sent else { continue };
         let end = |server, outcome, attempt| {
             Event::AttemptEnded(AttemptEnd {
                 request: id,
@@ -100,7 +125,7 @@
                 elapsed_s: 0.1,
                 finished: outcome == Outcome::Served,
                 prefix_hit_tokens: 1000.0,
-                report: vec![],
+                report: REPORT.to_vec(),
             })
         };
         let took = timed(end(reader, Outcome::ReadDone, 0), &mut out);
@@ -114,17 +139,43 @@
             total += timed(end(writer, Outcome::Served, 1), &mut out);
         }
     }
+    let change = changes(&mut router, hosts, entry);
     arrival.sort_by(f64::total_cmp);
     read_end.sort_by(f64::total_cmp);
     let pair = |v: &[f64]| format!("{:.1}/{:.1}", quantile(v, 0.5), quantile(v, 0.99));
     println!(
-        "{hosts:>6} {:>16} {:>16} {:>16.1}",
+        "{hosts:>6} {:>16} {:>16} {:>16.1} {:>16}",
         pair(&arrival),
         pair(&read_end),
-        total / f64::from(REQUESTS)
+        total / f64::from(requests),
+        pair(&change),
     );
 }
 
+/// Times of changes of a few hosts each, which drain and come back.
+fn changes(router: &mut Router, hosts: u32, entry: impl Fn(u32) -> ServerEntry) -> Vec<f64> {
+    let mut out = Vec::new();
+    let one = |n: u32| {
+        let standing = if n % 2 == 0 { Standing::Draining } else { Standing::Ready };
+        let changed = (0..CHANGED.min(hosts))
+            .map(|i| ServerEntry { standing, ..entry(i * hosts / CHANGED.min(hosts)) });
+        let event = Event::Servers { form: ListForm::Delta, entries: changed.collect() };
+        let start = Instant::now();
+        router.handle(1e6 + f64::from(n), event, &mut out);
+        start.elapsed().as_secs_f64() * 1e6
+    };
+    let mut took: Vec<f64> = (0..CHANGES).map(one).collect();
+    took.sort_by(f64::total_cmp);
+    took
+}
+
+fn probed(action: &Action) -> Option<ServerId> {
+    match action {
+        Action::Probe { server } => Some(*server),
+        _ => None,
+    }
+}
+
 fn sent_to(actions: &[Action]) -> Option<ServerId> {
     actions.iter().find_map(|a| match a {
         Action::Send { server, .. } => Some(*server),
