--- a/crates/platform-net/src/lib.rs
+++ b/crates/platform-net/src/lib.rs
@@ -51,6 +51,8 @@
 const ACCEPT_PAUSE_S: f64 = 0.02;
 /// Descriptors that are wanting a second time within this, seconds, are not wanting for a moment alone.
 const WANTING_S: f64 = 0.1;
+/// Connections that could not be taken are logged this often, seconds.
+const NOT_TAKEN_EVERY_S: f64 = 1.0;
 /// A configuration that cannot be read is looked at again until it can be, as it may be half written and names where
 /// discovery is: so many times after the first pause, then after the second, seconds.
 const AGAIN_S: (f64, f64) = (0.1, 0.5);
@@ -90,6 +92,8 @@
     accept_at: Option<Micros>,
     /// When there was no descriptor for a client last.
     wanting_at: Option<Micros>,
+    /// Failed tries to take a connection since they were logged, and when that was.
+    not_taken: (u64, Micros),
     redials: Redials,
     peers: Option<UdpSocket>,
     signals: Signals,
@@ -161,6 +165,7 @@
             listener: Some(listener),
             accept_at: None,
             wanting_at: None,
+            not_taken: (0, Micros(0)),
             redials: Redials::default(),
             peers,
             signals,
@@ -485,13 +490,25 @@
                 Err(e) if descriptors::exhausted(&e) && self.wants_again() && self.displace_client() => {}
                 Err(e) => {
                     // Without descriptors an accept fails at once: asking again and again would spin.
-                    tracing::debug!("a connection could not be taken: {e}");
+                    self.log_not_taken(&e);
                     return self.accept_at = Some(self.clock.now().after(ACCEPT_PAUSE_S));
                 }
             }
         }
     }
 
+    fn log_not_taken(&mut self, error: &io::Error) {
+        let now = self.clock.now();
+        let (count, logged_at) = &mut self.not_taken;
+        *count += 1;
+        if now.since(*logged_at) >= NOT_TAKEN_EVERY_S {
+            tracing::warn!(
+                "a connection could not be taken: {error}; {count} tries since the last such line"
+            );
+            (*count, *logged_at) = (0, now);
+        }
+    }
+
     /// There was no descriptor, as a moment ago: then it is no passing want.
     fn wants_again(&mut self) -> bool {
         let now = self.clock.now();
--- a/programs/soak/src/play.rs
+++ b/programs/soak/src/play.rs
@@ -22,6 +22,9 @@
 const HALF_WRITTEN: Duration = Duration::from_millis(60);
 /// After the clients' last answers states may still have to be released.
 const AFTERMATH: Duration = Duration::from_millis(1800);
+/// A thread that sleeps for the first wakes no later than after the second, unless the machine holds the mock up.
+const NAP: Duration = Duration::from_millis(5);
+const HELD_UP: Duration = Duration::from_millis(30);
 
 /// What a day came to.
 pub struct Played {
@@ -61,6 +64,7 @@
         for spell in &day.spells {
             scope.spawn(|| world.suffer(*spell));
         }
+        scope.spawn(|| world.watch_itself(&record));
         world.sleep_until(day.length_s);
         world.clients.iter().for_each(|c| c.stop());
     });
@@ -128,6 +132,18 @@
         thread::sleep(at.saturating_duration_since(Instant::now()));
     }
 
+    /// Notes when the machine holds the mock up.
+    fn watch_itself(&self, record: &Record) {
+        while self.began.elapsed().as_secs_f64() < self.day.length_s {
+            let slept = Instant::now();
+            thread::sleep(NAP);
+            let took = slept.elapsed();
+            if took > HELD_UP {
+                record.note(Seen::HeldUp { seconds: took.as_secs_f64() });
+            }
+        }
+    }
+
     fn process(&self, number: usize) -> MutexGuard<'_, Process> {
         self.processes[number].lock().unwrap_or_else(|e| e.into_inner())
     }
--- a/programs/soak/src/record.rs
+++ b/programs/soak/src/record.rs
@@ -90,6 +90,10 @@
         process: usize,
         after_s: f64,
     },
+    /// The mock itself was held up by the machine for so long, up to now.
+    HeldUp {
+        seconds: f64,
+    },
 }
 
 /// One thing and its time.
