policy: a state that a given-up hand-over may wait for is released until the request ends

Traced (a scratch copy that wrote each event): where cancelling stops nothing that waits, a hand-over that was given up goes on waiting for the state; the release at the limit, made while it was out, let go of nothing, and the request's end released nothing as the state counted as released (held_states.rs release(), needs_release()).

--- a/crates/policy/src/choice/held_states.rs
+++ b/crates/policy/src/choice/held_states.rs
@@ -21,6 +21,8 @@
     left: bool,
     /// The known state was released while a hand-over was out that may have kept it.
     released: bool,
+    /// A hand-over was given up, and may go on waiting for the state: no release before its end lets go of it.
+    waited_for: bool,
 }
 
 impl HeldState {
@@ -31,7 +33,7 @@
 
     /// A final answer leaves something to release.
     pub fn needs_release(&self) -> bool {
-        self.known.is_some_and(|_| !self.released) || self.left
+        self.known.is_some_and(|_| !self.released) || self.left || self.waited_for
     }
 
     /// It was released while the hand-over was out.
@@ -49,9 +51,10 @@
         (self.known, self.since, self.released) = (None, None, false);
     }
 
-    /// The state is released while the request goes on.
-    fn release(&mut self) {
-        (self.since, self.left, self.released) = (None, false, self.known.is_some());
+    /// The state is released while the request goes on; once more after as long where it may be waited for.
+    fn release(&mut self, now: f64) {
+        (self.left, self.released) = (false, self.known.is_some());
+        self.since = self.waited_for.then_some(now);
     }
 
     /// An attempt has ended at a prefill server, or elsewhere.
@@ -65,11 +68,11 @@
             Outcome::Full { state_gone: true } => *self = HeldState::default(),
             Outcome::Served => self.taken(),
             Outcome::Reset | Outcome::TimedOut | Outcome::Cancelled if at_prefill => self.may_be_left(now),
-            // It never arrived, so that the release has let go of the state.
-            Outcome::ConnectFailed | Outcome::NotSent if released => self.known = None,
-            // It may have arrived before the release, and kept the state.
+            // It may have arrived before the release, or counted as waiting on its way, and kept the state.
             _ if released => {
                 self.known = None;
+                self.waited_for |=
+                    matches!(end.outcome, Outcome::Reset | Outcome::TimedOut | Outcome::Cancelled);
                 self.may_be_left(now);
             }
             // Its answer shows that it had arrived: nothing was left waiting until now.
@@ -94,8 +97,9 @@
         if job.held.release_at(limit_s).is_none_or(|at| now < at) {
             return;
         }
-        job.held.release();
+        job.held.release(now);
         out.push(Action::Release { request: id });
+        self.watch_held(id, out);
     }
 
     /// Comes back to a request when what may be held for it has to be released.
--- a/crates/policy/tests/held_states.rs
+++ b/crates/policy/tests/held_states.rs
@@ -50,9 +50,10 @@
 #[test]
 fn an_end_after_the_release_says_whether_something_may_be_held_again() {
     let ends = [
-        (Outcome::ConnectFailed, false),
         (Outcome::Full { state_gone: true }, false),
         (Outcome::Served, false),
+        // On its way it may count as waiting for the state.
+        (Outcome::ConnectFailed, true),
         (Outcome::Full { state_gone: false }, true),
         (Outcome::Error, true),
         (Outcome::Reset, true),
@@ -74,6 +75,24 @@
     }
 }
 
+/// Where cancelling stops nothing that waits, a hand-over that was given up goes on waiting for the state, and a release
+/// lets go of nothing until that has ended: it is made again while the request lives, and with its end.
+#[test]
+fn a_state_that_a_given_up_hand_over_may_wait_for_is_released_again_until_the_request_ends() {
+    for outcome in [Outcome::Cancelled, Outcome::TimedOut, Outcome::Reset] {
+        let mut desk = handed_over(Effect::Safe, true);
+        desk.pass(RELEASED_BY_S);
+        desk.end(1, outcome, RELEASED_BY_S, 0.0);
+        assert!(desk.last().1 < 10, "{outcome:?}: read again");
+        let again = desk.pass(2.0 * RELEASED_BY_S);
+        assert_eq!(releases(&again), 2, "{outcome:?}: for as long as it may be waited for");
+        let before = desk.log.len();
+        desk.tell(Event::ClientGone { request: 1 });
+        desk.end(1, Outcome::Error, 2.0, 0.0);
+        assert_eq!(releases(&desk.log[before..]), 1, "{outcome:?}: with the end");
+    }
+}
+
 /// An answer shows that the hand-over had arrived: until then the state was waited for.
 #[test]
 fn a_hand_over_that_was_turned_away_starts_the_clock_anew() {
