--- a/crates/policy/src/choice/held_states.rs
+++ b/crates/policy/src/choice/held_states.rs
@@ -21,7 +21,7 @@
     left: bool,
     /// The known state was released while a hand-over was out that may have kept it.
     released: bool,
-    /// A hand-over was given up, and may go on waiting for the state: no release lets go of it until that ends.
+    /// A given-up hand-over may go on waiting for the state: no release lets go of it until that ends.
     waited_for: bool,
 }
 
