platform: a release ends a hand-over that has not gone out, and not a further prefill

Read again: release() ended any attempt that was not written, also the prefill sent elsewhere after a broken one, whose connection was coming up; it cost that request an attempt. held.rs: a_release_does_not_end_a_further_prefill_...

--- a/crates/platform/src/releases.rs
+++ b/crates/platform/src/releases.rs
@@ -210,16 +210,19 @@
 }
 
 impl Node {
-    /// Releases what is held for a request. An attempt that has not gone out would find nothing: it ends.
+    /// Releases what is held for a request. A hand-over that has not gone out would find nothing: it ends.
     pub(crate) fn release(&mut self, now: Micros, request: RequestId, out: &mut Vec<Command>) {
         let Some(open) = self.requests.get(request) else { return };
         let valid_from = open.broke_at.map_or(now, |at| at.after(CLOSE_ARRIVES_S));
+        let is_handed_over = open.out.is_some_and(|attempt| !attempt.prefill);
         let (release, dropped) = self.releases.put(now, valid_from, open.id.clone());
         self.counts.releases += 1;
         if let Some(dropped) = dropped {
             self.unconfirmed(now, &dropped, "too many states are to be released", out);
         }
-        self.end_unwritten(now, request, out);
+        if is_handed_over {
+            self.end_unwritten(now, request, out);
+        }
         self.call_release(now, release, out);
         self.timers.set(now.after(HEDGE_S), Due::Release { id: release });
     }
--- a/crates/platform/tests/held.rs
+++ b/crates/platform/tests/held.rs
@@ -5,6 +5,7 @@
 
 use bitternlatch_core::Micros;
 use bitternlatch_platform::answers::Answer;
+use bitternlatch_platform::config::Config;
 use bitternlatch_platform::discovery::Fleet;
 use bitternlatch_platform::pool::{Link, Pool, Use};
 use bitternlatch_platform::releases::Releases;
@@ -155,3 +156,25 @@
     rig.pass(5.0);
     assert_eq!((deletes(&rig, "c1").len(), rig.node.holds().releases), (2, 0));
 }
+
+/// What an earlier prefill may have left is released; the further prefill, whose connection comes up late, goes on.
+#[test]
+fn a_release_does_not_end_a_further_prefill_that_has_not_gone_out() {
+    let text = config_json(256).replace(r#""connectTimeoutS":0.25"#, r#""connectTimeoutS":3.0"#);
+    let mut rig = Rig::with(Config::parse(&text).expect("the test's configuration"));
+    rig.answers_releases = true;
+    let client = rig.client();
+    rig.text(client, &request("f1", "ask", 4800));
+    rig.pass(0.02);
+    let first = rig.last(Call::is_read);
+    rig.dead.extend(
+        hosts().iter().map(|h| h.1.parse::<SocketAddr>().expect("an address")).filter(|a| *a != first.to),
+    );
+    rig.tell(Input::Ended { conn: first.conn });
+    let (second, _) = rig.connects.last().copied().expect("the further prefill's connection");
+    rig.pass(0.95);
+    assert_eq!(deletes(&rig, "f1").len(), 1, "what the first may have left");
+    assert!(!rig.closed.contains(&second));
+    rig.tell(Input::Connected { conn: second });
+    assert_ne!(rig.last(Call::is_read).to, first.to, "read elsewhere");
+}
--- a/programs/measure/src/decision.rs
+++ b/programs/measure/src/decision.rs
@@ -156,7 +156,7 @@
 fn changes(router: &mut Router, hosts: u32, entry: impl Fn(u32) -> ServerEntry) -> Vec<f64> {
     let mut out = Vec::new();
     let one = |n: u32| {
-        let standing = if n % 2 == 0 { Standing::Draining } else { Standing::Ready };
+        let standing = if n.is_multiple_of(2) { Standing::Draining } else { Standing::Ready };
         let changed = (0..CHANGED.min(hosts))
             .map(|i| ServerEntry { standing, ..entry(i * hosts / CHANGED.min(hosts)) });
         let event = Event::Servers { form: ListForm::Delta, entries: changed.collect() };
