platform-net: a configuration that cannot be opened at a reload does not stop the loop

Found by reading the change again: read_config() had become patient (5 s) for the start, and reload() calls it too. With no descriptor free at a SIGHUP, the event loop would have slept for up to 5 s; reload() has its own retries. Patience is at the start alone now.

--- a/crates/platform-net/src/lib.rs
+++ b/crates/platform-net/src/lib.rs
@@ -60,13 +60,17 @@
 /// `BITTERNLATCH_LOG=info,explain=debug` says why requests were refused, failed, tried again or late.
 const EXPLAIN: &str = "explain";
 
-/// Reads a configuration.
+/// Reads a configuration at the start, where a file that cannot be opened for a moment is waited for.
 ///
 /// # Errors
 /// One line that names the file, the field and the cause.
 pub fn read_config(path: &Path) -> Result<Config, String> {
+    parsed(path, patient(|| std::fs::read_to_string(path)))
+}
+
+fn parsed(path: &Path, text: io::Result<String>) -> Result<Config, String> {
     let shown = path.display();
-    let text = patient(|| std::fs::read_to_string(path)).map_err(|e| format!("{shown}: {e}"))?;
+    let text = text.map_err(|e| format!("{shown}: {e}"))?;
     Config::parse(&text).map_err(|e| format!("{shown}: {e}"))
 }
 
@@ -558,7 +562,8 @@
         let now = self.clock.now();
         let Some((_, tries)) = self.reload_at.filter(|r| r.0 <= now) else { return };
         self.reload_at = None;
-        match read_config(&self.path) {
+        // Not waited for here, as the loop would stand still: it is looked at again below.
+        match parsed(&self.path, std::fs::read_to_string(&self.path)) {
             Ok(config) => {
                 self.node.reload(now, config, &mut self.commands);
                 self.carry_out();
