--- a/programs/soak/src/clients.rs
+++ b/programs/soak/src/clients.rs
@@ -10,6 +10,7 @@
 use crate::draw::{Chance, Day};
 use crate::faults::Fault;
 use crate::record::{End, Record, Seen};
+use crate::traffic::Size;
 
 /// Beyond a request's time its client waits so long for an answer, and so long for the rest of a stream.
 const PATIENCE: Duration = Duration::from_millis(1500);
@@ -19,6 +20,9 @@
 const HALF_REQUEST: Duration = Duration::from_millis(3500);
 /// Connections that clients keep.
 const MOST_KEPT: usize = 12;
+/// A rate counts for so long, and a process without traffic gets a request so often, seconds.
+const RATE_STEP_S: f64 = 0.05;
+const MOST_WAITED: Duration = Duration::from_secs(10);
 const CONNECT: Duration = Duration::from_secs(2);
 
 /// How clients may reach a process.
@@ -80,12 +84,21 @@
     pub fn ask(self: &Arc<Clients>, day: &Day) {
         let mut chance =
             Chance::new(day.seed ^ (self.process as u64 + 1).wrapping_mul(0x5851_F42D));
+        let mut sizes =
+            Chance::new(!day.seed ^ (self.process as u64 + 1).wrapping_mul(0x5851_F42D));
         let mut out = Vec::new();
         let mut number = 0;
+        let began = Instant::now();
         while !self.stop.load(Ordering::SeqCst) {
-            thread::sleep(Duration::from_secs_f64(
-                chance.between(0.2, 1.8) / day.deployment.rate,
-            ));
+            let until = Instant::now() + MOST_WAITED;
+            let mut due = chance.between(0.2, 1.8) / day.deployment.rate;
+            while due > 0.0 && Instant::now() < until && !self.stop.load(Ordering::SeqCst) {
+                let at_s = began.elapsed().as_secs_f64();
+                let rate = day.traffic.rate(self.process, day.processes, at_s);
+                let step_s = (due / rate).min(RATE_STEP_S);
+                thread::sleep(Duration::from_secs_f64(step_s));
+                due -= step_s * rate;
+            }
             number += 1;
             let manner = match chance.below(12) {
                 0..=2 if day.has(Fault::Clients) => Manner::Leaves(chance.between(0.002, 0.6)),
@@ -106,23 +119,34 @@
                 deadline_s,
                 manner,
                 session: chance.below(40),
+                size: day.traffic.size(&mut sizes),
             };
             let clients = Arc::clone(self);
-            out.push(thread::spawn(move || clients.play(&request)));
+            let retries = day.traffic.client_retries;
+            out.push(thread::spawn(move || {
+                clients.play_with_retries(request, retries)
+            }));
             out.retain(|t: &thread::JoinHandle<()>| !t.is_finished());
         }
         out.into_iter().for_each(|t| drop(t.join()));
     }
 
-    fn play(&self, request: &Request) {
-        let (kept, is_new) = match self.connection() {
-            Some(found) => found,
-            None => return,
-        };
-        let mut stream = kept;
-        let Some(asked_at) = self.write(&mut stream, request) else {
-            return;
-        };
+    /// Plays a request, and again under a new id at once for as many retries while it is refused.
+    fn play_with_retries(&self, mut request: Request, retries: u32) {
+        let id = request.id.clone();
+        for retry in 0..=retries {
+            if retry > 0 {
+                request.id = format!("{id}-r{retry}");
+            }
+            if self.play(&request) != Some(End::Refused) {
+                return;
+            }
+        }
+    }
+
+    fn play(&self, request: &Request) -> Option<End> {
+        let (mut stream, is_new) = self.connection()?;
+        let asked_at = self.write(&mut stream, request)?;
         let mut end = self.hear(&mut stream, request, asked_at);
         // A close that crosses a request which was not read: it is sent once more on a new connection.
         if end == End::Closed && !is_new && self.reach() == Reach::Open {
@@ -143,6 +167,7 @@
                 kept.push(stream);
             }
         }
+        Some(end)
     }
 
     fn reach(&self) -> Reach {
@@ -262,6 +287,7 @@
     deadline_s: f64,
     manner: Manner,
     session: usize,
+    size: Option<Size>,
 }
 
 impl Request {
@@ -269,9 +295,10 @@
         let kind = if self.is_unsafe { "book" } else { "ask" };
         let left_ms = (self.deadline_s - from.elapsed().as_secs_f64()).max(0.0) * 1e3;
         let (id, session) = (&self.id, self.session);
+        let extra = self.size.map_or(String::new(), |size| size.header());
         format!(
             "POST /v1/chat/completions HTTP/1.1\r\nReq-Id: {id}\r\nReq-Kind: {kind}\r\nReq-Key: {session}\r\n\
-             Req-Deadline-Ms: {left_ms:.0}\r\nContent-Length: 2\r\n\r\n{{}}"
+             Req-Deadline-Ms: {left_ms:.0}\r\n{extra}Content-Length: 2\r\n\r\n{{}}"
         )
     }
 }
--- a/programs/soak/src/draw.rs
+++ b/programs/soak/src/draw.rs
@@ -4,6 +4,8 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 
 use crate::faults::{Fault, FAULTS};
+use crate::slow_start::{SlowStartTerms, WarmUp};
+use crate::traffic::Traffic;
 
 /// Chance of one kind of thing, the same for the same seed.
 pub struct Chance(Xoshiro256PlusPlus);
@@ -82,8 +84,46 @@
     Pause {
         process: usize,
     },
+    /// The process of a server ends, and starts again under its uid after so many seconds.
+    ColdStart {
+        server: usize,
+        replacement: Replacement,
+        away_s: f64,
+        /// Seconds from the new process's start until it is listed.
+        listed_after_s: f64,
+        /// Seconds from its start until it takes connections, which come up at once.
+        accepts_after_s: f64,
+    },
+    /// Idle clients of a process hold so many connections.
+    Crowd {
+        process: usize,
+        connections: usize,
+    },
+}
+
+/// What the list says of a server that is replaced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Replacement {
+    /// It drains, is gone, and is ready again.
+    Gone,
+    /// It drains and is ready again.
+    Drained,
+    /// Nothing until its new start is listed.
+    Crashed,
+    /// Its new start is listed while it still drains; then it is ready.
+    ListedDraining,
+    /// It drains, and is listed as ready twice.
+    ListedTwice,
 }
 
+const REPLACEMENTS: [Replacement; 5] = [
+    Replacement::Gone,
+    Replacement::Drained,
+    Replacement::Crashed,
+    Replacement::ListedDraining,
+    Replacement::ListedTwice,
+];
+
 /// A trouble and its time, seconds from the day's begin.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Spell {
@@ -101,12 +141,44 @@
     pub faults: Vec<Fault>,
     pub deployment: Deployment,
     pub spells: Vec<Spell>,
+    pub traffic: Traffic,
+    /// How servers start on days with cold starts; on others they are never cold.
+    pub slow_start: Option<SlowStartTerms>,
+    /// The dispatchers' settings say that servers start warm, which is not so.
+    pub without_slow_start: bool,
+    /// Interval at which discovery's agent of each process learns of changes, seconds; 0 for at once.
+    pub agent_periods_s: Vec<f64>,
 }
 
 /// Quiet seconds before the first trouble, and after the last one's end.
 const QUIET_S: (f64, f64) = (1.5, 2.0);
 /// Requests a second at all processes together.
 const RATE: f64 = 30.0;
+/// Servers of a role, requests a second, deadline and utilization on days with quiet starts.
+const QUIET_SERVERS_BY_ROLE: usize = 6;
+const QUIET_RATE: f64 = 90.0;
+const QUIET_DEADLINE_S: f64 = 4.0;
+const QUIET_UTILIZATION: f64 = 0.7;
+const COLD_START_SEED: u64 = 0x00C0_1D57_A127;
+/// Servers of a role on days with cold starts: a small fleet has small budgets.
+const COLD_SERVERS_BY_ROLE: [usize; 3] = [4, 6, 8];
+/// Requests a second at all processes on these days: small and large budgets.
+const COLD_RATES: [f64; 3] = [30.0, 60.0, 90.0];
+/// Deadlines on these days: work takes its time there.
+const COLD_DEADLINES_S: [f64; 3] = [3.0, 4.0, 6.0];
+/// Utilization of warm servers on these days.
+const UTILIZATION: (f64, f64) = (0.5, 0.9);
+/// Seconds between two cold starts, and what one of them takes.
+const COLD_START_EVERY_S: (f64, f64) = (1.5, 3.5);
+const AWAY_S: (f64, f64) = (0.2, 1.2);
+const MAX_LISTED_AFTER_S: f64 = 2.0;
+const MAX_AGENT_PERIOD_S: f64 = 1.5;
+/// Fraction of the cold starts whose connections come up late, and how late.
+const LATE_CONNECTIONS: f64 = 0.3;
+const MAX_ACCEPTS_AFTER_S: f64 = 1.0;
+/// Part of a process's descriptors that idle clients hold.
+const CROWD_FRACTION: f64 = 0.2;
+const CROWD_S: (f64, f64) = (2.0, 5.0);
 
 impl Day {
     /// The day of a seed; `faults` empty draws two classes.
@@ -117,7 +189,7 @@
         } else {
             faults.to_vec()
         };
-        let deployment = Deployment {
+        let mut deployment = Deployment {
             servers_by_role: 2 + chance.below(4),
             pin_limit_s: chance.one_of(&[0.3, 0.5, 1.0]),
             connect_timeout_s: chance.one_of(&[0.25, 0.5, 1.0]),
@@ -135,8 +207,42 @@
         if faults.contains(&Fault::SilentDecode) && faults.contains(&Fault::SilentPrefill) {
             leave_one_running(&mut spells, deployment.servers_by_role);
         }
+        // Not the day's own chance: days without these classes play as they did before there were any.
+        let mut chance = Chance::new(seed ^ COLD_START_SEED);
+        let slow_start = faults.contains(&Fault::ColdStart).then(|| {
+            deployment.servers_by_role = chance.one_of(&COLD_SERVERS_BY_ROLE);
+            deployment.safe_deadline_s = chance.one_of(&COLD_DEADLINES_S);
+            deployment.unsafe_deadline_s = chance.one_of(&COLD_DEADLINES_S);
+            let rate = chance.one_of(&COLD_RATES);
+            deployment.rate = rate / processes as f64;
+            slow_start(deployment.servers_by_role, rate, &mut chance)
+        });
+        let mut agent_periods_s = vec![0.0; processes];
+        if slow_start.is_some() {
+            spells.extend(cold_starts(&deployment, length_s, &mut chance));
+            agent_periods_s.fill_with(|| chance.between(0.0, MAX_AGENT_PERIOD_S));
+        }
+        if faults.contains(&Fault::QuietStart) {
+            deployment.servers_by_role = QUIET_SERVERS_BY_ROLE;
+            deployment.safe_deadline_s = QUIET_DEADLINE_S;
+            deployment.unsafe_deadline_s = QUIET_DEADLINE_S;
+            deployment.rate = QUIET_RATE / processes as f64;
+            spells.extend(quiet_starts());
+        }
+        let slow_start = slow_start.or_else(|| {
+            let is_quiet = faults.contains(&Fault::QuietStart);
+            is_quiet.then(|| quiet_slow_start(&mut chance))
+        });
+        if faults.contains(&Fault::Crowd) {
+            spells.extend(crowd(&deployment, processes, length_s, &mut chance));
+        }
+        let traffic = Traffic::draw(&faults, length_s, &mut chance);
         spells.sort_by(|a, b| a.from_s.total_cmp(&b.from_s));
         Day {
+            traffic,
+            slow_start,
+            without_slow_start: false,
+            agent_periods_s,
             seed,
             processes,
             length_s,
@@ -161,6 +267,94 @@
     }
 }
 
+fn slow_start(servers_by_role: usize, rate: f64, chance: &mut Chance) -> SlowStartTerms {
+    let utilization = chance.between(UTILIZATION.0, UTILIZATION.1);
+    SlowStartTerms {
+        overload_factor: chance.one_of(&[2.0, 2.5, 3.0]),
+        start_capacity: chance.one_of(&[0.15, 0.25, 0.5]),
+        window_s: chance.one_of(&[1.5, 2.0, 3.0]),
+        warm_after_s: chance.one_of(&[8.0, 12.0, 14.0]),
+        warm_rate: rate / servers_by_role as f64 / utilization,
+        warm_up: chance.one_of(&[WarmUp::ByAge, WarmUp::ByRequests]),
+    }
+}
+
+/// A server of each role that starts as the lull of [`Traffic`] begins.
+fn quiet_starts() -> Vec<Spell> {
+    let one = |server| Spell {
+        from_s: QUIET_S.0,
+        to_s: QUIET_S.0,
+        trouble: Trouble::ColdStart {
+            server,
+            replacement: Replacement::Gone,
+            away_s: AWAY_S.0,
+            listed_after_s: 0.0,
+            accepts_after_s: 0.0,
+        },
+    };
+    (0..2).map(one).collect()
+}
+
+fn quiet_slow_start(chance: &mut Chance) -> SlowStartTerms {
+    SlowStartTerms {
+        overload_factor: 2.5,
+        start_capacity: 0.25,
+        window_s: 3.0,
+        warm_after_s: chance.between(12.0, 14.0),
+        warm_rate: QUIET_RATE / QUIET_SERVERS_BY_ROLE as f64 / QUIET_UTILIZATION,
+        warm_up: WarmUp::ByRequests,
+    }
+}
+
+/// Servers one after another, half of them again and again.
+fn cold_starts(deployment: &Deployment, length_s: f64, chance: &mut Chance) -> Vec<Spell> {
+    let last_s = length_s - QUIET_S.1 - AWAY_S.1;
+    let mut from_s = QUIET_S.0;
+    let mut spells = Vec::new();
+    let first = chance.below(deployment.servers_by_role);
+    while from_s < last_s {
+        let accepts_after_s = if chance.happens(LATE_CONNECTIONS) {
+            chance.between(0.0, MAX_ACCEPTS_AFTER_S)
+        } else {
+            0.0
+        };
+        let trouble = Trouble::ColdStart {
+            server: (first + spells.len()) % deployment.servers_by_role,
+            replacement: chance.one_of(&REPLACEMENTS),
+            away_s: chance.between(AWAY_S.0, AWAY_S.1),
+            listed_after_s: chance.between(0.0, MAX_LISTED_AFTER_S),
+            accepts_after_s,
+        };
+        spells.push(Spell {
+            from_s,
+            to_s: from_s,
+            trouble,
+        });
+        from_s += chance.between(COLD_START_EVERY_S.0, COLD_START_EVERY_S.1);
+    }
+    spells
+}
+
+fn crowd(
+    deployment: &Deployment,
+    processes: usize,
+    length_s: f64,
+    chance: &mut Chance,
+) -> Vec<Spell> {
+    let one = |process| {
+        let from_s = chance.between(QUIET_S.0, length_s / 2.0);
+        Spell {
+            from_s,
+            to_s: from_s + chance.between(CROWD_S.0, CROWD_S.1),
+            trouble: Trouble::Crowd {
+                process,
+                connections: (CROWD_FRACTION * deployment.sockets as f64) as usize,
+            },
+        }
+    };
+    (0..processes).map(one).collect()
+}
+
 /// Where both roles fall silent some server still runs: nothing can be released while none does.
 fn leave_one_running(spells: &mut [Spell], servers_by_role: usize) {
     for spell in spells {
@@ -197,6 +391,14 @@
         Fault::Reload => (6, (0.0, 0.0)),
         Fault::Pause => (12, (0.02, 0.15)),
         Fault::Clients | Fault::Calls | Fault::Short | Fault::Clock => (0, (0.0, 0.0)),
+        Fault::ColdStart
+        | Fault::Burst
+        | Fault::HeavyRequests
+        | Fault::HotPrefix
+        | Fault::ClientRetry
+        | Fault::Skew
+        | Fault::Crowd
+        | Fault::QuietStart => (0, (0.0, 0.0)),
     }
 }
 
--- a/programs/soak/src/faults.rs
+++ b/programs/soak/src/faults.rs
@@ -36,10 +36,26 @@
     Short,
     /// The wall clock is an hour off.
     Clock,
+    /// Servers restart one after another under their uid and are cold; each notification comes as the seed draws it.
+    ColdStart,
+    /// The traffic stops for some seconds, and then comes at a multiple of its rate.
+    Burst,
+    /// Few requests have most of the work: prompts and answers of very unlike lengths.
+    HeavyRequests,
+    /// Most requests share one prompt prefix.
+    HotPrefix,
+    /// Clients ask again at once when they are refused.
+    ClientRetry,
+    /// The first process gets nearly all of the traffic.
+    Skew,
+    /// Idle clients hold a part of the descriptors.
+    Crowd,
+    /// Servers that warm up by requests start in a lull, each process is notified at once, and a burst ends the lull.
+    QuietStart,
 }
 
 /// All classes by their names.
-pub const FAULTS: [(&str, Fault); 14] = [
+pub const FAULTS: [(&str, Fault); 22] = [
     ("silent-decode", Fault::SilentDecode),
     ("silent-prefill", Fault::SilentPrefill),
     ("silent-kept", Fault::SilentKept),
@@ -54,6 +70,14 @@
     ("calls", Fault::Calls),
     ("short", Fault::Short),
     ("clock", Fault::Clock),
+    ("cold-start", Fault::ColdStart),
+    ("burst", Fault::Burst),
+    ("heavy-requests", Fault::HeavyRequests),
+    ("hot-prefix", Fault::HotPrefix),
+    ("client-retry", Fault::ClientRetry),
+    ("skew", Fault::Skew),
+    ("crowd", Fault::Crowd),
+    ("quiet-start", Fault::QuietStart),
 ];
 
 /// A word that names no class.
--- a/programs/soak/src/judge.rs
+++ b/programs/soak/src/judge.rs
@@ -1,10 +1,11 @@
 //! The rules, judged from a day's record.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::{Duration, Instant};
 
 use crate::record::{End, Entry, Seen};
+use crate::slow_start::{ColdServer, SlowStartTerms};
 
 /// What every time limit is longer by on sockets, and the further slack of the rule on what is held.
 const SOCKETS: Duration = Duration::from_millis(50);
@@ -30,6 +31,8 @@
     Pinned,
     Deadline,
     Crash,
+    /// A cold server was sent more than its budget.
+    ColdOverload,
 }
 
 /// A rule that was broken, and how.
@@ -51,6 +54,7 @@
     pub pin_limit: Duration,
     /// Servers reset connections, so that a stream may break without the dispatcher's doing.
     pub servers_break: bool,
+    pub slow_start: Option<SlowStartTerms>,
 }
 
 struct Asked<'a> {
@@ -82,6 +86,9 @@
         breaks.extend(of(told_too_much(asked, record)));
     }
     breaks.extend(drained(record));
+    if let Some(slow_start) = terms.slow_start {
+        breaks.extend(cold_overloads(record, slow_start).breaks);
+    }
     breaks
 }
 
@@ -97,6 +104,9 @@
         | Seen::Released { id }
         | Seen::StreamWhole { id } => Some(id),
         Seen::Drained { .. }
+        | Seen::ColdStart { .. }
+        | Seen::Fell { .. }
+        | Seen::Listed { .. }
         | Seen::Told { .. }
         | Seen::Gone { .. }
         | Seen::Ready { .. }
@@ -325,6 +335,12 @@
             Seen::Drained { process, server } => {
                 told.entry((*process, *server)).or_insert(entry.at);
             }
+            Seen::Listed {
+                process,
+                server,
+                ready: true,
+                ..
+            } => drop(told.remove(&(*process, *server))),
             Seen::Arrived { id, server, .. } => {
                 let known = process_of
                     .get(id.as_str())
@@ -343,6 +359,71 @@
     breaks
 }
 
+/// What the record shows of the cold servers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ColdVerdict {
+    pub breaks: Vec<Break>,
+    /// Most work of a window at any of them, as a fraction of what makes that server fall.
+    pub peak: f64,
+}
+
+/// The first fall of each cold server, where most of its work came from processes that had been notified.
+pub fn cold_overloads(record: &[Entry], terms: SlowStartTerms) -> ColdVerdict {
+    let mut cold: BTreeMap<usize, ColdServer> = BTreeMap::new();
+    let mut notified: BTreeSet<(usize, usize)> = BTreeSet::new();
+    let mut process_of: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut verdict = ColdVerdict::default();
+    for entry in record {
+        match &entry.seen {
+            Seen::Asked { id, process, .. } => drop(process_of.insert(id, *process)),
+            Seen::ColdStart { server } => {
+                notified.retain(|(_, known)| known != server);
+                cold.insert(*server, ColdServer::new(terms, entry.at));
+            }
+            Seen::Listed {
+                process,
+                server,
+                tells_start: true,
+                ..
+            } => drop(notified.insert((*process, *server))),
+            Seen::Arrived {
+                id, server, work, ..
+            } => {
+                let Some(state) = cold.get_mut(server) else {
+                    continue;
+                };
+                if state.is_warm(entry.at) {
+                    cold.remove(server);
+                    continue;
+                }
+                let process = process_of.get(id.as_str());
+                let from_notified = process.is_some_and(|p| notified.contains(&(*p, *server)));
+                let fall = state.receive(entry.at, *work, from_notified);
+                verdict.peak = verdict.peak.max(state.peak());
+                let Some(fall) = fall else {
+                    continue;
+                };
+                cold.remove(server);
+                if fall.breaks_rule() {
+                    let (work, notified_work, most) =
+                        (fall.work, fall.notified_work, fall.max_work);
+                    let what = format!(
+                        "server {server} fell {:.2} s after its start: work {work:.1}, of which \
+                         {notified_work:.1} by notified processes, over {most:.1}",
+                        fall.age_s
+                    );
+                    verdict.breaks.push(Break {
+                        rule: Rule::ColdOverload,
+                        what,
+                    });
+                }
+            }
+            _ => {}
+        }
+    }
+    verdict
+}
+
 fn processes(record: &[Entry]) -> Vec<Break> {
     let broken = |entry: &Entry| match &entry.seen {
         Seen::Gone {
--- a/programs/soak/src/lib.rs
+++ b/programs/soak/src/lib.rs
@@ -10,3 +10,5 @@
 pub mod process;
 pub mod record;
 pub mod servers;
+pub mod slow_start;
+pub mod traffic;
--- a/programs/soak/src/main.rs
+++ b/programs/soak/src/main.rs
@@ -27,7 +27,7 @@
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=10_000))]
     seeds: u64,
     /// Dispatchers in a day.
-    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=12))]
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=20))]
     processes: u64,
     /// Classes of faults, with commas between; drawn by the seed where none is named.
     #[arg(long, value_delimiter = ',')]
@@ -35,6 +35,9 @@
     /// Seconds of a day.
     #[arg(long, default_value_t = 20.0, value_parser = length)]
     length: f64,
+    /// Dispatchers are told that servers start warm: their slow start is off, and the judge has to find it.
+    #[arg(long)]
+    without_slow_start: bool,
     /// Days at a time.
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=16))]
     parallel: u64,
@@ -83,7 +86,8 @@
                 if seed >= args.seed + args.seeds || fault.lock().is_ok_and(|f| f.is_some()) {
                     return;
                 }
-                let day = Day::draw(seed, args.processes as usize, args.length, &args.faults);
+                let mut day = Day::draw(seed, args.processes as usize, args.length, &args.faults);
+                day.without_slow_start = args.without_slow_start;
                 match play_in(&args.out, &day) {
                     Ok(played) => {
                         let bad = !played.breaks.is_empty() || !played.never_injected.is_empty();
@@ -122,8 +126,15 @@
         "BROKEN"
     };
     let (requests, served, unserved) = (played.requests, played.served, played.unserved);
+    let cold = match played.cold_starts {
+        0 => String::new(),
+        starts => format!(
+            ", {starts} cold starts, {} fell, peak {:.2}",
+            played.falls, played.cold_peak
+        ),
+    };
     println!(
-        "{verdict}: {requests} requests, {served} served, {unserved} refused or failed: {}",
+        "{verdict}: {requests} requests, {served} served, {unserved} refused or failed{cold}: {}",
         day.command()
     );
     played
--- a/programs/soak/src/play.rs
+++ b/programs/soak/src/play.rs
@@ -1,5 +1,6 @@
 //! Plays one day: servers, discovery, processes and clients, with each trouble at its time.
 
+use std::net::TcpStream;
 use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
@@ -9,9 +10,10 @@
 
 use crate::clients::{Clients, Reach};
 use crate::discovery::Discovery;
-use crate::draw::{Day, Spell, Trouble};
+use crate::discovery::State;
+use crate::draw::{Day, Replacement, Spell, Trouble};
 use crate::faults::Fault;
-use crate::judge::{judge, Break, Terms};
+use crate::judge::{cold_overloads, judge, Break, Terms};
 use crate::process::Process;
 use crate::record::{End, Entry, Record, Seen};
 use crate::servers::Servers;
@@ -22,6 +24,10 @@
 const HALF_WRITTEN: Duration = Duration::from_millis(60);
 /// After the clients' last answers states may still have to be released.
 const AFTERMATH: Duration = Duration::from_millis(1800);
+/// A server that is replaced drains for so long before its process ends.
+const DRAINS: Duration = Duration::from_millis(800);
+/// Between two notifications of the same start.
+const LISTED_AGAIN: Duration = Duration::from_millis(400);
 /// A thread that sleeps for the first wakes no later than after the second, unless the machine holds the mock up.
 const NAP: Duration = Duration::from_millis(5);
 const HELD_UP: Duration = Duration::from_millis(30);
@@ -33,6 +39,11 @@
     pub served: usize,
     /// Refused or failed.
     pub unserved: usize,
+    pub cold_starts: usize,
+    /// Servers that fell, whoever was notified.
+    pub falls: usize,
+    /// Most work of a window at a cold server, as a fraction of what makes it fall.
+    pub cold_peak: f64,
     /// Injections that the day asks for and that no process met.
     pub never_injected: Vec<&'static str>,
 }
@@ -75,9 +86,16 @@
     let never_injected = world.end();
     let terms = Terms {
         pin_limit: Duration::from_secs_f64(day.deployment.pin_limit_s),
-        servers_break: [Fault::Reset, Fault::SilentDecode, Fault::SilentKept]
-            .iter()
-            .any(|f| day.has(*f)),
+        servers_break: [
+            Fault::Reset,
+            Fault::SilentDecode,
+            Fault::SilentKept,
+            Fault::ColdStart,
+            Fault::QuietStart,
+        ]
+        .iter()
+        .any(|f| day.has(*f)),
+        slow_start: day.slow_start,
     };
     let entries = record.take();
     let count = |fits: fn(&Seen) -> bool| entries.iter().filter(|e| fits(&e.seen)).count();
@@ -100,6 +118,8 @@
             }
         )
     });
+    let cold_starts = count(|s| matches!(s, Seen::ColdStart { .. }));
+    let falls = count(|s| matches!(s, Seen::Fell { .. }));
     let breaks = judge(&entries, terms);
     if !breaks.is_empty() {
         write_record(folder, &entries, world.began);
@@ -109,6 +129,11 @@
         requests,
         served,
         unserved,
+        cold_starts,
+        falls,
+        cold_peak: day
+            .slow_start
+            .map_or(0.0, |terms| cold_overloads(&entries, terms).peak),
         never_injected,
     })
 }
@@ -131,14 +156,15 @@
 impl World {
     fn start(day: &Day, folder: &Path, record: &Record) -> Result<World, String> {
         let fault = |e: std::io::Error| format!("a mock of the platform: {e}");
-        let servers = Servers::new(record.clone(), day.seed);
+        let servers = Servers::new(record.clone(), day.seed, day.slow_start);
         let discovery = Discovery::new(record.clone());
         for number in 0..2 * day.deployment.servers_by_role {
             discovery.add(servers.start(number % 2 == 1, 0).map_err(fault)?);
         }
         let mut processes = Vec::new();
         for number in 0..day.processes {
-            let agent = discovery.agent(number).map_err(fault)?;
+            let period = Duration::from_secs_f64(day.agent_periods_s[number]);
+            let agent = discovery.agent(number, period).map_err(fault)?;
             processes.push(Process::new(
                 day,
                 number,
@@ -243,6 +269,31 @@
             }
             Trouble::Restart { process } => self.restart(process),
             Trouble::Reload { process, whole } => self.reload(process, whole),
+            Trouble::ColdStart {
+                server,
+                replacement,
+                away_s,
+                listed_after_s,
+                accepts_after_s,
+            } => {
+                self.take_away(server, replacement, away_s);
+                let restarted = self.servers.get(server);
+                let accepts_in = Duration::from_secs_f64(accepts_after_s);
+                self.servers.restart(&restarted, unix_ms(), accepts_in);
+                thread::sleep(Duration::from_secs_f64(listed_after_s));
+                self.list_start(server, replacement);
+            }
+            Trouble::Crowd {
+                process,
+                connections,
+            } => {
+                let to = self.process(process).listen;
+                let crowd: Vec<TcpStream> = (0..connections)
+                    .filter_map(|_| TcpStream::connect(to).ok())
+                    .collect();
+                over();
+                drop(crowd);
+            }
             Trouble::Pause { process } => {
                 self.process(process).signal(Signal::STOP);
                 over();
@@ -251,6 +302,35 @@
         }
     }
 
+    /// Ends a server's process, after a drain where there is one.
+    fn take_away(&self, number: usize, replacement: Replacement, away_s: f64) {
+        if replacement != Replacement::Crashed {
+            self.discovery.set(number, State::Draining);
+            thread::sleep(DRAINS);
+        }
+        self.servers.stop(&self.servers.get(number));
+        if replacement == Replacement::Gone {
+            self.discovery.set(number, State::Gone);
+        }
+        thread::sleep(Duration::from_secs_f64(away_s));
+    }
+
+    fn list_start(&self, number: usize, replacement: Replacement) {
+        let first = match replacement {
+            Replacement::ListedDraining => State::Draining,
+            _ => State::Ready,
+        };
+        self.discovery.set(number, first);
+        let is_listed_again = matches!(
+            replacement,
+            Replacement::ListedDraining | Replacement::ListedTwice
+        );
+        if is_listed_again {
+            thread::sleep(LISTED_AGAIN);
+            self.discovery.set(number, State::Ready);
+        }
+    }
+
     fn replace(&self, number: usize) {
         let decode = self.servers.get(number).decode;
         if let Ok(server) = self.servers.start(decode, unix_ms()) {
--- a/programs/soak/src/process.rs
+++ b/programs/soak/src/process.rs
@@ -10,9 +10,10 @@
 
 use rustix::process::{kill_process, Pid, Signal};
 
-use crate::draw::{Day, Deployment};
+use crate::draw::Day;
 use crate::faults::Fault;
 use crate::record::{Record, Seen};
+use crate::slow_start::{SlowStartTerms, WarmUp};
 
 /// The word that turns this program into a dispatcher.
 pub const AS_DISPATCHER: &str = "--as-dispatcher";
@@ -22,6 +23,15 @@
 /// The kill comes so much after the longest deadline, which counts as the second at the most.
 const KILL_AFTER_S: f64 = 0.7;
 const LONGEST_DEADLINE_S: f64 = 3.0;
+/// What the settings say on days without cold servers.
+const USUAL_SLOW_START: SlowStartTerms = SlowStartTerms {
+    overload_factor: 2.5,
+    start_capacity: 0.25,
+    window_s: 3.0,
+    warm_after_s: 14.0,
+    warm_rate: f64::INFINITY,
+    warm_up: WarmUp::ByAge,
+};
 /// The wall clock is so far off where a day says so.
 const CLOCK_OFF_S: [i64; 4] = [3600, -3600, 7, -7];
 
@@ -73,8 +83,19 @@
     listen: SocketAddr,
     discovery: SocketAddr,
     known: &str,
-    d: &Deployment,
+    day: &Day,
 ) -> String {
+    let d = &day.deployment;
+    let SlowStartTerms {
+        overload_factor,
+        window_s,
+        warm_after_s,
+        ..
+    } = day.slow_start.unwrap_or(USUAL_SLOW_START);
+    let start_capacity = match day.slow_start {
+        _ if day.without_slow_start => 1.0,
+        slow_start => slow_start.unwrap_or(USUAL_SLOW_START).start_capacity,
+    };
     let (pin, connect) = (d.pin_limit_s, d.connect_timeout_s);
     let (safe, one_shot, sockets) = (d.safe_deadline_s, d.unsafe_deadline_s, d.sockets);
     let (cancel, probing) = (d.may_cancel, d.probes);
@@ -82,14 +103,15 @@
         r#"{{"name":"d{process}","listen":"{listen}","discovery":"{discovery}","seed":"{process}f",
         "limits":{{"cores":0.5,"memory_mb":64,"sockets":{sockets}}},
         "known":{known},
-        "settings":{{"balancers":1,"classes":[
+        "settings":{{"balancers":{processes},"classes":[
             {{"name":"ask","effect":"free","aimS":{safe_aim},"deadlineS":{safe}}},
             {{"name":"book","effect":"single_shot","aimS":{unsafe_aim},"deadlineS":{one_shot}}}],
-          "contract":{{"overloadFactor":2.5,"startCapacity":0.25,"fallS":3.0,"warmAfterS":14.0}},
+          "contract":{{"overloadFactor":{overload_factor},"startCapacity":{start_capacity},"fallS":{window_s},"warmAfterS":{warm_after_s}}},
           "extra":{{"kindRole":["read","write"],"pinLimitS":{pin},"kindMemoryTokens":[200000,150000]}},
           "kinds":["reads","writes"],"zones":["hall"],"locality":0,"membershipMode":"pushed",
           "limits":{{"maxAttempts":4,"cancel":{cancel},"probing":{probing},"connIdleS":15.0,"connectTimeoutS":{connect}}},
           "report":{{"how":"inline","fields":["load_share","depth","x0"]}}}}}}"#,
+        processes = day.processes,
         safe_aim = safe * 0.4,
         unsafe_aim = one_shot * 0.4,
     )
@@ -129,7 +151,7 @@
         record: Record,
     ) -> Result<Process, String> {
         let listen = own_address();
-        let text = configuration(number, listen, discovery, known, &day.deployment);
+        let text = configuration(number, listen, discovery, known, day);
         let shim = plan(day, number)
             .map(|plan| Ok::<_, String>((shim_library()?, plan)))
             .transpose()?;
--- a/programs/soak/src/record.rs
+++ b/programs/soak/src/record.rs
@@ -47,6 +47,8 @@
         server: usize,
         decode: bool,
         told_ms: u64,
+        /// In requests of mean work.
+        work: f64,
     },
     /// It has its answer, or its connection has ended. `declined`: it never ran.
     Over {
@@ -71,6 +73,22 @@
     StreamWhole {
         id: String,
     },
+    /// A server's process has started anew, and is cold.
+    ColdStart {
+        server: usize,
+    },
+    /// A cold server got more than it could bear, and stays down.
+    Fell {
+        server: usize,
+    },
+    /// A process counts as notified of a change of a server.
+    Listed {
+        process: usize,
+        server: usize,
+        ready: bool,
+        /// The list gives the start of the process that runs, which is not that of the day's begin.
+        tells_start: bool,
+    },
     /// Discovery has told a process that a server drains.
     Drained {
         process: usize,
@@ -108,13 +126,13 @@
 pub struct Record(Arc<Mutex<Vec<Entry>>>);
 
 impl Record {
-    pub fn note(&self, seen: Seen) {
+    /// Notes one thing; returns the time under which it stands.
+    pub fn note(&self, seen: Seen) -> Instant {
         // The time is taken under the lock, so that entries stand in order of time.
         let mut entries = self.0.lock().unwrap_or_else(|e| e.into_inner());
-        entries.push(Entry {
-            at: Instant::now(),
-            seen,
-        });
+        let at = Instant::now();
+        entries.push(Entry { at, seen });
+        at
     }
 
     pub fn take(&self) -> Vec<Entry> {
--- a/programs/soak/src/servers.rs
+++ b/programs/soak/src/servers.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -13,6 +13,8 @@
 
 use crate::draw::Chance;
 use crate::record::{Record, Seen};
+use crate::slow_start::{ColdServer, SlowStartTerms};
+use crate::traffic;
 
 /// How often a connection's thread looks at what has changed.
 const LOOK: Duration = Duration::from_millis(4);
@@ -22,6 +24,13 @@
 const RELEASED: &[u8] = b"HTTP/1.1 204 No Content\r\n\r\n";
 const GONE: &[u8] = b"HTTP/1.1 410 Gone\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
 const REPORT: &str = "util=0.1,queue=0,x0=0.1";
+const DECLINED: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
+/// Requests that a server with a limited capacity works on at a time, and that may wait there.
+const SLOTS: usize = 2;
+const MAX_WAITING: usize = 30;
+/// Connections that are taken so soon after a server takes any may have waited.
+const TAKEN_AT_ONCE: Duration = Duration::from_millis(100);
 /// Share of prefills that end well though their connection has just ended.
 const LEFT_SHARE: f64 = 0.3;
 
@@ -38,8 +47,17 @@
     pub decode: bool,
     pub uid: String,
     pub address: SocketAddr,
-    pub booted_ms: u64,
+    booted_ms: AtomicU64,
     listener: TcpListener,
+    /// The process is down: connections are reset.
+    down: AtomicBool,
+    /// Counts the starts of the process: connections to an earlier one are reset.
+    starts: AtomicU64,
+    /// No connection is taken before this time, though it comes up.
+    accepts_from: Mutex<Option<Instant>>,
+    cold: Mutex<Option<ColdServer>>,
+    busy: AtomicUsize,
+    waiting: AtomicUsize,
     /// Nothing arrives, on any connection or on those from before alone.
     silent: AtomicBool,
     kept_only: AtomicBool,
@@ -57,6 +75,8 @@
     resets: AtomicU64,
     seed: u64,
     connections: AtomicU64,
+    /// How servers start and what they can do; without it they are warm at once and never full.
+    slow_start: Option<SlowStartTerms>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -64,7 +84,7 @@
 }
 
 impl Servers {
-    pub fn new(record: Record, seed: u64) -> Arc<Servers> {
+    pub fn new(record: Record, seed: u64, slow_start: Option<SlowStartTerms>) -> Arc<Servers> {
         Arc::new(Servers {
             record,
             all: Mutex::default(),
@@ -72,6 +92,7 @@
             resets: AtomicU64::new(0),
             seed,
             connections: AtomicU64::new(0),
+            slow_start,
         })
     }
 
@@ -93,19 +114,64 @@
             decode,
             uid: format!("m-{}", all.len()),
             address: listener.local_addr()?,
-            booted_ms,
+            booted_ms: AtomicU64::new(booted_ms),
             listener,
+            down: AtomicBool::new(false),
+            starts: AtomicU64::new(0),
+            accepts_from: Mutex::default(),
+            cold: Mutex::default(),
+            busy: AtomicUsize::new(0),
+            waiting: AtomicUsize::new(0),
             silent: AtomicBool::new(false),
             kept_only: AtomicBool::new(false),
             spells: AtomicU64::new(0),
             accepts: AtomicBool::new(true),
         });
+        if booted_ms > 0 {
+            self.begin_cold(&server);
+        }
         all.push(Arc::clone(&server));
         let (servers, accepting) = (Arc::clone(self), Arc::clone(&server));
         thread::spawn(move || servers.accept(&accepting));
         Ok(server)
     }
 
+    fn begin_cold(&self, server: &Server) {
+        let Some(terms) = self.slow_start else {
+            return;
+        };
+        let mut cold = lock(&server.cold);
+        let number = server.number;
+        let started_at = self.record.note(Seen::ColdStart { server: number });
+        *cold = Some(ColdServer::new(terms, started_at));
+    }
+
+    /// Ends a server's process; the states that it held are gone.
+    pub fn stop(&self, server: &Server) {
+        server.down.store(true, Ordering::SeqCst);
+        *lock(&server.cold) = None;
+        let mut states = lock(&self.states);
+        let lost: Vec<String> = states
+            .held
+            .iter()
+            .filter(|(_, at)| **at == server.number)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lost {
+            states.held.remove(&id);
+            self.record.note(Seen::Released { id });
+        }
+    }
+
+    /// Starts a server's process again under the same uid; connections are taken from `accepts_in` on.
+    pub fn restart(&self, server: &Server, booted_ms: u64, accepts_in: Duration) {
+        server.booted_ms.store(booted_ms, Ordering::SeqCst);
+        server.starts.fetch_add(1, Ordering::SeqCst);
+        *lock(&server.accepts_from) = Some(Instant::now() + accepts_in);
+        self.begin_cold(server);
+        server.down.store(false, Ordering::SeqCst);
+    }
+
     pub fn get(&self, number: usize) -> Arc<Server> {
         Arc::clone(&lock(&self.all)[number])
     }
@@ -125,18 +191,28 @@
 
     fn accept(self: &Arc<Servers>, server: &Arc<Server>) {
         loop {
-            if !server.accepts.load(Ordering::SeqCst) {
+            let is_late = lock(&server.accepts_from).is_some_and(|from| Instant::now() < from);
+            if is_late || !server.accepts.load(Ordering::SeqCst) {
                 thread::sleep(LOOK);
                 continue;
             }
+            let late_until = *lock(&server.accepts_from);
             match server.listener.accept() {
+                Ok((stream, _)) if server.down.load(Ordering::SeqCst) => {
+                    let _ = set_socket_linger(&stream, Some(Duration::ZERO));
+                }
                 Ok((stream, _)) => {
                     let (servers, server) = (Arc::clone(self), Arc::clone(server));
+                    let taken_late =
+                        late_until.is_some_and(|until| until.elapsed() < TAKEN_AT_ONCE);
                     thread::spawn(move || {
                         let number = servers.connections.fetch_add(1, Ordering::SeqCst);
                         let chance = Chance::new(servers.seed ^ number.wrapping_mul(0x9E37_79B9));
                         let spell = server.spells.load(Ordering::SeqCst);
+                        let start = server.starts.load(Ordering::SeqCst);
                         let connection = Connection {
+                            start,
+                            taken_late,
                             servers,
                             server,
                             stream,
@@ -155,6 +231,17 @@
 }
 
 impl Server {
+    /// Start of the process in Unix milliseconds; 0 for long ago.
+    pub fn booted_ms(&self) -> u64 {
+        self.booted_ms.load(Ordering::SeqCst)
+    }
+
+    fn capacity(&self) -> f64 {
+        let cold = lock(&self.cold);
+        cold.as_ref()
+            .map_or(1.0, |cold| cold.capacity(Instant::now()))
+    }
+
     /// From now on nothing arrives; connections stay open.
     pub fn fall_silent(&self, kept_only: bool) {
         self.kept_only.store(kept_only, Ordering::SeqCst);
@@ -195,6 +282,10 @@
     stream: TcpStream,
     /// The spell of silence before which it was made.
     spell: u64,
+    /// The start of the process to which it was made.
+    start: u64,
+    /// Its first bytes have waited for the server to take it.
+    taken_late: bool,
     chance: Chance,
     unread: Vec<u8>,
 }
@@ -205,6 +296,7 @@
     path: String,
     id: String,
     told_ms: u64,
+    extra: String,
 }
 
 /// The other side has ended the connection, or it was reset.
@@ -218,9 +310,16 @@
             .map_err(|_| Ended)?;
         loop {
             let call = self.next_call()?;
+            // What was given up before the server took the connection has reached nobody.
+            if std::mem::take(&mut self.taken_late) && !self.is_open() {
+                return Err(Ended);
+            }
             match call.method.as_str() {
                 "DELETE" => self.release(&call)?,
-                "GET" => self.say(&plain("200 OK", REPORT))?,
+                "GET" => {
+                    let report = self.report();
+                    self.say(&plain("200 OK", &report, &report))?
+                }
                 _ if self.server.decode => self.decode(&call)?,
                 _ => self.prefill(&call)?,
             }
@@ -230,6 +329,10 @@
     /// Waits while the server is silent; connections from before and during a silence are reset at its end.
     fn hear(&mut self) -> Result<(), Ended> {
         let server = &self.server;
+        let is_down = server.down.load(Ordering::SeqCst);
+        if is_down || self.start < server.starts.load(Ordering::SeqCst) {
+            return self.reset();
+        }
         let is_kept = self.spell < server.spells.load(Ordering::SeqCst);
         if !is_kept && server.kept_only.load(Ordering::SeqCst) {
             return Ok(());
@@ -302,11 +405,13 @@
         let told_ms = field("req-deadline-ms:")
             .and_then(|ms| ms.parse().ok())
             .unwrap_or(0);
+        let extra = field("req-extra:").unwrap_or_default();
         Some(Call {
             method,
             path,
             id,
-            told_ms,
+            told_ms: if self.taken_late { 0 } else { told_ms },
+            extra,
         })
     }
 
@@ -335,14 +440,73 @@
         self.servers.record.note(seen);
     }
 
+    /// Notes an attempt whose last byte has come. A cold server falls where it is too much.
     fn arrived(&mut self, call: &Call) {
         let (id, server) = (call.id.clone(), self.server.number);
-        self.note(Seen::Arrived {
+        let work = traffic::work(&call.extra, self.server.decode);
+        let mut cold = lock(&self.server.cold);
+        let at = self.servers.record.note(Seen::Arrived {
             id,
             server,
             decode: self.server.decode,
             told_ms: call.told_ms,
+            work,
         });
+        if cold.as_ref().is_some_and(|cold| cold.is_warm(at)) {
+            *cold = None;
+        }
+        if cold
+            .as_mut()
+            .is_some_and(|cold| cold.receive(at, work, true).is_some())
+        {
+            *cold = None;
+            self.servers.record.note(Seen::Fell { server });
+            self.server.down.store(true, Ordering::SeqCst);
+        }
+    }
+
+    fn report(&self) -> String {
+        if self.servers.slow_start.is_none() {
+            return REPORT.to_string();
+        }
+        let busy = self.server.busy.load(Ordering::SeqCst) as f64 / SLOTS as f64;
+        let waiting = self.server.waiting.load(Ordering::SeqCst);
+        format!("util={busy:.2},queue={waiting},x0={busy:.2}")
+    }
+
+    /// Works on a request: for `for_s`, or as long as the server's capacity and the requests before it make it.
+    fn work_on(&mut self, call: &Call, for_s: f64) -> Result<(), Ended> {
+        let Some(terms) = self.servers.slow_start else {
+            return self.work(for_s);
+        };
+        let server = Arc::clone(&self.server);
+        let place = Counted::one_more(&server.waiting);
+        let is_free = |busy: usize| (busy < SLOTS).then_some(busy + 1);
+        let taken = || {
+            server
+                .busy
+                .fetch_update(Ordering::SeqCst, Ordering::SeqCst, is_free)
+                .is_ok()
+        };
+        while !taken() {
+            self.work(LOOK.as_secs_f64())?;
+        }
+        let _slot = Counted(&server.busy);
+        drop(place);
+        let work = traffic::work(&call.extra, server.decode);
+        let service_s = work * SLOTS as f64 / terms.warm_rate;
+        self.work(service_s / server.capacity())
+    }
+
+    fn is_full(&self) -> bool {
+        let waiting = self.server.waiting.load(Ordering::SeqCst);
+        self.servers.slow_start.is_some() && waiting >= MAX_WAITING
+    }
+
+    fn decline(&mut self, call: &Call) -> Result<(), Ended> {
+        let said = self.say(DECLINED);
+        self.over(call, true);
+        said
     }
 
     fn over(&self, call: &Call, declined: bool) {
@@ -362,7 +526,7 @@
 
     fn release(&mut self, call: &Call) -> Result<(), Ended> {
         if !call.path.starts_with("/bootstrap/rooms/") {
-            return self.say(&plain("404 Not Found", ""));
+            return self.say(&plain("404 Not Found", "", REPORT));
         }
         {
             let mut states = lock(&self.servers.states);
@@ -378,9 +542,12 @@
 
     fn prefill(&mut self, call: &Call) -> Result<(), Ended> {
         self.arrived(call);
+        if self.is_full() {
+            return self.decline(call);
+        }
         let breaks = self.is_reset();
         let for_s = self.chance.between(0.005, 0.06);
-        let worked = self.work(for_s);
+        let worked = self.work_on(call, for_s);
         let ends_well = !breaks && worked.is_ok() || self.chance.happens(LEFT_SHARE);
         if ends_well {
             // Under the lock, as a release may come in the same moment.
@@ -392,7 +559,10 @@
         }
         let said = match worked {
             Ok(()) if breaks => self.reset(),
-            Ok(()) => self.say(&plain("202 Accepted", r#"{"cached_tokens":0}"#)),
+            Ok(()) => {
+                let report = self.report();
+                self.say(&plain("202 Accepted", r#"{"cached_tokens":0}"#, &report))
+            }
             Err(ended) => Err(ended),
         };
         // It is out until its answer has left, or its connection has ended.
@@ -401,6 +571,10 @@
     }
 
     fn decode(&mut self, call: &Call) -> Result<(), Ended> {
+        if self.is_full() {
+            self.arrived(call);
+            return self.decline(call);
+        }
         *lock(&self.servers.states)
             .waiting
             .entry(call.id.clone())
@@ -408,7 +582,7 @@
         self.arrived(call);
         let breaks = self.is_reset();
         let for_s = self.chance.between(0.005, 0.08);
-        let worked = self.work(for_s);
+        let worked = self.work_on(call, for_s);
         let is_taken = {
             let mut states = lock(&self.servers.states);
             states
@@ -458,6 +632,22 @@
     }
 }
 
+/// One of a count, until it is dropped.
+struct Counted<'a>(&'a AtomicUsize);
+
+impl<'a> Counted<'a> {
+    fn one_more(count: &'a AtomicUsize) -> Counted<'a> {
+        count.fetch_add(1, Ordering::SeqCst);
+        Counted(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         let _ = self.stream.shutdown(Shutdown::Both);
@@ -468,9 +658,9 @@
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
-fn plain(status: &str, body: &str) -> String {
+fn plain(status: &str, body: &str, report: &str) -> String {
     format!(
-        "HTTP/1.1 {status}\r\nSrv-Load: {REPORT}\r\nContent-Length: {}\r\n\r\n{body}",
+        "HTTP/1.1 {status}\r\nSrv-Load: {report}\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     )
 }
--- /dev/null
+++ b/programs/soak/src/traffic.rs
@@ -0,0 +1,154 @@
+//! How the requests of a day are dealt out: their rate over time and processes, their sizes and their prefixes.
+
+use crate::draw::Chance;
+use crate::faults::Fault;
+
+/// Prompt and output tokens of a request of mean work.
+pub const MEAN_PROMPT_TOKENS: f64 = 500.0;
+pub const MEAN_OUTPUT_TOKENS: f64 = 100.0;
+/// Fraction of the requests that have the hot prefix, and its tokens.
+const HOT_FRACTION: f64 = 0.6;
+const HOT_PREFIX_TOKENS: f64 = 300.0;
+/// Rate in a lull and in a burst, as multiples of the usual one.
+const LULL_RATE: f64 = 0.05;
+const BURST_RATE: f64 = 3.0;
+/// Rates of the first process and of all others under skewed traffic, as multiples of an even share.
+const SKEWED_REST: f64 = 0.1;
+/// Begin and end of the lull in which servers start, seconds of the day.
+const QUIET_LULL_S: (f64, f64) = (2.0, 11.0);
+/// Shortest and longest lull and burst, seconds.
+const LULL_S: (f64, f64) = (5.0, 9.0);
+const BURST_S: (f64, f64) = (2.0, 4.0);
+
+/// A lull that ends in a burst; seconds from the day's begin.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Burst {
+    pub lull_from_s: f64,
+    pub from_s: f64,
+    pub to_s: f64,
+}
+
+/// What a seed draws of the traffic.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Traffic {
+    pub bursts: Vec<Burst>,
+    pub heavy_requests: bool,
+    pub hot_prefix: bool,
+    pub client_retries: u32,
+    pub skewed: bool,
+}
+
+/// Size of one request, and its prefix if it shares one.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Size {
+    pub prompt_tokens: f64,
+    pub output_tokens: f64,
+    pub prefix: Option<u64>,
+}
+
+impl Traffic {
+    pub fn draw(faults: &[Fault], length_s: f64, chance: &mut Chance) -> Traffic {
+        let mut bursts = Vec::new();
+        if faults.contains(&Fault::Burst) {
+            let lull_from_s = chance.between(1.5, 0.25 * length_s);
+            let from_s = lull_from_s + chance.between(LULL_S.0, LULL_S.1);
+            let to_s = from_s + chance.between(BURST_S.0, BURST_S.1);
+            bursts.push(Burst {
+                lull_from_s,
+                from_s,
+                to_s,
+            });
+        }
+        if faults.contains(&Fault::QuietStart) {
+            bursts.push(Burst {
+                lull_from_s: QUIET_LULL_S.0,
+                from_s: QUIET_LULL_S.1,
+                to_s: length_s,
+            });
+        }
+        Traffic {
+            bursts,
+            heavy_requests: faults.contains(&Fault::HeavyRequests),
+            hot_prefix: faults.contains(&Fault::HotPrefix),
+            client_retries: 2 * u32::from(faults.contains(&Fault::ClientRetry)),
+            skewed: faults.contains(&Fault::Skew),
+        }
+    }
+
+    /// Rate at a process and time, as a multiple of the usual one.
+    pub fn rate(&self, process: usize, processes: usize, at_s: f64) -> f64 {
+        let mut rate = 1.0;
+        for burst in &self.bursts {
+            if (burst.lull_from_s..burst.from_s).contains(&at_s) {
+                rate = LULL_RATE;
+            } else if (burst.from_s..burst.to_s).contains(&at_s) {
+                rate = BURST_RATE;
+            }
+        }
+        if self.skewed && processes > 1 {
+            let others = SKEWED_REST * (processes - 1) as f64;
+            rate *= if process == 0 {
+                processes as f64 - others
+            } else {
+                SKEWED_REST
+            };
+        }
+        rate
+    }
+
+    /// Size of the next request; `None` if all requests of the day are alike.
+    pub fn size(&self, chance: &mut Chance) -> Option<Size> {
+        if !self.heavy_requests && !self.hot_prefix {
+            return None;
+        }
+        let mut relative = || {
+            if self.heavy_requests {
+                // An exponential draw of mean 1.
+                -(1.0 - chance.share()).ln()
+            } else {
+                1.0
+            }
+        };
+        let prompt_tokens = (MEAN_PROMPT_TOKENS * relative()).max(1.0);
+        let output_tokens = (MEAN_OUTPUT_TOKENS * relative()).max(1.0);
+        let is_hot = chance.happens(HOT_FRACTION);
+        let prefix = self.hot_prefix.then(|| {
+            if is_hot {
+                1
+            } else {
+                2 + chance.below(20) as u64
+            }
+        });
+        Some(Size {
+            prompt_tokens,
+            output_tokens,
+            prefix,
+        })
+    }
+}
+
+impl Size {
+    /// The header that tells it.
+    pub fn header(&self) -> String {
+        let (prompt, output) = (self.prompt_tokens, self.output_tokens);
+        let prefix = self.prefix.map_or(String::new(), |prefix| {
+            let tokens = HOT_PREFIX_TOKENS.min(prompt - 1.0).max(0.0);
+            format!("prefix={prefix:016x},prefix_len={tokens:.0},")
+        });
+        format!("Req-Extra: {prefix}prompt_len={prompt:.0},max_out={output:.0}\r\n")
+    }
+}
+
+/// Work of a request at a server, in requests of mean work, by the header that it came with.
+pub fn work(extra: &str, decode: bool) -> f64 {
+    let (name, mean) = if decode {
+        ("max_out=", MEAN_OUTPUT_TOKENS)
+    } else {
+        ("prompt_len=", MEAN_PROMPT_TOKENS)
+    };
+    let field = extra
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix(name));
+    let tokens = field.and_then(|text| text.parse::<f64>().ok());
+    tokens.map_or(1.0, |tokens| tokens / mean)
+}
--- a/programs/soak/tests/judge.rs
+++ b/programs/soak/tests/judge.rs
@@ -2,13 +2,15 @@
 
 use std::time::{Duration, Instant};
 
-use bitternlatch_soak::judge::{judge, Rule, Terms};
+use bitternlatch_soak::judge::{cold_overloads, judge, Rule, Terms};
 use bitternlatch_soak::record::{End, Entry, Seen};
+use bitternlatch_soak::slow_start::{max_work, SlowStartTerms, WarmUp};
 
 const ID: &str = "p0-1";
 const TERMS: Terms = Terms {
     pin_limit: Duration::from_millis(1000),
     servers_break: false,
+    slow_start: None,
 };
 
 fn id() -> String {
@@ -30,6 +32,7 @@
         server,
         decode,
         told_ms: 1000,
+        work: 1.0,
     }
 }
 
@@ -300,3 +303,81 @@
         [Rule::Crash]
     );
 }
+
+const COLD_SERVER: usize = 4;
+/// Ten requests of mean work in a window: a cold server falls over 10 + 3 root 10 + 3, which is 22.5.
+const SLOW_START: SlowStartTerms = SlowStartTerms {
+    overload_factor: 2.0,
+    start_capacity: 0.25,
+    window_s: 2.0,
+    warm_after_s: 1e6,
+    warm_rate: 10.0,
+    warm_up: WarmUp::ByAge,
+};
+
+/// Rules broken where a cold server gets `count` requests of `work` within 1 s, and the notification comes after so
+/// many of them.
+fn cold_overload(count: u64, work: f64, notified_after: u64) -> Vec<Rule> {
+    let began = Instant::now();
+    let mut record = vec![(
+        0,
+        Seen::ColdStart {
+            server: COLD_SERVER,
+        },
+    )];
+    for n in 0..count {
+        if n == notified_after {
+            let listed = Seen::Listed {
+                process: 0,
+                server: COLD_SERVER,
+                ready: true,
+                tells_start: true,
+            };
+            record.push((n * 1000 / count, listed));
+        }
+        let id = format!("p0-{n}");
+        record.push((
+            n * 1000 / count,
+            Seen::Asked {
+                id: id.clone(),
+                process: 0,
+                deadline_s: 4.0,
+                is_unsafe: false,
+            },
+        ));
+        record.push((
+            n * 1000 / count,
+            Seen::Arrived {
+                id,
+                server: COLD_SERVER,
+                decode: true,
+                told_ms: 1000,
+                work,
+            },
+        ));
+    }
+    let entry = |(at, seen): (u64, Seen)| Entry {
+        at: began + Duration::from_millis(at),
+        seen,
+    };
+    let record: Vec<Entry> = record.into_iter().map(entry).collect();
+    let breaks = cold_overloads(&record, SLOW_START).breaks;
+    breaks.into_iter().map(|b| b.rule).collect()
+}
+
+#[test]
+fn a_cold_server_falls_over_its_budget_and_its_margin_for_chance() {
+    assert_eq!(cold_overload(22, 1.0, 0), []);
+    assert_eq!(cold_overload(23, 1.0, 0), [Rule::ColdOverload]);
+    assert_eq!(cold_overload(11, 2.0, 0), [], "work counts, not requests");
+    assert_eq!(cold_overload(12, 2.0, 0), [Rule::ColdOverload]);
+    // The first fall is after 23 requests; 16 are more than two thirds of them.
+    assert_eq!(cold_overload(40, 1.0, 7), [Rule::ColdOverload]);
+    assert_eq!(
+        cold_overload(40, 1.0, 8),
+        [],
+        "most came before the notification"
+    );
+    assert!((max_work(29.0) - (29.0 + 3.0 * 29f64.sqrt() + 3.0)).abs() < 1e-9);
+    assert!((max_work(30.0) - (30.0 + 2.0 * 30f64.sqrt() + 2.0)).abs() < 1e-9);
+}
--- a/programs/soak/tests/soak.rs
+++ b/programs/soak/tests/soak.rs
@@ -61,6 +61,53 @@
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
+#[test]
+fn short_days_with_cold_servers_keep_their_budget() {
+    const DAYS: [(&str, &str, &str); 6] = [
+        ("1", "61", "cold-start,burst"),
+        ("2", "62", "cold-start,heavy-requests,hot-prefix"),
+        ("3", "63", "cold-start,client-retry,restart"),
+        ("2", "64", "cold-start,skew,pause"),
+        ("3", "65", "cold-start,discovery,crowd"),
+        ("20", "66", "cold-start"),
+    ];
+    let day = |(processes, seed, faults): (&'static str, &'static str, &'static str)| {
+        vec![
+            "--processes",
+            processes,
+            "--seed",
+            seed,
+            "--faults",
+            faults,
+            "--length",
+            "12",
+        ]
+    };
+    let broken = broken(&DAYS.map(day));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// A judge that never finds a cold server overloaded would prove nothing.
+#[test]
+fn dispatchers_without_slow_start_are_found_to_overload_cold_servers() {
+    let (said, code) = soak(&[
+        "--without-slow-start",
+        "--faults",
+        "cold-start",
+        "--processes",
+        "2",
+        "--seed",
+        "1",
+        "--seeds",
+        "4",
+        "--parallel",
+        "4",
+        "--length",
+        "12",
+    ]);
+    assert!(code == Some(1) && said.contains("ColdOverload"), "{said}");
+}
+
 /// Calls that fail for a moment succeed when they are made again: they cost no request, at the start or later.
 #[test]
 fn system_calls_that_fail_for_a_moment_cost_no_request() {
@@ -83,7 +130,7 @@
         ),
         (&["--length", "2"], "2 is not from 5 to 300 s"),
         (&["--length", "long"], "'long' is no number of seconds"),
-        (&["--processes", "0"], "not in 1..=12"),
+        (&["--processes", "0"], "not in 1..=20"),
         (&["--seeds", "0"], "not in 1..=10000"),
     ];
     for (words, told) in table {
