--- a/crates/platform/src/counts.rs
+++ b/crates/platform/src/counts.rs
@@ -2,6 +2,8 @@
 
 use bitternlatch_core::Micros;
 
+use crate::cold_servers::WarmUpCounts;
+
 /// Shortest interval between two log lines with the counts, seconds.
 const COUNTS_LOG_INTERVAL_SECS: f64 = 10.0;
 
@@ -58,25 +60,30 @@
 /// Decides when the counts are logged.
 #[derive(Debug)]
 pub(crate) struct CountsLog {
-    logged: RequestCounts,
+    logged: (RequestCounts, WarmUpCounts),
     next_at: Micros,
 }
 
 impl CountsLog {
     pub(crate) fn new(now: Micros) -> CountsLog {
         CountsLog {
-            logged: RequestCounts::default(),
+            logged: Default::default(),
             next_at: now.after(COUNTS_LOG_INTERVAL_SECS),
         }
     }
 
     /// Returns the log line if the counts have changed and the interval since the last line has passed. A killed
     /// process logs no final counts, so its log can be a few seconds out of date.
-    pub(crate) fn line(&mut self, now: Micros, counts: RequestCounts) -> Option<String> {
-        if now < self.next_at || self.logged == counts {
+    pub(crate) fn line(
+        &mut self,
+        now: Micros,
+        counts: RequestCounts,
+        warm_ups: WarmUpCounts,
+    ) -> Option<String> {
+        if now < self.next_at || self.logged == (counts, warm_ups) {
             return None;
         }
-        (self.logged, self.next_at) = (counts, now.after(COUNTS_LOG_INTERVAL_SECS));
-        Some(format!("counts {counts:?}"))
+        (self.logged, self.next_at) = ((counts, warm_ups), now.after(COUNTS_LOG_INTERVAL_SECS));
+        Some(format!("counts {counts:?} {warm_ups:?}"))
     }
 }
--- a/crates/platform/src/decisions.rs
+++ b/crates/platform/src/decisions.rs
@@ -3,7 +3,9 @@
 use bitternlatch_core::{decide, Micros, TracedDecision};
 use bitternlatch_output_length::DurationBasedLearner;
 use bitternlatch_policy::choice::Router;
-use bitternlatch_policy::interface::{Action, Event, RequestId, Settings};
+use bitternlatch_policy::interface::{
+    Action, Event, RequestId, ServerId, Settings, SlowStartStatus,
+};
 
 use crate::access_log::{AccessLog, DecisionReasons};
 
@@ -31,6 +33,15 @@
         }
     }
 
+    /// Returns what slow start assumes of a server.
+    pub(crate) fn slow_start_status(
+        &self,
+        now: Micros,
+        server: ServerId,
+    ) -> Option<SlowStartStatus> {
+        self.router.slow_start_status(server, now.seconds())
+    }
+
     pub(crate) fn enable_access_log(&mut self, access_log: AccessLog) {
         self.access_log = Some(access_log);
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod access_log;
 pub mod client;
 pub mod clients;
+pub mod cold_servers;
 pub mod config;
 pub mod counts;
 mod decisions;
--- a/crates/platform/src/node/discovery_updates.rs
+++ b/crates/platform/src/node/discovery_updates.rs
@@ -78,6 +78,7 @@
         if form == ListForm::Full || !entries.is_empty() {
             self.events.push_back(Event::Servers { form, entries });
         }
+        self.log_warm_ups(now, commands);
         Ok(())
     }
 }
--- a/crates/platform/src/node/exchanges.rs
+++ b/crates/platform/src/node/exchanges.rs
@@ -2,9 +2,10 @@
 //! until it ends.
 
 use bitternlatch_core::Micros;
-use bitternlatch_policy::interface::{Event, Outcome, ServerId, ServerStatus};
+use bitternlatch_policy::interface::{Event, Outcome, Role, ServerId, ServerStatus};
 
 use super::Node;
+use crate::cold_servers::SentKind;
 use crate::pool::{ConnectionUse, Placement, ServerAddress, ServerConnection};
 use crate::responses::{parse_load_report, BodyProgress, CompleteResponse, ResponseReader};
 use crate::timer::Timer;
@@ -36,6 +37,7 @@
         call: Vec<u8>,
         commands: &mut Vec<Command>,
     ) -> Option<ConnId> {
+        let server = target.server;
         let conn = match self.pool.place(now, target.address, usage) {
             Placement::Full => return None,
             Placement::Idle(conn) => {
@@ -48,6 +50,9 @@
                 self.open_connection(now, target, usage, call, commands)
             }
         };
+        if let Some(kind) = self.sent_kind(usage, server) {
+            self.cold_servers.record_sent(now, server, kind);
+        }
         if let Some(timeout_s) = self.response_timeout_s(usage) {
             self.timers.set(
                 now.after(timeout_s),
@@ -57,6 +62,24 @@
         Some(conn)
     }
 
+    /// Returns what an exchange is for a warming server.
+    fn sent_kind(&self, usage: ConnectionUse, server: ServerId) -> Option<SentKind> {
+        match usage {
+            ConnectionUse::Idle => None,
+            ConnectionUse::HealthCheck { .. } => Some(SentKind::HealthCheck),
+            ConnectionUse::Release { .. } => Some(SentKind::Release),
+            ConnectionUse::Attempt { number, .. } => {
+                let endpoint = self.discovery.endpoints().get(server)?;
+                let role = self.roles.get(usize::from(endpoint.kind));
+                Some(match role {
+                    Some(Role::Decode) => SentKind::Decode,
+                    _ if number == 0 => SentKind::First,
+                    _ => SentKind::Retry,
+                })
+            }
+        }
+    }
+
     /// Writes the request on an idle connection. If that connection turns out to be stale,
     /// [`Node::on_server_connection_stale`] retries on another one.
     fn reuse_connection(
--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::access_log::AccessLog;
 use crate::clients::Clients;
+use crate::cold_servers::{ColdServers, WarmUpCounts};
 use crate::config::Config;
 use crate::counts::{CountsLog, RequestCounts, ResourceUsage};
 use crate::decisions::Decisions;
@@ -29,7 +30,7 @@
 use crate::discovery_watch::DiscoveryWatch;
 use crate::health_checks::HealthChecks;
 use crate::peers::Peers;
-use crate::pool::{ConnectionPool, ServerConnection};
+use crate::pool::{ConnectionPool, ConnectionUse, ServerConnection};
 use crate::releases::Releases;
 use crate::requests::Requests;
 use crate::resource_limits::{ConnectionLimits, Limits};
@@ -48,6 +49,7 @@
 pub struct Node {
     decisions: Decisions,
     discovery: DiscoveryClient,
+    cold_servers: ColdServers,
     clients: Clients,
     requests: Requests,
     /// Connections to model servers.
@@ -94,6 +96,7 @@
         let watch = DiscoveryWatch::new(config.seed, &config.name);
         let mut node = Node {
             roles: config.settings.kinds.iter().map(|k| k.role).collect(),
+            cold_servers: ColdServers::new(config.settings.slow_start.clone()),
             decisions: Decisions::new(config.settings, config.seed, traced),
             discovery: DiscoveryClient::new(config.discovery, watch),
             clients: Clients::new(connections.clients),
@@ -177,6 +180,11 @@
         self.counts
     }
 
+    /// Totals of the warm-ups of model servers since the node was created.
+    pub fn warm_up_counts(&self) -> WarmUpCounts {
+        self.cold_servers.counts()
+    }
+
     /// Processes one input at clock time `now` and appends the resulting commands in order. Timers fire on
     /// [`Input::Tick`] alone, after the other inputs of that time: a timer must not start an attempt for a client that
     /// has disconnected, treat a written request as unsent, or treat a server that has responded as unresponsive.
@@ -355,6 +363,11 @@
     fn on_written(&mut self, now: Micros, conn: ConnId, count: usize, commands: &mut Vec<Command>) {
         if let Some(connection) = self.pool.get_mut(conn) {
             connection.unsent_bytes = connection.unsent_bytes.saturating_sub(count);
+            let is_attempt = matches!(connection.usage, ConnectionUse::Attempt { .. });
+            if is_attempt && count > 0 && connection.is_written() {
+                let (server, chosen_at) = (connection.server, connection.in_use_since);
+                self.cold_servers.record_written(now, server, chosen_at);
+            }
         } else {
             self.on_client_written(now, conn, count, commands);
         }
@@ -387,13 +400,25 @@
             self.close_server_connection(conn, commands);
         }
         self.break_stalled_streams(now, commands);
-        if let Some(line) = self.counts_log.line(now, self.counts) {
+        self.log_warm_ups(now, commands);
+        let warm_ups = self.cold_servers.counts();
+        if let Some(line) = self.counts_log.line(now, self.counts, warm_ups) {
             log(commands, Level::Info, line);
         }
         self.timers
             .set(now.after(SWEEP_INTERVAL_SECS), Timer::Sweep);
     }
 
+    /// Logs the warm-ups of model servers that have begun or ended.
+    fn log_warm_ups(&mut self, now: Micros, commands: &mut Vec<Command>) {
+        let decisions = &self.decisions;
+        let status = |server| decisions.slow_start_status(now, server);
+        let endpoints = self.discovery.endpoints();
+        for line in self.cold_servers.update(now, endpoints, status) {
+            log(commands, Level::Info, line);
+        }
+    }
+
     fn start_shutdown(&mut self, now: Micros, commands: &mut Vec<Command>) {
         let Some(times) = self.shutdown.begin(now) else {
             return;
--- a/crates/policy/src/choice/mod.rs
+++ b/crates/policy/src/choice/mod.rs
@@ -39,7 +39,7 @@
 use self::slow_start::SlowStartLimiter;
 use crate::interface::{
     Action, Cause, Event, ExplainedChoice, FailedRequest, ListForm, Outcome, RequestId,
-    ServerEntry, ServerId, Settings,
+    ServerEntry, ServerId, Settings, SlowStartStatus,
 };
 
 /// Weight of the newest sample in exponentially weighted moving averages.
@@ -98,6 +98,16 @@
         self.last_failure
     }
 
+    /// Returns what slow start assumes of a server at clock time `now`, or `None` if the server is
+    /// unknown.
+    pub fn slow_start_status(&self, server: ServerId, now: f64) -> Option<SlowStartStatus> {
+        let server = self.servers.get(server)?;
+        let assumed_capacity = self
+            .slow_start
+            .assumed_capacity(server.start_learned_at, now);
+        Some(SlowStartStatus { assumed_capacity })
+    }
+
     /// Handles one event at clock time `now`, in seconds, and appends the resulting actions to
     /// `out`.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
--- a/crates/policy/src/choice/slow_start.rs
+++ b/crates/policy/src/choice/slow_start.rs
@@ -99,6 +99,15 @@
         capacity.clamp(MIN_CAPACITY, 1.0)
     }
 
+    /// Fraction of its full capacity that a server is assumed to have at least, if this router
+    /// learned of its start at clock time `start_learned_at`.
+    pub fn assumed_capacity(&self, start_learned_at: f64, now: f64) -> f64 {
+        let settings = &self.settings;
+        let warm_after_s = settings.warm_after_s.max(MIN_WARM_UP_S);
+        let age = ((now - start_learned_at) / warm_after_s).clamp(0.0, 1.0);
+        (settings.start_capacity * (WARM_UP_GROWTH * age).exp()).min(1.0)
+    }
+
     /// Counts a choice of a server of this role. Mixed servers are counted too, since they may
     /// serve any role.
     pub fn record_choice(&mut self, role: Role) {
@@ -125,9 +134,7 @@
             input.role_capacity.live_servers,
             input.role_capacity.warm_equivalents,
         );
-        let warm_after_s = settings.warm_after_s.max(MIN_WARM_UP_S);
-        let age = ((now - input.start_learned_at) / warm_after_s).clamp(0.0, 1.0);
-        let likely_capacity = (settings.start_capacity * (WARM_UP_GROWTH * age).exp()).min(1.0);
+        let likely_capacity = self.assumed_capacity(input.start_learned_at, now);
         let responses =
             self.responses[input.role as usize].peak * EWMA_WEIGHT / (1.0 - EWMA_WEIGHT);
         let even_fraction = (responses / warm_equivalents).min(1.0 / live_servers);
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -11,7 +11,9 @@
 
 pub use self::action::Action;
 pub use self::event::{AttemptEnd, Event, ExpectedTokens, Observation, Outcome, Request};
-pub use self::explanation::{Cause, ChoiceExplanation, ExplainedChoice, FailedRequest};
+pub use self::explanation::{
+    Cause, ChoiceExplanation, ExplainedChoice, FailedRequest, SlowStartStatus,
+};
 pub use self::server::{ListForm, ServerEntry, ServerStatus};
 pub use self::settings::{
     ClassSettings, Effect, KeyScope, KindSettings, Limits, ReportField, ReportMode, Role, Settings,
--- a/crates/policy/src/interface/explanation.rs
+++ b/crates/policy/src/interface/explanation.rs
@@ -55,6 +55,19 @@
     }
 }
 
+/// What slow start assumes of a warming server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SlowStartStatus {
+    /// Fraction of its full capacity that the server is assumed to have.
+    pub assumed_capacity: f64,
+}
+
+impl fmt::Display for SlowStartStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "assumed_capacity={:.3}", self.assumed_capacity)
+    }
+}
+
 /// A router's latest choice of a prefill server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ExplainedChoice {
