Slow start keeps an account of the work that it sends to a warming server

What callers saw: a cold server was sent more than its budget and fell; its requests were broken off.

Cause: SlowStartLimiter::admits drew a chance for each request and weighed no work. Attempts that came out of turn (retries, several hot keys) were added on top.

Change: a request of w times the mean work (w > 1) gets a turn with 1/w of the probability; turns come at even distances of the summed probability in place of independent draws; each attempt, whatever it is for, is taken from an allowance that grows by the server's even part of the role's answers and holds two requests at most.

Why it works: the expected count and the expected work are both at most 0.8 N, the variance of what many dispatchers send is at most that of a Poisson count, and one dispatcher's own sum stays within a request or two of its mean.

--- a/crates/policy/src/choice/arrivals.rs
+++ b/crates/policy/src/choice/arrivals.rs
@@ -3,6 +3,7 @@
 use super::admission::AdmissionController;
 use super::decay::non_negative;
 use super::request_state::{memory_use, placement_key, sanitize, RequestState, Stage};
+use super::selection::DecisionContext;
 use super::server::Server;
 use super::{set_timer, Actions, Router, PROBE_WAIT_S};
 use crate::interface::{
@@ -44,10 +45,11 @@
     pub(super) fn on_arrival(&mut self, now: f64, mut request: Request, out: &mut Actions) {
         sanitize(&mut request, self.settings.classes.len());
         let (id, time_left_s) = (request.id, non_negative(request.time_left_s));
-        let state = self.register_arrival(now, request, time_left_s);
+        let mut state = self.register_arrival(now, request, time_left_s);
         self.retry_budget.record_arrival();
-        let selector = self.selector();
-        let replicas = selector.prefix_replicas(&state, &selector.context(now), now);
+        let context = self.selector().context(now);
+        self.grant_slow_start_turns(now, &mut state, &context);
+        let replicas = self.selector().prefix_replicas(&state, &context, now);
         self.requests.insert(id, state);
         let deadline_margin_s = 2.0 * self.settings.tick_s;
         set_timer(id, now + (time_left_s - deadline_margin_s).max(0.0), out);
@@ -70,6 +72,7 @@
         let over_quota = self.admission.is_over_quota(now, request.tenant);
         let key = placement_key(&request);
         self.slow_start.record_choice(Role::Prefill);
+        self.traffic_mean.record_arrival(&request);
         RequestState {
             placement_key: key,
             recent_key_fraction: self.admission.record_key(key),
@@ -82,6 +85,31 @@
         }
     }
 
+    /// Counts a new request in the accounts of all warming servers and gives it a turn at those
+    /// where one is due. The turns hold for all attempts of the request.
+    fn grant_slow_start_turns(
+        &mut self,
+        now: f64,
+        state: &mut RequestState,
+        context: &DecisionContext,
+    ) {
+        let selector = self.selector();
+        let inputs = selector.slow_start_inputs(state, context, &self.traffic_mean, now);
+        for (id, input) in inputs {
+            let Some(server) = self.servers.get_mut(id) else {
+                continue;
+            };
+            let start_learned_at = server.start_learned_at;
+            let account = &mut server.slow_start;
+            if self
+                .slow_start
+                .grant_turn(account, input, start_learned_at, now)
+            {
+                state.slow_start_turns.push(id);
+            }
+        }
+    }
+
     /// Chooses the prefill server of a new request, or rejects the request if its first token is
     /// expected too late.
     pub(super) fn route_new_request(&mut self, now: f64, id: RequestId, out: &mut Actions) {
--- a/crates/policy/src/choice/attempts.rs
+++ b/crates/policy/src/choice/attempts.rs
@@ -118,6 +118,10 @@
     ) {
         if let Some(server) = self.servers.get_mut(server_id) {
             server.in_flight.insert(id, attempt);
+            if let Some(state) = self.requests.get(&id) {
+                let work = self.traffic_mean.relative_work(&state.request, server.role);
+                server.slow_start.record_sent(work);
+            }
         }
         if let Some(state) = self.requests.get_mut(&id) {
             state.stage = Stage::InFlight;
--- a/crates/policy/src/choice/decode_choice.rs
+++ b/crates/policy/src/choice/decode_choice.rs
@@ -1,7 +1,7 @@
 //! Choice of the decode server after a prefill, by the lowest cost.
 
 use super::request_state::RequestState;
-use super::selection::{DecisionContext, Selector, CROSS_CELL_COST, TIE_BREAK_COST};
+use super::selection::{Selector, CROSS_CELL_COST, TIE_BREAK_COST};
 use super::server::Server;
 use crate::interface::{Role, ServerEntry, ServerId};
 
@@ -18,7 +18,7 @@
         let costs = self
             .servers
             .iter()
-            .filter(|server| self.may_decode(server, state, &context, now))
+            .filter(|server| self.may_decode(server, state, now))
             .map(|server| {
                 let distance = distance_cost(source, &server.entry, link_s);
                 let cost = self.decode_cost(server, state, distance, now);
@@ -29,16 +29,10 @@
             .map(|cheapest| cheapest.1)
     }
 
-    fn may_decode(
-        &self,
-        server: &Server,
-        state: &RequestState,
-        context: &DecisionContext,
-        now: f64,
-    ) -> bool {
+    fn may_decode(&self, server: &Server, state: &RequestState, now: f64) -> bool {
         server.role != Role::Prefill
             && self.is_usable(server, state, now)
-            && self.slow_start_admits_in_context(server, state, context, false, now)
+            && self.slow_start_admits(server, state, now)
     }
 
     fn decode_cost(&self, server: &Server, state: &RequestState, distance: f64, now: f64) -> f64 {
--- a/crates/policy/src/choice/mod.rs
+++ b/crates/policy/src/choice/mod.rs
@@ -24,6 +24,8 @@
 mod server;
 mod server_table;
 mod slow_start;
+mod slow_start_account;
+mod traffic_mean;
 
 use std::collections::BTreeMap;
 
@@ -37,6 +39,7 @@
 use self::selection::Selector;
 use self::server_table::{PeerObservation, ServerTable};
 use self::slow_start::SlowStartLimiter;
+use self::traffic_mean::TrafficMean;
 use crate::interface::{
     Action, Cause, Event, ExplainedChoice, FailedRequest, ListForm, Outcome, RequestId,
     ServerEntry, ServerId, Settings, SlowStartStatus,
@@ -61,6 +64,7 @@
     prefix_cache_index: PrefixCacheIndex,
     load: LoadEstimator,
     slow_start: SlowStartLimiter,
+    traffic_mean: TrafficMean,
     admission: AdmissionController,
     retry_budget: RetryBudget,
     retry_safety: RetrySafety,
@@ -78,6 +82,7 @@
             prefix_cache_index: PrefixCacheIndex::default(),
             load: LoadEstimator::new(&settings),
             slow_start: SlowStartLimiter::new(settings.slow_start.clone()),
+            traffic_mean: TrafficMean::default(),
             admission: AdmissionController::new(settings.dispatchers, &settings.tenants),
             retry_budget: RetryBudget::new(),
             retry_safety: RetrySafety::new(&settings),
@@ -102,10 +107,8 @@
     /// unknown.
     pub fn slow_start_status(&self, server: ServerId, now: f64) -> Option<SlowStartStatus> {
         let server = self.servers.get(server)?;
-        let assumed_capacity = self
-            .slow_start
-            .assumed_capacity(server.start_learned_at, now);
-        Some(SlowStartStatus { assumed_capacity })
+        let (account, start_learned_at) = (&server.slow_start, server.start_learned_at);
+        Some(self.slow_start.status(account, start_learned_at, now))
     }
 
     /// Handles one event at clock time `now`, in seconds, and appends the resulting actions to
--- a/crates/policy/src/choice/prefill_choice.rs
+++ b/crates/policy/src/choice/prefill_choice.rs
@@ -83,13 +83,7 @@
         let may_prefill = |server: &&Server| {
             (include_decode_servers || server.role != Role::Decode)
                 && self.is_usable(server, state, now)
-                && self.slow_start_admits_in_context(
-                    server,
-                    state,
-                    &context,
-                    replicas.contains(&server.entry.id),
-                    now,
-                )
+                && self.slow_start_admits(server, state, now)
         };
         self.servers
             .iter()
@@ -105,13 +99,12 @@
     /// the request.
     fn context_with_decode_waits(&self, state: &RequestState, now: f64) -> DecisionContext {
         let mut context = self.context(now);
-        let decode_capacity = context.role_capacities[Role::Decode as usize];
         for server in self.servers.iter() {
             // Slow start may keep this request off an idle, warming decode server; such a server's
             // short wait is of no use to the request.
             let is_candidate = server.role == Role::Decode
                 && self.is_usable(server, state, now)
-                && self.slow_start_admits(server, state, decode_capacity, 0, false, now);
+                && self.slow_start_admits(server, state, now);
             if !is_candidate {
                 continue;
             }
@@ -259,6 +252,19 @@
         state: &RequestState,
         context: &DecisionContext,
         now: f64,
+    ) -> Vec<ServerId> {
+        self.ranked_replicas(state, context, |server| {
+            self.slow_start_admits(server, state, now)
+        })
+    }
+
+    /// The servers with the best hash rank for a request's placement key among those that `may_use`
+    /// accepts, in the order for the request's session.
+    pub fn ranked_replicas(
+        &self,
+        state: &RequestState,
+        context: &DecisionContext,
+        may_use: impl Fn(&Server) -> bool,
     ) -> Vec<ServerId> {
         let mut best: Vec<RankedReplica> = Vec::new();
         for server in self.servers.iter() {
@@ -267,9 +273,7 @@
             }
             let ranked = self.rank_replica(server, state.placement_key);
             let position = best.partition_point(|other| other.precedes(&ranked));
-            if position < context.replicas_per_key
-                && self.slow_start_admits_in_context(server, state, context, true, now)
-            {
+            if position < context.replicas_per_key && may_use(server) {
                 best.insert(position, ranked);
                 best.truncate(context.replicas_per_key);
             }
--- a/crates/policy/src/choice/request_state.rs
+++ b/crates/policy/src/choice/request_state.rs
@@ -62,6 +62,8 @@
     pub expected_prefill_s: f64,
     /// Servers whose probes the request is waiting for.
     pub pending_probes: Vec<ServerId>,
+    /// Warming servers that slow start lets the request use.
+    pub slow_start_turns: Vec<ServerId>,
     /// The first attempt that may have had an effect, if any.
     pub may_have_run: Option<PossibleExecution>,
     /// The final answer has been given; the state is kept until the last attempt ends.
--- a/crates/policy/src/choice/server.rs
+++ b/crates/policy/src/choice/server.rs
@@ -5,6 +5,7 @@
 
 use super::health::ServerHealth;
 use super::load::ServerLoad;
+use super::slow_start_account::SlowStartAccount;
 use super::PROBE_WAIT_S;
 use crate::interface::{RequestId, Role, ServerEntry, ServerStatus};
 
@@ -44,6 +45,8 @@
     pub load: ServerLoad,
     /// Clock time, in seconds, at which this router learned of the server's last start.
     pub start_learned_at: f64,
+    /// What this router may send to the server while it is warming up.
+    pub slow_start: SlowStartAccount,
 }
 
 impl Server {
--- a/crates/policy/src/choice/slow_start.rs
+++ b/crates/policy/src/choice/slow_start.rs
@@ -1,8 +1,9 @@
-//! Slow start: limits the requests that are sent to a warming server. Prefix replicas and placement
-//! keys are defined in `prefill_choice`.
+//! Slow start: limits the work that is sent to a warming server. Prefix replicas and placement keys
+//! are defined in `prefill_choice`.
 
+use super::slow_start_account::{cost, Grant, SlowStartAccount};
 use super::EWMA_WEIGHT;
-use crate::interface::{Role, SlowStart};
+use crate::interface::{Role, SlowStart, SlowStartStatus};
 
 /// Fraction of [`SlowStart::overload_factor`] up to which slow start loads a warming server; the
 /// rest is a safety margin.
@@ -52,8 +53,6 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SlowStartInput {
     pub role: Role,
-    /// Clock time, in seconds, at which this router learned of the server's start.
-    pub start_learned_at: f64,
     pub role_capacity: RoleCapacity,
     /// Number of prefix replicas of each placement key.
     pub replicas_per_key: usize,
@@ -61,8 +60,10 @@
     pub recent_key_fraction: f64,
     /// The server is a prefix replica of the request's placement key.
     pub is_replica: bool,
-    /// Pseudo-random number from 0 to 1 for this request and server.
-    pub draw: f64,
+    /// Work of the request at the server, in requests of mean work.
+    pub relative_work: f64,
+    /// Pseudo-random number from 0 to 1 for this router and process of the server.
+    pub first_turn: f64,
 }
 
 /// Keeps the total load that all routers send to a warming server within what it can handle.
@@ -108,6 +109,20 @@
         (settings.start_capacity * (WARM_UP_GROWTH * age).exp()).min(1.0)
     }
 
+    /// Returns what slow start assumes of a server, for logs.
+    pub fn status(
+        &self,
+        account: &SlowStartAccount,
+        start_learned_at: f64,
+        now: f64,
+    ) -> SlowStartStatus {
+        SlowStartStatus {
+            assumed_capacity: self.assumed_capacity(start_learned_at, now),
+            granted_work: account.granted(),
+            sent_work: account.sent(),
+        }
+    }
+
     /// Counts a choice of a server of this role. Mixed servers are counted too, since they may
     /// serve any role.
     pub fn record_choice(&mut self, role: Role) {
@@ -121,40 +136,41 @@
         self.responses[role as usize].recent += 1.0;
     }
 
-    /// Decides at random whether a request may go to a warming server, so that the total over all
-    /// routers stays within the overload factor. The server gets an even fraction of the responses
-    /// that all servers of its role are seen to give, and at most an even fraction of the demand on
-    /// the role. A prefill server gets mostly requests for placement keys of which it is a prefix
-    /// replica; the more often such requests come, the smaller the fraction of them that is
-    /// admitted. Requests warm the server, so the limit grows with the time since this router
-    /// learned of the server's start.
-    pub fn admits(&self, input: SlowStartInput, now: f64) -> bool {
+    /// Counts a request that has arrived in the account of a warming server and returns whether the
+    /// request gets a turn there, so that the total over all routers stays within the overload
+    /// factor. The server gets an even fraction of the responses that all servers of its role are
+    /// seen to give, and at most an even fraction of the demand on the role. A prefill server gets
+    /// mostly requests for placement keys of which it is a prefix replica; the more often such
+    /// requests come, the smaller the fraction of them that gets a turn. A request of more than
+    /// mean work gets a turn so much more rarely.
+    pub fn grant_turn(
+        &self,
+        account: &mut SlowStartAccount,
+        input: SlowStartInput,
+        start_learned_at: f64,
+        now: f64,
+    ) -> bool {
         let settings = &self.settings;
         let (live_servers, warm_equivalents) = (
             input.role_capacity.live_servers,
             input.role_capacity.warm_equivalents,
         );
-        let likely_capacity = self.assumed_capacity(input.start_learned_at, now);
+        let capacity = self.assumed_capacity(start_learned_at, now);
         let responses =
             self.responses[input.role as usize].peak * EWMA_WEIGHT / (1.0 - EWMA_WEIGHT);
         let even_fraction = (responses / warm_equivalents).min(1.0 / live_servers);
         let key_rate = input.recent_key_fraction + input.replicas_per_key as f64 / live_servers;
-        let key_factor = if input.is_replica {
-            REPLICA_TRAFFIC_FRACTION / key_rate
-        } else {
-            1.0 - REPLICA_TRAFFIC_FRACTION
+        let key_factor = match input.role {
+            Role::Prefill if input.is_replica => REPLICA_TRAFFIC_FRACTION / key_rate,
+            Role::Prefill => 1.0 - REPLICA_TRAFFIC_FRACTION,
+            Role::Decode | Role::Mixed => 1.0,
         };
-        let server_fraction = even_fraction
-            * if input.role == Role::Prefill {
-                key_factor
-            } else {
-                1.0
-            };
-        input.draw
-            < OVERLOAD_BUDGET_FRACTION
-                * settings.overload_factor
-                * likely_capacity
-                * server_fraction
+        let load = OVERLOAD_BUDGET_FRACTION * settings.overload_factor * capacity;
+        account.grant(Grant {
+            turn_probability: load * even_fraction * key_factor / cost(input.relative_work),
+            work: load * even_fraction,
+            first_turn: input.first_turn,
+        })
     }
 }
 
--- /dev/null
+++ b/crates/policy/src/choice/slow_start_account.rs
@@ -0,0 +1,89 @@
+//! What this router may send, and has sent, to one warming server.
+//!
+//! Work is counted in requests of mean work. A request whose work is above the mean counts by its
+//! work, and any other as one, so that both the number of requests and their work stay within the
+//! limit.
+
+/// Most work that a router may have left unused at a warming server and still send later, in
+/// requests of mean work. It covers the requests that come out of turn: retries, and requests for
+/// several placement keys of which the server is a prefix replica.
+const MAX_ALLOWANCE: f64 = 2.0;
+/// Account of one warming server at this router.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct SlowStartAccount {
+    /// Sum of the admission probabilities since the last request that got a turn. The next one gets
+    /// a turn as the sum reaches 1; `None` before the first request.
+    turn: Option<f64>,
+    /// Work that may be sent.
+    allowance: f64,
+    granted: f64,
+    sent: f64,
+}
+
+impl Default for SlowStartAccount {
+    fn default() -> Self {
+        SlowStartAccount {
+            turn: None,
+            allowance: MAX_ALLOWANCE,
+            granted: 0.0,
+            sent: 0.0,
+        }
+    }
+}
+
+/// What one request adds to an account.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Grant {
+    /// Probability with which the request gets a turn at the server.
+    pub turn_probability: f64,
+    /// Work that the server may receive for each request of the role.
+    pub work: f64,
+    /// Offset of the first turn, from 0 to 1: routers that learn of a start together must not
+    /// choose the server together.
+    pub first_turn: f64,
+}
+
+/// Cost of a request in an account, in requests of mean work.
+pub(super) fn cost(relative_work: f64) -> f64 {
+    relative_work.max(1.0)
+}
+
+impl SlowStartAccount {
+    /// Adds a grant and returns whether the request gets a turn. Requests get turns at even
+    /// distances of the summed probability instead of by independent draws, which keeps the sum of
+    /// what one router sends close to its mean.
+    pub fn grant(&mut self, grant: Grant) -> bool {
+        self.allowance = (self.allowance + grant.work).min(MAX_ALLOWANCE);
+        self.granted += grant.work;
+        let turn = self.turn.unwrap_or(grant.first_turn) + grant.turn_probability;
+        let has_turn = turn >= 1.0;
+        self.turn = Some(turn - f64::from(has_turn));
+        has_turn
+    }
+
+    /// Returns whether any work may be sent. One request may exceed the allowance, which is then
+    /// used up for longer.
+    pub fn has_allowance(&self) -> bool {
+        self.allowance > 0.0
+    }
+
+    /// Counts an attempt at the server, whatever it was sent for.
+    pub fn record_sent(&mut self, relative_work: f64) {
+        self.allowance -= cost(relative_work);
+        self.sent += relative_work;
+    }
+
+    /// Work sent so far.
+    pub fn sent(&self) -> f64 {
+        self.sent
+    }
+
+    /// Work granted so far.
+    pub fn granted(&self) -> f64 {
+        self.granted
+    }
+}
+
+#[cfg(test)]
+#[path = "../part_tests/slow_start_account.rs"]
+mod tests;
--- a/crates/policy/src/interface/explanation.rs
+++ b/crates/policy/src/interface/explanation.rs
@@ -60,11 +60,18 @@
 pub struct SlowStartStatus {
     /// Fraction of its full capacity that the server is assumed to have.
     pub assumed_capacity: f64,
+    /// Work that this router might have sent since it learned of the start, in requests of mean
+    /// work.
+    pub granted_work: f64,
+    /// Work of the attempts that this router has sent, in requests of mean work.
+    pub sent_work: f64,
 }
 
 impl fmt::Display for SlowStartStatus {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "assumed_capacity={:.3}", self.assumed_capacity)
+        write!(f, "assumed_capacity={:.3} ", self.assumed_capacity)?;
+        write!(f, "granted_work={:.1} ", self.granted_work)?;
+        write!(f, "sent_work={:.1}", self.sent_work)
     }
 }
 
--- /dev/null
+++ b/crates/policy/src/part_tests/slow_start_account.rs
@@ -0,0 +1,51 @@
+//! Unit tests of `choice/slow_start_account.rs`.
+
+use super::*;
+
+fn grant(turn_probability: f64) -> Grant {
+    Grant {
+        turn_probability,
+        work: 0.1,
+        first_turn: 0.5,
+    }
+}
+
+#[test]
+fn turns_come_at_even_distances() {
+    let mut account = SlowStartAccount::default();
+    let turns: Vec<bool> = (0..12).map(|_| account.grant(grant(0.25))).collect();
+    let at: Vec<usize> = (0..12).filter(|n| turns[*n]).collect();
+    assert_eq!(at, [1, 5, 9], "from an offset of 0.5 every fourth request");
+}
+
+/// Requests that come out of turn, such as retries, use up what the server may receive.
+#[test]
+fn every_attempt_uses_the_allowance() {
+    let mut account = SlowStartAccount::default();
+    account.record_sent(0.5);
+    assert!(account.has_allowance(), "a light request counts as one");
+    account.record_sent(1.0);
+    assert!(!account.has_allowance());
+    (0..11).for_each(|_| {
+        account.grant(grant(0.0));
+    });
+    assert!(account.has_allowance(), "granted again");
+    account.record_sent(5.0);
+    (0..30).for_each(|_| {
+        account.grant(grant(0.0));
+    });
+    assert!(
+        !account.has_allowance(),
+        "a heavy request counts by its work"
+    );
+}
+
+#[test]
+fn unused_allowance_is_bounded() {
+    let mut account = SlowStartAccount::default();
+    (0..1000).for_each(|_| {
+        account.grant(grant(0.0));
+    });
+    (0..2).for_each(|_| account.record_sent(1.0));
+    assert!(!account.has_allowance());
+}
