Slow start grows with what a warming server receives, not with time alone

What callers saw: after a lull the first burst overloaded a server that had started in the lull.

Cause: SlowStartLimiter took a server's capacity to grow as e^(1.3 age) from the notification of its start. One that got none for nine seconds was taken for 2.3 times what it could do.

Change: the assumed capacity goes from the start capacity to 1 with the work that this router has granted and sent, over the work that a warm server gets in the warm-up time at the usual arrival rate, and no faster than with time. The usual rate is a long mean, or 0.6 of the peak, so that a lull does not make little traffic look like much.

--- a/crates/policy/src/choice/arrivals.rs
+++ b/crates/policy/src/choice/arrivals.rs
@@ -3,7 +3,6 @@
 use super::admission::AdmissionController;
 use super::decay::non_negative;
 use super::request_state::{memory_use, placement_key, sanitize, RequestState, Stage};
-use super::selection::DecisionContext;
 use super::server::Server;
 use super::{set_timer, Actions, Router, PROBE_WAIT_S};
 use crate::interface::{
@@ -72,7 +71,7 @@
         let over_quota = self.admission.is_over_quota(now, request.tenant);
         let key = placement_key(&request);
         self.slow_start.record_choice(Role::Prefill);
-        self.traffic_mean.record_arrival(&request);
+        self.traffic_mean.record_arrival(&request, now);
         RequestState {
             placement_key: key,
             recent_key_fraction: self.admission.record_key(key),
@@ -85,31 +84,6 @@
         }
     }
 
-    /// Counts a new request in the accounts of all warming servers and gives it a turn at those
-    /// where one is due. The turns hold for all attempts of the request.
-    fn grant_slow_start_turns(
-        &mut self,
-        now: f64,
-        state: &mut RequestState,
-        context: &DecisionContext,
-    ) {
-        let selector = self.selector();
-        let inputs = selector.slow_start_inputs(state, context, &self.traffic_mean, now);
-        for (id, input) in inputs {
-            let Some(server) = self.servers.get_mut(id) else {
-                continue;
-            };
-            let start_learned_at = server.start_learned_at;
-            let account = &mut server.slow_start;
-            if self
-                .slow_start
-                .grant_turn(account, input, start_learned_at, now)
-            {
-                state.slow_start_turns.push(id);
-            }
-        }
-    }
-
     /// Chooses the prefill server of a new request, or rejects the request if its first token is
     /// expected too late.
     pub(super) fn route_new_request(&mut self, now: f64, id: RequestId, out: &mut Actions) {
--- a/crates/policy/src/choice/attempts.rs
+++ b/crates/policy/src/choice/attempts.rs
@@ -119,8 +119,9 @@
         if let Some(server) = self.servers.get_mut(server_id) {
             server.in_flight.insert(id, attempt);
             if let Some(state) = self.requests.get(&id) {
-                let work = self.traffic_mean.relative_work(&state.request, server.role);
-                server.slow_start.record_sent(work);
+                let mean = &self.traffic_mean;
+                let cost = mean.slow_start_cost(&state.request, server.role);
+                server.slow_start.record_sent(cost);
             }
         }
         if let Some(state) = self.requests.get_mut(&id) {
--- a/crates/policy/src/choice/mod.rs
+++ b/crates/policy/src/choice/mod.rs
@@ -17,6 +17,7 @@
 mod load;
 mod prefill_choice;
 mod prefix_cache;
+mod replica_ranking;
 mod request_state;
 mod retry_budget;
 mod retry_safety;
@@ -25,6 +26,7 @@
 mod server_table;
 mod slow_start;
 mod slow_start_account;
+mod slow_start_turns;
 mod traffic_mean;
 
 use std::collections::BTreeMap;
--- a/crates/policy/src/choice/prefill_choice.rs
+++ b/crates/policy/src/choice/prefill_choice.rs
@@ -6,20 +6,14 @@
 //! assigns to the key. Requests with the key are preferably prefilled there, so that the other
 //! servers need not prefill and cache the same prefix.
 
-use super::hash::{hash_pair, unit_interval_53_bits};
 use super::load::DECODE_WAIT_PER_UTILIZATION_S;
 use super::prefix_cache::CachedPrompt;
+use super::replica_ranking::{RankedReplica, ReplicaRanking};
 use super::request_state::RequestState;
 use super::selection::{DecisionContext, Selector, CROSS_CELL_COST, TIE_BREAK_COST};
 use super::server::Server;
 use crate::interface::{Effect, Role, ServerId};
 
-/// Rendezvous-hashing weight of a mixed server as a prefix replica. A prefill server has weight 1;
-/// a mixed server gets less because it also decodes.
-const MIXED_REPLICA_WEIGHT: f64 = 0.35;
-/// Lower bound of a draw, a hash mapped to a number from 0 to 1, before its logarithm is taken, so
-/// that the result is finite.
-const MIN_DRAW: f64 = 1e-12;
 /// Fraction of the prompt beyond the shared prefix that the first prefix replica is assumed to have
 /// cached from earlier turns of the session, if those were sent by other dispatchers.
 const SESSION_CACHED_FRACTION: f64 = 0.6;
@@ -53,25 +47,6 @@
     cost_s: f64,
 }
 
-/// A server as a possible prefix replica. Servers of the router's own zone sort first, then servers
-/// sort by rank.
-#[derive(Clone, Copy, Debug)]
-struct RankedReplica {
-    other_zone: bool,
-    rank: f64,
-    server: ServerId,
-}
-
-impl RankedReplica {
-    /// Returns whether this replica sorts before `other` or equal to it.
-    fn precedes(&self, other: &RankedReplica) -> bool {
-        self.other_zone
-            .cmp(&other.other_zone)
-            .then(self.rank.total_cmp(&other.rank))
-            .is_le()
-    }
-}
-
 impl Selector<'_> {
     /// Returns the estimate with the lowest cost among the servers that may prefill the request.
     pub fn best_prefill_server(&self, state: &RequestState, now: f64) -> Option<PrefillEstimate> {
@@ -253,51 +228,17 @@
         context: &DecisionContext,
         now: f64,
     ) -> Vec<ServerId> {
-        self.ranked_replicas(state, context, |server| {
-            self.slow_start_admits(server, state, now)
-        })
-    }
-
-    /// The servers with the best hash rank for a request's placement key among those that `may_use`
-    /// accepts, in the order for the request's session.
-    pub fn ranked_replicas(
-        &self,
-        state: &RequestState,
-        context: &DecisionContext,
-        may_use: impl Fn(&Server) -> bool,
-    ) -> Vec<ServerId> {
-        let mut best: Vec<RankedReplica> = Vec::new();
+        let mut ranking = ReplicaRanking::new(context.replicas_per_key);
         for server in self.servers.iter() {
             if server.role == Role::Decode || !server.is_ready() {
                 continue;
             }
-            let ranked = self.rank_replica(server, state.placement_key);
-            let position = best.partition_point(|other| other.precedes(&ranked));
-            if position < context.replicas_per_key && may_use(server) {
-                best.insert(position, ranked);
-                best.truncate(context.replicas_per_key);
+            let ranked = RankedReplica::new(server, state.placement_key, self.settings.zone);
+            if ranking.accepts(&ranked) && self.slow_start_admits(server, state, now) {
+                ranking.insert(ranked);
             }
         }
-        let session = state.request.session;
-        best.sort_by_key(|r| (r.other_zone, hash_pair(session, u64::from(r.server))));
-        best.into_iter().map(|ranked| ranked.server).collect()
-    }
-
-    /// Weighted rendezvous hashing: ranks a server by an exponentially distributed draw from the
-    /// key and the server id.
-    fn rank_replica(&self, server: &Server, key: u64) -> RankedReplica {
-        let id = server.entry.id;
-        let weight = if server.role == Role::Mixed {
-            MIXED_REPLICA_WEIGHT
-        } else {
-            1.0
-        };
-        let draw = unit_interval_53_bits(hash_pair(key, u64::from(id)));
-        RankedReplica {
-            other_zone: server.entry.zone != self.settings.zone,
-            rank: -draw.max(MIN_DRAW).ln() / weight,
-            server: id,
-        }
+        ranking.into_order_for(state.request.session)
     }
 }
 
--- a/crates/policy/src/choice/selection.rs
+++ b/crates/policy/src/choice/selection.rs
@@ -15,9 +15,8 @@
 use super::retry_safety::RetrySafety;
 use super::server::Server;
 use super::server_table::ServerTable;
-use super::slow_start::{RoleCapacity, SlowStartInput, SlowStartLimiter};
-use super::traffic_mean::TrafficMean;
-use crate::interface::{Effect, Request, Role, ServerId, Settings};
+use super::slow_start::{RoleCapacity, SlowStartLimiter};
+use crate::interface::{Effect, Request, Role, Settings};
 
 /// Upper bound of the random cost, in utilization or seconds, that spreads the choices of different
 /// routers over servers of equal cost. It is also the cost, in seconds, that each prefix replica
@@ -167,40 +166,6 @@
         state.slow_start_turns.contains(&server.entry.id) && server.slow_start.has_allowance()
     }
 
-    /// Returns the warming servers at which a request that arrives may get a turn, with the inputs
-    /// to slow start.
-    pub fn slow_start_inputs(
-        &self,
-        state: &RequestState,
-        context: &DecisionContext,
-        traffic_mean: &TrafficMean,
-        now: f64,
-    ) -> Vec<(ServerId, SlowStartInput)> {
-        let is_warming = |server: &&Server| server.is_ready() && self.capacity(server, now) < 1.0;
-        let warming: Vec<&Server> = self.servers.iter().filter(is_warming).collect();
-        if warming.is_empty() {
-            return Vec::new();
-        }
-        let replicas = self.ranked_replicas(state, context, |_| true);
-        let input = |server: &Server| {
-            let process_hash =
-                hash_pair(u64::from(server.entry.id), server.entry.booted_at.to_bits());
-            SlowStartInput {
-                role: server.role,
-                role_capacity: context.role_capacities[server.role as usize],
-                replicas_per_key: context.replicas_per_key,
-                recent_key_fraction: state.recent_key_fraction,
-                is_replica: replicas.contains(&server.entry.id),
-                relative_work: traffic_mean.relative_work(&state.request, server.role),
-                first_turn: unit_interval_24_bits(hash_pair(self.seed, process_hash)),
-            }
-        };
-        warming
-            .into_iter()
-            .map(|server| (server.entry.id, input(server)))
-            .collect()
-    }
-
     /// Cost, in seconds, of the answers that a request would evict from a server's memory; 0 if its
     /// output length is not predicted.
     pub fn eviction_cost_s(&self, server: &Server, state: &RequestState, now: f64) -> f64 {
--- a/crates/policy/src/choice/slow_start.rs
+++ b/crates/policy/src/choice/slow_start.rs
@@ -1,16 +1,13 @@
 //! Slow start: limits the work that is sent to a warming server. Prefix replicas and placement keys
 //! are defined in `prefill_choice`.
 
-use super::slow_start_account::{cost, Grant, SlowStartAccount};
+use super::slow_start_account::{Grant, SlowStartAccount};
 use super::EWMA_WEIGHT;
 use crate::interface::{Role, SlowStart, SlowStartStatus};
 
 /// Fraction of [`SlowStart::overload_factor`] up to which slow start loads a warming server; the
 /// rest is a safety margin.
 const OVERLOAD_BUDGET_FRACTION: f64 = 0.8;
-/// Exponent by which the assumed capacity of a warming server grows over its warm-up: it is
-/// multiplied by e to this power, up to full capacity.
-const WARM_UP_GROWTH: f64 = 1.3;
 /// Fraction of a warming prefill server's requests that have a placement key of which it is a
 /// prefix replica.
 const REPLICA_TRAFFIC_FRACTION: f64 = 0.6;
@@ -60,8 +57,10 @@
     pub recent_key_fraction: f64,
     /// The server is a prefix replica of the request's placement key.
     pub is_replica: bool,
-    /// Work of the request at the server, in requests of mean work.
-    pub relative_work: f64,
+    /// Cost of the request in the server's account, in requests of mean work.
+    pub cost: f64,
+    /// Usual rate, per second, at which requests arrive at this router.
+    pub arrivals_per_s: f64,
     /// Pseudo-random number from 0 to 1 for this router and process of the server.
     pub first_turn: f64,
 }
@@ -100,13 +99,19 @@
         capacity.clamp(MIN_CAPACITY, 1.0)
     }
 
-    /// Fraction of its full capacity that a server is assumed to have at least, if this router
-    /// learned of its start at clock time `start_learned_at`.
-    pub fn assumed_capacity(&self, start_learned_at: f64, now: f64) -> f64 {
+    /// Fraction of its full capacity that a server is assumed to have. Requests warm the server, so
+    /// it grows with what the server receives, and no faster than with the time since this router
+    /// learned of the server's start.
+    pub fn assumed_capacity(
+        &self,
+        account: &SlowStartAccount,
+        start_learned_at: f64,
+        now: f64,
+    ) -> f64 {
         let settings = &self.settings;
-        let warm_after_s = settings.warm_after_s.max(MIN_WARM_UP_S);
-        let age = ((now - start_learned_at) / warm_after_s).clamp(0.0, 1.0);
-        (settings.start_capacity * (WARM_UP_GROWTH * age).exp()).min(1.0)
+        let age = (now - start_learned_at) / settings.warm_after_s.max(MIN_WARM_UP_S);
+        let progress = account.progress().min(age.clamp(0.0, 1.0));
+        settings.start_capacity + (1.0 - settings.start_capacity) * progress
     }
 
     /// Returns what slow start assumes of a server, for logs.
@@ -117,7 +122,7 @@
         now: f64,
     ) -> SlowStartStatus {
         SlowStartStatus {
-            assumed_capacity: self.assumed_capacity(start_learned_at, now),
+            assumed_capacity: self.assumed_capacity(account, start_learned_at, now),
             granted_work: account.granted(),
             sent_work: account.sent(),
         }
@@ -155,7 +160,7 @@
             input.role_capacity.live_servers,
             input.role_capacity.warm_equivalents,
         );
-        let capacity = self.assumed_capacity(start_learned_at, now);
+        let capacity = self.assumed_capacity(account, start_learned_at, now);
         let responses =
             self.responses[input.role as usize].peak * EWMA_WEIGHT / (1.0 - EWMA_WEIGHT);
         let even_fraction = (responses / warm_equivalents).min(1.0 / live_servers);
@@ -166,9 +171,11 @@
             Role::Decode | Role::Mixed => 1.0,
         };
         let load = OVERLOAD_BUDGET_FRACTION * settings.overload_factor * capacity;
+        let warm_up_requests = input.arrivals_per_s * settings.warm_after_s.max(MIN_WARM_UP_S);
         account.grant(Grant {
-            turn_probability: load * even_fraction * key_factor / cost(input.relative_work),
+            turn_probability: load * even_fraction * key_factor / input.cost,
             work: load * even_fraction,
+            progress: load / warm_up_requests.max(1.0),
             first_turn: input.first_turn,
         })
     }
--- a/crates/policy/src/choice/slow_start_account.rs
+++ b/crates/policy/src/choice/slow_start_account.rs
@@ -1,13 +1,18 @@
 //! What this router may send, and has sent, to one warming server.
 //!
-//! Work is counted in requests of mean work. A request whose work is above the mean counts by its
-//! work, and any other as one, so that both the number of requests and their work stay within the
-//! limit.
+//! Costs are counted in requests of mean work, see
+//! [`TrafficMean::slow_start_cost`](super::traffic_mean::TrafficMean::slow_start_cost).
 
 /// Most work that a router may have left unused at a warming server and still send later, in
 /// requests of mean work. It covers the requests that come out of turn: retries, and requests for
 /// several placement keys of which the server is a prefix replica.
 const MAX_ALLOWANCE: f64 = 2.0;
+/// Work by which the assumption on what a server receives outweighs what this router has sent, in
+/// requests of mean work. A router that sends a server less than that has hardly any evidence.
+const ASSUMPTION_WEIGHT: f64 = 2.0;
+/// Fraction of the granted work that a server is assumed to receive.
+const ASSUMED_RECEIVED_FRACTION: f64 = 0.85;
+
 /// Account of one warming server at this router.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct SlowStartAccount {
@@ -18,6 +23,8 @@
     allowance: f64,
     granted: f64,
     sent: f64,
+    /// Progress of the warm-up, from 0 to 1, if the server receives all work that is granted.
+    granted_progress: f64,
 }
 
 impl Default for SlowStartAccount {
@@ -27,6 +34,7 @@
             allowance: MAX_ALLOWANCE,
             granted: 0.0,
             sent: 0.0,
+            granted_progress: 0.0,
         }
     }
 }
@@ -38,16 +46,13 @@
     pub turn_probability: f64,
     /// Work that the server may receive for each request of the role.
     pub work: f64,
+    /// Part of the warm-up that this work completes.
+    pub progress: f64,
     /// Offset of the first turn, from 0 to 1: routers that learn of a start together must not
     /// choose the server together.
     pub first_turn: f64,
 }
 
-/// Cost of a request in an account, in requests of mean work.
-pub(super) fn cost(relative_work: f64) -> f64 {
-    relative_work.max(1.0)
-}
-
 impl SlowStartAccount {
     /// Adds a grant and returns whether the request gets a turn. Requests get turns at even
     /// distances of the summed probability instead of by independent draws, which keeps the sum of
@@ -55,6 +60,7 @@
     pub fn grant(&mut self, grant: Grant) -> bool {
         self.allowance = (self.allowance + grant.work).min(MAX_ALLOWANCE);
         self.granted += grant.work;
+        self.granted_progress += grant.progress;
         let turn = self.turn.unwrap_or(grant.first_turn) + grant.turn_probability;
         let has_turn = turn >= 1.0;
         self.turn = Some(turn - f64::from(has_turn));
@@ -68,9 +74,16 @@
     }
 
     /// Counts an attempt at the server, whatever it was sent for.
-    pub fn record_sent(&mut self, relative_work: f64) {
-        self.allowance -= cost(relative_work);
-        self.sent += relative_work;
+    pub fn record_sent(&mut self, cost: f64) {
+        self.allowance -= cost;
+        self.sent += cost;
+    }
+
+    /// Progress of the warm-up, from 0 to 1, as far as it follows from what the server receives.
+    pub fn progress(&self) -> f64 {
+        let assumed = ASSUMPTION_WEIGHT * ASSUMED_RECEIVED_FRACTION;
+        let received_fraction = (self.sent + assumed) / (self.granted + ASSUMPTION_WEIGHT);
+        (self.granted_progress * received_fraction).clamp(0.0, 1.0)
     }
 
     /// Work sent so far.
