A start that only peers have seen survives a list that is sent again

A server that two peers reported as warming up was limited only until the next list: the report was written over the listed start, so the list, unchanged, looked like another start, at 0 (long ago), and the limit was gone. The time at which this router learned of the start stayed that of the first list as well. Change: the reported start has a field of its own, and the account and the time of learning begin with the report.

--- a/crates/policy/src/choice/completion.rs
+++ b/crates/policy/src/choice/completion.rs
@@ -157,7 +157,7 @@
             total_tokens,
             elapsed_s,
             queue_s: state.expected_queue_s,
-            capacity: self.slow_start.capacity(server.entry.booted_at, now),
+            capacity: self.slow_start.capacity(server.booted_at(), now),
         };
         self.load.record_prefill(now, server, sample);
     }
--- a/crates/policy/src/choice/mod.rs
+++ b/crates/policy/src/choice/mod.rs
@@ -205,7 +205,7 @@
 
     fn record_load_report(&mut self, now: f64, id: ServerId, values: &[f64]) {
         if let Some(server) = self.servers.get_mut(id) {
-            let capacity = self.slow_start.capacity(server.entry.booted_at, now);
+            let capacity = self.slow_start.capacity(server.booted_at(), now);
             self.load.record_report(now, server, capacity, values);
         }
     }
--- a/crates/policy/src/choice/prefix_cache.rs
+++ b/crates/policy/src/choice/prefix_cache.rs
@@ -100,7 +100,7 @@
         let tokens = |key: &CachedKey<'_>| {
             key.servers
                 .and_then(|servers| servers.get(&server.entry.id))
-                .filter(|cached| cached.prefilled_at > server.entry.booted_at)
+                .filter(|cached| cached.prefilled_at > server.booted_at())
                 .map_or(0.0, |cached| cached.tokens.min(key.max_tokens))
         };
         self.0.iter().map(tokens).fold(0.0, f64::max)
--- a/crates/policy/src/choice/selection.rs
+++ b/crates/policy/src/choice/selection.rs
@@ -135,7 +135,7 @@
 
     /// Fraction of its full capacity that a server is estimated to have; 1 when warm.
     pub fn capacity(&self, server: &Server, now: f64) -> f64 {
-        self.slow_start.capacity(server.entry.booted_at, now)
+        self.slow_start.capacity(server.booted_at(), now)
     }
 
     /// Expected time, in seconds, that a request waits at a decode server before its decoding
--- a/crates/policy/src/choice/server.rs
+++ b/crates/policy/src/choice/server.rs
@@ -45,6 +45,9 @@
     pub load: ServerLoad,
     /// Clock time, in seconds, at which this router learned of the server's last start.
     pub start_learned_at: f64,
+    /// Clock time, in seconds, of a start that peers have seen and the endpoint list has not told; 0
+    /// if there is none.
+    pub reported_start_at: f64,
     /// What this router may send to the server while it is warming up.
     pub slow_start: SlowStartAccount,
 }
@@ -79,6 +82,11 @@
             )
     }
 
+    /// Clock time, in seconds, of the latest known start of the server's process; 0 means long ago.
+    pub fn booted_at(&self) -> f64 {
+        self.entry.booted_at.max(self.reported_start_at)
+    }
+
     /// Returns whether the endpoint list marks the server as ready for requests.
     pub fn is_ready(&self) -> bool {
         self.entry.status == ServerStatus::Ready
--- a/crates/policy/src/choice/server_table.rs
+++ b/crates/policy/src/choice/server_table.rs
@@ -5,6 +5,7 @@
 use super::decay::non_negative;
 use super::load::ServerLoad;
 use super::server::Server;
+use super::slow_start_account::SlowStartAccount;
 use crate::interface::{
     KindSettings, ListForm, Observation, Role, ServerEntry, ServerId, ServerStatus,
 };
@@ -134,8 +135,10 @@
                 server.health.record_reported_failing(now);
                 self.apply_failure_report_of_outlier(now, id);
             }
-            Observation::WarmingUp if server.entry.booted_at <= 0.0 => {
-                server.entry.booted_at = reported_at;
+            Observation::WarmingUp if server.booted_at() <= 0.0 => {
+                server.reported_start_at = reported_at;
+                server.start_learned_at = now;
+                server.slow_start = SlowStartAccount::default();
             }
             Observation::Draining if 2 * report.reporters > report.peers => {
                 server.health.record_reported_drain(now);
--- a/crates/policy/src/choice/slow_start_turns.rs
+++ b/crates/policy/src/choice/slow_start_turns.rs
@@ -21,7 +21,7 @@
         context: &DecisionContext,
     ) {
         let is_warming = |server: &&Server| {
-            server.is_ready() && self.slow_start.capacity(server.entry.booted_at, now) < 1.0
+            server.is_ready() && self.slow_start.capacity(server.booted_at(), now) < 1.0
         };
         let warming: BTreeMap<ServerId, Role> = self
             .servers
@@ -95,6 +95,6 @@
 /// Offset of the first turn at a server's process, from 0 to 1, different for each router.
 fn first_turn(seed: u64, server: &Server) -> f64 {
     let entry = &server.entry;
-    let process_hash = hash_pair(u64::from(entry.id), entry.booted_at.to_bits());
+    let process_hash = hash_pair(u64::from(entry.id), server.booted_at().to_bits());
     unit_interval_24_bits(hash_pair(seed, process_hash))
 }
--- a/crates/policy/tests/peer_reports.rs
+++ b/crates/policy/tests/peer_reports.rs
@@ -163,6 +163,47 @@
     assert!(warming < usual, "{warming} against {usual}");
 }
 
+/// Guards against a list, sent again with the start that it had before, that takes back a start
+/// which only peers have seen.
+#[test]
+fn list_sent_again_keeps_the_start_that_peers_saw() {
+    let list: Vec<ServerEntry> = vec![
+        server(1, 0, 0),
+        server(2, 0, 0),
+        server(11, 1, 0),
+        server(12, 1, 0),
+    ];
+    let sent_to_first = |is_reported: bool| {
+        let mut harness = RouterHarness::with_fleet(settings(Effect::Idempotent), list.clone());
+        let mut sent = 0;
+        for id in 1..46 {
+            if is_reported && id == 6 {
+                harness.handle(Event::PeerReport {
+                    server: 1,
+                    observation: Observation::WarmingUp,
+                    reporters: 2,
+                    peers: 2,
+                    age_s: 0.0,
+                });
+            }
+            harness.handle(Event::Servers {
+                form: ListForm::Full,
+                entries: list.clone(),
+            });
+            let request = Request {
+                session: 0,
+                prefix: 0,
+                ..new_request(id)
+            };
+            sent += usize::from(id > 5) * usize::from(harness.serve(request, 0.0) == 1);
+            harness.advance(0.1);
+        }
+        sent
+    };
+    let (reported, usual) = (sent_to_first(true), sent_to_first(false));
+    assert!(2 * reported < usual, "{reported} against {usual}");
+}
+
 #[test]
 fn own_success_outweighs_an_older_reported_failure() {
     let old = sent_to_first(Some((Observation::Failing, 5, 5, 30.0)));
