--- a/programs/soak/src/draw.rs
+++ b/programs/soak/src/draw.rs
@@ -159,6 +159,8 @@
 const QUIET_RATE: f64 = 90.0;
 const QUIET_DEADLINE_S: f64 = 4.0;
 const QUIET_UTILIZATION: f64 = 0.7;
+/// Start capacity of servers where the dispatchers' slow start is off.
+const FRAGILE_START_CAPACITY: f64 = 0.05;
 const COLD_START_SEED: u64 = 0x00C0_1D57_A127;
 /// Servers of a role on days with cold starts: a small fleet has small budgets.
 const COLD_SERVERS_BY_ROLE: [usize; 3] = [4, 6, 8];
@@ -252,6 +254,15 @@
         }
     }
 
+    /// Tells the dispatchers that servers start warm, though each bears next to nothing at first.
+    pub fn turn_slow_start_off(&mut self) {
+        self.without_slow_start = true;
+        if let Some(slow_start) = &mut self.slow_start {
+            slow_start.start_capacity = FRAGILE_START_CAPACITY;
+            slow_start.overload_factor = 1.0;
+        }
+    }
+
     pub fn has(&self, fault: Fault) -> bool {
         self.faults.contains(&fault)
     }
--- a/programs/soak/src/main.rs
+++ b/programs/soak/src/main.rs
@@ -35,7 +35,7 @@
     /// Seconds of a day.
     #[arg(long, default_value_t = 20.0, value_parser = length)]
     length: f64,
-    /// Dispatchers are told that servers start warm: their slow start is off, and the judge has to find it.
+    /// Dispatchers are told that servers start warm, which can do next to nothing at first: the judge has to find it.
     #[arg(long)]
     without_slow_start: bool,
     /// Days at a time.
@@ -87,7 +87,9 @@
                     return;
                 }
                 let mut day = Day::draw(seed, args.processes as usize, args.length, &args.faults);
-                day.without_slow_start = args.without_slow_start;
+                if args.without_slow_start {
+                    day.turn_slow_start_off();
+                }
                 match play_in(&args.out, &day) {
                     Ok(played) => {
                         let bad = !played.breaks.is_empty() || !played.never_injected.is_empty();
