A request is served while all servers of a role are warming up

What callers saw: in a quiet fleet whose servers had all restarted, a request was refused where no turn was due, though nothing had been sent to any of them. Change: with at most four dispatchers, a request that no other server may take goes to a warming server that has allowance left, without a turn.

--- a/crates/policy/src/choice/decode_choice.rs
+++ b/crates/policy/src/choice/decode_choice.rs
@@ -15,24 +15,23 @@
             .map(|server| &server.entry);
         let context = self.context(now);
         let link_s = source.map_or(0.0, |entry| context.link_s(entry.cell));
-        let costs = self
-            .servers
-            .iter()
-            .filter(|server| self.may_decode(server, state, now))
-            .map(|server| {
+        let cheapest = |slow_start_admits: &dyn Fn(&Server) -> bool| {
+            let may_decode = |server: &&Server| {
+                server.role != Role::Prefill
+                    && self.is_usable(server, state, now)
+                    && slow_start_admits(server)
+            };
+            let costs = self.servers.iter().filter(may_decode).map(|server| {
                 let distance = distance_cost(source, &server.entry, link_s);
                 let cost = self.decode_cost(server, state, distance, now);
                 (cost, server.entry.id)
             });
-        costs
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|cheapest| cheapest.1)
-    }
-
-    fn may_decode(&self, server: &Server, state: &RequestState, now: f64) -> bool {
-        server.role != Role::Prefill
-            && self.is_usable(server, state, now)
-            && self.slow_start_admits(server, state, now)
+            costs
+                .min_by(|a, b| a.0.total_cmp(&b.0))
+                .map(|cheapest| cheapest.1)
+        };
+        cheapest(&|server| self.slow_start_admits(server, state, now))
+            .or_else(|| cheapest(&|server| self.slow_start_admits_as_last_resort(server)))
     }
 
     fn decode_cost(&self, server: &Server, state: &RequestState, distance: f64, now: f64) -> f64 {
--- a/crates/policy/src/choice/prefill_choice.rs
+++ b/crates/policy/src/choice/prefill_choice.rs
@@ -55,19 +55,23 @@
         let cached = self.prefix_cache_index.lookup(&state.request);
         let include_decode_servers =
             self.settings.decode_servers_prefill && self.effect(state) != Effect::NonIdempotent;
-        let may_prefill = |server: &&Server| {
-            (include_decode_servers || server.role != Role::Decode)
-                && self.is_usable(server, state, now)
-                && self.slow_start_admits(server, state, now)
+        let cheapest = |slow_start_admits: &dyn Fn(&Server) -> bool| {
+            let may_prefill = |server: &&Server| {
+                (include_decode_servers || server.role != Role::Decode)
+                    && self.is_usable(server, state, now)
+                    && slow_start_admits(server)
+            };
+            self.servers
+                .iter()
+                .filter(may_prefill)
+                .map(|server| {
+                    let rank = replicas.iter().position(|id| *id == server.entry.id);
+                    self.estimate(server, state, rank, &cached, &context, now)
+                })
+                .min_by(|a, b| a.cost_s.total_cmp(&b.cost_s))
         };
-        self.servers
-            .iter()
-            .filter(may_prefill)
-            .map(|server| {
-                let rank = replicas.iter().position(|id| *id == server.entry.id);
-                self.estimate(server, state, rank, &cached, &context, now)
-            })
-            .min_by(|a, b| a.cost_s.total_cmp(&b.cost_s))
+        cheapest(&|server| self.slow_start_admits(server, state, now))
+            .or_else(|| cheapest(&|server| self.slow_start_admits_as_last_resort(server)))
     }
 
     /// Returns the decision context, including the shortest waits at decode servers that may take
--- a/crates/policy/src/choice/selection.rs
+++ b/crates/policy/src/choice/selection.rs
@@ -54,6 +54,10 @@
 /// Seconds after a server's last answer for which the server counts as having answered recently.
 const RECENT_SUCCESS_WINDOW_S: f64 = 4.0;
 
+/// Up to this many dispatchers, one may send a request without a turn to a warming server if no
+/// other server may take it.
+const MAX_LAST_RESORT_DISPATCHERS: u32 = 4;
+
 /// Conditions of one cell: the wait at the cell's decode servers and the delay of its link to the
 /// other cells.
 #[derive(Debug, Default)]
@@ -166,6 +170,13 @@
         state.slow_start_turns.contains(&server.entry.id) && server.slow_start.has_allowance()
     }
 
+    /// Returns whether a request without a turn may go to a warming server because no other server
+    /// may take it. The allowances of many dispatchers add up to more than a server can bear.
+    pub fn slow_start_admits_as_last_resort(&self, server: &Server) -> bool {
+        self.settings.dispatchers <= MAX_LAST_RESORT_DISPATCHERS
+            && server.slow_start.has_allowance()
+    }
+
     /// Cost, in seconds, of the answers that a request would evict from a server's memory; 0 if its
     /// output length is not predicted.
     pub fn eviction_cost_s(&self, server: &Server, state: &RequestState, now: f64) -> f64 {
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -92,3 +92,23 @@
         harness.end_attempt(id, Outcome::Served, 0.1, 0.0);
     }
 }
+
+/// Guards against a slow start that refuses a quiet fleet's requests when all of its servers have
+/// just restarted.
+#[test]
+fn request_is_served_while_all_servers_are_warming_up() {
+    for seed_requests in 0..6 {
+        let list: Vec<ServerEntry> = [(1, 0), (2, 0), (11, 1), (12, 1)]
+            .into_iter()
+            .map(|(id, kind)| ServerEntry {
+                booted_at: T0 - 1.0,
+                ..server(id, kind, 0)
+            })
+            .collect();
+        let mut harness = RouterHarness::with_fleet(settings(Effect::Idempotent), list);
+        harness.advance(0.5);
+        let request = new_request(100 + seed_requests);
+        let prefill = harness.serve(request, 0.0);
+        assert!([1, 2].contains(&prefill), "served by {prefill}");
+    }
+}
