Read again: one margin for the worst window, typed warm-up ends, no sort without need

The margin is an argument now; each test keeps its own bound. - Two copies of the wall clock in that test are one function. - Turns: the servers are sorted at an arrival only where a warming server may be a prefix replica. Decisions are the same. - The ends of a warm-up are an enum in place of strings; the log's words are the same. - A predicted output length is read through non_negative, as its twin memory_use does. - Two comments said work where the cost is meant.

--- a/crates/platform/src/cold_servers.rs
+++ b/crates/platform/src/cold_servers.rs
@@ -2,6 +2,7 @@
 //! window. One line is logged when a start is received and one when the server is warm or its process has ended.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
 
 use bitternlatch_core::Micros;
 use bitternlatch_policy::interface::{ServerId, ServerStatus, SlowStart, SlowStartStatus};
@@ -36,6 +37,26 @@
     releases: u64,
 }
 
+/// How a warm-up ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WarmUpEnd {
+    Warm,
+    Draining,
+    Removed,
+    Restarted,
+}
+
+impl fmt::Display for WarmUpEnd {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            WarmUpEnd::Warm => "warm",
+            WarmUpEnd::Draining => "draining",
+            WarmUpEnd::Removed => "removed",
+            WarmUpEnd::Restarted => "restarted",
+        })
+    }
+}
+
 #[derive(Debug)]
 struct ColdServer {
     uid: String,
@@ -99,14 +120,14 @@
         status: impl Fn(ServerId) -> Option<SlowStartStatus>,
     ) -> Vec<String> {
         let mut lines = Vec::new();
-        let ended: Vec<(ServerId, &str)> = self
+        let ended: Vec<(ServerId, WarmUpEnd)> = self
             .servers
             .iter()
             .filter_map(|(id, cold)| Some((*id, self.end_reason(now, cold, endpoints.get(*id))?)))
             .collect();
         for (id, reason) in ended {
             if let Some(cold) = self.servers.remove(&id) {
-                if reason == "warm" {
+                if reason == WarmUpEnd::Warm {
                     self.counts.warm += 1;
                 } else {
                     self.counts.interrupted += 1;
@@ -138,17 +159,17 @@
         now: Micros,
         cold: &ColdServer,
         endpoint: Option<&Endpoint>,
-    ) -> Option<&'static str> {
+    ) -> Option<WarmUpEnd> {
         let Some(endpoint) = endpoint else {
-            return Some("removed");
+            return Some(WarmUpEnd::Removed);
         };
         if endpoint.start_s != cold.start_s {
-            return Some("restarted");
+            return Some(WarmUpEnd::Restarted);
         }
         if endpoint.status != ServerStatus::Ready {
-            return Some("draining");
+            return Some(WarmUpEnd::Draining);
         }
-        (!self.is_warming(now, endpoint)).then_some("warm")
+        (!self.is_warming(now, endpoint)).then_some(WarmUpEnd::Warm)
     }
 
     /// Counts what is sent to a server, if the server is followed.
@@ -205,16 +226,19 @@
         self.max_in_window = self.max_in_window.max(self.window.len());
     }
 
+    fn notified_after_s(&self) -> f64 {
+        self.notified_at.seconds() - self.start_s
+    }
+
     fn start_line(&self, id: ServerId) -> String {
-        let (uid, start_s) = (&self.uid, self.start_s);
-        let notified_after_s = self.notified_at.seconds() - start_s;
+        let (uid, start_s, notified_after_s) = (&self.uid, self.start_s, self.notified_after_s());
         format!("server {uid} is warming up: id={id} start={start_s:.3} notified_after_s={notified_after_s:.3}")
     }
 
-    fn end_line(&self, now: Micros, reason: &str, status: Option<SlowStartStatus>) -> String {
+    fn end_line(&self, now: Micros, reason: WarmUpEnd, status: Option<SlowStartStatus>) -> String {
         let (uid, start_s, sent) = (&self.uid, self.start_s, self.sent);
         let age_s = now.seconds() - start_s;
-        let notified_after_s = self.notified_at.seconds() - start_s;
+        let notified_after_s = self.notified_after_s();
         let limit = status.map_or_else(String::new, |status| format!(" {status}"));
         format!(
             "warm-up of server {uid} ended: reason={reason} start={start_s:.3} age_s={age_s:.3} \
--- a/crates/policy/src/choice/slow_start_account.rs
+++ b/crates/policy/src/choice/slow_start_account.rs
@@ -86,7 +86,7 @@
         (self.granted_progress * received_fraction).clamp(0.0, 1.0)
     }
 
-    /// Work sent so far.
+    /// Cost of the attempts sent so far.
     pub fn sent(&self) -> f64 {
         self.sent
     }
--- a/crates/policy/src/choice/slow_start_turns.rs
+++ b/crates/policy/src/choice/slow_start_turns.rs
@@ -32,12 +32,15 @@
         if warming.is_empty() {
             return;
         }
-        let mut replicas = 0;
-        for id in self.replicas_in_order(state) {
-            let is_replica = replicas < context.replicas_per_key;
-            let may_use =
-                !warming.contains_key(&id) || self.grant_turn(now, id, state, context, is_replica);
-            replicas += usize::from(may_use);
+        // The order is needed for warming servers that may be replicas alone, and costs a sort.
+        if warming.values().any(|role| *role != Role::Decode) {
+            let mut replicas = 0;
+            for id in self.replicas_in_order(state) {
+                let is_replica = replicas < context.replicas_per_key;
+                let may_use = !warming.contains_key(&id)
+                    || self.grant_turn(now, id, state, context, is_replica);
+                replicas += usize::from(may_use);
+            }
         }
         for (id, role) in warming {
             if role == Role::Decode {
@@ -94,7 +97,6 @@
 
 /// Offset of the first turn at a server's process, from 0 to 1, different for each router.
 fn first_turn(seed: u64, server: &Server) -> f64 {
-    let entry = &server.entry;
-    let process_hash = hash_pair(u64::from(entry.id), server.booted_at().to_bits());
+    let process_hash = hash_pair(u64::from(server.entry.id), server.booted_at().to_bits());
     unit_interval_24_bits(hash_pair(seed, process_hash))
 }
--- a/crates/policy/src/choice/traffic_mean.rs
+++ b/crates/policy/src/choice/traffic_mean.rs
@@ -1,6 +1,6 @@
 //! Mean of the requests that arrive at this router: their lengths and their rate.
 
-use super::decay::age_weight;
+use super::decay::{age_weight, non_negative};
 use crate::interface::{Request, Role};
 
 /// Lowest weight of the newest request in the mean lengths. Until as many requests have arrived,
@@ -76,7 +76,9 @@
 fn output_tokens(request: &Request) -> f64 {
     request
         .output_tokens
-        .map_or(request.max_output_tokens, |expected| expected.mean)
+        .map_or(request.max_output_tokens, |expected| {
+            non_negative(expected.mean)
+        })
 }
 
 impl TrafficMean {
--- a/crates/policy/src/interface/explanation.rs
+++ b/crates/policy/src/interface/explanation.rs
@@ -63,7 +63,8 @@
     /// Work that this router might have sent since it learned of the start, in requests of mean
     /// work.
     pub granted_work: f64,
-    /// Work of the attempts that this router has sent, in requests of mean work.
+    /// Cost of the attempts that this router has sent: their work, and at least that of a mean
+    /// request each, scaled to the budget.
     pub sent_work: f64,
 }
 
--- a/programs/dispatch/tests/cold.rs
+++ b/programs/dispatch/tests/cold.rs
@@ -125,6 +125,13 @@
     Ok(answer.starts_with("HTTP/1.1 200"))
 }
 
+fn unix_ms() -> u128 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .expect("the time")
+        .as_millis()
+}
+
 struct CountingServers {
     prefill: Vec<(SocketAddr, Arrivals)>,
     decode: Vec<(SocketAddr, Arrivals)>,
@@ -235,14 +242,15 @@
     }
 }
 
-/// Returns the window at the cold server with the most requests beyond the platform's bound: the excess, the requests
-/// and the budget N. The settings do not say how a server warms up; the budget grows with the requests that it has
+/// Returns the window at the cold server with the most requests beyond its budget N and the margin for it: the excess,
+/// the requests and N. The settings do not say how a server warms up; the budget grows with the requests that it has
 /// received, but not faster than with time.
 fn worst_window(
     all: &[Instant],
     at_cold: &[Instant],
     from: Instant,
     until: Instant,
+    margin: impl Fn(f64) -> f64,
 ) -> (f64, f64, f64) {
     let within = |times: &[Instant], start: Instant| {
         times
@@ -261,7 +269,7 @@
     let mut worst: (f64, f64, f64) = (f64::MIN, 0.0, 0.0);
     for start in at_cold.iter().filter(|t| **t + WINDOW <= until) {
         let (sent, n) = (within(at_cold, *start), allowed(*start));
-        let over = sent - (n + 2.0 * n.sqrt() + 2.0);
+        let over = sent - (n + margin(n));
         if over > worst.0 {
             worst = (over, sent, n);
         }
@@ -317,10 +325,7 @@
     let clients = traffic.start(&CLIENTS);
     thread::sleep(Duration::from_secs(1));
     let from = Instant::now();
-    let booted_ms = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .expect("the time")
-        .as_millis();
+    let booted_ms = unix_ms();
     let after = servers.list(cold, Some(booted_ms));
     for (_, line) in &agents {
         *line.write().expect("the line") = list(8, false, &after[cold..cold + 1]);
@@ -339,7 +344,8 @@
         .for_each(|c| c.join().expect("a client"));
 
     let (all, at_cold) = servers.prefills_since(cold, from);
-    let worst = worst_window(&all, &at_cold, from, Instant::now());
+    let margin = |n: f64| 2.0 * n.sqrt() + 2.0;
+    let worst = worst_window(&all, &at_cold, from, Instant::now(), margin);
     let answered = answered.load(Ordering::Relaxed);
     println!(
         "{} reads, {} at the cold host, {answered} answered; worst window: {worst:?}",
@@ -408,10 +414,7 @@
     traffic.quiet.store(true, Ordering::Relaxed);
     thread::sleep(Duration::from_millis(200));
     let from = Instant::now();
-    let booted_ms = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .expect("the time")
-        .as_millis();
+    let booted_ms = unix_ms();
     let after = servers.list(cold, Some(booted_ms));
     for (_, line) in &agents {
         *line.write().expect("the line") = list(8, false, &after[cold..cold + 1]);
@@ -424,16 +427,16 @@
         .into_iter()
         .for_each(|c| c.join().expect("a client"));
     let (all, at_cold) = servers.prefills_since(cold, from);
-    let worst = worst_window(&all, &at_cold, from, Instant::now());
+    let worst = worst_window(&all, &at_cold, from, Instant::now(), margin);
     println!(
         "{} prefills, {} at the cold server; worst window: {worst:?}",
         all.len(),
         at_cold.len()
     );
     assert!(all.len() > 100 && !at_cold.is_empty(), "no traffic");
-    let (_, sent, budget) = worst;
+    let (over, sent, budget) = worst;
     assert!(
-        sent <= budget + margin(budget),
+        over <= 0.0,
         "{sent} sent within the window where N is {budget}"
     );
 }
