--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -275,6 +275,19 @@
     "127.0.0.1:0".parse().unwrap()
 }
 
+/// A free address for the dispatcher, below the ports that the system hands out, so that nothing else takes it before the
+/// dispatcher listens there.
+fn free_address() -> SocketAddr {
+    static TRIES: AtomicU64 = AtomicU64::new(0);
+    loop {
+        let n = u64::from(std::process::id()) * 37 + TRIES.fetch_add(1, Ordering::SeqCst) * 101;
+        let at = SocketAddr::from(([127, 0, 0, 1], 20_000 + (n % 12_000) as u16));
+        if TcpListener::bind(at).is_ok() {
+            return at;
+        }
+    }
+}
+
 fn start_host(fleet: &Arc<Fleet>, name: &str, role: Role, at: SocketAddr) -> Arc<Host> {
     let listener = listen(at);
     let address = listener.local_addr().unwrap();
@@ -725,7 +738,7 @@
 
 impl Dispatcher {
     fn start(record: &Arc<Record>, site: &Site, known: &str, discovery: SocketAddr) -> Dispatcher {
-        let listen = TcpListener::bind(any_port()).unwrap().local_addr().unwrap();
+        let listen = free_address();
         Dispatcher::start_at(record, site, known, discovery, listen)
     }
 
@@ -1644,7 +1657,7 @@
         effect: &str,
         extra: &str,
     ) -> SessionsDispatcher {
-        let listen = TcpListener::bind(any_port()).unwrap().local_addr().unwrap();
+        let listen = free_address();
         let folder =
             std::env::temp_dir().join(format!("review-2-{}-{}", std::process::id(), unix_ms()));
         std::fs::create_dir_all(&folder).unwrap();
