--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -1350,6 +1350,10 @@
         if trouble { "on" } else { "off" }
     ));
     let run = Case { record, trouble };
+    thread::spawn(|| {
+        thread::sleep(ms(110_000));
+        fail("it took too long");
+    });
     let code = play(&run, case);
     leave(code);
 }
