A state that a given-up prefill leaves late is released

A prefill server hangs for 3.5 s in a prefill. The dispatcher gives the attempt up after 0.6 s, has the prompt prefilled elsewhere, answers, sends one DELETE with the end of the stream (3.323 s) and gets its 204. At 6.114 s the hung server goes on and leaves a state; nobody releases it (held for 10.4 s when the case ends).

Cause: one confirmed release counted for good. `KvHolds::record_release` and `finish` forgot what an abandoned prefill may still do, and the platform took a confirmation as final 0.12 s after the close. A close does not end work at a server that does not read it, and every server confirms a release whether or not there was a state. Ruled out by the trace: no release (one was made), a lost one (204), one to a wrong server (any server takes it).

Change: the router notes until when the server of each attempt was told that it would be waited for. A prefill that ended without an answer may leave a state up to then, and a given-up KV transfer may keep one. While the request lives the release falls due again each 0.9 of the limit; with its end the router says how it is repeated (`ReleaseRepeat`), and the platform calls again until a call made after that time is confirmed. At a stop each such release is made once more and does not delay the end of the process.

--- a/crates/core/src/actions.rs
+++ b/crates/core/src/actions.rs
@@ -52,7 +52,7 @@
                     out,
                 );
             }
-            Action::Release { request } => self.release_kv_cache(request, out),
+            Action::Release { request, .. } => self.release_kv_cache(request, out),
             Action::Probe { server } => self.start_health_check(now, server, out),
             Action::SetTimer { at, label } => self
                 .timers
--- a/crates/platform/src/access_log/mod.rs
+++ b/crates/platform/src/access_log/mod.rs
@@ -151,7 +151,7 @@
                 });
                 Some(*request)
             }
-            Action::Release { request } => {
+            Action::Release { request, .. } => {
                 self.change(*request, |record| {
                     record.change_state(now_s, KvStateChange::Released)
                 });
--- a/crates/platform/src/counts.rs
+++ b/crates/platform/src/counts.rs
@@ -49,10 +49,14 @@
     pub releases: u64,
     /// Calls made to model servers for releases.
     pub release_calls: u64,
+    /// Confirmed calls after which the release is called again, because a state may still appear or was in use.
+    pub release_repeats: u64,
     /// Releases that a model server has confirmed.
     pub releases_confirmed: u64,
     /// Releases confirmed later than the platform allows, counted from the start of the release.
     pub releases_late: u64,
+    /// Releases whose repetition ended with the process, while an abandoned attempt could still leave a state.
+    pub releases_cut_short: u64,
     /// Releases given up after their timeout, or dropped because the table of releases was full.
     pub releases_unconfirmed: u64,
 }
--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -273,9 +273,12 @@
     /// Completes the shutdown once no client, request or release is left. Releases that no server has confirmed are
     /// waited for only until the release deadline.
     fn finish_shutdown(&mut self, now: Micros, commands: &mut Vec<Command>) {
+        let is_answered = self.clients.is_empty() && self.requests.is_empty();
+        if is_answered && !self.shutdown.is_accepting() {
+            self.end_release_repetition(now);
+        }
         let is_released = self.releases.is_empty() || self.shutdown.releases_timed_out(now);
-        let is_idle = self.clients.is_empty() && self.requests.is_empty() && is_released;
-        if self.shutdown.finish(is_idle) {
+        if self.shutdown.finish(is_answered && is_released) {
             commands.push(Command::Stopped);
         }
     }
@@ -295,7 +298,9 @@
                 retry_after_s,
             } => self.reject_request(now, request, retry_after_s, commands),
             Action::Fail { request } => self.fail_request(now, request, commands),
-            Action::Release { request } => self.start_release(now, request, commands),
+            Action::Release { request, repeat } => {
+                self.start_release(now, request, repeat, commands)
+            }
             Action::Probe { server } => self.start_health_check(now, server, commands),
             Action::SetTimer { at, label } => self
                 .timers
--- a/crates/platform/src/node/release_calls.rs
+++ b/crates/platform/src/node/release_calls.rs
@@ -1,7 +1,7 @@
 //! Calls that release KV cache state held at model servers. They are hedged until one server has confirmed the release.
 
 use bitternlatch_core::Micros;
-use bitternlatch_policy::interface::{Outcome, RequestId, ServerId};
+use bitternlatch_policy::interface::{Outcome, ReleaseRepeat, RequestId, ServerId};
 
 use super::{log, Node};
 use crate::pool::{ConnectionUse, ServerAddress};
@@ -11,8 +11,8 @@
 
 /// Delay after which an unconfirmed release is also sent to further servers, seconds.
 const HEDGE_DELAY_SECS: f64 = 0.05;
-/// Time after which every server has noticed that an aborted attempt's connection was closed, seconds. A release that
-/// arrives earlier can find the state still in use or not yet created, and a server confirms it all the same.
+/// Time after which every running server has noticed that an aborted attempt's connection was closed, seconds. A release
+/// that arrives earlier can find the state still in use or not yet created, and a server confirms it all the same.
 const CLOSE_PROPAGATION_SECS: f64 = 0.12;
 
 impl Node {
@@ -22,16 +22,18 @@
         &mut self,
         now: Micros,
         request: RequestId,
+        repeat: Option<ReleaseRepeat>,
         commands: &mut Vec<Command>,
     ) {
         let Some(open) = self.requests.get(request) else {
             return;
         };
-        let valid_from = open
+        let closes_noticed_at = open
             .aborted_at
             .map_or(now, |at| at.after(CLOSE_PROPAGATION_SECS));
         let is_decode_attempt = open.in_flight.is_some_and(|attempt| !attempt.is_prefill);
-        let started = self.releases.start(now, valid_from, open.id.clone());
+        let release = Release::new(now, closes_noticed_at, repeat, open.id.clone());
+        let started = self.releases.start(release);
         self.counts.releases += 1;
         if let Some(dropped) = started.dropped {
             self.report_unconfirmed(now, &dropped, "too many releases are open", commands);
@@ -103,6 +105,14 @@
         }
     }
 
+    /// Calls each release that waits for its next call once more. A process that ends leaves nothing to repeat it.
+    pub(super) fn end_release_repetition(&mut self, now: Micros) {
+        for id in self.releases.end_repetition(now) {
+            self.counts.releases_cut_short += 1;
+            self.timers.set(now, Timer::Release { id });
+        }
+    }
+
     fn start_next_round(&mut self, now: Micros, id: u64, commands: &mut Vec<Command>) {
         if let Some(pause_s) = self.releases.next_round(id, now) {
             return self.timers.set(now.after(pause_s), Timer::Release { id });
@@ -129,15 +139,15 @@
         if !(200..300).contains(&status) {
             return self.on_release_failed(now, id, server, Outcome::Error, commands);
         }
-        self.releases.forget_failure(server);
-        if self.releases.retry_if_too_early(id, started_at) {
-            return;
-        }
-        let Some(release) = self.releases.finish(id) else {
+        let Some(confirmation) = self.releases.confirm(id, now, server, started_at) else {
             return;
         };
-        self.counts.releases_confirmed += 1;
-        if let Some(line) = release.late_log_line(now, server) {
+        if confirmation.is_final {
+            self.counts.releases_confirmed += 1;
+        } else {
+            self.counts.release_repeats += 1;
+        }
+        if let Some(line) = confirmation.late_log_line {
             self.counts.releases_late += 1;
             log(commands, Level::Warn, line);
         }
@@ -154,7 +164,7 @@
         commands: &mut Vec<Command>,
     ) {
         self.releases.record_failure(now, server);
-        if outcome != Outcome::TimedOut {
+        if outcome != Outcome::TimedOut && !self.releases.is_waiting(id) {
             self.call_release(now, id, commands);
         }
     }
--- a/crates/platform/src/releases.rs
+++ b/crates/platform/src/releases.rs
@@ -1,4 +1,5 @@
-//! Releases of KV cache state: each is sent to a growing number of model servers until one has confirmed it.
+//! Releases of KV cache state: each is sent to a growing number of model servers until one has confirmed it, and again
+//! for as long as an abandoned attempt may still leave a state.
 //!
 //! Any server accepts a release, whichever server holds the state. A server can become unreachable without an error, so
 //! an unanswered call is soon hedged with one more call, then two, four and so on, starting with the servers most
@@ -9,7 +10,7 @@
 use std::net::SocketAddr;
 
 use bitternlatch_core::Micros;
-use bitternlatch_policy::interface::{ServerId, ServerStatus};
+use bitternlatch_policy::interface::{ReleaseRepeat, ServerId, ServerStatus};
 
 use crate::discovery::{Endpoint, Endpoints};
 use crate::pool::{ConnectionPool, PoolActivity};
@@ -37,6 +38,9 @@
 /// Time that the platform allows for a release in addition to the limit in the settings, seconds. A release confirmed
 /// later is logged.
 const LATE_AFTER_SECS: f64 = 0.3;
+/// Time from the end of a wait that a server was told until every server has ended what it did for that attempt,
+/// seconds: the request may have reached the server a little after it was written.
+const ATTEMPT_END_MARGIN_SECS: f64 = 0.12;
 
 /// Returns `first_s` doubled `times` times, but at most `max_s`.
 fn doubled(first_s: f64, times: u32, max_s: f64) -> f64 {
@@ -48,10 +52,19 @@
 pub struct Release {
     request: String,
     started_at: Micros,
-    /// Time from which a confirmation counts; calls that started earlier do not prove that the state was released.
+    /// Time from which every running server has noticed the closes that came before the release.
+    closes_noticed_at: Micros,
+    /// Time from which a confirmation is final; after an earlier one a state may still appear or have been in use.
     valid_from: Micros,
-    /// Set after a confirmed call that started before `valid_from`: the next call waits until then.
-    waits_until_valid: bool,
+    /// Longest time from a confirmed call to the next one before `valid_from`, seconds; `None` if there is no call
+    /// between them.
+    interval_s: Option<f64>,
+    /// Start of the latest call that was confirmed.
+    confirmed_start: Option<Micros>,
+    /// When the call that is to be confirmed next was due.
+    due_at: Micros,
+    /// Whether `due_at` has to be waited for.
+    is_waiting: bool,
     round: Round,
     /// Calls made in all rounds.
     calls: u32,
@@ -68,8 +81,8 @@
 }
 
 impl Round {
-    /// Starts the round again: every server may be called once more.
-    fn restart(&mut self) {
+    /// Empties the round: every server may be called once more.
+    fn clear(&mut self) {
         self.hedges = 0;
         self.called.clear();
     }
@@ -85,7 +98,7 @@
     fn advance(&mut self) -> f64 {
         let pause_s = doubled(ROUND_PAUSE_SECS, self.number, MAX_ROUND_PAUSE_SECS);
         self.number += 1;
-        self.restart();
+        self.clear();
         pause_s
     }
 
@@ -110,6 +123,15 @@
     pub bytes: Vec<u8>,
 }
 
+/// Result of a confirmed call.
+#[derive(Debug)]
+pub(crate) struct Confirmation {
+    /// Whether nothing can be held for the request any more; otherwise the release is called again.
+    pub(crate) is_final: bool,
+    /// Log line for a call that was confirmed late.
+    pub(crate) late_log_line: Option<String>,
+}
+
 /// Result of [`Releases::start`].
 #[derive(Debug)]
 pub struct StartedRelease {
@@ -120,20 +142,50 @@
 }
 
 impl Release {
-    fn new(now: Micros, valid_from: Micros, request: String) -> Release {
+    /// Creates a release that is final once a call made from `closes_noticed_at` on is confirmed, and with `repeat` not
+    /// before the abandoned attempts have ended.
+    pub fn new(
+        now: Micros,
+        closes_noticed_at: Micros,
+        repeat: Option<ReleaseRepeat>,
+        request: String,
+    ) -> Release {
+        let attempts_end =
+            repeat.map(|repeat| Micros::from_seconds(repeat.until).after(ATTEMPT_END_MARGIN_SECS));
         Release {
             request,
             started_at: now,
-            valid_from,
-            waits_until_valid: false,
+            closes_noticed_at,
+            valid_from: attempts_end.map_or(closes_noticed_at, |end| end.max(closes_noticed_at)),
+            interval_s: repeat.map(|repeat| repeat.interval_s),
+            confirmed_start: None,
+            due_at: now,
+            is_waiting: false,
             round: Round::default(),
             calls: 0,
         }
     }
 
-    /// Log line for a confirmed release that took longer than `LATE_AFTER_SECS`; `None` if it was in time.
-    pub(crate) fn late_log_line(&self, now: Micros, server: ServerId) -> Option<String> {
-        let (took_s, calls) = (now.since(self.started_at), self.calls);
+    /// Records a confirmed call. Returns whether the release is final; if not, the next call is due at `due_at`.
+    fn confirm(&mut self, started_at: Micros) -> bool {
+        if started_at >= self.valid_from {
+            return true;
+        }
+        if self.confirmed_start.is_none_or(|start| start < started_at) {
+            self.confirmed_start = Some(started_at);
+            let next_at = self
+                .interval_s
+                .map(|interval_s| started_at.after(interval_s));
+            self.due_at = next_at.map_or(self.valid_from, |at| at.min(self.valid_from));
+            self.is_waiting = true;
+            self.round = Round::default();
+        }
+        false
+    }
+
+    /// Log line for a call confirmed more than `LATE_AFTER_SECS` after it was due; `None` if it was in time.
+    fn late_log_line(&self, now: Micros, server: ServerId) -> Option<String> {
+        let (took_s, calls) = (now.since(self.due_at), self.calls);
         let line = || {
             format!(
                 "state of {} released late: {took_s:.3} s, {calls} calls, by {server}",
@@ -187,17 +239,15 @@
         self.open.len()
     }
 
-    /// Starts a release that only calls made from `valid_from` on can confirm. If the table is full, the oldest release
-    /// is given up and returned with the new id.
-    pub fn start(&mut self, now: Micros, valid_from: Micros, request: String) -> StartedRelease {
+    /// Adds a release. If the table is full, the oldest release is given up and returned with the new id.
+    pub fn start(&mut self, release: Release) -> StartedRelease {
         let dropped = if self.open.len() >= MAX_OPEN_RELEASES {
             self.open.pop_first()
         } else {
             None
         };
         self.last_id += 1;
-        self.open
-            .insert(self.last_id, Release::new(now, valid_from, request));
+        self.open.insert(self.last_id, release);
         StartedRelease {
             id: self.last_id,
             dropped: dropped.map(|(_, release)| release),
@@ -287,13 +337,13 @@
         self.deferred.contains(&id)
     }
 
-    pub(crate) fn is_open(&self, id: u64) -> bool {
-        self.open.contains_key(&id)
+    /// Whether a call was confirmed and the next one is not due yet.
+    pub(crate) fn is_waiting(&self, id: u64) -> bool {
+        self.open.get(&id).is_some_and(|release| release.is_waiting)
     }
 
-    /// Clears the recorded failure of a server that has confirmed a call.
-    pub(crate) fn forget_failure(&mut self, server: ServerId) {
-        self.failed.remove(&server);
+    pub(crate) fn is_open(&self, id: u64) -> bool {
+        self.open.contains_key(&id)
     }
 
     pub(crate) fn record_failure(&mut self, now: Micros, server: ServerId) {
@@ -302,31 +352,58 @@
         self.failed.insert(server, now);
     }
 
-    /// Returns true if a confirmed call started before `valid_from` and so proves nothing; the release is then called
-    /// again from that time on.
-    pub(crate) fn retry_if_too_early(&mut self, id: u64, started_at: Micros) -> bool {
-        let Some(release) = self
-            .open
-            .get_mut(&id)
-            .filter(|release| started_at < release.valid_from)
-        else {
-            return false;
+    /// Records that a server has confirmed a call, and removes the release if that is final. Returns `None` if the
+    /// release is closed already.
+    pub(crate) fn confirm(
+        &mut self,
+        id: u64,
+        now: Micros,
+        server: ServerId,
+        started_at: Micros,
+    ) -> Option<Confirmation> {
+        self.failed.remove(&server);
+        let release = self.open.get_mut(&id)?;
+        let late_log_line = if release.is_waiting {
+            None
+        } else {
+            release.late_log_line(now, server)
         };
-        release.waits_until_valid = true;
-        release.round.restart();
-        true
+        let is_final = release.confirm(started_at);
+        if is_final {
+            self.finish(id);
+        }
+        Some(Confirmation {
+            is_final,
+            late_log_line,
+        })
+    }
+
+    /// Ends the repetition of all releases: each is called once more, and one confirmation of that call is enough.
+    /// Returns the releases that waited for their next call.
+    pub(crate) fn end_repetition(&mut self, now: Micros) -> Vec<u64> {
+        let waiting = self
+            .open
+            .iter_mut()
+            .filter(|(_, release)| release.is_waiting && release.interval_s.is_some());
+        let called_again = waiting.map(|(id, release)| {
+            release.interval_s = None;
+            release.valid_from = release.closes_noticed_at.max(now);
+            release.due_at = release.valid_from;
+            *id
+        });
+        called_again.collect()
     }
 
-    /// Returns the time of the next call if a release has to wait for `valid_from`, or `None` if it may be called now.
+    /// Returns the time of the next call if a release has to wait for it, or `None` if it may be called now.
     pub(crate) fn delayed_until(&mut self, id: u64, now: Micros) -> Option<Micros> {
         let release = self
             .open
             .get_mut(&id)
-            .filter(|release| release.waits_until_valid)?;
-        if now < release.valid_from {
-            return Some(release.valid_from);
+            .filter(|release| release.is_waiting)?;
+        if now < release.due_at {
+            return Some(release.due_at);
         }
-        release.waits_until_valid = false;
+        release.is_waiting = false;
         None
     }
 
@@ -342,7 +419,7 @@
         let release = self
             .open
             .get_mut(&id)
-            .filter(|release| now.since(release.started_at) < RELEASE_TIMEOUT_SECS)?;
+            .filter(|release| now.since(release.due_at) < RELEASE_TIMEOUT_SECS)?;
         Some(release.round.advance())
     }
 }
--- a/crates/platform/tests/shutdown.rs
+++ b/crates/platform/tests/shutdown.rs
@@ -94,6 +94,30 @@
     }
 }
 
+/// Guards against a stop that makes no more releases for a prefill that was given up, or that waits for its end.
+#[test]
+fn stop_releases_once_more_what_a_given_up_prefill_may_leave() {
+    let mut harness = Harness::new();
+    harness.answers_releases = true;
+    harness.send_request("late", "ask");
+    let first = harness.last_call(Call::is_prefill);
+    harness.step(Input::Ended { conn: first.conn });
+    harness.advance(0.02);
+    serve(&mut harness, "late", "one");
+    harness.step(Input::Stop);
+    harness.advance(0.53);
+    let releases = |harness: &Harness| {
+        let calls = harness.calls.iter();
+        calls.filter(|c| c.text.starts_with("DELETE ")).count()
+    };
+    let before = releases(&harness);
+    assert!(!harness.stopped && before > 0, "{before} releases");
+    harness.advance(0.1);
+    assert!(harness.stopped, "the stop waits for the prefill");
+    assert_eq!(releases(&harness), before + 1);
+    assert_eq!(harness.node.counts().releases_cut_short, 1);
+}
+
 /// A partial pipelined request does not delay the stop: the client can send it again to another dispatcher.
 #[test]
 fn partial_pipelined_request_does_not_delay_stop() {
--- a/crates/policy/src/choice/attempts.rs
+++ b/crates/policy/src/choice/attempts.rs
@@ -86,6 +86,9 @@
             crossed_link_cell: self.crossed_link_cell(state, server),
         };
         self.record_sent_attempt(now, id, server_id, attempt);
+        if let Some(state) = self.requests.get_mut(&id) {
+            state.told_until = told_until(now, timeout_s, state.deadline);
+        }
         out.push(Action::Send {
             request: id,
             server: server_id,
@@ -213,7 +216,10 @@
         let release_at = state.kv_holds.release_at(limit_s);
         if release_at.is_some_and(|at| now >= at) {
             state.kv_holds.record_release(now);
-            out.push(Action::Release { request: id });
+            out.push(Action::Release {
+                request: id,
+                repeat: None,
+            });
             self.schedule_release(id, out);
         }
     }
@@ -229,6 +235,16 @@
     }
 }
 
+/// Clock time, in seconds, until which the server of an attempt sent at `now` is told that the
+/// router will wait for its answer.
+fn told_until(now: f64, timeout_s: f64, deadline: f64) -> f64 {
+    if timeout_s > 0.0 {
+        deadline.min(now + timeout_s)
+    } else {
+        deadline
+    }
+}
+
 /// Seconds of prefill that the request's next attempt adds to its server's queue; 0 if a KV state
 /// is already held.
 fn queued_prefill_s(state: &RequestState) -> f64 {
--- a/crates/policy/src/choice/completion.rs
+++ b/crates/policy/src/choice/completion.rs
@@ -67,7 +67,10 @@
             });
         }
         let was_released = state.kv_holds.is_released();
-        state.kv_holds.record_attempt_end(now, &end, at_prefill);
+        let told_until = state.told_until;
+        state
+            .kv_holds
+            .record_attempt_end(now, &end, at_prefill, told_until);
         state.stage = if state.kv_holds.known_hold().is_some() {
             Stage::AwaitingDecode
         } else {
@@ -267,7 +270,11 @@
             return;
         }
         if state.kv_holds.needs_release() {
-            out.push(Action::Release { request: id });
+            let limit_s = self.settings.kv_hold_limit_s;
+            out.push(Action::Release {
+                request: id,
+                repeat: state.kv_holds.release_repeat(limit_s),
+            });
         }
         self.requests.remove(&id);
     }
--- a/crates/policy/src/choice/held_states.rs
+++ b/crates/policy/src/choice/held_states.rs
@@ -5,8 +5,13 @@
 //! while a decode attempt is in flight, and releases the state shortly before the limit. A decode
 //! server that is already waiting for the state still gets it; one that asks later answers that the
 //! state is missing.
+//!
+//! An attempt that the router gave up may go on at its server for as long as the server was told
+//! that the router would wait: a prefill may end and leave a state, and a KV transfer may wait for
+//! one. No answer shows when this happens, and a server confirms a release whether or not there was
+//! a state. Until that time a release settles only what was held when it arrived, so it is repeated.
 
-use crate::interface::{AttemptEnd, Outcome, ServerId};
+use crate::interface::{AttemptEnd, Outcome, ReleaseRepeat, ServerId};
 
 /// Fraction of the limit on holding a KV state (`kv_hold_limit_s`) after which the state is
 /// released. The rest leaves time for the release to arrive.
@@ -33,9 +38,13 @@
     /// The known state was released while a KV transfer was in flight; the transfer may have kept
     /// the state.
     released: bool,
-    /// A KV transfer that the router gave up may still be waiting for the state. No release frees
-    /// the state until that wait ends.
-    abandoned_transfer_may_wait: bool,
+    /// Clock time, in seconds, until which abandoned prefills may leave a state, and abandoned KV
+    /// transfers may wait for one that is no longer known; 0 if there are none. No release frees a
+    /// state while a KV transfer waits for it.
+    abandoned_until: f64,
+    /// Clock time, in seconds, until which abandoned KV transfers may wait for the known state; 0 if
+    /// there are none.
+    known_awaited_until: f64,
 }
 
 impl KvHolds {
@@ -47,7 +56,14 @@
     /// Returns whether a KV state may still have to be released when the request ends.
     pub fn needs_release(&self) -> bool {
         let is_held = self.known.is_some() && !self.released;
-        is_held || self.may_hold_unknown_state || self.abandoned_transfer_may_wait
+        is_held || self.may_hold_unknown_state || self.abandoned_until > 0.0
+    }
+
+    /// Returns how the release at the end of the request is repeated.
+    pub fn release_repeat(&self, limit_s: f64) -> Option<ReleaseRepeat> {
+        let until = self.abandoned_until.max(self.known_awaited_until);
+        let interval_s = limit_s * RELEASE_FRACTION;
+        (until > 0.0).then_some(ReleaseRepeat { interval_s, until })
     }
 
     /// Returns whether the known state was released while a KV transfer was in flight.
@@ -67,18 +83,27 @@
         self.known = None;
         self.earliest_since = None;
         self.released = false;
+        self.known_awaited_until = 0.0;
     }
 
-    /// Records a release while the request continues. If an abandoned transfer may still wait for
-    /// the state, another release becomes due after the same delay.
+    /// Records a release while the request continues. If an abandoned attempt may still leave or
+    /// keep a state, another release becomes due after the same delay.
     pub fn record_release(&mut self, now: f64) {
-        self.may_hold_unknown_state = false;
+        let is_repeated = now < self.abandoned_until;
+        self.may_hold_unknown_state = is_repeated;
         self.released = self.known.is_some();
-        self.earliest_since = self.abandoned_transfer_may_wait.then_some(now);
+        self.earliest_since = is_repeated.then_some(now);
     }
 
-    /// Updates the holds when an attempt ends. `at_prefill` is true if it ran at a prefill server.
-    pub fn record_attempt_end(&mut self, now: f64, end: &AttemptEnd, at_prefill: bool) {
+    /// Updates the holds when an attempt ends. `at_prefill` is true if it ran at a prefill server;
+    /// `told_until` is the clock time until which the server was told that the router would wait.
+    pub fn record_attempt_end(
+        &mut self,
+        now: f64,
+        end: &AttemptEnd,
+        at_prefill: bool,
+        told_until: f64,
+    ) {
         let released = std::mem::take(&mut self.released);
         let unanswered = matches!(
             end.outcome,
@@ -88,21 +113,29 @@
             Outcome::PrefillDone => {
                 let server = end.server;
                 self.known = Some(KnownKvHold { server, since: now });
-                self.earliest_since.get_or_insert(now);
+                // The answer shows that the prefill was in flight at its server, so until now no
+                // state of this request was left waiting.
+                self.earliest_since = Some(now);
             }
             Outcome::Rejected {
                 state_missing: true,
             } => *self = KvHolds::default(),
             Outcome::Served => self.record_fetched(),
-            _ if unanswered && at_prefill => self.record_possible_hold(now),
+            _ if unanswered && at_prefill => {
+                self.abandoned_until = self.abandoned_until.max(told_until);
+                self.record_possible_hold(now);
+            }
             // The KV transfer may have reached the prefill server before the release, or may have
             // been registered there as waiting while it was still on its way. In either case it may
             // have kept the state.
             _ if released => {
-                self.known = None;
-                self.abandoned_transfer_may_wait |= unanswered;
+                if unanswered {
+                    self.record_abandoned_transfer(told_until);
+                }
+                self.forget_known();
                 self.record_possible_hold(now);
             }
+            _ if unanswered && self.known.is_some() => self.record_abandoned_transfer(told_until),
             // The answer shows that the transfer request had arrived, so until now the state was
             // not waiting unclaimed.
             Outcome::Rejected { .. } | Outcome::Error
@@ -114,6 +147,17 @@
         }
     }
 
+    fn record_abandoned_transfer(&mut self, told_until: f64) {
+        self.known_awaited_until = self.known_awaited_until.max(told_until);
+    }
+
+    /// Forgets where the known state is; abandoned KV transfers may still wait for it.
+    fn forget_known(&mut self) {
+        self.known = None;
+        self.abandoned_until = self.abandoned_until.max(self.known_awaited_until);
+        self.known_awaited_until = 0.0;
+    }
+
     fn record_possible_hold(&mut self, now: f64) {
         self.may_hold_unknown_state = true;
         self.earliest_since.get_or_insert(now);
--- a/crates/policy/src/choice/request_state.rs
+++ b/crates/policy/src/choice/request_state.rs
@@ -55,6 +55,8 @@
     pub server: ServerId,
     /// Time at which the latest attempt was sent.
     pub sent_at: f64,
+    /// Time until which the server of the latest attempt was told that the router will wait.
+    pub told_until: f64,
     pub kv_holds: KvHolds,
     /// Queueing time, in seconds, estimated when the request was sent for prefill.
     pub expected_queue_s: f64,
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -9,7 +9,7 @@
 mod server;
 mod settings;
 
-pub use self::action::Action;
+pub use self::action::{Action, ReleaseRepeat};
 pub use self::event::{AttemptEnd, Event, ExpectedTokens, Observation, Outcome, Request};
 pub use self::explanation::{
     Cause, ChoiceExplanation, ExplainedChoice, FailedRequest, SlowStartStatus,
--- a/crates/policy/src/interface/action.rs
+++ b/crates/policy/src/interface/action.rs
@@ -2,6 +2,16 @@
 
 use super::{RequestId, ServerId};
 
+/// Repetition of the last release of a request. An abandoned attempt may go on at its server, and
+/// no answer shows when it has left a KV cache state.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReleaseRepeat {
+    /// Longest time from one release to the next, seconds.
+    pub interval_s: f64,
+    /// Clock time until which an abandoned attempt may leave a state, seconds.
+    pub until: f64,
+}
+
 /// One action for the dispatcher; the actions of one event are carried out in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -39,6 +49,8 @@
     Release {
         /// The request whose states and slots are released.
         request: RequestId,
+        /// How the release is repeated, or `None` if one release is enough.
+        repeat: Option<ReleaseRepeat>,
     },
     /// Send a probe to a server.
     Probe {
--- a/crates/policy/src/part_tests/held_states.rs
+++ b/crates/policy/src/part_tests/held_states.rs
@@ -4,6 +4,13 @@
 
 const NOW: f64 = 1_000.0;
 const LIMIT_S: f64 = 1.0;
+/// Time until which servers are told that the router will wait.
+const TOLD_UNTIL: f64 = NOW + 6.0;
+const REPEAT: ReleaseRepeat = ReleaseRepeat {
+    interval_s: 0.9,
+    until: TOLD_UNTIL,
+};
+const NO_ANSWER: [Outcome; 3] = [Outcome::Reset, Outcome::TimedOut, Outcome::Cancelled];
 
 fn end(outcome: Outcome) -> AttemptEnd {
     AttemptEnd {
@@ -21,7 +28,7 @@
 #[test]
 fn prefill_leaves_a_state_that_is_released_before_the_limit() {
     let mut holds = KvHolds::default();
-    holds.record_attempt_end(NOW, &end(Outcome::PrefillDone), true);
+    holds.record_attempt_end(NOW, &end(Outcome::PrefillDone), true, TOLD_UNTIL);
     let (server, since) = (7, NOW);
     assert_eq!(holds.known_hold(), Some(KnownKvHold { server, since }));
     assert_eq!(holds.release_at(LIMIT_S), Some(NOW + 0.9));
@@ -34,7 +41,7 @@
 #[test]
 fn prefill_without_an_answer_may_leave_a_state() {
     let mut holds = KvHolds::default();
-    holds.record_attempt_end(NOW, &end(Outcome::Reset), true);
+    holds.record_attempt_end(NOW, &end(Outcome::Reset), true, TOLD_UNTIL);
     assert_eq!(holds.known_hold(), None);
     assert!(holds.needs_release());
     assert_eq!(holds.release_at(LIMIT_S), Some(NOW + 0.9));
@@ -45,9 +52,58 @@
     let state_missing = true;
     for outcome in [Outcome::Served, Outcome::Rejected { state_missing }] {
         let mut holds = KvHolds::default();
-        holds.record_attempt_end(NOW, &end(Outcome::PrefillDone), true);
-        holds.record_attempt_end(NOW + 0.2, &end(outcome), false);
+        holds.record_attempt_end(NOW, &end(Outcome::PrefillDone), true, TOLD_UNTIL);
+        holds.record_attempt_end(NOW + 0.2, &end(outcome), false, TOLD_UNTIL);
         assert!(!holds.needs_release(), "{outcome:?}");
         assert_eq!(holds.release_at(LIMIT_S), None, "{outcome:?}");
     }
 }
+
+/// Guards against a release that settles for good what an abandoned prefill may still leave.
+#[test]
+fn releases_repeat_until_an_abandoned_prefill_has_ended() {
+    for outcome in NO_ANSWER {
+        let mut holds = KvHolds::default();
+        holds.record_attempt_end(NOW, &end(outcome), true, TOLD_UNTIL);
+        for release in 1..=6 {
+            let at = NOW + 0.9 * f64::from(release);
+            let due = holds.release_at(LIMIT_S).expect("a release is due");
+            assert!((due - at).abs() < 1e-6, "{outcome:?}: {due} for {at}");
+            holds.record_release(due);
+        }
+        holds.record_release(TOLD_UNTIL);
+        assert_eq!(holds.release_at(LIMIT_S), None, "{outcome:?}");
+        assert_eq!(holds.release_repeat(LIMIT_S), Some(REPEAT), "{outcome:?}");
+        assert!(holds.needs_release(), "{outcome:?}: once more at the end");
+    }
+}
+
+/// The answer of one prefill says nothing of another one at another server.
+#[test]
+fn answer_from_another_server_does_not_end_the_repetition() {
+    let mut holds = KvHolds::default();
+    holds.record_attempt_end(NOW, &end(Outcome::Cancelled), true, TOLD_UNTIL);
+    holds.record_attempt_end(NOW, &end(Outcome::TimedOut), true, NOW + 1.0);
+    holds.record_attempt_end(NOW, &end(Outcome::PrefillDone), true, TOLD_UNTIL);
+    holds.record_fetched();
+    assert_eq!(holds.release_repeat(LIMIT_S), Some(REPEAT));
+    assert!(holds.needs_release());
+}
+
+/// An abandoned KV transfer may keep the state from a release until it ends, unless another one has fetched the state.
+#[test]
+fn abandoned_transfer_of_a_state_repeats_its_release() {
+    for outcome in NO_ANSWER {
+        for fetched in [false, true] {
+            let mut holds = KvHolds::default();
+            holds.record_attempt_end(NOW, &end(Outcome::PrefillDone), true, TOLD_UNTIL);
+            holds.record_attempt_end(NOW, &end(outcome), false, TOLD_UNTIL);
+            if fetched {
+                holds.record_fetched();
+            }
+            let expected = (!fetched).then_some(REPEAT);
+            assert_eq!(holds.release_repeat(LIMIT_S), expected, "{outcome:?}");
+            assert_eq!(holds.needs_release(), !fetched, "{outcome:?}");
+        }
+    }
+}
--- a/programs/simulator-adapter/src/wire/reply.rs
+++ b/programs/simulator-adapter/src/wire/reply.rs
@@ -60,7 +60,8 @@
                 .u32(request)
                 .f64(retry_after_s),
             Action::Fail { request } => self.begin_record(action::FAIL).u32(request),
-            Action::Release { request } => self.begin_record(action::RELEASE).u32(request),
+            // The simulator releases what a cancelled or timed-out prefill leaves, so nothing is repeated.
+            Action::Release { request, .. } => self.begin_record(action::RELEASE).u32(request),
             Action::Probe { server } => self.begin_record(action::TEST).u32(server),
             Action::SetTimer { at, label } => {
                 self.begin_record(action::NOTIFY_ME).f64(at).u64(label)
--- a/programs/simulator-adapter/src/wire/tests.rs
+++ b/programs/simulator-adapter/src/wire/tests.rs
@@ -263,7 +263,13 @@
             "0b c4913a5d 7b14ae47e17ab43f",
         ),
         (Action::Fail { request }, "03 c4913a5d"),
-        (Action::Release { request }, "06 c4913a5d"),
+        (
+            Action::Release {
+                request,
+                repeat: None,
+            },
+            "06 c4913a5d",
+        ),
         (Action::Probe { server }, "07 074a1203"),
         (
             Action::SetTimer {
