A 410 from one decode server does not settle what may be held

Prefill servers are cut off from decode servers, which answer 410. The states stay at the prefill servers and no DELETE is sent for them.

Cause: `KvHolds::record_attempt_end` took a 410 as "held nowhere" and forgot known and possible holds alike. The answer is about one decode server.

What an abandoned attempt may still leave is not forgotten.

--- a/crates/policy/src/choice/held_states.rs
+++ b/crates/policy/src/choice/held_states.rs
@@ -26,7 +26,7 @@
 }
 
 /// Tracks the KV states that may be held for one request. Every state that a prefill leaves ends as
-/// fetched, missing or released.
+/// fetched or released.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct KvHolds {
     known: Option<KnownKvHold>,
@@ -117,9 +117,15 @@
                 // state of this request was left waiting.
                 self.earliest_since = Some(now);
             }
+            // This decode server could not fetch the state, which may be so because it does not
+            // reach the prefill server that holds it.
             Outcome::Rejected {
                 state_missing: true,
-            } => *self = KvHolds::default(),
+            } => {
+                self.forget_known();
+                self.may_hold_unknown_state = true;
+                self.earliest_since = Some(now);
+            }
             Outcome::Served => self.record_fetched(),
             _ if unanswered && at_prefill => {
                 self.abandoned_until = self.abandoned_until.max(told_until);
--- a/programs/dispatch/tests/common/gated.rs
+++ b/programs/dispatch/tests/common/gated.rs
@@ -15,6 +15,7 @@
 pub const PREFILL_RESPONSE: &str =
     "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":0}";
 pub const DECLINED: &str = "HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
+pub const STATE_MISSING: &str = "HTTP/1.1 410 Gone\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
 pub const FAILED: &str = "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n";
 pub const STREAM_RESPONSE: &str =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n9\r\ndata: 2\n\n\r\n0\r\n\r\n";
--- a/programs/dispatch/tests/held.rs
+++ b/programs/dispatch/tests/held.rs
@@ -225,6 +225,27 @@
     assert_eq!(late, None);
 }
 
+/// Guards against a state that no DELETE follows: a decode server that does not reach the prefill server answers that the
+/// state is gone, and the request is served from another prefill.
+#[test]
+fn kv_state_that_one_decode_server_misses_is_released() {
+    let harness = Harness::start("held-missing", 2, &[]);
+    let mut client = send_request(&harness, "missing");
+    harness.servers.wait(EventKind::Post, "missing", 1);
+    harness.servers.respond("missing", PREFILL_RESPONSE);
+    harness.servers.wait(EventKind::Post, "missing", 2);
+    harness.servers.respond("missing", STATE_MISSING);
+    harness.servers.wait(EventKind::Post, "missing", 3);
+    let since = Instant::now();
+    harness.servers.respond("missing", PREFILL_RESPONSE);
+    harness.servers.wait(EventKind::Post, "missing", 4);
+    harness.servers.respond("missing", STREAM_RESPONSE);
+    assert!(read_response(&mut client).starts_with("HTTP/1.1 200"));
+    harness.servers.wait(EventKind::Delete, "missing", 1);
+    let late = overdue_release(&harness.servers, "missing", since, Duration::from_secs(1));
+    assert_eq!(late, None);
+}
+
 /// Any server can pass on a release. All but one fall silent a moment after they responded.
 #[test]
 fn release_reaches_the_only_responding_server_within_the_limit() {
