WebSocket: a KV cache that one decode server misses is released

A decode server answers that the KV cache is gone; the machine forgets where it is held, has the prompt prefilled again, and sends no `release` to the server that may still hold the first one. It stays until the link ends.

Cause: `Request::record_attempt_end` in crates/core took the answer of one server as a fact about another. Change: the release goes to the server that is known to hold the KV cache, at once. Digest: outputs after such an answer hold one more `release`.

--- a/crates/core/src/actions.rs
+++ b/crates/core/src/actions.rs
@@ -7,7 +7,7 @@
 
 use crate::links::{EnqueueResult, QueuedMessage};
 use crate::machine::{log, Machine};
-use crate::requests::{wire_id, Attempt, Purpose, Request, Stage};
+use crate::requests::{wire_id, Attempt, HeldKvCache, Purpose, Request, Stage};
 use crate::settings::Effect;
 use crate::timers::Timer;
 use crate::types::{Level, LinkId, Micros, Output, SendDeadline};
@@ -347,10 +347,15 @@
         let Some(held) = request.held_kv_cache.take() else {
             return;
         };
+        self.release_at_server(&held, out);
+        self.remove_if_done(id, out);
+    }
+
+    /// Releases a KV cache at the server that holds it, if there is a link to the server.
+    pub(crate) fn release_at_server(&self, held: &HeldKvCache, out: &mut Vec<Output>) {
         if let Some(link) = self.links.open_link(held.server) {
             self.send_release(link, &held.created_by, out);
         }
-        self.remove_if_done(id, out);
     }
 
     /// Sends a server the message to release the KV cache of a prefill attempt, which is given by its wire id.
--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -10,9 +10,9 @@
 use crate::types::{Level, LinkId, Micros, Output};
 
 impl Request {
-    /// Updates the request for the end of one of its attempts: whether it may have run, whether its KV cache is lost,
-    /// and whether the next attempt repeats work.
-    fn record_attempt_end(&mut self, attempt: &Attempt, outcome: Outcome) {
+    /// Updates the request for the end of one of its attempts: whether it may have run, and whether the next attempt
+    /// repeats work. Returns the KV cache that a decode server could not fetch and that may still be held.
+    fn record_attempt_end(&mut self, attempt: &Attempt, outcome: Outcome) -> Option<HeldKvCache> {
         let never_ran = matches!(
             outcome,
             Outcome::PrefillDone | Outcome::Rejected { .. } | Outcome::ConnectFailed
@@ -20,21 +20,23 @@
         if attempt.purpose != Purpose::Prefill && !never_ran {
             self.earlier_attempt_may_have_run = true;
         }
-        let lost_kv_cache = Outcome::Rejected {
-            state_missing: true,
-        };
-        if outcome == lost_kv_cache {
-            self.held_kv_cache = None;
-        }
         self.admitted_work.repeats_work = match outcome {
             Outcome::PrefillDone | Outcome::Served | Outcome::NotSent => false,
             Outcome::Rejected {
                 state_missing: false,
             }
             | Outcome::ConnectFailed => self.admitted_work.repeats_work,
-            // Includes a rejection because the KV cache is lost, after which the prefill is repeated.
+            // Includes a rejection because the KV cache was not found, after which the prefill is repeated.
             _ => true,
         };
+        let not_found = Outcome::Rejected {
+            state_missing: true,
+        };
+        if outcome == not_found {
+            self.held_kv_cache.take()
+        } else {
+            None
+        }
     }
 }
 
@@ -154,7 +156,9 @@
         let Some(attempt) = request.attempt.take() else {
             return;
         };
-        request.record_attempt_end(&attempt, outcome);
+        if let Some(held) = request.record_attempt_end(&attempt, outcome) {
+            self.release_at_server(&held, out);
+        }
         self.load_shedding
             .load_reported(now, attempt.server, &report);
         self.record_outcome(now, attempt.server, outcome);
--- a/crates/core/tests/any_order.rs
+++ b/crates/core/tests/any_order.rs
@@ -643,10 +643,10 @@
 fn order_of_outputs_keeps_its_digest() {
     assert_eq!(
         digest(false),
-        "9829eadabe9ad26318e702241aa6343e2532af138b7bf8ae187b814efec0d328"
+        "51293080f2b9db23dffa522f889b642a5bd7cee2c0693602cd2980fc78e1e99b"
     );
     assert_eq!(
         digest(true),
-        "00280bd4c40917a31800554b3d642e5f382d8e7584b0df9a99fd43a7382accfd"
+        "5439cb18c67f2c962525ca6e935eeac4486e0f4b75bd943f37161ae0ebff99d4"
     );
 }
--- a/crates/core/tests/faults.rs
+++ b/crates/core/tests/faults.rs
@@ -80,12 +80,16 @@
     let mut b = Harness::ready(1);
     let s = b.open_session(1);
     let decode = b.start_decode(s, "booking", "k", "q");
+    assert!(b.releases.is_empty());
     b.send_error(&decode, 409, Some(CODE_STATE_GONE));
+    // Guards against a KV cache that stays at a prefill server which this decode server does not reach.
+    assert_eq!(b.releases.len(), 1);
     let again = b.next_completion();
     assert!(
         again.is_prefill(),
         "the decode never ran, so the prefill may be repeated"
     );
+    assert_ne!(b.releases[0].1, again.id);
     b.finish_prefill(&again);
     let decode = b.next_completion();
     b.send_chunk(&decode, "ok", Some("stop"));
