Repeated releases leave connections to requests and have room in the table

Cause: releases that stay open up to the told time add up, a release may take any connection, and hedges grow while it waits. The table (1,024, the oldest dropped) was made for releases that end within a second; with calls open for 6 s it holds 170 given-up attempts a second.

Change: a release that was confirmed before uses only as many connections as are reserved, the rest wait for their turn, oldest first, and first calls go before them. A release that waits makes no hedges.

--- a/crates/platform/src/node/release_calls.rs
+++ b/crates/platform/src/node/release_calls.rs
@@ -48,8 +48,13 @@
         );
     }
 
-    /// Sends the release to one more server. Returns false if no server is left in this round.
+    /// Sends the release to one more server, or defers it if no connection may be used for it. Returns false if no server
+    /// is left in this round.
     fn call_release(&mut self, now: Micros, id: u64, commands: &mut Vec<Command>) -> bool {
+        if self.releases.is_repeat(id) && !self.pool.may_repeat_release() {
+            self.releases.defer_repeat(id);
+            return true;
+        }
         let endpoints = self.discovery.endpoints();
         let Some(call) = self.releases.next_call(id, now, endpoints, &self.pool) else {
             return false;
@@ -79,7 +84,8 @@
     /// free.
     pub(super) fn call_deferred_releases(&mut self, now: Micros, commands: &mut Vec<Command>) {
         while self.pool.has_capacity() {
-            let Some(id) = self.releases.next_deferred() else {
+            let may_repeat = self.pool.may_repeat_release();
+            let Some(id) = self.releases.next_deferred(may_repeat) else {
                 return;
             };
             self.call_release(now, id, commands);
@@ -91,7 +97,12 @@
         if let Some(at) = self.releases.delayed_until(id, now) {
             return self.timers.set(at, Timer::Release { id });
         }
-        for _ in 0..self.releases.next_hedge_size(id) {
+        let calls = if self.releases.is_deferred(id) {
+            0
+        } else {
+            self.releases.next_hedge_size(id)
+        };
+        for _ in 0..calls {
             if self.releases.is_deferred(id) {
                 break;
             }
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -234,6 +234,16 @@
             .map(|(id, _)| *id)
     }
 
+    /// Whether one more connection may be used for a release that has been confirmed before. Such releases use no more
+    /// connections than are reserved for releases, because requests need the others.
+    pub fn may_repeat_release(&self) -> bool {
+        let is_release = |connection: &&ServerConnection| {
+            matches!(connection.usage, ConnectionUse::Release { .. })
+        };
+        let in_use = self.server_connections.values().filter(is_release).count();
+        in_use < self.reserved
+    }
+
     /// Whether a connection is available for a release.
     pub fn has_capacity(&self) -> bool {
         self.server_connections.len() < self.limit
--- a/crates/platform/src/releases.rs
+++ b/crates/platform/src/releases.rs
@@ -31,8 +31,8 @@
 const MAX_DOUBLINGS: u32 = 8;
 /// Time after which an unconfirmed release is given up, seconds.
 const RELEASE_TIMEOUT_SECS: f64 = 60.0;
-/// Most releases that are open at once; beyond this the oldest is given up.
-const MAX_OPEN_RELEASES: usize = 1024;
+/// Most releases that are open at once; beyond this one is given up, if possible one that has been confirmed before.
+pub const MAX_OPEN_RELEASES: usize = 4096;
 /// Time for which a server that failed a call is ranked after the others, seconds.
 const AVOID_AFTER_FAILURE_SECS: f64 = 2.0;
 /// Time that the platform allows for a release in addition to the limit in the settings, seconds. A release confirmed
@@ -125,11 +125,11 @@
 
 /// Result of a confirmed call.
 #[derive(Debug)]
-pub(crate) struct Confirmation {
+pub struct Confirmation {
     /// Whether nothing can be held for the request any more; otherwise the release is called again.
-    pub(crate) is_final: bool,
+    pub is_final: bool,
     /// Log line for a call that was confirmed late.
-    pub(crate) late_log_line: Option<String>,
+    pub late_log_line: Option<String>,
 }
 
 /// Result of [`Releases::start`].
@@ -166,6 +166,11 @@
         }
     }
 
+    /// Whether a call has been confirmed that was not final.
+    fn is_repeat(&self) -> bool {
+        self.confirmed_start.is_some()
+    }
+
     /// Records a confirmed call. Returns whether the release is final; if not, the next call is due at `due_at`.
     fn confirm(&mut self, started_at: Micros) -> bool {
         if started_at >= self.valid_from {
@@ -223,6 +228,8 @@
     open: BTreeMap<u64, Release>,
     /// Releases whose next call is waiting for a free connection.
     deferred: BTreeSet<u64>,
+    /// The same for releases that have been confirmed before.
+    deferred_repeats: BTreeSet<u64>,
     /// Servers that failed a call, with the time of the last failure.
     failed: BTreeMap<ServerId, Micros>,
     last_id: u64,
@@ -239,10 +246,10 @@
         self.open.len()
     }
 
-    /// Adds a release. If the table is full, the oldest release is given up and returned with the new id.
+    /// Adds a release. If the table is full, another release is given up and returned with the new id.
     pub fn start(&mut self, release: Release) -> StartedRelease {
         let dropped = if self.open.len() >= MAX_OPEN_RELEASES {
-            self.open.pop_first()
+            self.least_needed().and_then(|id| self.finish(id))
         } else {
             None
         };
@@ -250,15 +257,35 @@
         self.open.insert(self.last_id, release);
         StartedRelease {
             id: self.last_id,
-            dropped: dropped.map(|(_, release)| release),
+            dropped,
         }
     }
 
+    /// Returns the release to give up when the table is full: of those that have been confirmed before, the one that
+    /// would end first, because little is left to release; without any, the oldest.
+    fn least_needed(&self) -> Option<u64> {
+        let confirmed = self.open.iter().filter(|(_, release)| release.is_repeat());
+        let first_to_end = confirmed.min_by_key(|(_, release)| release.valid_from);
+        let oldest = self.open.first_key_value();
+        first_to_end.or(oldest).map(|(id, _)| *id)
+    }
+
     pub(crate) fn finish(&mut self, id: u64) -> Option<Release> {
         self.deferred.remove(&id);
+        self.deferred_repeats.remove(&id);
         self.open.remove(&id)
     }
 
+    /// Whether a call of this release would repeat one that was confirmed.
+    pub(crate) fn is_repeat(&self, id: u64) -> bool {
+        self.open.get(&id).is_some_and(Release::is_repeat)
+    }
+
+    /// Makes a repeated release wait for its turn on a connection.
+    pub(crate) fn defer_repeat(&mut self, id: u64) {
+        self.deferred_repeats.insert(id);
+    }
+
     /// Records that a call could not be sent: the server counts as not called, and the release waits for a free
     /// connection.
     pub(crate) fn defer(&mut self, id: u64, server: ServerId) {
@@ -328,13 +355,18 @@
         }
     }
 
-    /// Removes and returns the oldest release that is waiting for a free connection.
-    pub(crate) fn next_deferred(&mut self) -> Option<u64> {
-        self.deferred.pop_first()
+    /// Removes and returns the oldest release that is waiting for a free connection. Those that have been confirmed
+    /// before come last, and only if `may_repeat` is set.
+    pub(crate) fn next_deferred(&mut self, may_repeat: bool) -> Option<u64> {
+        let first = self.deferred.pop_first();
+        if first.is_none() && may_repeat {
+            return self.deferred_repeats.pop_first();
+        }
+        first
     }
 
     pub(crate) fn is_deferred(&self, id: u64) -> bool {
-        self.deferred.contains(&id)
+        self.deferred.contains(&id) || self.deferred_repeats.contains(&id)
     }
 
     /// Whether a call was confirmed and the next one is not due yet.
@@ -342,7 +374,8 @@
         self.open.get(&id).is_some_and(|release| release.is_waiting)
     }
 
-    pub(crate) fn is_open(&self, id: u64) -> bool {
+    /// Whether a release is open.
+    pub fn is_open(&self, id: u64) -> bool {
         self.open.contains_key(&id)
     }
 
@@ -354,7 +387,7 @@
 
     /// Records that a server has confirmed a call, and removes the release if that is final. Returns `None` if the
     /// release is closed already.
-    pub(crate) fn confirm(
+    pub fn confirm(
         &mut self,
         id: u64,
         now: Micros,
--- a/crates/platform/tests/releases.rs
+++ b/crates/platform/tests/releases.rs
@@ -8,10 +8,11 @@
 use bitternlatch_platform::config::Config;
 use bitternlatch_platform::discovery::Endpoints;
 use bitternlatch_platform::pool::{ConnectionPool, ConnectionUse, ServerConnection};
-use bitternlatch_platform::releases::{Release, Releases};
+use bitternlatch_platform::releases::{Release, Releases, MAX_OPEN_RELEASES};
+use bitternlatch_platform::resource_limits::ConnectionLimits;
 use bitternlatch_platform::responses::ResponseReader;
 use bitternlatch_platform::types::{ConnId, Input};
-use bitternlatch_policy::interface::ServerId;
+use bitternlatch_policy::interface::{ReleaseRepeat, ServerId};
 use common::*;
 
 fn release_calls(harness: &Harness, id: &str) -> Vec<Call> {
@@ -317,3 +318,61 @@
         "the prefill was not retried on another server"
     );
 }
+
+/// Guards against releases that take the connections of requests: many prefills were given up, and then no server confirms
+/// a repeated release.
+#[test]
+fn repeated_releases_leave_connections_to_requests() {
+    const GIVEN_UP: usize = 120;
+    let mut harness = Harness::new();
+    harness.answers_releases = true;
+    for number in 0..GIVEN_UP {
+        let client = harness.connect_client();
+        harness.receive_text(client, &request(&format!("jam{number}"), "ask", 4800));
+        harness.step(Input::Ended { conn: client });
+    }
+    harness.advance(0.5);
+    assert_eq!(harness.node.resource_usage().releases, GIVEN_UP);
+    harness.answers_releases = false;
+    let before = harness.calls.len();
+    let mut most = 0;
+    for _ in 0..100 {
+        harness.advance(0.01);
+        let repeats = harness.calls[before..].iter();
+        let in_flight = repeats.filter(|call| !harness.closed.contains(&call.conn));
+        most = most.max(in_flight.count());
+    }
+    let limits = ConnectionLimits::of(&config().limits);
+    let reserved = ConnectionPool::reserved(limits.servers);
+    assert!((1..=reserved).contains(&most), "{most} of {reserved}");
+    let attempts = harness.node.counts().attempts;
+    harness.send_request("after", "ask");
+    assert_eq!(harness.node.counts().attempts, attempts + 1);
+    harness.answers_releases = true;
+    harness.advance(6.0);
+    assert_eq!(harness.node.resource_usage().releases, 0, "all end");
+}
+
+/// With a full table, the release with the least left to release is given up, and one that was never confirmed is kept.
+#[test]
+fn full_table_gives_up_the_confirmed_release_that_ends_first() {
+    let mut releases = Releases::default();
+    let mut start = |until_s: usize| {
+        let repeat = ReleaseRepeat {
+            interval_s: 0.9,
+            until: START.seconds() + until_s as f64,
+        };
+        let release = Release::new(START, START, Some(repeat), until_s.to_string());
+        releases.start(release).id
+    };
+    let ids: Vec<u64> = (0..MAX_OPEN_RELEASES).map(|n| start(7000 - n)).collect();
+    let (unconfirmed, confirmed) = (ids[0], &ids[1..]);
+    for id in confirmed {
+        let confirmation = releases.confirm(*id, START, 1, START);
+        assert!(confirmation.is_some_and(|confirmation| !confirmation.is_final));
+    }
+    let started = releases.start(Release::new(START, START, None, "new".into()));
+    assert!(started.dropped.is_some() && releases.is_open(started.id));
+    assert!(releases.is_open(unconfirmed));
+    assert!(!releases.is_open(confirmed[confirmed.len() - 1]));
+}
