Soak: servers that hang and go on; a stop says what it cannot release

Need: the soak had no server that stands still and then goes on with work that was given up, so it could not find states that appear late.

Change: class `hang`, one server at a time for 0.5 to 3.5 s. It sees no close meanwhile; a prefill goes on and leaves its state unless the told time is over; what arrived in between and was given up is not begun. A stop logs how many releases are made for the last time.

--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -275,7 +275,7 @@
     fn finish_shutdown(&mut self, now: Micros, commands: &mut Vec<Command>) {
         let is_answered = self.clients.is_empty() && self.requests.is_empty();
         if is_answered && !self.shutdown.is_accepting() {
-            self.end_release_repetition(now);
+            self.end_release_repetition(now, commands);
         }
         let is_released = self.releases.is_empty() || self.shutdown.releases_timed_out(now);
         if self.shutdown.finish(is_answered && is_released) {
--- a/crates/platform/src/node/release_calls.rs
+++ b/crates/platform/src/node/release_calls.rs
@@ -117,9 +117,21 @@
     }
 
     /// Calls each release that waits for its next call once more. A process that ends leaves nothing to repeat it.
-    pub(super) fn end_release_repetition(&mut self, now: Micros) {
-        for id in self.releases.end_repetition(now) {
-            self.counts.releases_cut_short += 1;
+    pub(super) fn end_release_repetition(&mut self, now: Micros, commands: &mut Vec<Command>) {
+        let ended = self.releases.end_repetition(now);
+        if ended.is_empty() {
+            return;
+        }
+        self.counts.releases_cut_short += ended.len() as u64;
+        log(
+            commands,
+            Level::Warn,
+            format!(
+                "{} releases are made for the last time: abandoned attempts may still leave states",
+                ended.len()
+            ),
+        );
+        for id in ended {
             self.timers.set(now, Timer::Release { id });
         }
     }
--- a/programs/soak/src/draw.rs
+++ b/programs/soak/src/draw.rs
@@ -61,6 +61,10 @@
         servers: usize,
         kept_only: bool,
     },
+    /// One server hangs: nothing arrives there, it does not see that connections are closed, and then it goes on.
+    Hang {
+        server: usize,
+    },
     /// Connections to one server do not come up.
     Unreachable {
         server: usize,
@@ -394,6 +398,7 @@
 fn pattern(fault: Fault) -> (usize, (f64, f64)) {
     match fault {
         Fault::SilentDecode | Fault::SilentPrefill | Fault::SilentKept => (3, (0.5, 2.5)),
+        Fault::Hang => (4, (0.5, 3.5)),
         Fault::Unreachable => (3, (0.5, 2.0)),
         Fault::Reset => (2, (1.0, 3.0)),
         Fault::Drain => (3, (0.0, 0.0)),
@@ -451,6 +456,10 @@
                 servers,
                 kept_only: true,
             },
+            // The last server of each role goes on: nothing can be released while no server runs.
+            Fault::Hang => Trouble::Hang {
+                server: chance.below(2 * servers - 2),
+            },
             Fault::Unreachable => Trouble::Unreachable {
                 server: chance.below(2 * servers),
             },
--- a/programs/soak/src/faults.rs
+++ b/programs/soak/src/faults.rs
@@ -14,6 +14,8 @@
     SilentPrefill,
     /// Only connections from before fall silent; new ones are fine.
     SilentKept,
+    /// Servers hang, one at a time, and go on with what they had begun, though it was given up meanwhile.
+    Hang,
     /// Connections to some servers do not come up.
     Unreachable,
     /// Servers reset connections under requests that have arrived.
@@ -55,10 +57,11 @@
 }
 
 /// All classes by their names.
-pub const FAULTS: [(&str, Fault); 22] = [
+pub const FAULTS: [(&str, Fault); 23] = [
     ("silent-decode", Fault::SilentDecode),
     ("silent-prefill", Fault::SilentPrefill),
     ("silent-kept", Fault::SilentKept),
+    ("hang", Fault::Hang),
     ("unreachable", Fault::Unreachable),
     ("reset", Fault::Reset),
     ("drain", Fault::Drain),
--- a/programs/soak/src/play.rs
+++ b/programs/soak/src/play.rs
@@ -250,6 +250,12 @@
                 over();
                 struck.iter().for_each(|s| s.return_from_silence());
             }
+            Trouble::Hang { server } => {
+                let server = self.servers.get(server);
+                server.hang();
+                over();
+                server.go_on();
+            }
             Trouble::Unreachable { server } => {
                 let server = self.servers.get(server);
                 let fill = server.be_unreachable();
--- a/programs/soak/src/servers.rs
+++ b/programs/soak/src/servers.rs
@@ -1,5 +1,5 @@
 //! Mock model servers: a prefill server really holds a state from its prefill's end until a decode server takes it or a
-//! release arrives at any running server. They fall silent, reset, and become unreachable as a day says.
+//! release arrives at any running server. They fall silent, hang, reset, and become unreachable as a day says.
 
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
@@ -63,6 +63,7 @@
     kept_only: AtomicBool,
     /// Counts the spells of silence: connections from before one are reset at its end.
     spells: AtomicU64,
+    hangs: AtomicBool,
     accepts: AtomicBool,
 }
 
@@ -125,6 +126,7 @@
             silent: AtomicBool::new(false),
             kept_only: AtomicBool::new(false),
             spells: AtomicU64::new(0),
+            hangs: AtomicBool::new(false),
             accepts: AtomicBool::new(true),
         });
         if booted_ms > 0 {
@@ -219,6 +221,9 @@
                             spell,
                             chance,
                             unread: Vec::new(),
+                            attempt: None,
+                            transfer: None,
+                            was_hung: false,
                         };
                         // A connection that breaks has nobody left to be told.
                         let _ = connection.serve();
@@ -253,6 +258,19 @@
         self.silent.store(false, Ordering::SeqCst);
     }
 
+    /// From now on its threads stand still.
+    pub fn hang(&self) {
+        self.hangs.store(true, Ordering::SeqCst);
+    }
+
+    pub fn go_on(&self) {
+        self.hangs.store(false, Ordering::SeqCst);
+    }
+
+    fn is_hung(&self) -> bool {
+        self.hangs.load(Ordering::SeqCst) && !self.down.load(Ordering::SeqCst)
+    }
+
     /// From now on no connection comes up; what is given back keeps it so.
     pub fn be_unreachable(&self) -> Vec<TcpStream> {
         self.accepts.store(false, Ordering::SeqCst);
@@ -288,6 +306,12 @@
     taken_late: bool,
     chance: Chance,
     unread: Vec<u8>,
+    /// Id of the attempt that the dispatcher waits for here.
+    attempt: Option<String>,
+    /// Id of the hand-over that waits for its state here.
+    transfer: Option<String>,
+    /// The server has hung since the attempt arrived.
+    was_hung: bool,
 }
 
 /// A request as it has arrived.
@@ -328,6 +352,7 @@
 
     /// Waits while the server is silent; connections from before and during a silence are reset at its end.
     fn hear(&mut self) -> Result<(), Ended> {
+        self.stand_still();
         let server = &self.server;
         let is_down = server.down.load(Ordering::SeqCst);
         if is_down || self.start < server.starts.load(Ordering::SeqCst) {
@@ -351,6 +376,42 @@
         Ok(())
     }
 
+    /// Waits while the server hangs. An attempt is out until the dispatcher closes its connection, which the server does
+    /// not see; what arrives has waited.
+    fn stand_still(&mut self) {
+        while self.server.is_hung() {
+            self.was_hung = true;
+            self.taken_late |= self.attempt.is_none();
+            if self.attempt.is_some() && !self.is_open() {
+                self.end_attempt(false);
+                // What waits for its state is dropped at once when it is given up, whatever else goes on.
+                self.end_transfer(&mut lock(&Arc::clone(&self.servers).states));
+            }
+            thread::sleep(LOOK);
+        }
+    }
+
+    /// Ends the hand-over that waits here; returns whether one did.
+    fn end_transfer(&mut self, states: &mut States) -> bool {
+        let Some(id) = self.transfer.take() else {
+            return false;
+        };
+        states.waiting.entry(id).and_modify(|n| *n -= 1);
+        true
+    }
+
+    /// Notes that an attempt is out no more, once.
+    fn end_attempt(&mut self, declined: bool) {
+        if let Some(id) = self.attempt.take() {
+            self.note(Seen::Over {
+                id,
+                server: self.server.number,
+                decode: self.server.decode,
+                declined,
+            });
+        }
+    }
+
     fn reset(&mut self) -> Result<(), Ended> {
         // Without the option the connection ends in order, which is as good an end.
         let _ = set_socket_linger(&self.stream, Some(Duration::ZERO));
@@ -425,7 +486,9 @@
         let until = Instant::now() + Duration::from_secs_f64(for_s);
         loop {
             self.hear()?;
-            if !self.is_open() {
+            // A prefill that stood still is not told of a close: it goes on.
+            let goes_on = self.was_hung && !self.server.decode;
+            if !goes_on && !self.is_open() {
                 return Err(Ended);
             }
             let left = until.saturating_duration_since(Instant::now());
@@ -443,6 +506,8 @@
     /// Notes an attempt whose last byte has come. A cold server falls where it is too much.
     fn arrived(&mut self, call: &Call) {
         let (id, server) = (call.id.clone(), self.server.number);
+        self.attempt = Some(id.clone());
+        self.was_hung = false;
         let work = traffic::work(&call.extra, self.server.decode);
         let mut cold = lock(&self.server.cold);
         let at = self.servers.record.note(Seen::Arrived {
@@ -503,22 +568,12 @@
         self.servers.slow_start.is_some() && waiting >= MAX_WAITING
     }
 
-    fn decline(&mut self, call: &Call) -> Result<(), Ended> {
+    fn decline(&mut self) -> Result<(), Ended> {
         let said = self.say(DECLINED);
-        self.over(call, true);
+        self.end_attempt(true);
         said
     }
 
-    fn over(&self, call: &Call, declined: bool) {
-        let (id, server) = (call.id.clone(), self.server.number);
-        self.note(Seen::Over {
-            id,
-            server,
-            decode: self.server.decode,
-            declined,
-        });
-    }
-
     fn is_reset(&mut self) -> bool {
         let share = self.servers.resets.load(Ordering::SeqCst) as f64 / 1000.0;
         self.chance.happens(share)
@@ -543,12 +598,15 @@
     fn prefill(&mut self, call: &Call) -> Result<(), Ended> {
         self.arrived(call);
         if self.is_full() {
-            return self.decline(call);
+            return self.decline();
         }
+        let told_until = Instant::now() + Duration::from_millis(call.told_ms);
         let breaks = self.is_reset();
         let for_s = self.chance.between(0.005, 0.06);
         let worked = self.work_on(call, for_s);
-        let ends_well = !breaks && worked.is_ok() || self.chance.happens(LEFT_SHARE);
+        let is_overdue = self.was_hung && Instant::now() > told_until;
+        let left = self.chance.happens(LEFT_SHARE);
+        let ends_well = (!breaks && worked.is_ok() || left) && !is_overdue;
         if ends_well {
             // Under the lock, as a release may come in the same moment.
             let mut states = lock(&self.servers.states);
@@ -566,30 +624,29 @@
             Err(ended) => Err(ended),
         };
         // It is out until its answer has left, or its connection has ended.
-        self.over(call, false);
+        self.end_attempt(false);
         said
     }
 
     fn decode(&mut self, call: &Call) -> Result<(), Ended> {
         if self.is_full() {
             self.arrived(call);
-            return self.decline(call);
+            return self.decline();
         }
         *lock(&self.servers.states)
             .waiting
             .entry(call.id.clone())
             .or_default() += 1;
+        self.transfer = Some(call.id.clone());
         self.arrived(call);
         let breaks = self.is_reset();
         let for_s = self.chance.between(0.005, 0.08);
         let worked = self.work_on(call, for_s);
         let is_taken = {
-            let mut states = lock(&self.servers.states);
-            states
-                .waiting
-                .entry(call.id.clone())
-                .and_modify(|n| *n -= 1);
-            let is_taken = worked.is_ok() && states.held.remove(&call.id).is_some();
+            let servers = Arc::clone(&self.servers);
+            let mut states = lock(&servers.states);
+            let waited = self.end_transfer(&mut states);
+            let is_taken = waited && worked.is_ok() && states.held.remove(&call.id).is_some();
             if is_taken {
                 self.note(Seen::Taken {
                     id: call.id.clone(),
@@ -599,11 +656,11 @@
         };
         if worked.is_ok() && !is_taken {
             let said = self.say(std::str::from_utf8(GONE).unwrap_or_default());
-            self.over(call, true);
+            self.end_attempt(true);
             return said;
         }
         let ended = worked.and_then(|()| self.stream_events(call, breaks));
-        self.over(call, false);
+        self.end_attempt(false);
         ended
     }
 
--- a/programs/soak/tests/soak.rs
+++ b/programs/soak/tests/soak.rs
@@ -87,6 +87,26 @@
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
+/// Guards against states that stay at servers which hang and go on with prefills that were given up.
+#[test]
+fn short_days_with_servers_that_hang_leave_no_state() {
+    const DAYS: [(&str, &str, &str); 6] = [
+        ("1", "7", "hang"),
+        ("1", "19", "hang"),
+        ("1", "28", "hang"),
+        ("2", "202", "hang,silent-decode"),
+        ("1", "205", "hang,reset"),
+        ("3", "206", "hang,restart"),
+    ];
+    let day = |(processes, seed, faults): (&'static str, &'static str, &'static str)| {
+        let length = ["--length", "12"];
+        let drawn = ["--processes", processes, "--seed", seed, "--faults", faults];
+        [drawn.as_slice(), &length].concat()
+    };
+    let broken = broken(&DAYS.map(day));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
 /// A judge that never finds a cold server overloaded would prove nothing.
 #[test]
 fn dispatchers_without_slow_start_are_found_to_overload_cold_servers() {
