--- a/crates/policy/src/choice/held_states.rs
+++ b/crates/policy/src/choice/held_states.rs
@@ -16,6 +16,8 @@
 /// Fraction of the limit on holding a KV state (`kv_hold_limit_s`) after which the state is
 /// released. The rest leaves time for the release to arrive.
 const RELEASE_FRACTION: f64 = 0.9;
+/// Shortest time between two releases, in seconds; the settings may hold a limit of 0.
+const MIN_RELEASE_INTERVAL_S: f64 = 0.05;
 
 /// A KV state that a prefill server is known to hold.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -62,7 +64,7 @@
     /// Returns how the release at the end of the request is repeated.
     pub fn release_repeat(&self, limit_s: f64) -> Option<ReleaseRepeat> {
         let until = self.abandoned_until.max(self.known_awaited_until);
-        let interval_s = limit_s * RELEASE_FRACTION;
+        let interval_s = release_interval_s(limit_s);
         (until > 0.0).then_some(ReleaseRepeat { interval_s, until })
     }
 
@@ -75,7 +77,7 @@
     /// attempt is in flight.
     pub fn release_at(&self, limit_s: f64) -> Option<f64> {
         self.earliest_since
-            .map(|since| since + limit_s * RELEASE_FRACTION)
+            .map(|since| since + release_interval_s(limit_s))
     }
 
     /// Records that a decode server fetched the state, which the first token of an answer shows.
@@ -170,6 +172,11 @@
     }
 }
 
+/// Seconds for which a state may be held before its release.
+fn release_interval_s(limit_s: f64) -> f64 {
+    (limit_s * RELEASE_FRACTION).max(MIN_RELEASE_INTERVAL_S)
+}
+
 #[cfg(test)]
 #[path = "../part_tests/held_states.rs"]
 mod tests;
--- a/crates/policy/src/part_tests/held_states.rs
+++ b/crates/policy/src/part_tests/held_states.rs
@@ -131,3 +131,14 @@
         }
     }
 }
+
+/// Guards against releases without a pause where the settings hold no limit.
+#[test]
+fn releases_have_a_pause_without_a_limit() {
+    let mut holds = KvHolds::default();
+    holds.record_attempt_end(NOW, &end(Outcome::Cancelled), true, TOLD_UNTIL);
+    holds.record_release(NOW);
+    assert!(holds.release_at(0.0).is_some_and(|at| at >= NOW + 0.05));
+    let repeat = holds.release_repeat(0.0).expect("a repetition");
+    assert!(repeat.interval_s >= 0.05);
+}
--- a/programs/soak/tests/soak.rs
+++ b/programs/soak/tests/soak.rs
@@ -46,6 +46,18 @@
     broken
 }
 
+/// Plays days of 12 s, given as processes, seed and fault classes.
+fn assert_held(days: &[(&'static str, &'static str, &'static str)]) {
+    let length = ["--length", "12"];
+    let words = |(processes, seed, faults): &(&'static str, &'static str, &'static str)| {
+        let drawn = ["--processes", processes, "--seed", seed, "--faults", faults];
+        [drawn.as_slice(), &length].concat()
+    };
+    let days: Vec<Vec<&str>> = days.iter().map(words).collect();
+    let broken = broken(&days);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
 #[test]
 fn a_short_day_of_each_fault_class_holds_all_rules() {
     let day = |(name, _)| vec!["--faults", name, "--seed", "7", "--length", LENGTH_S];
@@ -71,20 +83,7 @@
         ("3", "65", "cold-start,discovery,crowd"),
         ("20", "66", "cold-start"),
     ];
-    let day = |(processes, seed, faults): (&'static str, &'static str, &'static str)| {
-        vec![
-            "--processes",
-            processes,
-            "--seed",
-            seed,
-            "--faults",
-            faults,
-            "--length",
-            "12",
-        ]
-    };
-    let broken = broken(&DAYS.map(day));
-    assert!(broken.is_empty(), "{}", broken.join("\n"));
+    assert_held(&DAYS);
 }
 
 /// Guards against states that stay at servers which hang and go on with prefills that were given up.
@@ -98,13 +97,7 @@
         ("1", "205", "hang,reset"),
         ("3", "206", "hang,restart"),
     ];
-    let day = |(processes, seed, faults): (&'static str, &'static str, &'static str)| {
-        let length = ["--length", "12"];
-        let drawn = ["--processes", processes, "--seed", seed, "--faults", faults];
-        [drawn.as_slice(), &length].concat()
-    };
-    let broken = broken(&DAYS.map(day));
-    assert!(broken.is_empty(), "{}", broken.join("\n"));
+    assert_held(&DAYS);
 }
 
 /// A judge that never finds a cold server overloaded would prove nothing.
