--- a/programs/dispatch/tests/common/bench.rs
+++ b/programs/dispatch/tests/common/bench.rs
@@ -23,6 +23,14 @@
 /// disconnects.
 pub const LONG_LATENCY_OBJECTIVE: (&str, &str) = (r#""aimS":1.5"#, r#""aimS":300.0"#);
 
+/// What the platform allows beyond the configured limit on held states: 300 ms, and 50 ms as for every time limit on
+/// sockets.
+pub const SLACK: Duration = Duration::from_millis(350);
+pub const LIMIT_OF_1_S: &str = r#""pinLimitS":1.0"#;
+pub const LIMIT_OF_300_MS: (&str, &str) = (LIMIT_OF_1_S, r#""pinLimitS":0.3"#);
+pub const UNSAFE: (&str, &str) = (r#""effect":"free""#, r#""effect":"single_shot""#);
+pub const NO_CANCEL: (&str, &str) = (r#""cancel":true"#, r#""cancel":false"#);
+
 pub struct Harness {
     pub servers: ScriptedServers,
     pub dispatcher: Dispatcher,
--- a/programs/dispatch/tests/deadline.rs
+++ b/programs/dispatch/tests/deadline.rs
@@ -18,7 +18,6 @@
 const ANSWERED: Duration = Duration::from_millis(500);
 /// Configuration change: a latency objective short enough for an attempt to be cancelled and retried within the deadline.
 const SHORT_LATENCY_OBJECTIVE: (&str, &str) = (r#""aimS":1.5"#, r#""aimS":0.2"#);
-const NO_CANCEL: (&str, &str) = (r#""cancel":true"#, r#""cancel":false"#);
 const EFFECTS: [(&str, &str); 3] = [
     ("safe", r#""effect":"free""#),
     (
--- a/programs/dispatch/tests/held.rs
+++ b/programs/dispatch/tests/held.rs
@@ -13,12 +13,9 @@
 use harness::*;
 use scripted_servers::*;
 
-/// What the platform allows beyond the configured limit: 300 ms, and 50 ms as for every time limit on sockets.
-const SLACK: Duration = Duration::from_millis(350);
 /// Clients' deadline, which is far beyond every limit in this file.
 const DEADLINE: (&str, &str) = ("Req-Deadline-Ms: 20000", "Req-Deadline-Ms: 4000");
 const REQUESTS: usize = 8;
-const LIMIT_OF_1_S: &str = r#""pinLimitS":1.0"#;
 
 /// Fault of the decode servers.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -38,9 +35,6 @@
     clients_go: bool,
 }
 
-const UNSAFE: (&str, &str) = (r#""effect":"free""#, r#""effect":"single_shot""#);
-const NO_CANCEL: (&str, &str) = (r#""cancel":true"#, r#""cancel":false"#);
-const LIMIT_OF_300_MS: (&str, &str) = (LIMIT_OF_1_S, r#""pinLimitS":0.3"#);
 const FEW_SOCKETS: (&str, &str) = (r#""sockets":256"#, r#""sockets":64"#);
 
 const CASES: [Case; 8] = [
--- a/programs/dispatch/tests/late_states.rs
+++ b/programs/dispatch/tests/late_states.rs
@@ -14,13 +14,7 @@
 use harness::*;
 use scripted_servers::*;
 
-/// What the platform allows beyond the configured limit: 300 ms, and 50 ms as for every time limit on sockets.
-const SLACK: Duration = Duration::from_millis(350);
 const DEADLINE: (&str, &str) = ("Req-Deadline-Ms: 20000", "Req-Deadline-Ms: 4000");
-const LIMIT_OF_1_S: &str = r#""pinLimitS":1.0"#;
-const LIMIT_OF_300_MS: (&str, &str) = (LIMIT_OF_1_S, r#""pinLimitS":0.3"#);
-const UNSAFE: (&str, &str) = (r#""effect":"free""#, r#""effect":"single_shot""#);
-const NO_CANCEL: (&str, &str) = (r#""cancel":true"#, r#""cancel":false"#);
 
 /// How the attempts that leave a state late come to be given up.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/programs/soak/src/servers.rs
+++ b/programs/soak/src/servers.rs
@@ -605,8 +605,8 @@
         let for_s = self.chance.between(0.005, 0.06);
         let worked = self.work_on(call, for_s);
         let is_overdue = self.was_hung && Instant::now() > told_until;
-        let left = self.chance.happens(LEFT_SHARE);
-        let ends_well = (!breaks && worked.is_ok() || left) && !is_overdue;
+        let ends_well =
+            !is_overdue && (!breaks && worked.is_ok() || self.chance.happens(LEFT_SHARE));
         if ends_well {
             // Under the lock, as a release may come in the same moment.
             let mut states = lock(&self.servers.states);
