Soak: decode servers that restart in turn at capacity are sent more than their budget

Three classes: at-capacity (three decode servers of four or six restart in turn, each away for 3.5 to 5.5 s and then listed up to 2 s after its start; answers stream, so that a cold server looks empty beside full ones), unlike-servers (speeds of 0.6 to 1.2 of the role's mean), hidden-lengths (all ceilings alike; two classes of 0.5 and 1.75 of the mean work). The length of an answer goes to the mock servers alone, and their usage event tells it at the end. Seeds that name no class draw as before.

--- a/programs/soak/src/clients.rs
+++ b/programs/soak/src/clients.rs
@@ -119,7 +119,7 @@
                 deadline_s,
                 manner,
                 session: chance.below(40),
-                size: day.traffic.size(&mut sizes),
+                size: day.traffic.size(is_unsafe, &mut sizes),
             };
             let clients = Arc::clone(self);
             let retries = day.traffic.client_retries;
--- a/programs/soak/src/draw.rs
+++ b/programs/soak/src/draw.rs
@@ -3,7 +3,7 @@
 use rand_core::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 
-use crate::faults::{Fault, FAULTS};
+use crate::faults::{Fault, DRAWN_FAULTS, FAULTS};
 use crate::slow_start::{SlowStartTerms, WarmUp};
 use crate::traffic::Traffic;
 
@@ -150,6 +150,8 @@
     pub slow_start: Option<SlowStartTerms>,
     /// The dispatchers' settings say that servers start warm, which is not so.
     pub without_slow_start: bool,
+    /// Speed of each server by its number, as a multiple of the mean; 1 for servers beyond the last.
+    pub server_speeds: Vec<f64>,
     /// Interval at which discovery's agent of each process learns of changes, seconds; 0 for at once.
     pub agent_periods_s: Vec<f64>,
 }
@@ -166,6 +168,9 @@
 /// Start capacity of servers where the dispatchers' slow start is off.
 const FRAGILE_START_CAPACITY: f64 = 0.05;
 const COLD_START_SEED: u64 = 0x00C0_1D57_A127;
+const SPEED_SEED: u64 = 0x005B_EED5;
+/// Slowest and fastest server of a role, as multiples of the mean.
+const SERVER_SPEEDS: (f64, f64) = (0.6, 1.2);
 /// Servers of a role on days with cold starts: a small fleet has small budgets.
 const COLD_SERVERS_BY_ROLE: [usize; 3] = [4, 6, 8];
 /// Requests a second at all processes on these days: small and large budgets.
@@ -178,6 +183,21 @@
 const COLD_START_EVERY_S: (f64, f64) = (1.5, 3.5);
 const AWAY_S: (f64, f64) = (0.2, 1.2);
 const MAX_LISTED_AFTER_S: f64 = 2.0;
+/// The same of a fleet at its capacity. A server is listed again before it goes away anew.
+const CAPACITY_SERVERS_BY_ROLE: [usize; 3] = [4, 4, 6];
+const CAPACITY_RATES: [f64; 3] = [28.0, 30.0, 60.0];
+const CAPACITY_UTILIZATION: (f64, f64) = (0.9, 1.25);
+const CAPACITY_START_EVERY_S: (f64, f64) = (3.5, 4.5);
+const CAPACITY_AWAY_S: (f64, f64) = (3.5, 5.5);
+const CAPACITY_REPLACEMENTS: [Replacement; 3] = [
+    Replacement::Gone,
+    Replacement::Drained,
+    Replacement::ListedDraining,
+];
+/// Speed of prefill servers there: decode servers are what the fleet is short of.
+const CAPACITY_PREFILL_SPEED: f64 = 1.8;
+/// Decode servers that restart in turn in such a fleet.
+const SERVERS_IN_TURN: usize = 3;
 const MAX_AGENT_PERIOD_S: f64 = 1.5;
 /// Fraction of the cold starts whose connections come up late, and how late.
 const LATE_CONNECTIONS: f64 = 0.3;
@@ -215,17 +235,22 @@
         }
         // Not the day's own chance: days without these classes play as they did before there were any.
         let mut chance = Chance::new(seed ^ COLD_START_SEED);
-        let slow_start = faults.contains(&Fault::ColdStart).then(|| {
-            deployment.servers_by_role = chance.one_of(&COLD_SERVERS_BY_ROLE);
+        let pattern = if faults.contains(&Fault::AtCapacity) {
+            Some(&AT_CAPACITY)
+        } else {
+            faults.contains(&Fault::ColdStart).then_some(&COLD_STARTS)
+        };
+        let slow_start = pattern.map(|pattern| {
+            deployment.servers_by_role = chance.one_of(&pattern.servers_by_role);
             deployment.safe_deadline_s = chance.one_of(&COLD_DEADLINES_S);
             deployment.unsafe_deadline_s = chance.one_of(&COLD_DEADLINES_S);
-            let rate = chance.one_of(&COLD_RATES);
+            let rate = chance.one_of(&pattern.rates);
             deployment.rate = rate / processes as f64;
-            slow_start(deployment.servers_by_role, rate, &mut chance)
+            slow_start(deployment.servers_by_role, rate, pattern, &mut chance)
         });
         let mut agent_periods_s = vec![0.0; processes];
-        if slow_start.is_some() {
-            spells.extend(cold_starts(&deployment, length_s, &mut chance));
+        if let Some(pattern) = pattern {
+            spells.extend(cold_starts(&deployment, length_s, pattern, &mut chance));
             agent_periods_s.fill_with(|| chance.between(0.0, MAX_AGENT_PERIOD_S));
         }
         if faults.contains(&Fault::QuietStart) {
@@ -248,6 +273,7 @@
             traffic,
             slow_start,
             without_slow_start: false,
+            server_speeds: server_speeds(seed, &faults, deployment.servers_by_role),
             agent_periods_s,
             seed,
             processes,
@@ -282,8 +308,64 @@
     }
 }
 
-fn slow_start(servers_by_role: usize, rate: f64, chance: &mut Chance) -> SlowStartTerms {
-    let utilization = chance.between(UTILIZATION.0, UTILIZATION.1);
+/// How servers restart one after another, and in what fleet.
+struct ColdStartPattern {
+    servers_by_role: [usize; 3],
+    rates: [f64; 3],
+    utilization: (f64, f64),
+    every_s: (f64, f64),
+    away_s: (f64, f64),
+    replacements: &'static [Replacement],
+    /// Only so many decode servers restart, in turn; `None` for all servers.
+    decode_servers_in_turn: Option<usize>,
+}
+
+const COLD_STARTS: ColdStartPattern = ColdStartPattern {
+    servers_by_role: COLD_SERVERS_BY_ROLE,
+    rates: COLD_RATES,
+    utilization: UTILIZATION,
+    every_s: COLD_START_EVERY_S,
+    away_s: AWAY_S,
+    replacements: &REPLACEMENTS,
+    decode_servers_in_turn: None,
+};
+
+const AT_CAPACITY: ColdStartPattern = ColdStartPattern {
+    servers_by_role: CAPACITY_SERVERS_BY_ROLE,
+    rates: CAPACITY_RATES,
+    utilization: CAPACITY_UTILIZATION,
+    every_s: CAPACITY_START_EVERY_S,
+    away_s: CAPACITY_AWAY_S,
+    replacements: &CAPACITY_REPLACEMENTS,
+    decode_servers_in_turn: Some(SERVERS_IN_TURN),
+};
+
+/// Speeds by the numbers of the servers, as multiples of the mean; none where all are alike.
+fn server_speeds(seed: u64, faults: &[Fault], servers_by_role: usize) -> Vec<f64> {
+    let mut speeds = vec![1.0; 2 * servers_by_role];
+    if faults.contains(&Fault::UnlikeServers) {
+        let mut chance = Chance::new(seed ^ SPEED_SEED);
+        speeds.fill_with(|| chance.between(SERVER_SPEEDS.0, SERVER_SPEEDS.1));
+        for role in 0..2 {
+            let of_role = || (role..2 * servers_by_role).step_by(2);
+            let mean = of_role().map(|n| speeds[n]).sum::<f64>() / servers_by_role as f64;
+            of_role().for_each(|n| speeds[n] /= mean);
+        }
+    }
+    if faults.contains(&Fault::AtCapacity) {
+        let prefill = speeds.iter_mut().step_by(2);
+        prefill.for_each(|speed| *speed *= CAPACITY_PREFILL_SPEED);
+    }
+    speeds
+}
+
+fn slow_start(
+    servers_by_role: usize,
+    rate: f64,
+    pattern: &ColdStartPattern,
+    chance: &mut Chance,
+) -> SlowStartTerms {
+    let utilization = chance.between(pattern.utilization.0, pattern.utilization.1);
     SlowStartTerms {
         overload_factor: chance.one_of(&[2.0, 2.5, 3.0]),
         start_capacity: chance.one_of(&[0.15, 0.25, 0.5]),
@@ -322,8 +404,13 @@
 }
 
 /// Servers one after another, half of them again and again.
-fn cold_starts(deployment: &Deployment, length_s: f64, chance: &mut Chance) -> Vec<Spell> {
-    let last_s = length_s - QUIET_S.1 - AWAY_S.1;
+fn cold_starts(
+    deployment: &Deployment,
+    length_s: f64,
+    pattern: &ColdStartPattern,
+    chance: &mut Chance,
+) -> Vec<Spell> {
+    let last_s = length_s - QUIET_S.1 - pattern.away_s.1;
     let mut from_s = QUIET_S.0;
     let mut spells = Vec::new();
     let first = chance.below(deployment.servers_by_role);
@@ -334,9 +421,12 @@
             0.0
         };
         let trouble = Trouble::ColdStart {
-            server: (first + spells.len()) % deployment.servers_by_role,
-            replacement: chance.one_of(&REPLACEMENTS),
-            away_s: chance.between(AWAY_S.0, AWAY_S.1),
+            server: match pattern.decode_servers_in_turn {
+                Some(servers) => 2 * ((first + spells.len()) % servers) + 1,
+                None => (first + spells.len()) % deployment.servers_by_role,
+            },
+            replacement: chance.one_of(pattern.replacements),
+            away_s: chance.between(pattern.away_s.0, pattern.away_s.1),
             listed_after_s: chance.between(0.0, MAX_LISTED_AFTER_S),
             accepts_after_s,
         };
@@ -345,7 +435,7 @@
             to_s: from_s,
             trouble,
         });
-        from_s += chance.between(COLD_START_EVERY_S.0, COLD_START_EVERY_S.1);
+        from_s += chance.between(pattern.every_s.0, pattern.every_s.1);
     }
     spells
 }
@@ -386,7 +476,7 @@
     let many = if seed.is_multiple_of(4) { 1 } else { 2 };
     let mut faults: Vec<Fault> = Vec::new();
     while faults.len() < many {
-        let fault = chance.one_of(&FAULTS).1;
+        let fault = chance.one_of(&FAULTS[..DRAWN_FAULTS]).1;
         if !faults.contains(&fault) {
             faults.push(fault);
         }
@@ -414,7 +504,10 @@
         | Fault::ClientRetry
         | Fault::Skew
         | Fault::Crowd
-        | Fault::QuietStart => (0, (0.0, 0.0)),
+        | Fault::QuietStart
+        | Fault::AtCapacity
+        | Fault::UnlikeServers
+        | Fault::HiddenLengths => (0, (0.0, 0.0)),
     }
 }
 
--- a/programs/soak/src/faults.rs
+++ b/programs/soak/src/faults.rs
@@ -54,10 +54,17 @@
     Crowd,
     /// Servers that warm up by requests start in a lull, each process is notified at once, and a burst ends the lull.
     QuietStart,
+    /// Cold starts in a fleet at its capacity: three decode servers restart in turn, so that two are away or cold at any
+    /// time.
+    AtCapacity,
+    /// Servers of one role have unlike speeds.
+    UnlikeServers,
+    /// Ceilings tell nothing of the lengths of answers, and the two classes have unlike means.
+    HiddenLengths,
 }
 
 /// All classes by their names.
-pub const FAULTS: [(&str, Fault); 23] = [
+pub const FAULTS: [(&str, Fault); 26] = [
     ("silent-decode", Fault::SilentDecode),
     ("silent-prefill", Fault::SilentPrefill),
     ("silent-kept", Fault::SilentKept),
@@ -81,7 +88,12 @@
     ("skew", Fault::Skew),
     ("crowd", Fault::Crowd),
     ("quiet-start", Fault::QuietStart),
+    ("at-capacity", Fault::AtCapacity),
+    ("unlike-servers", Fault::UnlikeServers),
+    ("hidden-lengths", Fault::HiddenLengths),
 ];
+/// How many of [`FAULTS`], from the first on, a seed draws from; the others refine days with cold starts.
+pub const DRAWN_FAULTS: usize = 23;
 
 /// A word that names no class.
 #[derive(Debug, Error, PartialEq, Eq)]
--- a/programs/soak/src/judge.rs
+++ b/programs/soak/src/judge.rs
@@ -376,9 +376,9 @@
     for entry in record {
         match &entry.seen {
             Seen::Asked { id, process, .. } => drop(process_of.insert(id, *process)),
-            Seen::ColdStart { server } => {
+            Seen::ColdStart { server, speed } => {
                 notified.retain(|(_, known)| known != server);
-                cold.insert(*server, ColdServer::new(terms, entry.at));
+                cold.insert(*server, ColdServer::new(terms.at_speed(*speed), entry.at));
             }
             Seen::Listed {
                 process,
--- a/programs/soak/src/play.rs
+++ b/programs/soak/src/play.rs
@@ -91,6 +91,7 @@
             Fault::SilentDecode,
             Fault::SilentKept,
             Fault::ColdStart,
+            Fault::AtCapacity,
             Fault::QuietStart,
         ]
         .iter()
@@ -156,7 +157,7 @@
 impl World {
     fn start(day: &Day, folder: &Path, record: &Record) -> Result<World, String> {
         let fault = |e: std::io::Error| format!("a mock of the platform: {e}");
-        let servers = Servers::new(record.clone(), day.seed, day.slow_start);
+        let servers = Servers::new(record.clone(), day);
         let discovery = Discovery::new(record.clone());
         for number in 0..2 * day.deployment.servers_by_role {
             discovery.add(servers.start(number % 2 == 1, 0).map_err(fault)?);
--- a/programs/soak/src/record.rs
+++ b/programs/soak/src/record.rs
@@ -76,6 +76,8 @@
     /// A server's process has started anew, and is cold.
     ColdStart {
         server: usize,
+        /// As a multiple of the mean server of its role.
+        speed: f64,
     },
     /// A cold server got more than it could bear, and stays down.
     Fell {
--- a/programs/soak/src/servers.rs
+++ b/programs/soak/src/servers.rs
@@ -11,10 +11,11 @@
 
 use rustix::net::sockopt::set_socket_linger;
 
-use crate::draw::Chance;
+use crate::draw::{Chance, Day};
+use crate::faults::Fault;
 use crate::record::{Record, Seen};
 use crate::slow_start::{ColdServer, SlowStartTerms};
-use crate::traffic;
+use crate::traffic::Work;
 
 /// How often a connection's thread looks at what has changed.
 const LOOK: Duration = Duration::from_millis(4);
@@ -29,6 +30,11 @@
 /// Requests that a server with a limited capacity works on at a time, and that may wait there.
 const SLOTS: usize = 2;
 const MAX_WAITING: usize = 30;
+/// The same of decode servers whose answers are long: the first token comes early, and the work is in the stream.
+const STREAM_SLOTS: usize = 16;
+const FIRST_TOKEN_FRACTION: f64 = 0.02;
+const SHORT_STREAM_PAUSE_S: f64 = 0.02;
+const SECONDS_PER_EVENT: f64 = 0.25;
 /// Connections that are taken so soon after a server takes any may have waited.
 const TAKEN_AT_ONCE: Duration = Duration::from_millis(100);
 /// Share of prefills that end well though their connection has just ended.
@@ -78,6 +84,9 @@
     connections: AtomicU64,
     /// How servers start and what they can do; without it they are warm at once and never full.
     slow_start: Option<SlowStartTerms>,
+    /// Speeds by the servers' numbers, as multiples of the mean.
+    speeds: Vec<f64>,
+    has_long_answers: bool,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -85,15 +94,17 @@
 }
 
 impl Servers {
-    pub fn new(record: Record, seed: u64, slow_start: Option<SlowStartTerms>) -> Arc<Servers> {
+    pub fn new(record: Record, day: &Day) -> Arc<Servers> {
         Arc::new(Servers {
             record,
             all: Mutex::default(),
             states: Mutex::default(),
             resets: AtomicU64::new(0),
-            seed,
+            seed: day.seed,
             connections: AtomicU64::new(0),
-            slow_start,
+            slow_start: day.slow_start,
+            speeds: day.server_speeds.clone(),
+            has_long_answers: day.has(Fault::AtCapacity),
         })
     }
 
@@ -138,13 +149,33 @@
         Ok(server)
     }
 
+    /// How a server starts, and what it can do.
+    fn slow_start_of(&self, server: &Server) -> Option<SlowStartTerms> {
+        Some(self.slow_start?.at_speed(self.speed(server)))
+    }
+
+    /// Requests that a server of a role works on at a time.
+    fn slots(&self, decode: bool) -> usize {
+        if decode && self.has_long_answers {
+            STREAM_SLOTS
+        } else {
+            SLOTS
+        }
+    }
+
+    fn speed(&self, server: &Server) -> f64 {
+        self.speeds.get(server.number).copied().unwrap_or(1.0)
+    }
+
     fn begin_cold(&self, server: &Server) {
-        let Some(terms) = self.slow_start else {
+        let Some(terms) = self.slow_start_of(server) else {
             return;
         };
         let mut cold = lock(&server.cold);
-        let number = server.number;
-        let started_at = self.record.note(Seen::ColdStart { server: number });
+        let started_at = self.record.note(Seen::ColdStart {
+            server: server.number,
+            speed: self.speed(server),
+        });
         *cold = Some(ColdServer::new(terms, started_at));
     }
 
@@ -320,7 +351,7 @@
     path: String,
     id: String,
     told_ms: u64,
-    extra: String,
+    work: Work,
 }
 
 /// The other side has ended the connection, or it was reset.
@@ -466,13 +497,13 @@
         let told_ms = field("req-deadline-ms:")
             .and_then(|ms| ms.parse().ok())
             .unwrap_or(0);
-        let extra = field("req-extra:").unwrap_or_default();
+        let work = Work::read(field);
         Some(Call {
             method,
             path,
             id,
             told_ms: if self.taken_late { 0 } else { told_ms },
-            extra,
+            work,
         })
     }
 
@@ -508,7 +539,7 @@
         let (id, server) = (call.id.clone(), self.server.number);
         self.attempt = Some(id.clone());
         self.was_hung = false;
-        let work = traffic::work(&call.extra, self.server.decode);
+        let work = call.work.at(self.server.decode);
         let mut cold = lock(&self.server.cold);
         let at = self.servers.record.note(Seen::Arrived {
             id,
@@ -534,19 +565,22 @@
         if self.servers.slow_start.is_none() {
             return REPORT.to_string();
         }
-        let busy = self.server.busy.load(Ordering::SeqCst) as f64 / SLOTS as f64;
+        let slots = self.servers.slots(self.server.decode);
+        let busy = self.server.busy.load(Ordering::SeqCst) as f64 / slots as f64;
         let waiting = self.server.waiting.load(Ordering::SeqCst);
         format!("util={busy:.2},queue={waiting},x0={busy:.2}")
     }
 
-    /// Works on a request: for `for_s`, or as long as the server's capacity and the requests before it make it.
-    fn work_on(&mut self, call: &Call, for_s: f64) -> Result<(), Ended> {
-        let Some(terms) = self.servers.slow_start else {
-            return self.work(for_s);
+    /// Works on a request up to its answer: for `for_s`, or as long as the server's capacity and the requests before it
+    /// make it.
+    fn work_on(&mut self, call: &Call, for_s: f64) -> Result<Service, Ended> {
+        let Some(terms) = self.servers.slow_start_of(&self.server) else {
+            return self.work(for_s).map(|()| Service::default());
         };
         let server = Arc::clone(&self.server);
+        let slots = self.servers.slots(server.decode);
         let place = Counted::one_more(&server.waiting);
-        let is_free = |busy: usize| (busy < SLOTS).then_some(busy + 1);
+        let is_free = |busy: usize| (busy < slots).then_some(busy + 1);
         let taken = || {
             server
                 .busy
@@ -556,11 +590,19 @@
         while !taken() {
             self.work(LOOK.as_secs_f64())?;
         }
-        let _slot = Counted(&server.busy);
+        let slot = Slot(Arc::clone(&server));
         drop(place);
-        let work = traffic::work(&call.extra, server.decode);
-        let service_s = work * SLOTS as f64 / terms.warm_rate;
-        self.work(service_s / server.capacity())
+        let work = call.work.at(server.decode);
+        let service_s = work * slots as f64 / terms.warm_rate;
+        if slots == SLOTS {
+            self.work(service_s / server.capacity())?;
+            return Ok(Service::default());
+        }
+        self.work(FIRST_TOKEN_FRACTION * service_s / server.capacity())?;
+        Ok(Service {
+            stream_s: (1.0 - FIRST_TOKEN_FRACTION) * service_s,
+            slot: Some(slot),
+        })
     }
 
     fn is_full(&self) -> bool {
@@ -616,8 +658,8 @@
             });
         }
         let said = match worked {
-            Ok(()) if breaks => self.reset(),
-            Ok(()) => {
+            Ok(_) if breaks => self.reset(),
+            Ok(_) => {
                 let report = self.report();
                 self.say(&plain("202 Accepted", r#"{"cached_tokens":0}"#, &report))
             }
@@ -659,13 +701,16 @@
             self.end_attempt(true);
             return said;
         }
-        let ended = worked.and_then(|()| self.stream_events(call, breaks));
+        let ended = worked.and_then(|service| self.stream_events(call, breaks, service));
         self.end_attempt(false);
         ended
     }
 
-    fn stream_events(&mut self, call: &Call, breaks: bool) -> Result<(), Ended> {
-        let events = 2 + self.chance.below(6);
+    fn stream_events(&mut self, call: &Call, breaks: bool, service: Service) -> Result<(), Ended> {
+        let events = match service.slot {
+            Some(_) => 2 + (service.stream_s / SECONDS_PER_EVENT) as usize,
+            None => 2 + self.chance.below(6),
+        };
         let broken_at = if breaks {
             self.chance.below(events)
         } else {
@@ -679,9 +724,19 @@
             self.say(&chunk(&format!(
                 "data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{event}\"}}}}]}}\n\n"
             )))?;
-            self.work(0.02)?;
+            let pause_s = match service.slot {
+                Some(_) => service.stream_s / events as f64 / self.server.capacity(),
+                None => SHORT_STREAM_PAUSE_S,
+            };
+            self.work(pause_s)?;
         }
-        self.say(&format!("{}0\r\n\r\n", chunk("data: [DONE]\n\n")))?;
+        let usage = call.work.output_tokens.map_or(String::new(), |tokens| {
+            chunk(&format!(
+                "data: {{\"choices\":[],\"usage\":{{\"completion_tokens\":{tokens:.0},\
+                 \"prompt_tokens_details\":{{\"cached_tokens\":0}}}}}}\n\n"
+            ))
+        });
+        self.say(&format!("{usage}{}0\r\n\r\n", chunk("data: [DONE]\n\n")))?;
         self.note(Seen::StreamWhole {
             id: call.id.clone(),
         });
@@ -689,6 +744,23 @@
     }
 }
 
+/// What is left of the work on a request when its answer begins.
+#[derive(Default)]
+struct Service {
+    /// Work of the stream, in seconds of a warm server; it holds the slot.
+    stream_s: f64,
+    slot: Option<Slot>,
+}
+
+/// A slot of a server, until it is dropped.
+struct Slot(Arc<Server>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.busy.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 /// One of a count, until it is dropped.
 struct Counted<'a>(&'a AtomicUsize);
 
--- a/programs/soak/src/slow_start.rs
+++ b/programs/soak/src/slow_start.rs
@@ -29,6 +29,16 @@
     pub warm_up: WarmUp,
 }
 
+impl SlowStartTerms {
+    /// The same for a server of so many times the mean speed.
+    pub fn at_speed(self, speed: f64) -> SlowStartTerms {
+        SlowStartTerms {
+            warm_rate: self.warm_rate * speed,
+            ..self
+        }
+    }
+}
+
 /// Work, in requests of mean work, over which a server falls whose budget for the window is `budget`.
 pub fn max_work(budget: f64) -> f64 {
     let deviations = if budget < SMALL_BUDGET { 3.0 } else { 2.0 };
--- a/programs/soak/src/traffic.rs
+++ b/programs/soak/src/traffic.rs
@@ -6,6 +6,13 @@
 /// Prompt and output tokens of a request of mean work.
 pub const MEAN_PROMPT_TOKENS: f64 = 500.0;
 pub const MEAN_OUTPUT_TOKENS: f64 = 100.0;
+/// Mean work of an answer of each class where ceilings tell nothing, as a multiple of the mean of all requests.
+const HIDDEN_SAFE_WORK: f64 = 0.5;
+const HIDDEN_UNSAFE_WORK: f64 = 1.75;
+/// Ceiling of every request there, tokens.
+const HIDDEN_CEILING_TOKENS: f64 = 800.0;
+/// Header that tells the mock servers alone how long an answer is, tokens.
+const OUTPUT_HEADER: &str = "mock-output-tokens";
 /// Fraction of the requests that have the hot prefix, and its tokens.
 const HOT_FRACTION: f64 = 0.6;
 const HOT_PREFIX_TOKENS: f64 = 300.0;
@@ -34,6 +41,7 @@
     pub bursts: Vec<Burst>,
     pub heavy_requests: bool,
     pub hot_prefix: bool,
+    pub hidden_lengths: bool,
     pub client_retries: u32,
     pub skewed: bool,
 }
@@ -43,6 +51,8 @@
 pub struct Size {
     pub prompt_tokens: f64,
     pub output_tokens: f64,
+    /// The most that the request may produce, as its client says.
+    pub ceiling_tokens: f64,
     pub prefix: Option<u64>,
 }
 
@@ -69,6 +79,7 @@
         Traffic {
             bursts,
             heavy_requests: faults.contains(&Fault::HeavyRequests),
+            hidden_lengths: faults.contains(&Fault::HiddenLengths),
             hot_prefix: faults.contains(&Fault::HotPrefix),
             client_retries: 2 * u32::from(faults.contains(&Fault::ClientRetry)),
             skewed: faults.contains(&Fault::Skew),
@@ -97,10 +108,15 @@
     }
 
     /// Size of the next request; `None` if all requests of the day are alike.
-    pub fn size(&self, chance: &mut Chance) -> Option<Size> {
-        if !self.heavy_requests && !self.hot_prefix {
+    pub fn size(&self, is_unsafe: bool, chance: &mut Chance) -> Option<Size> {
+        if !self.heavy_requests && !self.hot_prefix && !self.hidden_lengths {
             return None;
         }
+        let class_work = match is_unsafe {
+            _ if !self.hidden_lengths => 1.0,
+            true => HIDDEN_UNSAFE_WORK,
+            false => HIDDEN_SAFE_WORK,
+        };
         let mut relative = || {
             if self.heavy_requests {
                 // An exponential draw of mean 1.
@@ -110,7 +126,12 @@
             }
         };
         let prompt_tokens = (MEAN_PROMPT_TOKENS * relative()).max(1.0);
-        let output_tokens = (MEAN_OUTPUT_TOKENS * relative()).max(1.0);
+        let output_tokens = (MEAN_OUTPUT_TOKENS * class_work * relative()).max(1.0);
+        let ceiling_tokens = if self.hidden_lengths {
+            HIDDEN_CEILING_TOKENS
+        } else {
+            output_tokens
+        };
         let is_hot = chance.happens(HOT_FRACTION);
         let prefix = self.hot_prefix.then(|| {
             if is_hot {
@@ -122,33 +143,54 @@
         Some(Size {
             prompt_tokens,
             output_tokens,
+            ceiling_tokens,
             prefix,
         })
     }
 }
 
 impl Size {
-    /// The header that tells it.
+    /// The headers that tell it: to the dispatcher as on the platform, and the length of the answer to the mock servers.
     pub fn header(&self) -> String {
-        let (prompt, output) = (self.prompt_tokens, self.output_tokens);
+        let (prompt, output, ceiling) =
+            (self.prompt_tokens, self.output_tokens, self.ceiling_tokens);
         let prefix = self.prefix.map_or(String::new(), |prefix| {
             let tokens = HOT_PREFIX_TOKENS.min(prompt - 1.0).max(0.0);
             format!("prefix={prefix:016x},prefix_len={tokens:.0},")
         });
-        format!("Req-Extra: {prefix}prompt_len={prompt:.0},max_out={output:.0}\r\n")
+        format!(
+            "Req-Extra: {prefix}prompt_len={prompt:.0},max_out={ceiling:.0}\r\n{OUTPUT_HEADER}: {output:.0}\r\n"
+        )
     }
 }
 
-/// Work of a request at a server, in requests of mean work, by the header that it came with.
-pub fn work(extra: &str, decode: bool) -> f64 {
-    let (name, mean) = if decode {
-        ("max_out=", MEAN_OUTPUT_TOKENS)
-    } else {
-        ("prompt_len=", MEAN_PROMPT_TOKENS)
-    };
-    let field = extra
-        .split(',')
-        .find_map(|part| part.trim().strip_prefix(name));
-    let tokens = field.and_then(|text| text.parse::<f64>().ok());
-    tokens.map_or(1.0, |tokens| tokens / mean)
+/// What a request tells a mock server of its size, tokens; `None` if it is of mean work.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    pub prompt_tokens: Option<f64>,
+    pub output_tokens: Option<f64>,
+}
+
+impl Work {
+    /// Reads it from the fields of a request's head.
+    pub fn read(field: impl Fn(&str) -> Option<String>) -> Work {
+        let extra = field("req-extra:").unwrap_or_default();
+        let prompt = extra
+            .split(',')
+            .find_map(|part| part.trim().strip_prefix("prompt_len="));
+        Work {
+            prompt_tokens: prompt.and_then(|text| text.parse().ok()),
+            output_tokens: field(&format!("{OUTPUT_HEADER}:")).and_then(|text| text.parse().ok()),
+        }
+    }
+
+    /// Work at a server of a role, in requests of mean work.
+    pub fn at(&self, decode: bool) -> f64 {
+        let (tokens, mean) = if decode {
+            (self.output_tokens, MEAN_OUTPUT_TOKENS)
+        } else {
+            (self.prompt_tokens, MEAN_PROMPT_TOKENS)
+        };
+        tokens.map_or(1.0, |tokens| tokens / mean)
+    }
 }
--- a/programs/soak/tests/judge.rs
+++ b/programs/soak/tests/judge.rs
@@ -322,6 +322,7 @@
     let mut record = vec![(
         0,
         Seen::ColdStart {
+            speed: 1.0,
             server: COLD_SERVER,
         },
     )];
--- a/programs/soak/tests/soak.rs
+++ b/programs/soak/tests/soak.rs
@@ -46,9 +46,9 @@
     broken
 }
 
-/// Plays days of 12 s, given as processes, seed and fault classes.
-fn assert_held(days: &[(&'static str, &'static str, &'static str)]) {
-    let length = ["--length", "12"];
+/// Plays days of so many seconds, given as processes, seed and fault classes.
+fn assert_held(length_s: &'static str, days: &[(&'static str, &'static str, &'static str)]) {
+    let length = ["--length", length_s];
     let words = |(processes, seed, faults): &(&'static str, &'static str, &'static str)| {
         let drawn = ["--processes", processes, "--seed", seed, "--faults", faults];
         [drawn.as_slice(), &length].concat()
@@ -73,6 +73,16 @@
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
+/// Three decode servers of four or six restart in turn, at the capacity of the fleet.
+const AT_CAPACITY_DAYS: [(&str, &str, &str); 5] = [
+    ("2", "7203", AT_CAPACITY),
+    ("2", "7204", AT_CAPACITY),
+    ("2", "7208", AT_CAPACITY),
+    ("2", "7216", AT_CAPACITY),
+    ("2", "7218", AT_CAPACITY),
+];
+const AT_CAPACITY: &str = "at-capacity,unlike-servers,hidden-lengths,heavy-requests";
+
 #[test]
 fn short_days_with_cold_servers_keep_their_budget() {
     const DAYS: [(&str, &str, &str); 6] = [
@@ -83,7 +93,8 @@
         ("3", "65", "cold-start,discovery,crowd"),
         ("20", "66", "cold-start"),
     ];
-    assert_held(&DAYS);
+    assert_held("12", &DAYS);
+    assert_held("30", &AT_CAPACITY_DAYS);
 }
 
 /// Guards against states that stay at servers which hang and go on with prefills that were given up.
@@ -97,7 +108,7 @@
         ("1", "205", "hang,reset"),
         ("3", "206", "hang,restart"),
     ];
-    assert_held(&DAYS);
+    assert_held("12", &DAYS);
 }
 
 /// A judge that never finds a cold server overloaded would prove nothing.
