--- a/programs/soak/src/draw.rs
+++ b/programs/soak/src/draw.rs
@@ -194,6 +194,8 @@
     Replacement::Drained,
     Replacement::ListedDraining,
 ];
+/// Descriptors there: streams are long, and each holds two.
+const CAPACITY_SOCKETS: usize = 1024;
 /// Speed of prefill servers there: decode servers are what the fleet is short of.
 const CAPACITY_PREFILL_SPEED: f64 = 1.8;
 /// Decode servers that restart in turn in such a fleet.
@@ -244,6 +246,9 @@
             deployment.servers_by_role = chance.one_of(&pattern.servers_by_role);
             deployment.safe_deadline_s = chance.one_of(&COLD_DEADLINES_S);
             deployment.unsafe_deadline_s = chance.one_of(&COLD_DEADLINES_S);
+            if pattern.decode_servers_in_turn.is_some() {
+                deployment.sockets = CAPACITY_SOCKETS;
+            }
             let rate = chance.one_of(&pattern.rates);
             deployment.rate = rate / processes as f64;
             slow_start(deployment.servers_by_role, rate, pattern, &mut chance)
--- a/programs/soak/src/servers.rs
+++ b/programs/soak/src/servers.rs
@@ -539,7 +539,7 @@
         let (id, server) = (call.id.clone(), self.server.number);
         self.attempt = Some(id.clone());
         self.was_hung = false;
-        let work = call.work.at(self.server.decode);
+        let work = call.work.weight(self.server.decode);
         let mut cold = lock(&self.server.cold);
         let at = self.servers.record.note(Seen::Arrived {
             id,
--- a/programs/soak/src/traffic.rs
+++ b/programs/soak/src/traffic.rs
@@ -11,8 +11,9 @@
 const HIDDEN_UNSAFE_WORK: f64 = 1.75;
 /// Ceiling of every request there, tokens.
 const HIDDEN_CEILING_TOKENS: f64 = 800.0;
-/// Header that tells the mock servers alone how long an answer is, tokens.
+/// Headers that tell the mock servers alone how long an answer is, and what the rule on cold servers weighs it as, tokens.
 const OUTPUT_HEADER: &str = "mock-output-tokens";
+const WEIGHED_HEADER: &str = "mock-weighed-tokens";
 /// Fraction of the requests that have the hot prefix, and its tokens.
 const HOT_FRACTION: f64 = 0.6;
 const HOT_PREFIX_TOKENS: f64 = 300.0;
@@ -53,6 +54,9 @@
     pub output_tokens: f64,
     /// The most that the request may produce, as its client says.
     pub ceiling_tokens: f64,
+    /// What the rule weighs the answer as: on a cold server each request weighs as the mean work of its class, where its
+    /// own is told to nobody.
+    pub weighed_tokens: f64,
     pub prefix: Option<u64>,
 }
 
@@ -127,10 +131,10 @@
         };
         let prompt_tokens = (MEAN_PROMPT_TOKENS * relative()).max(1.0);
         let output_tokens = (MEAN_OUTPUT_TOKENS * class_work * relative()).max(1.0);
-        let ceiling_tokens = if self.hidden_lengths {
-            HIDDEN_CEILING_TOKENS
+        let (ceiling_tokens, weighed_tokens) = if self.hidden_lengths {
+            (HIDDEN_CEILING_TOKENS, MEAN_OUTPUT_TOKENS * class_work)
         } else {
-            output_tokens
+            (output_tokens, output_tokens)
         };
         let is_hot = chance.happens(HOT_FRACTION);
         let prefix = self.hot_prefix.then(|| {
@@ -144,6 +148,7 @@
             prompt_tokens,
             output_tokens,
             ceiling_tokens,
+            weighed_tokens,
             prefix,
         })
     }
@@ -159,7 +164,9 @@
             format!("prefix={prefix:016x},prefix_len={tokens:.0},")
         });
         format!(
-            "Req-Extra: {prefix}prompt_len={prompt:.0},max_out={ceiling:.0}\r\n{OUTPUT_HEADER}: {output:.0}\r\n"
+            "Req-Extra: {prefix}prompt_len={prompt:.0},max_out={ceiling:.0}\r\n{OUTPUT_HEADER}: {output:.0}\r\n\
+             {WEIGHED_HEADER}: {:.0}\r\n",
+            self.weighed_tokens
         )
     }
 }
@@ -169,6 +176,7 @@
 pub struct Work {
     pub prompt_tokens: Option<f64>,
     pub output_tokens: Option<f64>,
+    pub weighed_tokens: Option<f64>,
 }
 
 impl Work {
@@ -178,19 +186,33 @@
         let prompt = extra
             .split(',')
             .find_map(|part| part.trim().strip_prefix("prompt_len="));
+        let told = |name: &str| field(&format!("{name}:")).and_then(|text| text.parse().ok());
         Work {
             prompt_tokens: prompt.and_then(|text| text.parse().ok()),
-            output_tokens: field(&format!("{OUTPUT_HEADER}:")).and_then(|text| text.parse().ok()),
+            output_tokens: told(OUTPUT_HEADER),
+            weighed_tokens: told(WEIGHED_HEADER),
         }
     }
 
     /// Work at a server of a role, in requests of mean work.
     pub fn at(&self, decode: bool) -> f64 {
-        let (tokens, mean) = if decode {
-            (self.output_tokens, MEAN_OUTPUT_TOKENS)
+        if decode {
+            relative(self.output_tokens, MEAN_OUTPUT_TOKENS)
         } else {
-            (self.prompt_tokens, MEAN_PROMPT_TOKENS)
-        };
-        tokens.map_or(1.0, |tokens| tokens / mean)
+            relative(self.prompt_tokens, MEAN_PROMPT_TOKENS)
+        }
+    }
+
+    /// What the rule on cold servers weighs it as, in requests of mean work.
+    pub fn weight(&self, decode: bool) -> f64 {
+        if decode {
+            relative(self.weighed_tokens, MEAN_OUTPUT_TOKENS)
+        } else {
+            self.at(decode)
+        }
     }
 }
+
+fn relative(tokens: Option<f64>, mean: f64) -> f64 {
+    tokens.map_or(1.0, |tokens| tokens / mean)
+}
