Work of an answer is learned by class from the answers that have ended

Cause: slow start took a request's output ceiling for the work of its answer. The platform tells a ceiling, "never the answer's true length"; where all ceilings are alike, a class of 1.75 of the mean work weighed as one of 0.5, and where they are unlike for no reason, they moved turns to the wrong class.

Now the tokens that servers report at the end of a stream (`usage.completion_tokens`, over WebSocket links the engine's usage) reach the decision module with the end of an attempt, and slow start expects of a request what answers of its class were, by a linear regression on the announced length: a ceiling counts as far as it has told lengths, and alone until eight answers of the class have ended. Simulated adapters are told no length and decide as before, but for the class in the mean.

Only answers that end are seen, so classes whose long answers are cut are taken for lighter than they are.

--- a/crates/core/src/actions.rs
+++ b/crates/core/src/actions.rs
@@ -288,6 +288,7 @@
             elapsed_s: 0.0,
             finished,
             prefix_hit_tokens: 0.0,
+            output_tokens: None,
             report: Vec::new(),
         }));
     }
--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -187,6 +187,7 @@
             elapsed_s: now.since(attempt.started_at),
             finished,
             prefix_hit_tokens: f64::from(prefix_hit_tokens),
+            output_tokens: answered_tokens(&attempt, outcome),
             report,
         }));
         self.remove_if_done(id, out);
@@ -264,6 +265,12 @@
 }
 
 /// Prompt tokens that the server found in its prefix cache; 0 where it reported none.
+/// Tokens of an answer that was served in full, if the engine reported them.
+fn answered_tokens(attempt: &Attempt, outcome: Outcome) -> Option<f64> {
+    let usage = attempt.usage.filter(|_| outcome == Outcome::Served)?;
+    Some(f64::from(usage.completion_tokens))
+}
+
 fn cached_tokens(attempt: &Attempt) -> u32 {
     let details = attempt.usage.and_then(|u| u.prompt_tokens_details);
     details.map_or(0, |d| d.cached_tokens)
--- a/crates/output-length/src/timed.rs
+++ b/crates/output-length/src/timed.rs
@@ -188,6 +188,7 @@
                 elapsed_s: 5.1,
                 finished: true,
                 prefix_hit_tokens: 0.0,
+                output_tokens: None,
                 report: vec![],
             };
             learner.observe(at + 5.0, &mut Event::AttemptEnded(end));
--- a/crates/platform/src/event_stream.rs
+++ b/crates/platform/src/event_stream.rs
@@ -11,6 +11,8 @@
     unfinished: Vec<u8>,
     /// Prompt tokens that the server found in its prefix cache, once reported.
     pub cached_tokens: Option<f64>,
+    /// Tokens of the answer, once reported.
+    pub output_tokens: Option<f64>,
     /// Text of the last load report received in a comment.
     pub load_report: Option<String>,
 }
@@ -51,11 +53,13 @@
             }
             only_comments = false;
             // Only lines with usage data are parsed as JSON, since few events have any.
-            if line.contains("cached_tokens") {
+            if line.contains("cached_tokens") || line.contains("completion_tokens") {
                 let data = line
                     .strip_prefix("data:")
                     .and_then(|d| serde_json::from_str::<Value>(d).ok());
-                self.cached_tokens = data.as_ref().and_then(cached_tokens).or(self.cached_tokens);
+                let data = data.as_ref();
+                self.cached_tokens = data.and_then(cached_tokens).or(self.cached_tokens);
+                self.output_tokens = data.and_then(output_tokens).or(self.output_tokens);
             }
         }
         only_comments
@@ -67,6 +71,11 @@
         .and_then(Value::as_f64)
 }
 
+fn output_tokens(data: &Value) -> Option<f64> {
+    data.pointer("/usage/completion_tokens")
+        .and_then(Value::as_f64)
+}
+
 /// Length of the first event including the empty line that ends it, or `None` if no event is complete.
 fn event_length(bytes: &[u8]) -> Option<usize> {
     let mut line_start = 0;
--- a/crates/platform/src/node/attempts.rs
+++ b/crates/platform/src/node/attempts.rs
@@ -18,6 +18,16 @@
     role: Role,
 }
 
+/// What the response to an attempt tells besides its outcome.
+#[derive(Debug, Default)]
+pub(super) struct ResponseDetails {
+    /// Prompt tokens that the server found in its prefix cache.
+    prefix_hit_tokens: f64,
+    /// Tokens of the answer, if the server reported them.
+    output_tokens: Option<f64>,
+    load_report: Vec<f64>,
+}
+
 impl Node {
     /// Starts an attempt of a request at the server that the decision module chose. Reports `NotSent` to the module if
     /// the request or the server cannot be used or no connection is available.
@@ -97,6 +107,7 @@
             elapsed_s: 0.0,
             finished,
             prefix_hit_tokens: 0.0,
+            output_tokens: None,
             report: Vec::new(),
         }));
     }
@@ -108,8 +119,7 @@
         now: Micros,
         request: RequestId,
         outcome: Outcome,
-        prefix_hit_tokens: f64,
-        report: Vec<f64>,
+        details: ResponseDetails,
     ) {
         let Some(open) = self.requests.get_mut(request) else {
             return;
@@ -132,8 +142,9 @@
             outcome,
             elapsed_s: now.since(attempt.sent_at),
             finished,
-            prefix_hit_tokens,
-            report,
+            prefix_hit_tokens: details.prefix_hit_tokens,
+            output_tokens: details.output_tokens,
+            report: details.load_report,
         }));
     }
 
@@ -166,7 +177,14 @@
         if outcome == Outcome::Served {
             self.end_stream(now, request, commands);
         }
-        self.finish_attempt(now, request, outcome, complete.cached_tokens, report);
+        let details = ResponseDetails {
+            prefix_hit_tokens: complete.cached_tokens,
+            output_tokens: complete
+                .output_tokens
+                .filter(|_| outcome == Outcome::Served),
+            load_report: report,
+        };
+        self.finish_attempt(now, request, outcome, details);
     }
 
     pub(super) fn fail_attempt(
@@ -183,7 +201,7 @@
         {
             self.break_stream(request, commands);
         }
-        self.finish_attempt(now, request, outcome, 0.0, Vec::new());
+        self.finish_attempt(now, request, outcome, ResponseDetails::default());
     }
 
     /// Abandons the attempt in flight by closing its connection.
--- a/crates/platform/src/node/streams.rs
+++ b/crates/platform/src/node/streams.rs
@@ -3,6 +3,7 @@
 use bitternlatch_core::Micros;
 use bitternlatch_policy::interface::{Outcome, RequestId};
 
+use super::attempts::ResponseDetails;
 use super::Node;
 use crate::types::{Command, ConnId};
 
@@ -20,7 +21,7 @@
     ) {
         if let Some(attempt) = self.requests.get(request).and_then(|open| open.in_flight) {
             self.close_server_connection(attempt.conn, commands);
-            self.finish_attempt(now, request, Outcome::Cancelled, 0.0, Vec::new());
+            self.finish_attempt(now, request, Outcome::Cancelled, ResponseDetails::default());
         }
     }
 
--- a/crates/platform/src/responses.rs
+++ b/crates/platform/src/responses.rs
@@ -44,6 +44,8 @@
     pub declined: bool,
     /// Prompt tokens that the server found in its prefix cache.
     pub cached_tokens: f64,
+    /// Tokens of the answer, if the server reported them.
+    pub output_tokens: Option<f64>,
     /// Text of the server's load report, not yet parsed.
     pub load_report: Option<String>,
     /// Whether the connection can be used for another exchange.
@@ -154,6 +156,7 @@
             status: head.status,
             declined: head.fields.get("srv-declined") == Some("1"),
             cached_tokens: self.events.cached_tokens.or(reported).unwrap_or(0.0),
+            output_tokens: self.events.output_tokens,
             load_report: self
                 .events
                 .load_report
--- a/crates/policy/src/choice/completion.rs
+++ b/crates/policy/src/choice/completion.rs
@@ -133,6 +133,10 @@
             } => server.health.record_rejection(now),
             _ => {}
         }
+        if let Some(tokens) = end.output_tokens {
+            self.traffic_mean
+                .record_answer(&state.request, non_negative(tokens));
+        }
         self.record_prefill_end(now, end, state);
     }
 
--- a/crates/policy/src/choice/mod.rs
+++ b/crates/policy/src/choice/mod.rs
@@ -16,6 +16,7 @@
 mod health;
 mod held_states;
 mod load;
+mod output_work;
 mod prefill_choice;
 mod prefix_cache;
 mod replica_ranking;
--- a/crates/policy/src/choice/traffic_mean.rs
+++ b/crates/policy/src/choice/traffic_mean.rs
@@ -1,6 +1,7 @@
 //! Mean of the requests that arrive at this router: their lengths and their rate.
 
-use super::decay::{age_weight, non_negative};
+use super::decay::age_weight;
+use super::output_work::OutputWork;
 use crate::interface::{Request, Role};
 
 /// Lowest weight of the newest request in the mean lengths. Until as many requests have arrived,
@@ -65,7 +66,7 @@
 pub(super) struct TrafficMean {
     requests: f64,
     prompt_tokens: f64,
-    output_tokens: f64,
+    output: OutputWork,
     /// Means over the requests if each has a turn with the inverse of its weight, by [`Role`].
     turns: [TurnMean; 3],
     mean_rate: ArrivalRate,
@@ -73,14 +74,6 @@
     peak_per_s: f64,
 }
 
-fn output_tokens(request: &Request) -> f64 {
-    request
-        .output_tokens
-        .map_or(request.max_output_tokens, |expected| {
-            non_negative(expected.mean)
-        })
-}
-
 impl TrafficMean {
     /// Counts a request that arrives at clock time `now`.
     pub fn record_arrival(&mut self, request: &Request, now: f64) {
@@ -92,6 +85,11 @@
         self.peak_per_s = (self.peak_per_s * decay).max(recent_per_s);
     }
 
+    /// Counts an answer of so many tokens.
+    pub fn record_answer(&mut self, request: &Request, tokens: f64) {
+        self.output.record_answer(request, tokens);
+    }
+
     /// Usual arrival rate, in requests per second. A lull does not lower it for long, so that
     /// little traffic is not taken for much of what a server can do.
     pub fn usual_per_s(&self) -> f64 {
@@ -103,7 +101,7 @@
         self.requests += 1.0;
         let weight = MIN_LENGTH_WEIGHT.max(1.0 / self.requests);
         self.prompt_tokens += weight * (request.prompt_tokens - self.prompt_tokens);
-        self.output_tokens += weight * (output_tokens(request) - self.output_tokens);
+        self.output.record_arrival(request);
         for role in [Role::Prefill, Role::Decode, Role::Mixed] {
             let relative_work = self.relative_work(request, role);
             self.turns[role as usize].record(relative_work, weight);
@@ -121,15 +119,12 @@
 
     /// Work of a request at servers of a role, in requests of mean work.
     pub fn relative_work(&self, request: &Request, role: Role) -> f64 {
-        let relative = |tokens: f64, mean: f64| {
-            if mean > 0.0 {
-                tokens / mean
-            } else {
-                1.0
-            }
+        let prefill = if self.prompt_tokens > 0.0 {
+            request.prompt_tokens / self.prompt_tokens
+        } else {
+            1.0
         };
-        let prefill = relative(request.prompt_tokens, self.prompt_tokens);
-        let decode = relative(output_tokens(request), self.output_tokens);
+        let decode = self.output.relative_work(request);
         let work = match role {
             Role::Prefill => prefill,
             Role::Decode => decode,
--- a/crates/policy/src/interface/event.rs
+++ b/crates/policy/src/interface/event.rs
@@ -85,6 +85,8 @@
     /// Prompt tokens that the server found in its prefix cache; set with `Served` and
     /// `PrefillDone`.
     pub prefix_hit_tokens: f64,
+    /// Length of the answer, tokens, if the server told it; set with `Served` alone.
+    pub output_tokens: Option<f64>,
     /// Load report that came with the response, with its values in the order of
     /// [`Settings::report_fields`](super::Settings::report_fields); empty if there was none.
     pub report: Vec<f64>,
--- a/crates/policy/src/part_tests/held_states.rs
+++ b/crates/policy/src/part_tests/held_states.rs
@@ -21,6 +21,7 @@
         elapsed_s: 0.1,
         finished: false,
         prefix_hit_tokens: 0.0,
+        output_tokens: None,
         report: vec![],
     }
 }
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -43,6 +43,7 @@
             elapsed_s,
             finished,
             prefix_hit_tokens,
+            output_tokens: None,
             report,
         };
         harness.handle(Event::AttemptEnded(end));
--- a/crates/policy/tests/common/fleet.rs
+++ b/crates/policy/tests/common/fleet.rs
@@ -516,6 +516,8 @@
     ) {
         let (router, request, attempt) = ended;
         let (finished, elapsed_s) = (outcome == Outcome::Served, self.now - arrived_at);
+        // Answers are as long as their requests allow.
+        let output_tokens = finished.then(|| self.requests[&request].0.max_output_tokens);
         let report = self.report(server);
         match outcome {
             Outcome::Error | Outcome::Cancelled | Outcome::Reset => {
@@ -531,6 +533,7 @@
             elapsed_s,
             finished,
             prefix_hit_tokens,
+            output_tokens,
             report,
         };
         self.plan(
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -224,6 +224,7 @@
             elapsed_s,
             finished,
             prefix_hit_tokens,
+            output_tokens: None,
             report: vec![],
         }))
     }
--- a/programs/benchmark/src/decision.rs
+++ b/programs/benchmark/src/decision.rs
@@ -153,6 +153,7 @@
                 elapsed_s: 0.1,
                 finished: outcome == Outcome::Served,
                 prefix_hit_tokens: 1000.0,
+                output_tokens: None,
                 report: REPORT.to_vec(),
             })
         };
--- a/programs/benchmark/src/filled.rs
+++ b/programs/benchmark/src/filled.rs
@@ -353,6 +353,7 @@
             elapsed_s: now - a.sent,
             finished: outcome == Outcome::Served,
             prefix_hit_tokens: 0.0,
+            output_tokens: None,
             report,
         });
         self.after(
--- a/programs/simulator-adapter/src/wire/records.rs
+++ b/programs/simulator-adapter/src/wire/records.rs
@@ -150,6 +150,7 @@
         elapsed_s,
         finished,
         prefix_hit_tokens: f64::from(info),
+        output_tokens: None,
         report: cursor.report(field)?,
     })
 }
--- a/programs/simulator-adapter/src/wire/tests.rs
+++ b/programs/simulator-adapter/src/wire/tests.rs
@@ -183,6 +183,7 @@
             elapsed_s: 0.08,
             finished: outcome == Outcome::Served,
             prefix_hit_tokens,
+            output_tokens: None,
             report: vec![0.25, 2.0],
         });
         let finished = if outcome == Outcome::Served {
