Soak: two attempts are out at once from the later one's start, not from the first's

A mock server notes the end of a declined attempt after its answer has left, so a fast dispatcher's next attempt may begin and end before that note.

Now an attempt breaks the rule if another one began more than 150 ms (as before) before its end. The old judge fails the new case `noted_late`.

--- a/programs/soak/src/judge.rs
+++ b/programs/soak/src/judge.rs
@@ -81,7 +81,7 @@
         };
         let process = process_end(record, asked);
         breaks.extend(of(lost(asked, process, terms, last.at)));
-        breaks.extend(of(duplicate(asked)));
+        breaks.extend(of(duplicate(asked, last.at)));
         breaks.extend(of(pinned(asked, process.gone, terms, last.at)));
         breaks.extend(of(told_too_much(asked, record)));
     }
@@ -225,19 +225,35 @@
     what.map(|what| (Rule::Lost, what.to_string()))
 }
 
-fn duplicate(asked: &Asked) -> Option<(Rule, String)> {
-    let mut out: Vec<(usize, Instant)> = Vec::new();
+/// An attempt of a request, from its last byte on.
+struct Attempt {
+    server: usize,
+    at: Instant,
+    is_over: bool,
+}
+
+/// Whether another attempt began so long before this time, after the attempt of this number, that both were out at once.
+fn is_overlapped(attempts: &[Attempt], number: usize, until: Instant) -> bool {
+    let mut later = attempts.iter().skip(number + 1);
+    later.any(|other| until.saturating_duration_since(other.at) > OVERLAP)
+}
+
+fn duplicate(asked: &Asked, day_end: Instant) -> Option<(Rule, String)> {
+    let broken = |what: &str| Some((Rule::Duplicate, what.to_string()));
+    const AT_ONCE: &str = "two attempts were out at once";
+    let mut attempts: Vec<Attempt> = Vec::new();
     let mut may_have_run = false;
     for entry in &asked.seen {
         match &entry.seen {
             Seen::Arrived { server, decode, .. } => {
                 if *decode && may_have_run && asked.is_unsafe {
-                    return Some((
-                        Rule::Duplicate,
-                        "an unsafe request that may have run was sent again".into(),
-                    ));
+                    return broken("an unsafe request that may have run was sent again");
                 }
-                out.push((*server, entry.at));
+                attempts.push(Attempt {
+                    server: *server,
+                    at: entry.at,
+                    is_over: false,
+                });
             }
             Seen::Over {
                 server,
@@ -246,16 +262,22 @@
                 ..
             } => {
                 may_have_run |= *decode && !*declined;
-                out.retain(|o| o.0 != *server);
-                let overlaps =
-                    |o: &(usize, Instant)| entry.at.saturating_duration_since(o.1) > OVERLAP;
-                if out.iter().any(overlaps) {
-                    return Some((Rule::Duplicate, "two attempts were out at once".into()));
+                let ends = |a: &Attempt| a.server == *server && !a.is_over;
+                if let Some(number) = attempts.iter().position(ends) {
+                    attempts[number].is_over = true;
+                    if is_overlapped(&attempts, number, entry.at) {
+                        return broken(AT_ONCE);
+                    }
                 }
             }
             _ => {}
         }
     }
+    let is_out = |number: &usize| !attempts[*number].is_over;
+    let mut out = (0..attempts.len()).filter(is_out);
+    if out.any(|number| is_overlapped(&attempts, number, day_end)) {
+        return broken(AT_ONCE);
+    }
     None
 }
 
--- a/programs/soak/tests/judge.rs
+++ b/programs/soak/tests/judge.rs
@@ -205,6 +205,27 @@
         (410, ended(End::Failed)),
     ];
     assert!(with(held(), &both).contains(&Rule::Duplicate));
+    // The end of a declined attempt is noted after its answer has left, when the next may have ended already.
+    let noted_late = [
+        (200, arrived(1, true)),
+        (600, arrived(2, true)),
+        (601, over(2, true, true)),
+        (602, over(1, true, true)),
+        (610, Seen::Released { id: id() }),
+        (620, ended(End::Failed)),
+    ];
+    assert_eq!(with(held(), &noted_late), []);
+    // A short second attempt is one too, whether the first ends later or never.
+    let short = [
+        (200, arrived(1, true)),
+        (600, arrived(2, true)),
+        (605, over(2, true, true)),
+        (760, over(1, true, true)),
+        (770, ended(End::Failed)),
+    ];
+    assert!(with(held(), &short).contains(&Rule::Duplicate));
+    let unended = [&short[..3], &[(770, ended(End::Failed))]].concat();
+    assert!(with(held(), &unended).contains(&Rule::Duplicate));
 }
 
 #[test]
