--- a/crates/policy/src/choice/mod.rs
+++ b/crates/policy/src/choice/mod.rs
@@ -115,7 +115,15 @@
     pub fn slow_start_status(&self, server: ServerId, now: f64) -> Option<SlowStartStatus> {
         let server = self.servers.get(server)?;
         let (account, start_learned_at) = (&server.slow_start, server.start_learned_at);
-        Some(self.slow_start.status(account, start_learned_at, now))
+        let speed = self.answer_rates.speed(server.entry.id);
+        let answers_per_s = self.answer_rates.per_server_s(server.role);
+        let own_per_s = answers_per_s.map(|mean| mean * speed);
+        let status = self.slow_start.status(account, start_learned_at, now);
+        Some(SlowStartStatus {
+            speed,
+            window_budget: own_per_s.map(|per_s| self.slow_start.window_budget(&status, per_s)),
+            ..status
+        })
     }
 
     /// Handles one event at clock time `now`, in seconds, and appends the resulting actions to
--- a/crates/policy/src/choice/slow_start.rs
+++ b/crates/policy/src/choice/slow_start.rs
@@ -129,9 +129,17 @@
             assumed_capacity: self.assumed_capacity(account, start_learned_at, now),
             granted_work: account.granted(),
             sent_work: account.sent(),
+            ..SlowStartStatus::default()
         }
     }
 
+    /// Work that a server may receive in one window, if it answers `own_per_s` requests per second
+    /// when it is warm.
+    pub fn window_budget(&self, status: &SlowStartStatus, own_per_s: f64) -> f64 {
+        let load = OVERLOAD_BUDGET_FRACTION * self.settings.overload_factor;
+        load * status.assumed_capacity * own_per_s * self.settings.window_s
+    }
+
     /// Counts a choice of a server of this role. Mixed servers are counted too, since they may
     /// serve any role.
     pub fn record_choice(&mut self, role: Role) {
--- a/crates/policy/src/interface/explanation.rs
+++ b/crates/policy/src/interface/explanation.rs
@@ -66,12 +66,21 @@
     /// Cost of the attempts that this router has sent: their work, and at least that of a mean
     /// request each, scaled to the budget.
     pub sent_work: f64,
+    /// Speed of the server as a multiple of the mean of its role, at most 1.
+    pub speed: f64,
+    /// Work that this router may send in one window at the assumed capacity, in requests of mean
+    /// work; `None` until answers have shown what a server of the role does.
+    pub window_budget: Option<f64>,
 }
 
 impl fmt::Display for SlowStartStatus {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "assumed_capacity={:.3} ", self.assumed_capacity)?;
         write!(f, "granted_work={:.1} ", self.granted_work)?;
+        write!(f, "speed={:.2} ", self.speed)?;
+        if let Some(budget) = self.window_budget {
+            write!(f, "window_budget={budget:.1} ")?;
+        }
         write!(f, "sent_work={:.1}", self.sent_work)
     }
 }
