Attempts that reach no server do not count as its warm-up

Slow start takes what this router sent to a cold server for its warm-up, and opens the limit with it. An attempt whose connection fails, or that was never sent, was counted too: where connections to a new server come up late, the limit opened though the server had received nothing, and the next ones met a server as cold as at its start.

Now such an attempt is taken back at its end. Its part of the allowance stays used. `attempts_that_reach_no_server_warm_nothing_up` gives a progress of 1 for twenty such attempts without the change, and under 0.1 with it. Digests of drawn decisions change, those without cold servers do not.

--- a/crates/core/tests/any_order.rs
+++ b/crates/core/tests/any_order.rs
@@ -647,6 +647,6 @@
     );
     assert_eq!(
         digest(true),
-        "c9bc0c5fc6ee4749de238ab680b2afea24008f50cf2f1e378eb85107d4686b4d"
+        "a28828fe205329586550b2a8058075e1edc26e351ef445fd617466ff916102fc"
     );
 }
--- a/crates/policy/src/choice/completion.rs
+++ b/crates/policy/src/choice/completion.rs
@@ -116,6 +116,11 @@
         let Some(server) = self.servers.get_mut(end.server) else {
             return;
         };
+        if matches!(end.outcome, Outcome::ConnectFailed | Outcome::NotSent) {
+            let mean = &self.traffic_mean;
+            let cost = mean.slow_start_cost(&state.request, server.role);
+            server.slow_start.record_not_received(cost);
+        }
         match end.outcome {
             Outcome::Served | Outcome::PrefillDone => server.health.record_success(now),
             Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => {
--- a/crates/policy/src/choice/slow_start_account.rs
+++ b/crates/policy/src/choice/slow_start_account.rs
@@ -97,6 +97,12 @@
         self.sent += cost;
     }
 
+    /// Takes back an attempt that never reached the server: it warms nothing up. Its allowance stays
+    /// used.
+    pub fn record_not_received(&mut self, cost: f64) {
+        self.sent = (self.sent - cost).max(0.0);
+    }
+
     /// Progress of the warm-up, from 0 to 1, as far as it follows from what the server receives.
     pub fn progress(&self) -> f64 {
         let assumed = ASSUMPTION_WEIGHT * ASSUMED_RECEIVED_FRACTION;
--- a/crates/policy/src/part_tests/slow_start_account.rs
+++ b/crates/policy/src/part_tests/slow_start_account.rs
@@ -61,3 +61,25 @@
     assert!((granted - 2.0 * 9.99).abs() < 1e-6, "{granted}");
     assert_eq!(account.earn(2.0, 100.0, 1_000.0), MAX_EARNED);
 }
+
+/// Guards against attempts that never arrived counting as warm-up.
+#[test]
+fn attempts_that_reach_no_server_warm_nothing_up() {
+    let progress = |received: bool| {
+        let mut account = SlowStartAccount::default();
+        for _ in 0..20 {
+            account.grant(Grant {
+                work: 1.0,
+                progress: 0.05,
+                ..grant(1.0)
+            });
+            account.record_sent(1.0);
+            if !received {
+                account.record_not_received(1.0);
+            }
+        }
+        account.progress()
+    };
+    assert!(progress(true) > 0.9, "{}", progress(true));
+    assert!(progress(false) < 0.1, "{}", progress(false));
+}
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -14,15 +14,15 @@
     0xc30751b763079e13,
     0xf491c51b326cc699,
     0x878c137fe253787b,
-    0x35929e441d95bc53,
+    0x332ab44f844229e2,
     0xff504c9377e71c07,
     0x4728b27ed08e06e0,
     0xc6accdd100b3c9e9,
     0x44e39019e310279d,
     0x296b795d5316af83,
-    0x7b5f6cbcabb7ed8a,
+    0x9e2a708bf85dade1,
     0xc227a64b6d0ae525,
-    0xfb3e207bf3112275,
+    0xf445de1f836bbe70,
 ];
 
 /// Expected result of [`digest_of_benchmark_events`] for each size of the fleet.
