A request that comes again under the id of a client that has left is not sent twice

Cause: an id is refused (409) only while its request is open. When its client disconnects, the attempt is cancelled by closing the connection and the request is forgotten; the attempt may have run, or may yet, and the same id that came again was sent as a new request, of classes that must not run twice too.

An id whose request was never sent is not kept: a request that crosses the close of its connection comes again under its id. `ids_forgotten` counts those dropped early.

--- a/crates/platform/src/counts.rs
+++ b/crates/platform/src/counts.rs
@@ -41,6 +41,8 @@
     pub broken: u64,
     /// Clients that disconnected with a request open.
     pub disconnected: u64,
+    /// Ids of disconnected clients' requests that were forgotten early, because too many were kept.
+    pub ids_forgotten: u64,
     /// Client connections closed with an error response because a request was not acceptable.
     pub rejected: u64,
     /// Attempts started at model servers.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`node::Node::step`] takes one [`types::Input`] at a clock time and appends [`types::Command`]s, as
 //! `bitternlatch_core::Machine` does for sessions. The sockets are in `bitternlatch-platform-net`.
 
+mod abandoned_ids;
 pub mod access_log;
 pub mod client;
 pub mod clients;
--- a/crates/platform/src/node/client_requests.rs
+++ b/crates/platform/src/node/client_requests.rs
@@ -96,6 +96,10 @@
         if self.requests.contains_id(&parsed.id) {
             return self.reject_and_close(conn, 409, "a request of this id is open", commands);
         }
+        if self.abandoned_ids.contains(now, &parsed.id) {
+            let reason = "the client of a request of this id has disconnected; it may have run";
+            return self.reject_and_close(conn, 409, reason, commands);
+        }
         if self.requests.len() >= self.bounds.max_open_requests
             || self.requests.prompt_bytes() > self.limits.max_prompt_bytes()
         {
@@ -377,6 +381,9 @@
         if !std::mem::replace(&mut open.answered, true) {
             self.counts.disconnected += 1;
         }
+        if open.attempts > 0 && self.abandoned_ids.insert(now, &open.id) {
+            self.counts.ids_forgotten += 1;
+        }
         self.requests.mark_maybe_complete(id);
         self.events
             .push_back(Event::ClientDisconnected { request: id });
--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -20,6 +20,7 @@
 use bitternlatch_policy::interface::{Action, Event, ListForm, Role};
 use bitternlatch_routing_settings::{Bounds, Names};
 
+use crate::abandoned_ids::AbandonedIds;
 use crate::access_log::AccessLog;
 use crate::clients::Clients;
 use crate::cold_servers::{ColdServers, WarmUpCounts};
@@ -52,6 +53,7 @@
     cold_servers: ColdServers,
     clients: Clients,
     requests: Requests,
+    abandoned_ids: AbandonedIds,
     /// Connections to model servers.
     pool: ConnectionPool,
     health_checks: HealthChecks,
@@ -101,6 +103,7 @@
             discovery: DiscoveryClient::new(config.discovery, watch),
             clients: Clients::new(connections.clients),
             requests: Requests::default(),
+            abandoned_ids: AbandonedIds::default(),
             pool: ConnectionPool::new(connections.servers, config.bounds.idle_timeout_s),
             health_checks: HealthChecks::default(),
             releases: Releases::default(),
--- a/programs/dispatch/tests/gone.rs
+++ b/programs/dispatch/tests/gone.rs
@@ -148,6 +148,33 @@
     );
 }
 
+/// Guards against a request that runs twice because it comes again, under its id, after its client has left.
+#[test]
+fn id_that_comes_again_after_its_client_has_left_is_not_sent_twice() {
+    let harness = Harness::start("gone-again", 1, &[UNSAFE, LONG_LATENCY_OBJECTIVE]);
+    for (i, departure) in [Departure::Close, Departure::Reset].into_iter().enumerate() {
+        let id = format!("again-{i}");
+        let client = harness.send_request(&id);
+        harness.servers.wait(EventKind::Post, &id, 1);
+        harness.servers.respond(&id, PREFILL_RESPONSE);
+        // The answer has been asked for, and may run.
+        harness.servers.wait(EventKind::Post, &id, 2);
+        departure.disconnect_all(&harness, vec![client]);
+        harness.servers.wait(EventKind::Closed, &id, 1);
+        let answer = read_until_closed(harness.send_request(&id));
+        assert!(
+            answer.starts_with("HTTP/1.1 409"),
+            "{departure:?}: {answer}"
+        );
+        assert_eq!(
+            harness.servers.count(EventKind::Post, &id),
+            2,
+            "{departure:?}"
+        );
+        harness.assert_serving();
+    }
+}
+
 #[test]
 fn disconnected_before_a_second_attempt() {
     let harness = Harness::start("gone-second", 2, &[LONG_LATENCY_OBJECTIVE]);
