The queue of a client that reads slowly no longer keeps all that was written

Reading from the server pauses at 128 KiB unsent and goes on at half of that, so the queue of a client that reads a long answer slowly may never be empty, and then held every byte ever sent to it. What has been written is dropped now once it is the larger part.

The queue has a module of its own, without a socket. `queue_that_is_never_empty_holds_no_more_than_what_waits` without the change holds over 10 MB for 10 KB that wait; `cargo test -p bitternlatch-platform-net`.

--- a/crates/platform-net/src/lib.rs
+++ b/crates/platform-net/src/lib.rs
@@ -14,6 +14,7 @@
 mod socket;
 mod startup;
 mod transient_errors;
+mod write_queue;
 
 #[cfg(test)]
 mod tests;
--- a/crates/platform-net/src/socket.rs
+++ b/crates/platform-net/src/socket.rs
@@ -8,13 +8,13 @@
 use mio::event::Event;
 use mio::net::TcpStream;
 
+use crate::write_queue::WriteQueue;
+
 /// How long a lingering connection waits for the other side to close, in seconds, from the write of the last byte of
 /// the response. Until that byte is written, `CLIENT_STALL_TIMEOUT_SECS` without progress applies instead.
 const LINGER_SECS: f64 = 2.0;
 /// Most bytes that a lingering connection reads and discards before it is closed.
 const MAX_LINGER_DISCARD_BYTES: usize = 80 << 20;
-/// Largest capacity of a write buffer that is kept for reuse once everything is written, in bytes.
-const RETAINED_CAPACITY: usize = 8 * 1024;
 
 /// Lifecycle stage of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,9 +87,7 @@
     ended: bool,
     stage: Stage,
     /// Bytes to be written.
-    queue: Vec<u8>,
-    /// How many bytes of `queue` are written already.
-    written: usize,
+    queue: WriteQueue,
 }
 
 impl Socket {
@@ -108,8 +106,7 @@
             broken: false,
             ended: false,
             stage,
-            queue: Vec::new(),
-            written: 0,
+            queue: WriteQueue::default(),
         }
     }
 
@@ -152,11 +149,7 @@
     }
 
     pub(crate) fn queue(&mut self, bytes: Vec<u8>) {
-        if self.queue.is_empty() {
-            self.queue = bytes;
-        } else {
-            self.queue.extend_from_slice(&bytes);
-        }
+        self.queue.push(bytes);
     }
 
     pub(crate) fn finish(&mut self, now: Micros) {
@@ -208,23 +201,19 @@
                 is_open: true,
             };
         }
-        let written_before = self.written;
-        while self.writable && !self.broken && self.written < self.queue.len() {
-            match self.stream.write(&self.queue[self.written..]) {
-                Ok(n) => self.written += n,
+        let mut count = 0;
+        while self.writable && !self.broken && !self.all_written() {
+            match self.stream.write(self.queue.unwritten()) {
+                Ok(n) => {
+                    self.queue.record_written(n);
+                    count += n;
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => self.writable = false,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => self.broken = true,
             }
         }
-        let count = self.written - written_before;
-        if self.written == self.queue.len() {
-            self.written = 0;
-            self.queue.clear();
-            if self.queue.capacity() > RETAINED_CAPACITY {
-                // With hundreds of connections, large write buffers must not be kept.
-                self.queue = Vec::new();
-            }
+        if self.all_written() {
             if let Stage::Lingering { write_shutdown, .. } = &mut self.stage {
                 if !std::mem::replace(write_shutdown, true) {
                     let _ = self.stream.shutdown(Shutdown::Write);
@@ -295,6 +284,6 @@
 
     /// Number of queued bytes that are not written to the socket yet.
     pub(crate) fn unwritten(&self) -> usize {
-        self.queue.len() - self.written
+        self.queue.unwritten().len()
     }
 }
