--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -32,8 +32,6 @@
 const MAX_ARRIVAL_BATCHES: usize = 32;
 /// Buffer capacity that a client keeps after its request has been answered, bytes.
 const RETAINED_CAPACITY_BYTES: usize = 4 * 1024;
-/// Bytes waiting to be sent to a client at which reading from its stream's server is paused.
-pub const MAX_UNSENT_BYTES: usize = 128 * 1024;
 
 #[derive(Debug)]
 enum Stage {
--- a/crates/platform/src/node/client_requests.rs
+++ b/crates/platform/src/node/client_requests.rs
@@ -6,7 +6,7 @@
 use bitternlatch_policy::interface::{Event, RequestId};
 
 use super::Node;
-use crate::client::{CompleteRequest, MAX_UNSENT_BYTES};
+use crate::client::CompleteRequest;
 use crate::http1::{chunk, event_stream_head, plain_response, LAST_CHUNK};
 use crate::pool::ConnectionUse;
 use crate::requests::{parse_request, ForwardedRequest, OpenRequest, ParsedRequest};
@@ -302,10 +302,11 @@
     /// Stops reading from the model server while its client reads slowly, which slows down only that client's stream.
     /// Once the stream has ended the server connection is left alone, because it may serve another request.
     fn apply_backpressure(&mut self, conn: ConnId, server: ConnId, commands: &mut Vec<Command>) {
+        let max_unsent_bytes = self.limits.max_unsent_bytes(self.requests.len());
         let is_slow = self
             .clients
             .get(conn)
-            .is_some_and(|client| client.unsent_bytes() > MAX_UNSENT_BYTES);
+            .is_some_and(|client| client.unsent_bytes() > max_unsent_bytes);
         let is_streaming = self
             .pool
             .get(server)
@@ -347,11 +348,12 @@
         count: usize,
         commands: &mut Vec<Command>,
     ) {
+        let max_unsent_bytes = self.limits.max_unsent_bytes(self.requests.len());
         let Some(client) = self.clients.get_mut(conn) else {
             return;
         };
         client.record_written(now, count);
-        if client.unsent_bytes() < MAX_UNSENT_BYTES / 2 {
+        if client.unsent_bytes() < max_unsent_bytes / 2 {
             if let Some(server) = self.clients.release_backpressure(conn) {
                 commands.push(Command::Pause {
                     conn: server,
--- a/crates/platform/src/resource_limits.rs
+++ b/crates/platform/src/resource_limits.rs
@@ -13,6 +13,9 @@
 const MIN_CLIENTS: usize = 8;
 /// Smallest limit for connections to model servers, however few descriptors there are.
 const MIN_SERVERS: usize = 4;
+/// Bytes waiting to be sent to a client at which reading from its stream's server is paused, at most and at least.
+const MAX_UNSENT_BYTES: usize = 128 * 1024;
+const MIN_UNSENT_BYTES: usize = 8 * 1024;
 
 /// Resources that the process may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +42,13 @@
         self.memory_bytes / 4
     }
 
+    /// Most bytes of a response that may wait for its client, where so many requests are open: a sixteenth of the
+    /// memory in all, as buffers are larger than their content by what is read at once.
+    pub(crate) fn max_unsent_bytes(&self, open_requests: usize) -> usize {
+        let share = self.memory_bytes / 16 / open_requests.max(1);
+        share.clamp(MIN_UNSENT_BYTES, MAX_UNSENT_BYTES)
+    }
+
     /// Most bytes that incomplete requests may hold together: an eighth of the memory, because their buffers can be
     /// twice as large as their content.
     pub(crate) fn max_unfinished_bytes(&self) -> usize {
