Lengths that servers report are bounded before they count

Found on rereading: `usage.completion_tokens` comes from the network unchecked, and one answer of 1e308 tokens made the learned mean infinite and every later relative length no number. What counts is at most a million tokens (`odd_lengths_do_no_lasting_harm`). A kept id that is kept again no longer pushes out the oldest one.

--- a/crates/platform/src/abandoned_ids.rs
+++ b/crates/platform/src/abandoned_ids.rs
@@ -20,14 +20,15 @@
 impl AbandonedIds {
     /// Keeps an id from now on. Returns whether another one was dropped for it before its time.
     pub fn insert(&mut self, now: Micros, id: &str) -> bool {
-        self.expire(now);
+        if self.contains(now, id) {
+            return false;
+        }
         let is_full = self.oldest_first.len() >= MAX_IDS;
         if is_full {
             self.remove_oldest();
         }
-        if self.ids.insert(id.to_string()) {
-            self.oldest_first.push_back((now, id.to_string()));
-        }
+        self.ids.insert(id.to_string());
+        self.oldest_first.push_back((now, id.to_string()));
         is_full
     }
 
--- a/crates/policy/src/choice/completion.rs
+++ b/crates/policy/src/choice/completion.rs
@@ -139,8 +139,7 @@
             _ => {}
         }
         if let Some(tokens) = end.output_tokens {
-            self.traffic_mean
-                .record_answer(&state.request, non_negative(tokens));
+            self.traffic_mean.record_answer(&state.request, tokens);
         }
         self.record_prefill_end(now, end, state);
     }
--- a/crates/policy/src/choice/output_work.rs
+++ b/crates/policy/src/choice/output_work.rs
@@ -12,6 +12,8 @@
 const MIN_SAMPLE_WEIGHT: f64 = 0.02;
 /// Answers of a class by which the length that a request announces counts.
 const ANNOUNCED_WEIGHT: f64 = 8.0;
+/// Longest answer that counts, in tokens: servers report what they like.
+const MAX_TOKENS: f64 = 1e6;
 /// Lowest expected length, as a fraction of the mean of the class.
 const MIN_LENGTH_RATIO: f64 = 0.1;
 
@@ -108,6 +110,7 @@
     /// Counts an answer that has ended.
     pub fn record_answer(&mut self, request: &Request, tokens: f64) {
         let announced = announced_tokens(request);
+        let tokens = non_negative(tokens).min(MAX_TOKENS);
         self.lengths.add(announced, tokens);
         if let Some(of_class) = self.classes.get_mut(usize::from(request.class)) {
             of_class.lengths.add(announced, tokens);
--- a/crates/policy/src/part_tests/output_work.rs
+++ b/crates/policy/src/part_tests/output_work.rs
@@ -60,3 +60,20 @@
     assert!((told - 1.75).abs() < 0.05, "{told}");
     assert!((untold - 1.0).abs() < 0.05, "{untold}");
 }
+
+#[test]
+fn odd_lengths_do_no_lasting_harm() {
+    let mut work = OutputWork::default();
+    for tokens in [f64::NAN, f64::INFINITY, -1.0, f64::MAX] {
+        work.record_arrival(&request(0, CEILING));
+        work.record_answer(&request(0, CEILING), tokens);
+    }
+    assert_eq!(work.relative_work(&request(0, CEILING)), 1.0);
+    for n in 0..1000 {
+        let (class, tokens) = if n % 5 < 3 { (0, 50.0) } else { (1, 175.0) };
+        work.record_arrival(&request(class, CEILING));
+        work.record_answer(&request(class, CEILING), tokens);
+    }
+    let heavy = work.relative_work(&request(1, CEILING));
+    assert!((heavy - 1.75).abs() < 0.15, "{heavy}");
+}
