--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -264,13 +264,13 @@
     }
 }
 
-/// Prompt tokens that the server found in its prefix cache; 0 where it reported none.
 /// Tokens of an answer that was served in full, if the engine reported them.
 fn answered_tokens(attempt: &Attempt, outcome: Outcome) -> Option<f64> {
     let usage = attempt.usage.filter(|_| outcome == Outcome::Served)?;
     Some(f64::from(usage.completion_tokens))
 }
 
+/// Prompt tokens that the server found in its prefix cache; 0 where it reported none.
 fn cached_tokens(attempt: &Attempt) -> u32 {
     let details = attempt.usage.and_then(|u| u.prompt_tokens_details);
     details.map_or(0, |d| d.cached_tokens)
--- a/crates/policy/src/choice/answer_rate.rs
+++ b/crates/policy/src/choice/answer_rate.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 
+use super::decay::age_weight;
 use super::selection::DecisionContext;
 use super::slow_start::RoleCapacity;
 use crate::interface::{Role, ServerId};
@@ -39,8 +40,9 @@
 impl RoleAnswers {
     fn observe(&mut self, now: f64, capacity: RoleCapacity) {
         let elapsed_s = self.observed_at.map_or(0.0, |at| (now - at).max(0.0));
-        let weight =
-            0.5f64.powf(elapsed_s * f64::from(self.warm_equivalents > 0.0) / RATE_HALF_LIFE_S);
+        // While no server of the role is live, nothing is learned and nothing is forgotten.
+        let answering_s = elapsed_s * f64::from(self.warm_equivalents > 0.0);
+        let weight = age_weight(0.0, answering_s, RATE_HALF_LIFE_S);
         self.answers *= weight;
         self.server_seconds = self.server_seconds * weight + elapsed_s * self.warm_equivalents;
         self.warm_equivalents = capacity.warm_equivalents;
@@ -94,7 +96,7 @@
         }
         if let Some(counted_to) = server.counted_to.replace(mean_now) {
             let mean = mean_now - counted_to;
-            let weight = 0.5f64.powf(mean / SPEED_HALF_LIFE_ANSWERS);
+            let weight = age_weight(0.0, mean, SPEED_HALF_LIFE_ANSWERS);
             server.own = server.own * weight + 1.0;
             server.mean = server.mean * weight + mean;
         }
--- a/programs/soak/src/servers.rs
+++ b/programs/soak/src/servers.rs
@@ -154,9 +154,14 @@
         Some(self.slow_start?.at_speed(self.speed(server)))
     }
 
+    /// Whether the work of a server of a role is in the stream of its answers.
+    fn works_in_stream(&self, decode: bool) -> bool {
+        decode && self.has_long_answers
+    }
+
     /// Requests that a server of a role works on at a time.
     fn slots(&self, decode: bool) -> usize {
-        if decode && self.has_long_answers {
+        if self.works_in_stream(decode) {
             STREAM_SLOTS
         } else {
             SLOTS
@@ -594,7 +599,7 @@
         drop(place);
         let work = call.work.at(server.decode);
         let service_s = work * slots as f64 / terms.warm_rate;
-        if slots == SLOTS {
+        if !self.servers.works_in_stream(server.decode) {
             self.work(service_s / server.capacity())?;
             return Ok(Service::default());
         }
