Log why a stream or an attempt ends without a whole answer, with its last event and byte

Each attempt without a whole answer has a line with its cause, outcome, server and the age of its last event and last byte; counters streams_stalled, malformed_responses, attempts_abandoned.

outputs_are_the_same_over_seeded_inputs has new digests: the digest covers the kinds of commands, and log lines are commands.

--- a/crates/platform/src/counts.rs
+++ b/crates/platform/src/counts.rs
@@ -39,6 +39,12 @@
     pub failed: u64,
     /// Streams that ended before they were complete.
     pub broken: u64,
+    /// Streams ended because no further event came in time.
+    pub streams_stalled: u64,
+    /// Attempts whose response could not be parsed.
+    pub malformed_responses: u64,
+    /// Attempts that the dispatcher ended before they had a whole answer.
+    pub attempts_abandoned: u64,
     /// Clients that disconnected with a request open.
     pub disconnected: u64,
     /// Ids of disconnected clients' requests that were forgotten early, because too many were kept.
--- a/crates/platform/src/node/attempts.rs
+++ b/crates/platform/src/node/attempts.rs
@@ -5,6 +5,7 @@
     AttemptEnd, Event, Outcome, RequestId, Role, ServerId, ServerStatus,
 };
 
+use super::attempt_ends::EndCause;
 use super::Node;
 use crate::pool::{ConnectionUse, ServerAddress};
 use crate::requests::InFlightAttempt;
@@ -69,6 +70,7 @@
                 is_prefill: target.role == Role::Prefill,
                 conn,
                 sent_at: now,
+                last_byte_at: None,
             });
         }
         self.timers
@@ -191,9 +193,11 @@
         &mut self,
         now: Micros,
         request: RequestId,
+        cause: EndCause,
         outcome: Outcome,
         commands: &mut Vec<Command>,
     ) {
+        self.report_attempt_end(now, request, cause, outcome, commands);
         if self
             .requests
             .get(request)
@@ -209,6 +213,7 @@
         &mut self,
         now: Micros,
         request: RequestId,
+        cause: EndCause,
         outcome: Outcome,
         commands: &mut Vec<Command>,
     ) {
@@ -227,7 +232,7 @@
         } else {
             outcome
         };
-        self.fail_attempt(now, request, outcome, commands);
+        self.fail_attempt(now, request, cause, outcome, commands);
     }
 
     /// Abandons an attempt whose request has not been written completely. The server has not started it, so nothing has
@@ -236,6 +241,7 @@
         &mut self,
         now: Micros,
         request: RequestId,
+        cause: EndCause,
         commands: &mut Vec<Command>,
     ) {
         let conn = self
@@ -247,7 +253,7 @@
             .and_then(|c| self.pool.get(c))
             .is_some_and(|connection| !connection.is_written())
         {
-            self.abandon_attempt(now, request, Outcome::ConnectFailed, commands);
+            self.abandon_attempt(now, request, cause, Outcome::ConnectFailed, commands);
         }
     }
 
@@ -266,7 +272,13 @@
                 .in_flight
                 .is_some_and(|in_flight| in_flight.number == attempt)
         {
-            self.abandon_attempt(now, request, Outcome::Cancelled, commands);
+            self.abandon_attempt(
+                now,
+                request,
+                EndCause::Cancelled,
+                Outcome::Cancelled,
+                commands,
+            );
         }
     }
 
@@ -285,7 +297,13 @@
                 .in_flight
                 .is_some_and(|attempt| attempt.number == number)
         {
-            self.abandon_attempt(now, request, Outcome::TimedOut, commands);
+            self.abandon_attempt(
+                now,
+                request,
+                EndCause::TimedOut,
+                Outcome::TimedOut,
+                commands,
+            );
         }
     }
 }
--- a/crates/platform/src/node/client_requests.rs
+++ b/crates/platform/src/node/client_requests.rs
@@ -5,6 +5,7 @@
 use bitternlatch_core::Micros;
 use bitternlatch_policy::interface::{Event, RequestId};
 
+use super::attempt_ends::EndCause;
 use super::Node;
 use crate::client::CompleteRequest;
 use crate::http1::{chunk, event_stream_head, plain_response, LAST_CHUNK};
@@ -390,9 +391,9 @@
         self.events
             .push_back(Event::ClientDisconnected { request: id });
         if is_streaming {
-            self.cancel_stream(now, id, commands);
+            self.cancel_stream(now, id, EndCause::ClientDisconnected, commands);
         } else {
-            self.abandon_unsent_attempt(now, id, commands);
+            self.abandon_unsent_attempt(now, id, EndCause::ClientDisconnected, commands);
         }
     }
 
--- a/crates/platform/src/node/exchanges.rs
+++ b/crates/platform/src/node/exchanges.rs
@@ -4,6 +4,7 @@
 use bitternlatch_core::Micros;
 use bitternlatch_policy::interface::{Event, Outcome, Role, ServerId, ServerStatus};
 
+use super::attempt_ends::EndCause;
 use super::Node;
 use crate::cold_servers::SentKind;
 use crate::pool::{ConnectionUse, Placement, ServerAddress, ServerConnection};
@@ -169,19 +170,27 @@
         };
         let usage = connection.usage;
         if !self.is_still_needed(connection.server, usage) {
-            return self.on_exchange_failed(now, usage, Outcome::ConnectFailed, commands);
+            return self.on_exchange_failed(
+                now,
+                usage,
+                EndCause::NotConnected,
+                Outcome::ConnectFailed,
+                commands,
+            );
         }
         let Some(new_conn) =
             self.start_exchange(now, target, usage, connection.pending_call, commands)
         else {
-            return self.on_exchange_failed(now, usage, Outcome::NotSent, commands);
+            return self.on_exchange_failed(
+                now,
+                usage,
+                EndCause::NotConnected,
+                Outcome::NotSent,
+                commands,
+            );
         };
         if let ConnectionUse::Attempt { request, .. } = usage {
-            if let Some(attempt) = self
-                .requests
-                .get_mut(request)
-                .and_then(|open| open.in_flight.as_mut())
-            {
+            if let Some(attempt) = self.requests.in_flight_mut(request) {
                 attempt.conn = new_conn;
             }
         }
@@ -220,7 +229,13 @@
         let (server, usage) = (connection.server, connection.usage);
         if !self.is_still_needed(server, usage) {
             self.close_server_connection(conn, commands);
-            return self.on_exchange_failed(now, usage, Outcome::ConnectFailed, commands);
+            return self.on_exchange_failed(
+                now,
+                usage,
+                EndCause::NotConnected,
+                Outcome::ConnectFailed,
+                commands,
+            );
         }
         let bytes = self.bytes_to_write(now, usage, &waiting);
         if let Some(connection) = self.pool.get_mut(conn) {
@@ -278,7 +293,7 @@
             _ => Outcome::TimedOut,
         };
         self.close_server_connection(conn, commands);
-        self.on_exchange_failed(now, usage, outcome, commands);
+        self.on_exchange_failed(now, usage, EndCause::NotConnected, outcome, commands);
     }
 
     pub(super) fn on_server_closed(
@@ -295,20 +310,22 @@
         } else {
             Outcome::ConnectFailed
         };
-        self.on_exchange_failed(now, connection.usage, outcome, commands);
+        let cause = EndCause::ClosedByServer;
+        self.on_exchange_failed(now, connection.usage, cause, outcome, commands);
     }
 
     fn on_exchange_failed(
         &mut self,
         now: Micros,
         usage: ConnectionUse,
+        cause: EndCause,
         outcome: Outcome,
         commands: &mut Vec<Command>,
     ) {
         match usage {
             ConnectionUse::Idle => {}
             ConnectionUse::Attempt { request, .. } => {
-                self.fail_attempt(now, request, outcome, commands)
+                self.fail_attempt(now, request, cause, outcome, commands)
             }
             ConnectionUse::HealthCheck { server } => {
                 self.finish_health_check(now, server, outcome, Vec::new())
@@ -331,6 +348,11 @@
         };
         connection.last_received = Some(now);
         let usage = connection.usage;
+        if let ConnectionUse::Attempt { request, .. } = usage {
+            if let Some(attempt) = self.requests.in_flight_mut(request) {
+                attempt.last_byte_at = Some(now);
+            }
+        }
         if usage == ConnectionUse::Idle {
             // Unexpected bytes on an idle connection could not be told apart from the response to the next request.
             return self.close_server_connection(conn, commands);
@@ -351,9 +373,10 @@
                 self.on_events(now, usage, &events, commands);
                 self.on_complete_response(now, usage, complete, &content, commands);
             }
-            Err(_) => {
+            Err(error) => {
                 self.close_server_connection(conn, commands);
-                self.on_exchange_failed(now, usage, Outcome::Reset, commands);
+                let cause = EndCause::Malformed(error);
+                self.on_exchange_failed(now, usage, cause, Outcome::Reset, commands);
             }
         }
     }
--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -4,6 +4,7 @@
 //! cancel an attempt. Each part of the state is owned by one field of [`Node`]; the submodules pass inputs and actions
 //! to that owner.
 
+mod attempt_ends;
 mod attempts;
 mod client_requests;
 mod discovery_updates;
--- a/crates/platform/src/node/release_calls.rs
+++ b/crates/platform/src/node/release_calls.rs
@@ -3,6 +3,7 @@
 use bitternlatch_core::Micros;
 use bitternlatch_policy::interface::{Outcome, ReleaseRepeat, RequestId, ServerId};
 
+use super::attempt_ends::EndCause;
 use super::{log, Node};
 use crate::pool::{ConnectionUse, ServerAddress};
 use crate::releases::Release;
@@ -39,7 +40,7 @@
             self.report_unconfirmed(now, &dropped, "too many releases are open", commands);
         }
         if is_decode_attempt {
-            self.abandon_unsent_attempt(now, request, commands);
+            self.abandon_unsent_attempt(now, request, EndCause::StateReleased, commands);
         }
         self.call_release(now, started.id, commands);
         self.timers.set(
--- a/crates/platform/src/node/streams.rs
+++ b/crates/platform/src/node/streams.rs
@@ -3,6 +3,7 @@
 use bitternlatch_core::Micros;
 use bitternlatch_policy::interface::{Outcome, RequestId};
 
+use super::attempt_ends::EndCause;
 use super::attempts::ResponseDetails;
 use super::Node;
 use crate::requests::OpenRequest;
@@ -20,10 +21,12 @@
         &mut self,
         now: Micros,
         request: RequestId,
+        cause: EndCause,
         commands: &mut Vec<Command>,
     ) {
         if let Some(attempt) = self.requests.get(request).and_then(|open| open.in_flight) {
             self.close_server_connection(attempt.conn, commands);
+            self.report_attempt_end(now, request, cause, Outcome::Cancelled, commands);
             self.finish_attempt(now, request, Outcome::Cancelled, ResponseDetails::default());
         }
     }
@@ -37,7 +40,7 @@
         let running: Vec<RequestId> = running.map(|(id, _)| id).collect();
         for id in running {
             self.break_stream(id, commands);
-            self.cancel_stream(now, id, commands);
+            self.cancel_stream(now, id, EndCause::Shutdown, commands);
         }
     }
 
@@ -55,7 +58,13 @@
         for id in stalled {
             if let Some(attempt) = self.requests.get(id).and_then(|open| open.in_flight) {
                 self.close_server_connection(attempt.conn, commands);
-                self.fail_attempt(now, id, Outcome::TimedOut, commands);
+                self.fail_attempt(
+                    now,
+                    id,
+                    EndCause::StreamStalled,
+                    Outcome::TimedOut,
+                    commands,
+                );
             }
         }
     }
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -244,6 +244,8 @@
     pub conn: ConnId,
     /// When the attempt was sent.
     pub sent_at: Micros,
+    /// When bytes of its response last arrived.
+    pub last_byte_at: Option<Micros>,
 }
 
 /// A request from its last received byte until it has been answered and no attempt is in flight.
@@ -338,6 +340,11 @@
         self.open.get_mut(&id)
     }
 
+    /// Looks up the attempt in flight of a request for modification.
+    pub(crate) fn in_flight_mut(&mut self, id: RequestId) -> Option<&mut InFlightAttempt> {
+        self.open.get_mut(&id)?.in_flight.as_mut()
+    }
+
     /// Frees the prompt of a request that needs no further attempt.
     pub fn drop_prompt(&mut self, id: RequestId) {
         let Some(open) = self.open.get_mut(&id) else {
