A stream is not cut while its events still come: one limit, as late as its client allows

A stream that its slow client has paused is checked again from when it is resumed.

The digests of outputs_are_the_same_over_seeded_inputs change, as streams end later and each has a timer.

--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -72,6 +72,11 @@
         self.requests.contains_key(&conn)
     }
 
+    /// Open request of a client.
+    pub fn request_of(&self, conn: ConnId) -> Option<RequestId> {
+        self.requests.get(&conn).copied()
+    }
+
     /// Records that a server connection is not read until this client has caught up.
     pub fn apply_backpressure(&mut self, conn: ConnId, server: ConnId) {
         self.backpressured.insert(conn, server);
--- a/crates/platform/src/node/attempt_ends.rs
+++ b/crates/platform/src/node/attempt_ends.rs
@@ -100,18 +100,18 @@
         let endpoint = self.discovery.endpoints().get(attempt.server);
         let server = endpoint.map_or("unlisted", |endpoint| &endpoint.uid);
         let (age_s, last_byte) = (now.since(attempt.sent_at), ago(now, attempt.last_byte_at));
-        if open.last_event_at.is_none() {
+        let Some(stream) = open.stream else {
             let text = format!(
                 "attempt {number} of {id} ended: {cause}; outcome {outcome:?}, server {server}, \
                  after {age_s:.3} s, last byte {last_byte}"
             );
             return (Level::Info, text);
-        }
+        };
         let level = match cause {
             EndCause::ClientDisconnected => Level::Info,
             _ => Level::Warn,
         };
-        let last_event = ago(now, open.last_event_at);
+        let last_event = ago(now, Some(stream.last_event_at));
         let text = format!(
             "stream of {id} ended without its last chunk: {cause}; attempt {number}, server {server}, \
              after {age_s:.3} s, last event {last_event}, last byte {last_byte}"
--- a/crates/platform/src/node/attempts.rs
+++ b/crates/platform/src/node/attempts.rs
@@ -8,7 +8,7 @@
 use super::attempt_ends::EndCause;
 use super::Node;
 use crate::pool::{ConnectionUse, ServerAddress};
-use crate::requests::InFlightAttempt;
+use crate::requests::{InFlightAttempt, OpenRequest};
 use crate::responses::CompleteResponse;
 use crate::timer::Timer;
 use crate::types::Command;
@@ -161,7 +161,7 @@
         let Some(open) = self.requests.get(request) else {
             return;
         };
-        let is_streaming = open.last_event_at.is_some();
+        let is_streaming = open.is_streaming();
         let is_prefill = open.in_flight.is_some_and(|attempt| attempt.is_prefill);
         let outcome = match complete.status {
             200 if is_streaming => Outcome::Served,
@@ -201,7 +201,7 @@
         if self
             .requests
             .get(request)
-            .is_some_and(|open| open.last_event_at.is_some())
+            .is_some_and(OpenRequest::is_streaming)
         {
             self.break_stream(request, commands);
         }
@@ -267,7 +267,7 @@
         let Some(open) = self.requests.get(request) else {
             return;
         };
-        if open.last_event_at.is_none()
+        if !open.is_streaming()
             && open
                 .in_flight
                 .is_some_and(|in_flight| in_flight.number == attempt)
@@ -292,7 +292,7 @@
         let Some(open) = self.requests.get(request) else {
             return;
         };
-        if open.last_event_at.is_none()
+        if !open.is_streaming()
             && open
                 .in_flight
                 .is_some_and(|attempt| attempt.number == number)
--- a/crates/platform/src/node/client_requests.rs
+++ b/crates/platform/src/node/client_requests.rs
@@ -10,7 +10,9 @@
 use crate::client::CompleteRequest;
 use crate::http1::{chunk, event_stream_head, plain_response, LAST_CHUNK};
 use crate::pool::ConnectionUse;
-use crate::requests::{parse_request, ForwardedRequest, OpenRequest, ParsedRequest};
+use crate::requests::{
+    parse_request, ForwardedRequest, OpenRequest, ParsedRequest, StreamProgress,
+};
 use crate::types::{Command, ConnId};
 
 /// Upper bound on the bytes that chunk framing and the response head add to the forwarded events.
@@ -133,7 +135,7 @@
             attempts: 0,
             in_flight: None,
             aborted_at: None,
-            last_event_at: None,
+            stream: None,
             answered: false,
         });
         self.clients.begin_request(conn, arrival.id);
@@ -255,7 +257,7 @@
     fn claim_final_response(&mut self, id: RequestId) -> Option<ConnId> {
         self.requests
             .get(id)
-            .filter(|open| !open.answered && open.last_event_at.is_none())?;
+            .filter(|open| !open.answered && !open.is_streaming())?;
         self.finish_for_client(id)
     }
 
@@ -283,7 +285,9 @@
             return;
         };
         let Some(conn) = open.client else { return };
-        let is_first = open.last_event_at.replace(now).is_none();
+        let is_first = !open.is_streaming();
+        let stream = open.stream.get_or_insert(StreamProgress::new(now));
+        stream.last_event_at = now;
         let server = open.in_flight.map(|attempt| attempt.conn);
         let mut bytes = Vec::with_capacity(events.len() + CHUNK_OVERHEAD_BYTES);
         if is_first {
@@ -292,6 +296,7 @@
             bytes =
                 event_stream_head(client.is_some_and(|c| c.keeps_alive_after_response(stopping)));
             self.requests.drop_prompt(id);
+            self.set_stream_check(id);
         }
         chunk(events, &mut bytes);
         self.write_client(now, conn, bytes, commands);
@@ -360,6 +365,7 @@
                     conn: server,
                     paused: false,
                 });
+                self.resume_stream(now, conn);
             }
         }
     }
@@ -380,7 +386,7 @@
             return;
         };
         open.client = None;
-        let is_streaming = open.last_event_at.is_some();
+        let is_streaming = open.is_streaming();
         if !std::mem::replace(&mut open.answered, true) {
             self.counts.disconnected += 1;
         }
--- a/crates/platform/src/node/exchanges.rs
+++ b/crates/platform/src/node/exchanges.rs
@@ -410,7 +410,7 @@
         let Some(in_flight) = open.in_flight.filter(|attempt| attempt.number == number) else {
             return;
         };
-        let is_first = open.last_event_at.is_none();
+        let is_first = !open.is_streaming();
         self.forward_events(now, request, events, commands);
         if is_first {
             let elapsed_s = now.since(in_flight.sent_at);
--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -40,7 +40,7 @@
 use crate::timer::Timer;
 use crate::types::{Command, ConnId, Input, Level};
 
-/// Interval between two checks for overdue clients, expired idle connections and stalled streams, seconds.
+/// Interval between two checks for overdue clients and expired idle connections, seconds.
 const SWEEP_INTERVAL_SECS: f64 = 0.2;
 
 fn log(commands: &mut Vec<Command>, level: Level, text: String) {
@@ -235,6 +235,7 @@
                 Timer::Sweep => self.sweep(now, commands),
                 Timer::DiscoveryWatch => self.update_watch(now, commands),
                 Timer::StopAccepting => commands.push(Command::StopListening),
+                Timer::StreamCheck { request } => self.check_stream(now, request, commands),
                 Timer::StreamsEnd => self.end_streams(now, commands),
                 // The `finish_shutdown` call in `process_events` checks the release deadline.
                 Timer::ReleasesEnd => {}
@@ -408,7 +409,6 @@
         for conn in self.pool.expired_idle(now, is_listed) {
             self.close_server_connection(conn, commands);
         }
-        self.break_stalled_streams(now, commands);
         self.log_warm_ups(now, commands);
         let warm_ups = self.cold_servers.counts();
         if let Some(line) = self.counts_log.line(now, self.counts, warm_ups) {
--- a/crates/platform/src/node/streams.rs
+++ b/crates/platform/src/node/streams.rs
@@ -6,11 +6,20 @@
 use super::attempt_ends::EndCause;
 use super::attempts::ResponseDetails;
 use super::Node;
+use crate::requests::StreamProgress;
+use crate::timer::Timer;
 use crate::types::{Command, ConnId};
 
-/// Time without a complete event from the model server after which a stream counts as broken, seconds. The platform
-/// counts a client that waits 5 s as lost.
-const STREAM_STALL_SECS: f64 = 4.4;
+/// Longest time that a client waits after the last event of its stream before the platform counts it as lost, seconds,
+/// with the slack of limits on sockets.
+const MAX_WAIT_SECS: f64 = 5.05;
+/// Longest time that the process may be held up between reading the clock and writing, seconds.
+const MAX_HOLD_UP_SECS: f64 = 0.15;
+/// Time from an event at the server to the node, and from the node to the end at the client, seconds.
+const TRANSIT_SECS: f64 = 0.02;
+/// Time after its last event at which a stream is ended, seconds: as late as its client allows, since the next event may
+/// still come.
+const STREAM_LIMIT_SECS: f64 = MAX_WAIT_SECS - MAX_HOLD_UP_SECS - TRANSIT_SECS;
 
 impl Node {
     /// Cancels the attempt of a stream whose client no longer receives it.
@@ -33,7 +42,7 @@
         let running = self
             .requests
             .iter()
-            .filter(|(_, open)| open.last_event_at.is_some() && !open.answered);
+            .filter(|(_, open)| open.is_streaming() && !open.answered);
         let running: Vec<RequestId> = running.map(|(id, _)| id).collect();
         for id in running {
             self.break_stream(id, commands);
@@ -41,28 +50,58 @@
         }
     }
 
-    /// Ends streams whose model servers write no further event, so that their clients can request the rest. Streams
-    /// paused by a slow client are left alone.
-    pub(super) fn break_stalled_streams(&mut self, now: Micros, commands: &mut Vec<Command>) {
-        let backpressured =
-            |conn: Option<ConnId>| conn.is_some_and(|conn| self.clients.is_backpressured(conn));
-        let stalled = self.requests.iter().filter(|(_, open)| {
-            open.last_event_at
-                .is_some_and(|at| now.since(at) >= STREAM_STALL_SECS)
-                && !backpressured(open.client)
-        });
-        let stalled: Vec<RequestId> = stalled.map(|(id, _)| id).collect();
-        for id in stalled {
-            if let Some(attempt) = self.requests.get(id).and_then(|open| open.in_flight) {
-                self.close_server_connection(attempt.conn, commands);
-                self.fail_attempt(
-                    now,
-                    id,
-                    EndCause::StreamStalled,
-                    Outcome::TimedOut,
-                    commands,
-                );
-            }
+    /// Sets the timer that ends a stream if no event comes.
+    pub(super) fn set_stream_check(&mut self, request: RequestId) {
+        let Some(stream) = self.stream_mut(request).filter(|s| !s.is_check_set) else {
+            return;
+        };
+        stream.is_check_set = true;
+        let due = stream.waiting_since().after(STREAM_LIMIT_SECS);
+        self.timers.set(due, Timer::StreamCheck { request });
+    }
+
+    /// Ends a stream whose last event is too long ago, so that its client can request the rest. Bytes that complete no
+    /// event do not count. A stream that its slow client has paused is checked again once it is resumed.
+    pub(super) fn check_stream(
+        &mut self,
+        now: Micros,
+        request: RequestId,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(stream) = self.stream_mut(request) else {
+            return;
+        };
+        stream.is_check_set = false;
+        let is_due = now >= stream.waiting_since().after(STREAM_LIMIT_SECS);
+        let Some(open) = self.requests.get(request) else {
+            return;
+        };
+        let (client, in_flight) = (open.client, open.in_flight);
+        if client.is_none_or(|conn| self.clients.is_backpressured(conn)) {
+            return;
+        }
+        if !is_due {
+            return self.set_stream_check(request);
         }
+        if let Some(attempt) = in_flight {
+            let (cause, outcome) = (EndCause::StreamStalled, Outcome::TimedOut);
+            self.close_server_connection(attempt.conn, commands);
+            self.fail_attempt(now, request, cause, outcome, commands);
+        }
+    }
+
+    /// Records that a client has caught up, so that its stream is read from the server again.
+    pub(super) fn resume_stream(&mut self, now: Micros, client: ConnId) {
+        let Some(request) = self.clients.request_of(client) else {
+            return;
+        };
+        if let Some(stream) = self.stream_mut(request) {
+            stream.resumed_at = Some(now);
+            self.set_stream_check(request);
+        }
+    }
+
+    fn stream_mut(&mut self, request: RequestId) -> Option<&mut StreamProgress> {
+        self.requests.get_mut(request)?.stream.as_mut()
     }
 }
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -248,6 +248,34 @@
     pub last_byte_at: Option<Micros>,
 }
 
+/// What has come of a stream that is forwarded to a client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamProgress {
+    /// When the last complete event was received from the server.
+    pub last_event_at: Micros,
+    /// When reading from the server was last resumed, after its client had read too slowly.
+    pub resumed_at: Option<Micros>,
+    /// Whether a timer is set that checks when the last event came.
+    pub is_check_set: bool,
+}
+
+impl StreamProgress {
+    /// Progress of a stream whose first event has just been received.
+    pub fn new(now: Micros) -> StreamProgress {
+        StreamProgress {
+            last_event_at: now,
+            resumed_at: None,
+            is_check_set: false,
+        }
+    }
+
+    /// Since when the next event is waited for. While reading from the server is paused, none can come.
+    pub fn waiting_since(&self) -> Micros {
+        self.resumed_at
+            .map_or(self.last_event_at, |at| at.max(self.last_event_at))
+    }
+}
+
 /// A request from its last received byte until it has been answered and no attempt is in flight.
 #[derive(Debug)]
 pub struct OpenRequest {
@@ -266,8 +294,8 @@
     /// When an attempt was last aborted by the dispatcher or a broken connection. The server may notice this a little
     /// later.
     pub aborted_at: Option<Micros>,
-    /// When the last event was forwarded to the client; `None` before the first event.
-    pub last_event_at: Option<Micros>,
+    /// Progress of the stream to the client; `None` before the first event.
+    pub stream: Option<StreamProgress>,
     /// Whether the final response was sent, or the client has disconnected.
     pub answered: bool,
 }
@@ -279,6 +307,11 @@
         forwarded.map_or(0, |request| request.body_bytes())
     }
 
+    /// Whether an attempt has begun streaming to the client.
+    pub fn is_streaming(&self) -> bool {
+        self.stream.is_some()
+    }
+
     /// Whether the request is answered and no attempt is in flight.
     fn is_complete(&self) -> bool {
         self.answered && self.in_flight.is_none()
--- a/crates/platform/src/timer.rs
+++ b/crates/platform/src/timer.rs
@@ -16,7 +16,9 @@
     ServerConnection { conn: ConnId, since: Micros },
     /// A release that is still unconfirmed is sent to further servers.
     Release { id: u64 },
-    /// Periodic check of connections and streams.
+    /// A stream is ended if no event has come for too long.
+    StreamCheck { request: RequestId },
+    /// Periodic check of connections.
     Sweep,
     /// The discovery watch has to be started or has missed a timeout.
     DiscoveryWatch,
--- a/crates/platform/tests/output_order.rs
+++ b/crates/platform/tests/output_order.rs
@@ -518,10 +518,10 @@
 #[test]
 fn outputs_are_the_same_over_seeded_inputs() {
     let expected: [(u64, u64); 4] = [
-        (1, 0x88cc1f464a7b03d8),
-        (2, 0x4f2b023bd5b86063),
-        (3, 0x341d594b87c02f86),
-        (4, 0x4317050e84a22b91),
+        (1, 0x77b357ea4657aca6),
+        (2, 0xcf08c1381685517c),
+        (3, 0xb26c172ed415cba),
+        (4, 0x3d15259497ed6e81),
     ];
     let mut totals = [0; 11];
     let found: Vec<(u64, u64)> = expected
--- a/crates/platform/tests/truncated_responses.rs
+++ b/crates/platform/tests/truncated_responses.rs
@@ -60,8 +60,8 @@
     }
 }
 
-/// A response may arrive byte by byte, as long as the time between two complete events stays below 4.4 s, after which a
-/// stream counts as broken.
+/// A response may arrive byte by byte, as long as the time between two complete events stays below the limit of a
+/// stream.
 #[test]
 fn response_may_come_byte_by_byte() {
     let mut harness = Harness::new();
--- a/programs/dispatch/tests/common/bench.rs
+++ b/programs/dispatch/tests/common/bench.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use rustix::process::Signal;
@@ -158,16 +158,3 @@
     }
     String::from_utf8_lossy(&received).into_owned()
 }
-
-/// Connects a client with a small receive buffer, so that most of a long response waits at the dispatcher.
-pub fn slow_client(to: SocketAddr) -> TcpStream {
-    use rustix::net::{
-        connect, socket, sockopt::set_socket_recv_buffer_size, AddressFamily, SocketType,
-    };
-    let socket = socket(AddressFamily::INET, SocketType::STREAM, None).expect("a socket");
-    set_socket_recv_buffer_size(&socket, 4096).expect("an option");
-    connect(&socket, &to).expect("a connection");
-    let stream = TcpStream::from(socket);
-    stream.set_read_timeout(Some(SOON)).expect("a bound");
-    stream
-}
--- a/programs/dispatch/tests/common/mod.rs
+++ b/programs/dispatch/tests/common/mod.rs
@@ -312,3 +312,16 @@
          Req-Deadline-Ms: 20000\r\n{more}Content-Length: 2\r\n\r\n{{}}"
     )
 }
+
+/// Connects a client with a small receive buffer, so that most of a long response waits at the dispatcher.
+pub fn slow_client(to: SocketAddr) -> TcpStream {
+    use rustix::net::{
+        connect, socket, sockopt::set_socket_recv_buffer_size, AddressFamily, SocketType,
+    };
+    let socket = socket(AddressFamily::INET, SocketType::STREAM, None).expect("a socket");
+    set_socket_recv_buffer_size(&socket, 4096).expect("an option");
+    connect(&socket, &to).expect("a connection");
+    let stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(SOON)).expect("a bound");
+    stream
+}
--- a/programs/dispatch/tests/stalled_streams.rs
+++ b/programs/dispatch/tests/stalled_streams.rs
@@ -1,4 +1,5 @@
-//! Checks when a stream is ended whose model server writes no further event, whatever else it writes,
+//! Checks when a stream is ended whose model server writes no further event, whatever else it writes, and that one whose
+//! events still come is not.
 mod common;
 #[path = "common/shaped.rs"]
 mod shaped;
@@ -14,6 +15,12 @@
 /// The platform counts a client as lost that waits so long after its server's last event; the second part is the slack
 /// of every limit on sockets.
 const MAX_WAIT: Duration = Duration::from_millis(5000 + 50);
+/// A dispatcher may be held up for so long. Up to that before the limit, an event may still come.
+const HELD_UP: Duration = Duration::from_millis(150);
+/// From an event at its server to its event at the dispatcher, and the resolution of timers.
+const TRANSIT: Duration = Duration::from_millis(50);
+/// Whole events with a longer pause than this between them cannot be waited for.
+const LONGEST_PAUSE: Duration = Duration::from_millis(4850);
 const DEADLINE: Duration = Duration::from_millis(1500);
 /// A final answer may come so much after its deadline.
 const ANSWER_SLACK: Duration = Duration::from_millis(550);
@@ -26,9 +33,9 @@
 enum Expected {
     /// The whole stream arrives.
     Whole,
-    /// The connection ends without the last chunk, at the latest at the limit.
+    /// The connection ends without the last chunk as late as the limit allows: an event could still have come.
     Stalled,
-    /// The same, of a response that cannot be read any further.
+    /// The connection ends without the last chunk, at the latest at the limit.
     Spoilt,
     /// A final answer comes by the deadline.
     Failed,
@@ -60,6 +67,12 @@
     pause(60_000)
 }
 
+/// An answer of events with so long pauses between them, in milliseconds.
+fn with_pauses(ms: u64) -> Vec<Step> {
+    let later = [pause(ms), event("3"), pause(ms), event("4")];
+    begun([later.to_vec(), vec![write(LAST_CHUNK)]].concat())
+}
+
 /// Answers of servers that write no further event, or whose events still come.
 fn shapes() -> Vec<(&'static str, Vec<Step>, Expected)> {
     use Expected::*;
@@ -92,8 +105,18 @@
         ("length-too-long",
             vec![write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 900\r\n\r\n"),
                 Step::Event("data: 1\n\n".into()), repeat("x", 400)], Stalled),
+        ("pauses-of-4.5-s", with_pauses(4500), Whole),
+        ("pauses-of-4.7-s", with_pauses(4700), Whole),
+        ("pauses-of-4.85-s", with_pauses(LONGEST_PAUSE.as_millis() as u64), Whole),
         ("events-byte-by-byte",
             begun(vec![slow("data: 3\n\n"), slow("data: 4\n\n"), slow("data: 5\n\n"), write(LAST_CHUNK)]), Whole),
+        ("comments-between-events",
+            begun(vec![pause(2400), write(chunk(": still here\n\n")), pause(2400), event("3"), write(LAST_CHUNK)]), Whole),
+        ("fields-before-an-event",
+            begun(vec![write(chunk("id: 7\n\n")), pause(1000), event("3"), write(LAST_CHUNK)]), Whole),
+        ("length-with-pauses",
+            vec![write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 18\r\n\r\n"),
+                Step::Event("data: 1\n\n".into()), pause(4700), Step::Event("data: 2\n\n".into())], Whole),
         ("head-without-end", vec![write("HTTP/1.1 200 OK\r\nX-Head: "), repeat("h", 200)], Failed),
         ("interim-answers", vec![repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 200)], Failed),
         ("head-then-comments", vec![write(CHUNKED_HEAD), repeat(chunk(": wait\n"), 200)], Failed),
@@ -160,7 +183,12 @@
     let is_waited_for = longest_wait <= MAX_WAIT;
     let held = match expected {
         Expected::Whole => is_whole && is_waited_for && text.contains("data: 2\n\n"),
-        Expected::Stalled => !is_whole && is_waited_for && waited <= MAX_WAIT,
+        Expected::Stalled => {
+            !is_whole
+                && is_waited_for
+                && waited <= MAX_WAIT
+                && waited >= MAX_WAIT - HELD_UP - TRANSIT
+        }
         Expected::Spoilt => !is_whole && text.contains("data: 2\n\n") && waited <= MAX_WAIT,
         Expected::Failed => text.starts_with("HTTP/1.1 50") && took <= DEADLINE + ANSWER_SLACK,
     };
@@ -171,9 +199,10 @@
         .then(|| format!("{id} ({expected:?}): ended {waited:.3?} after the last event: {text:?}"))
 }
 
-/// Guards against clients that wait without end for a server that writes bytes and no event.
+/// Guards against clients that wait without end for a server that writes bytes and no event, and against streams that
+/// are cut while their events still come.
 #[test]
-fn stream_is_ended_by_the_limit_after_its_last_whole_event() {
+fn stream_is_ended_by_the_limit_after_its_last_whole_event_and_not_before() {
     let servers = ShapedServers::default();
     let shapes = shapes();
     let scripts = shapes
@@ -206,3 +235,71 @@
         faults.join("\n")
     );
 }
+
+/// A client of a long answer reads nothing for so long.
+const REST: Duration = Duration::from_secs(7);
+
+/// Connects with a short receive buffer, asks, rests, and then reads to the end; gives what it read and the wait after
+/// the last bytes.
+fn rest_and_read(to: SocketAddr, id: &str) -> (String, Duration) {
+    let mut client = slow_client(to);
+    client
+        .write_all(request(id, "Connection: close\r\n").as_bytes())
+        .expect("asked");
+    thread::sleep(REST);
+    let (mut received, mut buffer) = (Vec::new(), [0; 65_536]);
+    let mut last_bytes_at = Instant::now();
+    while let Ok(read @ 1..) = client.read(&mut buffer) {
+        received.extend_from_slice(&buffer[..read]);
+        last_bytes_at = Instant::now();
+    }
+    let text = String::from_utf8_lossy(&received).into_owned();
+    (text, last_bytes_at.elapsed())
+}
+
+/// Guards against a stream that its resting client has paused and that is then cut while events still come, or is never
+/// ended though none does.
+#[test]
+fn stream_that_its_client_has_paused_is_ended_by_the_limit_after_it_is_resumed() {
+    let long = vec![event(&"l".repeat(4000)); 3000];
+    let goes_on = [pause(4500), event("end"), write(LAST_CHUNK)];
+    let scripts = Scripts::from([
+        (
+            "goes-on".into(),
+            [begun(long.clone()), goes_on.to_vec()].concat(),
+        ),
+        (
+            "stalls".into(),
+            [begun(long), vec![write("fff\r\nd"), repeat("x", 400)]].concat(),
+        ),
+    ]);
+    let at = ShapedServers::default().start(scripts);
+    let known = [
+        target("a", server(true), "reads"),
+        target("b", at, "writes"),
+    ];
+    let listen = reserved_address();
+    let text = configuration_with(listen, discovery().0, &known);
+    let dispatcher = Dispatcher::start_with("resting-clients", listen, text, program);
+    let to = dispatcher.listen;
+    thread::scope(|scope| {
+        let whole = scope.spawn(move || rest_and_read(to, "goes-on"));
+        let (text, waited) = rest_and_read(to, "stalls");
+        println!("stalls: ended {waited:.3?} after the last bytes");
+        assert!(
+            !text.ends_with(LAST_CHUNK) && waited <= MAX_WAIT,
+            "{waited:?}"
+        );
+        assert_eq!(
+            text.matches("data: ").count(),
+            3002,
+            "events before the one without an end"
+        );
+        let (text, waited) = whole.join().expect("a client");
+        assert!(
+            text.ends_with(LAST_CHUNK),
+            "cut {waited:?} after the last bytes"
+        );
+        assert!(text.contains("data: end\n\n"), "without its last event");
+    });
+}
