Fields without data in an answer do not count as its events

By the event-stream format such a block gives no event. It is kept back and forwarded, unchanged, with the next event or the end of the stream; both together stay within the bound on an event.

--- a/crates/platform/src/event_stream.rs
+++ b/crates/platform/src/event_stream.rs
@@ -5,10 +5,23 @@
 
 use crate::http1::MAX_BODY_BYTES;
 
+/// Kinds of blocks in an event stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Block {
+    /// Empty, or only comments of the platform: not forwarded.
+    Own,
+    /// Fields without data, which clients receive no event for.
+    WithoutData,
+    /// An event.
+    Event,
+}
+
 /// Parser for an event stream, with the bytes that have not been forwarded yet.
 #[derive(Debug, Default)]
 pub struct EventStream {
     unfinished: Vec<u8>,
+    /// Complete blocks without data. They are forwarded with the next event, since they are none themselves.
+    withheld: Vec<u8>,
     /// Prompt tokens that the server found in its prefix cache, once reported.
     pub cached_tokens: Option<f64>,
     /// Tokens of the answer, once reported.
@@ -26,23 +39,33 @@
         while let Some(len) = event_length(&self.unfinished[from..]) {
             let event = from..from + len;
             from += len;
-            if !self.is_own_event(event.clone()) {
-                out.extend_from_slice(&self.unfinished[event]);
+            match self.read_block(event.clone()) {
+                Block::Own => {}
+                Block::WithoutData => self.withheld.extend_from_slice(&self.unfinished[event]),
+                Block::Event => {
+                    out.append(&mut self.withheld);
+                    out.extend_from_slice(&self.unfinished[event]);
+                }
             }
         }
         self.unfinished.drain(..from);
-        self.unfinished.len() <= MAX_BODY_BYTES
+        self.unfinished.len() + self.withheld.len() <= MAX_BODY_BYTES
     }
 
-    /// Bytes after the last complete event.
-    pub fn remainder(&self) -> &[u8] {
-        &self.unfinished
+    /// Bytes after the last event that are to be forwarded at the end of the stream.
+    pub fn remainder(&mut self) -> Vec<u8> {
+        let mut rest = std::mem::take(&mut self.withheld);
+        let unfinished = &self.unfinished;
+        if !unfinished.trim_ascii().is_empty() && !unfinished.starts_with(b":") {
+            rest.extend_from_slice(unfinished);
+        }
+        rest
     }
 
-    /// Reads one event; returns true if it is empty or holds only comments, so that it is not forwarded.
-    fn is_own_event(&mut self, event: std::ops::Range<usize>) -> bool {
+    /// Reads one block, which ends with an empty line.
+    fn read_block(&mut self, event: std::ops::Range<usize>) -> Block {
         let text = String::from_utf8_lossy(&self.unfinished[event]).into_owned();
-        let mut only_comments = true;
+        let mut block = Block::Own;
         for line in text.lines().filter(|l| !l.is_empty()) {
             if let Some(comment) = line.strip_prefix(':') {
                 let field = comment.trim_start().split_once(':');
@@ -51,7 +74,11 @@
                 }
                 continue;
             }
-            only_comments = false;
+            if line.starts_with("data:") || line == "data" {
+                block = Block::Event;
+            } else if block == Block::Own {
+                block = Block::WithoutData;
+            }
             // Only lines with usage data are parsed as JSON, since few events have any.
             if line.contains("cached_tokens") || line.contains("completion_tokens") {
                 let data = line
@@ -62,7 +89,7 @@
                 self.output_tokens = data.and_then(output_tokens).or(self.output_tokens);
             }
         }
-        only_comments
+        block
     }
 }
 
--- a/crates/platform/src/responses.rs
+++ b/crates/platform/src/responses.rs
@@ -118,10 +118,7 @@
         if !done {
             return Ok(BodyProgress::Events(events));
         }
-        let rest = self.events.remainder();
-        if !rest.trim_ascii().is_empty() && !rest.starts_with(b":") {
-            events.extend_from_slice(rest);
-        }
+        events.append(&mut self.events.remainder());
         Ok(BodyProgress::End {
             events,
             complete: self.summarize(true),
