A request that its server reads slowly does not arrive after its end

Cause: 'written' meant handed to the system. The rest of the request stood in the send buffer, and a close sends it in order.

A connection of an attempt that ends early is reset if bytes of it have not been delivered. As a client leaves or a release begins, a written attempt that is not delivered is ended too, with or without permission to cancel; it counts as one that may have run, as a part may have been on its way. What has arrived is left alone, and so are releases, health checks and kept connections. Where the system cannot tell, written counts as delivered, as before.

Class: 'handed to the system' taken for 'arrived'.

--- a/crates/platform-net/src/commands.rs
+++ b/crates/platform-net/src/commands.rs
@@ -30,6 +30,7 @@
             let input = match event {
                 SocketEvent::Wrote { conn, count } => Input::Wrote { conn, count },
                 SocketEvent::Ended { conn } => Input::Ended { conn },
+                SocketEvent::Undelivered { conn } => Input::Undelivered { conn },
                 SocketEvent::Stale { conn } => Input::Stale { conn },
             };
             self.node.step(self.observed_at, input, &mut self.commands);
@@ -47,6 +48,8 @@
             }
             Command::Reuse { conn, bytes } => self.reuse(conn, bytes),
             Command::Close { conn } => self.remove_socket(conn),
+            Command::Abort { conn } => self.abort(conn),
+            Command::AbortUndelivered { conn } => self.abort_undelivered(conn),
             Command::Finish { conn } => self.finish(conn),
             Command::Pause { conn, paused } => {
                 if let Some(socket) = self.sockets.get_mut(&conn) {
@@ -100,6 +103,24 @@
         self.connect_retries.cancel(conn);
     }
 
+    /// Closes a connection and drops what has not been delivered on it.
+    fn abort(&mut self, conn: ConnId) {
+        if let Some(socket) = self.sockets.get(&conn) {
+            socket.drop_undelivered();
+        }
+        self.remove_socket(conn);
+    }
+
+    /// Aborts a connection if not all written bytes have been delivered, and reports that.
+    fn abort_undelivered(&mut self, conn: ConnId) {
+        let socket = self.sockets.get(&conn);
+        if socket.is_some_and(Socket::has_undelivered) {
+            self.abort(conn);
+            self.socket_events
+                .push_back(SocketEvent::Undelivered { conn });
+        }
+    }
+
     /// Writes a request to an idle connection, unless the other side has closed it or sent anything since. Unread bytes
     /// would be taken for the response, and for a request written after the close it is unknown whether it ran.
     fn reuse(&mut self, conn: ConnId, bytes: Vec<u8>) {
--- a/crates/platform-net/src/lib.rs
+++ b/crates/platform-net/src/lib.rs
@@ -110,6 +110,8 @@
     Wrote { conn: ConnId, count: usize },
     /// The connection could not be established, or it failed.
     Ended { conn: ConnId },
+    /// The connection was aborted before all written bytes had been delivered.
+    Undelivered { conn: ConnId },
     /// An idle connection was to be reused, but the other side had closed it or had sent unexpected bytes.
     Stale { conn: ConnId },
 }
--- a/crates/platform-net/src/socket.rs
+++ b/crates/platform-net/src/socket.rs
@@ -2,11 +2,14 @@
 
 use std::io::{ErrorKind, Read as _, Write as _};
 use std::net::Shutdown;
+use std::time::Duration;
 
 use bitternlatch_core::Micros;
 use bitternlatch_platform::client::CLIENT_STALL_TIMEOUT_SECS;
 use mio::event::Event;
 use mio::net::TcpStream;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use socket2::SockRef;
 
 use crate::write_queue::WriteQueue;
 
@@ -277,6 +280,34 @@
         *discard_budget == 0
     }
 
+    /// Whether bytes are queued that the operating system has not sent to the other side. It sends no more than the other
+    /// side has room for, so what it has sent has been delivered. If this cannot be determined, everything counts as
+    /// delivered.
+    pub(crate) fn has_undelivered(&self) -> bool {
+        if !self.all_written() {
+            return true;
+        }
+        let options = SockRef::from(&self.stream);
+        // With a low-water mark of one byte, the socket is writable only if nothing is unsent.
+        if options.set_tcp_notsent_lowat(1).is_err() {
+            return false;
+        }
+        let mut polled = [PollFd::new(&self.stream, PollFlags::OUT)];
+        let writable = poll(&mut polled, Some(&Timespec::default()));
+        // Zero restores the default of the system.
+        let _ = options.set_tcp_notsent_lowat(0);
+        writable == Ok(0)
+    }
+
+    /// Makes the close of this connection drop what has not been delivered: it then resets the connection. A connection
+    /// without such bytes is closed in order.
+    pub(crate) fn drop_undelivered(&self) {
+        if self.stage != Stage::Connecting && self.has_undelivered() {
+            // If the option is not available, the close sends the rest first.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+
     /// Whether all queued bytes are written to the socket.
     pub(crate) fn all_written(&self) -> bool {
         self.unwritten() == 0
--- a/crates/platform/src/counts.rs
+++ b/crates/platform/src/counts.rs
@@ -45,6 +45,8 @@
     pub malformed_responses: u64,
     /// Attempts that the dispatcher ended before they had a whole answer.
     pub attempts_abandoned: u64,
+    /// Attempts ended because their request had not reached the server when it was no longer needed.
+    pub attempts_undelivered: u64,
     /// Clients that disconnected with a request open.
     pub disconnected: u64,
     /// Ids of disconnected clients' requests that were forgotten early, because too many were kept.
--- a/crates/platform/src/node/attempt_ends.rs
+++ b/crates/platform/src/node/attempt_ends.rs
@@ -29,6 +29,8 @@
     ClientDisconnected,
     /// The state that the attempt was to take is released.
     StateReleased,
+    /// The request was no longer needed before all of it had reached the server.
+    Undelivered,
     /// The shutdown schedule ended the stream.
     Shutdown,
 }
@@ -44,6 +46,7 @@
             EndCause::Cancelled => "cancelled by the decision module",
             EndCause::ClientDisconnected => "the client disconnected",
             EndCause::StateReleased => "its state is released",
+            EndCause::Undelivered => "no longer needed and not yet delivered",
             EndCause::Shutdown => "shutdown",
         };
         f.write_str(text)
@@ -78,6 +81,7 @@
         log(commands, level, text);
         match cause {
             EndCause::StreamStalled => self.counts.streams_stalled += 1,
+            EndCause::Undelivered => self.counts.attempts_undelivered += 1,
             EndCause::Malformed(_) => self.counts.malformed_responses += 1,
             EndCause::TimedOut
             | EndCause::Cancelled
--- a/crates/platform/src/node/attempts.rs
+++ b/crates/platform/src/node/attempts.rs
@@ -235,26 +235,26 @@
         self.fail_attempt(now, request, cause, outcome, commands);
     }
 
-    /// Abandons an attempt whose request has not been written completely. The server has not started it, so nothing has
-    /// to be cancelled there and the class needs no permission to cancel.
-    pub(super) fn abandon_unsent_attempt(
+    /// Abandons an attempt whose request has not reached its server completely. The server has not started it, so nothing
+    /// has to be cancelled there and the class needs no permission to cancel.
+    pub(super) fn abandon_undelivered_attempt(
         &mut self,
         now: Micros,
         request: RequestId,
         cause: EndCause,
         commands: &mut Vec<Command>,
     ) {
-        let conn = self
-            .requests
-            .get(request)
-            .and_then(|open| open.in_flight)
-            .map(|attempt| attempt.conn);
-        if conn
-            .and_then(|c| self.pool.get(c))
-            .is_some_and(|connection| !connection.is_written())
-        {
-            self.abandon_attempt(now, request, cause, Outcome::ConnectFailed, commands);
+        let Some(attempt) = self.requests.get(request).and_then(|open| open.in_flight) else {
+            return;
+        };
+        let conn = attempt.conn;
+        let Some(connection) = self.pool.get(conn) else {
+            return;
+        };
+        if connection.is_written() {
+            return commands.push(Command::AbortUndelivered { conn });
         }
+        self.abandon_attempt(now, request, cause, Outcome::ConnectFailed, commands);
     }
 
     pub(super) fn cancel_attempt(
--- a/crates/platform/src/node/client_requests.rs
+++ b/crates/platform/src/node/client_requests.rs
@@ -399,7 +399,7 @@
         if is_streaming {
             self.cancel_stream(now, id, EndCause::ClientDisconnected, commands);
         } else {
-            self.abandon_unsent_attempt(now, id, EndCause::ClientDisconnected, commands);
+            self.abandon_undelivered_attempt(now, id, EndCause::ClientDisconnected, commands);
         }
     }
 
--- a/crates/platform/src/node/exchanges.rs
+++ b/crates/platform/src/node/exchanges.rs
@@ -264,10 +264,30 @@
             .unwrap_or_default()
     }
 
+    /// Closes a connection. What is left of an attempt's request must not arrive any more; a release may.
     pub(super) fn close_server_connection(&mut self, conn: ConnId, commands: &mut Vec<Command>) {
-        if self.pool.remove(conn).is_some() {
-            commands.push(Command::Close { conn });
-        }
+        let Some(connection) = self.pool.remove(conn) else {
+            return;
+        };
+        commands.push(match connection.usage {
+            ConnectionUse::Attempt { .. } => Command::Abort { conn },
+            _ => Command::Close { conn },
+        });
+    }
+
+    /// Handles the end of an attempt whose request had not reached its server when it was no longer needed. Of the part
+    /// that was on its way nothing is known, so the attempt counts as one that may have run.
+    pub(super) fn on_request_undelivered(
+        &mut self,
+        now: Micros,
+        conn: ConnId,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(connection) = self.pool.remove(conn) else {
+            return;
+        };
+        let cause = EndCause::Undelivered;
+        self.on_exchange_failed(now, connection.usage, cause, Outcome::Cancelled, commands);
     }
 
     /// Handles a connect timeout, or the response timeout of a health check or a release call.
--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -199,6 +199,7 @@
             Input::Received { conn, bytes } => self.on_received(now, conn, bytes, commands),
             Input::Wrote { conn, count } => self.on_written(now, conn, count, commands),
             Input::Ended { conn } => self.on_closed(now, conn, commands),
+            Input::Undelivered { conn } => self.on_request_undelivered(now, conn, commands),
             Input::Stale { conn } => self.on_server_connection_stale(now, conn, commands),
             Input::Datagram { from, data } => self.on_datagram(from, data),
             Input::Tick => self.run_due_timers(now, commands),
--- a/crates/platform/src/node/release_calls.rs
+++ b/crates/platform/src/node/release_calls.rs
@@ -40,7 +40,7 @@
             self.report_unconfirmed(now, &dropped, "too many releases are open", commands);
         }
         if is_decode_attempt {
-            self.abandon_unsent_attempt(now, request, EndCause::StateReleased, commands);
+            self.abandon_undelivered_attempt(now, request, EndCause::StateReleased, commands);
         }
         self.call_release(now, started.id, commands);
         self.timers.set(
--- a/crates/platform/src/types.rs
+++ b/crates/platform/src/types.rs
@@ -38,6 +38,12 @@
         /// The connection that ended.
         conn: ConnId,
     },
+    /// Response to [`Command::AbortUndelivered`] for a connection whose written bytes had not all been delivered. The
+    /// connection is closed, and the rest will not arrive.
+    Undelivered {
+        /// The connection that was closed.
+        conn: ConnId,
+    },
     /// Response to [`Command::Reuse`] for a connection on which bytes or its end had arrived. Nothing was written, and
     /// the connection is closed.
     Stale {
@@ -94,11 +100,24 @@
         /// Bytes to write.
         bytes: Vec<u8>,
     },
-    /// Close a connection at once and drop unsent bytes. No further input is reported for it.
+    /// Close a connection at once and drop bytes that have not been handed to the operating system. No further input is
+    /// reported for it.
     Close {
         /// The connection to close.
         conn: ConnId,
     },
+    /// Close a connection at once and also drop the bytes that the operating system has not delivered to the other side,
+    /// so that an incomplete request stays incomplete. No further input is reported for it.
+    Abort {
+        /// The connection to close.
+        conn: ConnId,
+    },
+    /// Abort a connection if bytes written to it have not been delivered to the other side, and report
+    /// [`Input::Undelivered`]; otherwise do nothing.
+    AbortUndelivered {
+        /// The connection to close.
+        conn: ConnId,
+    },
     /// Send the remaining bytes, then close the connection so that the other side receives all of them. No further
     /// input is reported for it.
     Finish {
--- a/crates/platform/tests/disconnects.rs
+++ b/crates/platform/tests/disconnects.rs
@@ -413,6 +413,34 @@
     }
 }
 
+/// Guards against a request that stands in the system's buffer and reaches its server after its client has left. Whether
+/// the class allows cancellation does not matter, but what has arrived by then is left alone.
+#[test]
+fn written_request_that_is_not_delivered_is_aborted_when_its_client_leaves() {
+    for (cancel, delivered) in [(true, false), (false, false), (false, true)] {
+        let mut harness = harness(cancel);
+        let client = harness.send_request("u", "ask");
+        let call = harness.last_call(Call::is_prefill);
+        if !delivered {
+            harness.undelivered.insert(call.conn);
+        }
+        harness.step(Input::Ended { conn: client });
+        let case = format!("cancel {cancel}, delivered {delivered}");
+        assert_eq!(harness.closed.contains(&call.conn), !delivered, "{case}");
+        assert_eq!(
+            harness.node.counts().attempts_undelivered,
+            u64::from(!delivered && !cancel),
+            "{case}"
+        );
+        harness.advance(10.0);
+        assert_eq!(harness.count_calls(is_post), 1, "{case}");
+        assert!(
+            harness.count_calls(|c| c.request_line().starts_with("DELETE")) > 0,
+            "{case}: what it may have left is not released"
+        );
+    }
+}
+
 /// A request that the decision module has already answered is not written when its connection is established.
 #[test]
 fn answered_request_is_not_written_after_connect() {
