--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -1,6 +1,7 @@
 //! State of one client connection: it reads one request at a time, buffers pipelined bytes, and limits size and time.
 
 use std::collections::VecDeque;
+use std::fmt;
 
 use bitternlatch_core::Micros;
 
@@ -122,6 +123,13 @@
     since: Micros,
 }
 
+impl fmt::Display for EvictionRank {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let EvictionRank { kind, since } = self;
+        write!(f, "{kind:?} since {:.3} s", since.seconds())
+    }
+}
+
 /// A request whose head and body are complete.
 #[derive(Debug)]
 pub struct CompleteRequest {
--- a/crates/platform/src/counts.rs
+++ b/crates/platform/src/counts.rs
@@ -53,6 +53,8 @@
     pub ids_forgotten: u64,
     /// Client connections closed with an error response because a request was not acceptable.
     pub rejected: u64,
+    /// Clients closed between two requests because no file descriptor was left.
+    pub clients_evicted: u64,
     /// Attempts started at model servers.
     pub attempts: u64,
     /// Requests whose KV cache state was to be released.
--- a/crates/platform/src/node/eviction.rs
+++ b/crates/platform/src/node/eviction.rs
@@ -2,8 +2,8 @@
 
 use bitternlatch_core::Micros;
 
-use super::Node;
-use crate::types::{Command, ConnId};
+use super::{log, Node};
+use crate::types::{Command, ConnId, Level};
 
 impl Node {
     /// Whether accepting one more client would evict another. `lingering` is the number of connections that the node
@@ -24,7 +24,12 @@
         let Some(conn) = self.clients.eviction_candidate(now) else {
             return false;
         };
-        self.clients.remove(conn);
+        let client = self.clients.remove(conn);
+        if let Some(rank) = client.and_then(|client| client.eviction_rank(now)) {
+            self.counts.clients_evicted += 1;
+            let text = format!("no file descriptor left: a client was closed, {rank}");
+            log(commands, Level::Info, text);
+        }
         commands.push(Command::Close { conn });
         true
     }
