A client whose request is on its way is not closed for want of a descriptor

Cause: when a connection to a server failed with EMFILE, any client was closed before an idle connection to a server, and its pending input was not read first; a waiting client that could not be accepted closed one that had just been. Now idle connections to servers go first, then clients that rest (silent for 0.5 s, or between two requests), after their pending input has been read; one that has just connected or has sent a part of a request is closed for a server only with the last retry, and never for another new client. The limit on clients works as before.

--- a/crates/platform-net/src/accept.rs
+++ b/crates/platform-net/src/accept.rs
@@ -114,11 +114,11 @@
                     return self.acceptor.accept_at = None
                 }
                 Err(e) if is_connection_lost(&e) => {}
-                // With descriptors exhausted, a new client evicts another one, as it does at the limit of clients.
+                // With descriptors exhausted, a new client evicts one that rests.
                 Err(e)
                     if descriptors::is_exhausted(&e)
                         && self.acceptor.is_exhaustion_persistent(self.clock.now())
-                        && self.evict_for_new_client() => {}
+                        && self.evict_for_waiting_client() => {}
                 Err(e) => {
                     // While descriptors are exhausted, accept fails at once, and retrying without a delay would
                     // busy-loop.
--- a/crates/platform-net/src/dial.rs
+++ b/crates/platform-net/src/dial.rs
@@ -8,6 +8,7 @@
 use bitternlatch_platform::types::ConnId;
 use mio::net::TcpStream;
 
+use crate::descriptors::EvictionReach;
 use crate::transient_errors::is_transient;
 use crate::{Driver, SocketEvent};
 
@@ -50,7 +51,12 @@
         let opened = if tries < TRIES_BEFORE_EVICTION {
             TcpStream::connect(to)
         } else {
-            self.open_with_eviction(|| TcpStream::connect(to))
+            let reach = if tries < MAX_RETRIES {
+                EvictionReach::Resting
+            } else {
+                EvictionReach::Any
+            };
+            self.open_with_eviction(reach, || TcpStream::connect(to))
         };
         match opened.and_then(|stream| self.register_socket(conn, stream, false)) {
             Ok(()) => {}
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -123,6 +123,13 @@
     since: Micros,
 }
 
+impl EvictionRank {
+    /// Whether the client has nothing on its way, as far as can be known: it is silent, or between two requests.
+    pub(crate) fn is_resting(self) -> bool {
+        matches!(self.kind, EvictionKind::Silent | EvictionKind::Idle)
+    }
+}
+
 impl fmt::Display for EvictionRank {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let EvictionRank { kind, since } = self;
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -116,6 +116,16 @@
         ranked.min().map(|(_, id)| id)
     }
 
+    /// Returns the client to evict first of those that rest, or `None` if none does.
+    pub fn resting_candidate(&self, now: Micros) -> Option<ConnId> {
+        let ranked = self
+            .open
+            .iter()
+            .filter_map(|(id, client)| Some((client.eviction_rank(now)?, *id)));
+        let resting = ranked.filter(|(rank, _)| rank.is_resting());
+        resting.min().map(|(_, id)| id)
+    }
+
     /// Number of client connections.
     pub fn len(&self) -> usize {
         self.open.len()
--- a/crates/platform/src/node/eviction.rs
+++ b/crates/platform/src/node/eviction.rs
@@ -21,9 +21,27 @@
     /// Evicts a client because the process has run out of descriptors, although the client table is not full. Returns
     /// false if every client has an open request or an unread response.
     pub fn evict_client(&mut self, now: Micros, commands: &mut Vec<Command>) -> bool {
-        let Some(conn) = self.clients.eviction_candidate(now) else {
-            return false;
-        };
+        match self.clients.eviction_candidate(now) {
+            Some(conn) => self.evict(now, conn, commands),
+            None => false,
+        }
+    }
+
+    /// Returns the resting client that would be evicted first, or `None` if none rests. A client that has just connected
+    /// or has sent a part of a request does not rest.
+    pub fn resting_client(&self, now: Micros) -> Option<ConnId> {
+        self.clients.resting_candidate(now)
+    }
+
+    /// Evicts the resting client that would be evicted first. Returns false if none rests.
+    pub fn evict_resting_client(&mut self, now: Micros, commands: &mut Vec<Command>) -> bool {
+        match self.resting_client(now) {
+            Some(conn) => self.evict(now, conn, commands),
+            None => false,
+        }
+    }
+
+    fn evict(&mut self, now: Micros, conn: ConnId, commands: &mut Vec<Command>) -> bool {
         let client = self.clients.remove(conn);
         if let Some(rank) = client.and_then(|client| client.eviction_rank(now)) {
             self.counts.clients_evicted += 1;
--- a/crates/platform/tests/descriptors.rs
+++ b/crates/platform/tests/descriptors.rs
@@ -6,7 +6,7 @@
 use bitternlatch_platform::pool::ConnectionPool;
 use bitternlatch_platform::resource_limits::ConnectionLimits;
 use bitternlatch_platform::resource_limits::Limits;
-use bitternlatch_platform::types::{ConnId, Input};
+use bitternlatch_platform::types::{Command, ConnId, Input};
 use common::*;
 
 /// Descriptors for the standard streams, the poll instance, the listener, the peer socket and signals.
@@ -426,11 +426,9 @@
         harness.node.resource_usage().server_connections,
     );
     assert_eq!(clients, 1, "the client with an open request was evicted");
+    evicted.retain(|command| matches!(command, Command::Close { .. }));
     assert_eq!(evicted.len(), 2, "{evicted:?}");
-    assert!(
-        evicted[0] == bitternlatch_platform::types::Command::Close { conn: silent },
-        "{evicted:?}"
-    );
+    assert!(evicted[0] == Command::Close { conn: silent }, "{evicted:?}");
     let mut closed = Vec::new();
     while harness.node.evict_idle_connection(&mut closed) {}
     assert_eq!(
@@ -447,3 +445,24 @@
         format!("{}{}", stream_event("one"), stream_event("two"))
     );
 }
+
+/// Guards against a client that is closed, for a connection to a server, while its request is on its way or lies unread.
+#[test]
+fn only_resting_clients_are_evicted_for_connections_to_servers() {
+    let mut harness = harness(256);
+    let (done, decode_conn) = harness.start_decode("done", "ask");
+    harness.receive_text(
+        decode_conn,
+        &format!("{STREAM_HEAD}{}0\r\n\r\n", chunk(&stream_event("one"))),
+    );
+    let silent = harness.connect_client();
+    harness.advance(1.0);
+    let half = harness.connect_client();
+    harness.receive_text(half, "POST /v1/chat");
+    harness.connect_client();
+    let mut evicted = Vec::new();
+    while harness.node.evict_resting_client(harness.now, &mut evicted) {}
+    evicted.retain(|command| matches!(command, Command::Close { .. }));
+    let expected = [silent, done].map(|conn| Command::Close { conn });
+    assert_eq!(evicted, expected);
+}
