Soak: spoilt and slow answers, slowly read requests, and a judge of both sides of a stream

New classes spoilt-streams (all kinds of the page and of the trials, also answers with more than belongs to them), slow-streams, slow-requests. A server that breaks a stream itself says so, in place of the excuse by class. What a server takes to read a request itself is not held against the time that it was told with the head (told 6 s with 4.4 s left, read over 1.6 s by the mock).

--- a/programs/soak/src/clients.rs
+++ b/programs/soak/src/clients.rs
@@ -14,10 +14,16 @@
 
 /// Beyond a request's time its client waits so long for an answer, and so long for the rest of a stream.
 const PATIENCE: Duration = Duration::from_millis(1500);
-const STREAM_PATIENCE: Duration = Duration::from_secs(5);
+const STREAM_PATIENCE: Duration = Duration::from_secs(7);
+/// No answer takes so long.
+const MAX_ANSWER: Duration = Duration::from_secs(40);
 /// A client that stops within a request has its connection ended by then: what bad clients are owed, and the slack of
 /// every limit.
 const HALF_REQUEST: Duration = Duration::from_millis(3500);
+/// Bodies, bytes; the fraction of large ones.
+const SMALL_BODY_BYTES: usize = 2;
+const LARGE_BODY_BYTES: (usize, usize) = (40 * 1024, 160 * 1024);
+const LARGE_FRACTION: f64 = 0.2;
 /// Connections that clients keep.
 const MOST_KEPT: usize = 12;
 /// A rate counts for so long, and a process without traffic gets a request so often, seconds.
@@ -120,6 +126,7 @@
                 manner,
                 session: chance.below(40),
                 size: day.traffic.size(is_unsafe, &mut sizes),
+                body_bytes: body_bytes(day, &mut sizes),
             };
             let clients = Arc::clone(self);
             let retries = day.traffic.client_retries;
@@ -266,7 +273,9 @@
                 }
                 Ok(n) => {
                     said.extend_from_slice(&buffer[..n]);
-                    until = until.max(Instant::now() + STREAM_PATIENCE);
+                    until = until
+                        .max(Instant::now() + STREAM_PATIENCE)
+                        .min(asked_at + MAX_ANSWER);
                 }
                 Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
                 Err(_) => {
@@ -288,6 +297,7 @@
     manner: Manner,
     session: usize,
     size: Option<Size>,
+    body_bytes: usize,
 }
 
 impl Request {
@@ -296,13 +306,23 @@
         let left_ms = (self.deadline_s - from.elapsed().as_secs_f64()).max(0.0) * 1e3;
         let (id, session) = (&self.id, self.session);
         let extra = self.size.map_or(String::new(), |size| size.header());
+        let (length, body) = (self.body_bytes, "x".repeat(self.body_bytes));
         format!(
             "POST /v1/chat/completions HTTP/1.1\r\nReq-Id: {id}\r\nReq-Kind: {kind}\r\nReq-Key: {session}\r\n\
-             Req-Deadline-Ms: {left_ms:.0}\r\n{extra}Content-Length: 2\r\n\r\n{{}}"
+             Req-Deadline-Ms: {left_ms:.0}\r\n{extra}Content-Length: {length}\r\n\r\n{body}"
         )
     }
 }
 
+/// Length of the next request's body: large for some on days on which servers read slowly.
+fn body_bytes(day: &Day, sizes: &mut Chance) -> usize {
+    if day.has(Fault::SlowRequests) && sizes.happens(LARGE_FRACTION) {
+        LARGE_BODY_BYTES.0 + sizes.below(LARGE_BODY_BYTES.1 - LARGE_BODY_BYTES.0)
+    } else {
+        SMALL_BODY_BYTES
+    }
+}
+
 /// How an answer ends, once it is whole.
 fn whole(said: &[u8]) -> Option<End> {
     let head_end = said.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
--- a/programs/soak/src/draw.rs
+++ b/programs/soak/src/draw.rs
@@ -512,7 +512,10 @@
         | Fault::QuietStart
         | Fault::AtCapacity
         | Fault::UnlikeServers
-        | Fault::HiddenLengths => (0, (0.0, 0.0)),
+        | Fault::HiddenLengths
+        | Fault::SpoiltStreams
+        | Fault::SlowStreams
+        | Fault::SlowRequests => (0, (0.0, 0.0)),
     }
 }
 
--- a/programs/soak/src/faults.rs
+++ b/programs/soak/src/faults.rs
@@ -61,10 +61,16 @@
     UnlikeServers,
     /// Ceilings tell nothing of the lengths of answers, and the two classes have unlike means.
     HiddenLengths,
+    /// Decode servers spoil some answers, also without end, and send more with others than belongs to them.
+    SpoiltStreams,
+    /// Decode servers write some answers slowly: whole events far apart, or byte by byte.
+    SlowStreams,
+    /// Some requests are large, and servers read them slowly.
+    SlowRequests,
 }
 
 /// All classes by their names.
-pub const FAULTS: [(&str, Fault); 26] = [
+pub const FAULTS: [(&str, Fault); 29] = [
     ("silent-decode", Fault::SilentDecode),
     ("silent-prefill", Fault::SilentPrefill),
     ("silent-kept", Fault::SilentKept),
@@ -91,8 +97,12 @@
     ("at-capacity", Fault::AtCapacity),
     ("unlike-servers", Fault::UnlikeServers),
     ("hidden-lengths", Fault::HiddenLengths),
+    ("spoilt-streams", Fault::SpoiltStreams),
+    ("slow-streams", Fault::SlowStreams),
+    ("slow-requests", Fault::SlowRequests),
 ];
-/// How many of [`FAULTS`], from the first on, a seed draws from; the others refine days with cold starts.
+/// How many of [`FAULTS`], from the first on, a seed draws from. The others are named where they are wanted: those of cold starts refine such
+/// days, and those of slow and spoilt answers would change what earlier seeds draw.
 pub const DRAWN_FAULTS: usize = 23;
 
 /// A word that names no class.
--- a/programs/soak/src/judge.rs
+++ b/programs/soak/src/judge.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
+use crate::judge_streams::{begins_after_end, wrong_end};
 use crate::record::{End, Entry, Seen};
 use crate::slow_start::{ColdServer, SlowStartTerms};
 
@@ -52,8 +53,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Terms {
     pub pin_limit: Duration,
-    /// Servers reset connections, so that a stream may break without the dispatcher's doing.
-    pub servers_break: bool,
+    /// Servers stand still or fall silent, and read later what has arrived at their machine.
+    pub servers_read_late: bool,
     pub slow_start: Option<SlowStartTerms>,
 }
 
@@ -80,7 +81,8 @@
             })
         };
         let process = process_end(record, asked);
-        breaks.extend(of(lost(asked, process, terms, last.at)));
+        breaks.extend(of(lost(asked, process, record, last.at)));
+        breaks.extend(of(late_arrival(asked, process, terms, record)));
         breaks.extend(of(duplicate(asked, last.at)));
         breaks.extend(of(pinned(asked, process.gone, terms, last.at)));
         breaks.extend(of(told_too_much(asked, record)));
@@ -102,6 +104,9 @@
         | Seen::Held { id }
         | Seen::Taken { id }
         | Seen::Released { id }
+        | Seen::Event { id }
+        | Seen::Spoilt { id }
+        | Seen::BrokenByServer { id }
         | Seen::StreamWhole { id } => Some(id),
         Seen::Drained { .. }
         | Seen::ColdStart { .. }
@@ -192,7 +197,7 @@
 fn lost(
     asked: &Asked,
     process: ProcessEnd,
-    terms: Terms,
+    record: &[Entry],
     day_end: Instant,
 ) -> Option<(Rule, String)> {
     let due = asked.at + asked.deadline + ANSWER_SLACK + SOCKETS;
@@ -204,27 +209,44 @@
         let owed = day_end > due && !process.excuses(asked, due);
         return owed.then(|| (Rule::Lost, "no answer".to_string()));
     };
-    let is_whole = asked
-        .seen
-        .iter()
-        .any(|e| matches!(e.seen, Seen::StreamWhole { .. }));
     let begun = asked
         .seen
         .iter()
-        .any(|e| matches!(e.seen, Seen::Taken { .. }));
+        .any(|e| matches!(e.seen, Seen::Event { .. }));
     let what = match end {
-        End::Left | End::Served => None,
         End::Refused | End::Failed => (at > due).then_some("its answer came after its time"),
-        _ if process.excuses(asked, at) => None,
-        End::Broken if is_whole => Some("its stream was cut though its server wrote all of it"),
-        End::Broken | End::Nothing if begun && terms.servers_break => None,
-        End::Broken => Some("its stream was cut while its server wrote"),
+        End::Left => None,
+        End::Broken | End::Closed | End::Nothing if process.excuses(asked, at) => None,
         End::Closed => Some("its connection was closed with no answer"),
-        End::Nothing => Some("no answer"),
+        End::Nothing if !begun => Some("no answer"),
+        End::Served | End::Broken | End::Nothing => {
+            wrong_end(&asked.seen, end, at, |from| held_up(record, from, at))
+        }
     };
     what.map(|what| (Rule::Lost, what.to_string()))
 }
 
+/// An attempt that begins at a server after its client has its answer or has left.
+fn late_arrival(
+    asked: &Asked,
+    process: ProcessEnd,
+    terms: Terms,
+    record: &[Entry],
+) -> Option<(Rule, String)> {
+    // What the system still sends of a killed process is nobody's doing.
+    if terms.servers_read_late || process.killed {
+        return None;
+    }
+    let last = record.last()?.at;
+    let is_late = begins_after_end(&asked.seen, |from| held_up(record, from, last));
+    is_late.then(|| {
+        (
+            Rule::Lost,
+            "an attempt began after its client's end".to_string(),
+        )
+    })
+}
+
 /// An attempt of a request, from its last byte on.
 struct Attempt {
     server: usize,
--- a/programs/soak/src/play.rs
+++ b/programs/soak/src/play.rs
@@ -86,10 +86,12 @@
     let never_injected = world.end();
     let terms = Terms {
         pin_limit: Duration::from_secs_f64(day.deployment.pin_limit_s),
-        servers_break: [
-            Fault::Reset,
+        servers_read_late: [
+            Fault::Hang,
             Fault::SilentDecode,
+            Fault::SilentPrefill,
             Fault::SilentKept,
+            Fault::Unreachable,
             Fault::ColdStart,
             Fault::AtCapacity,
             Fault::QuietStart,
--- a/programs/soak/src/record.rs
+++ b/programs/soak/src/record.rs
@@ -69,6 +69,18 @@
     Released {
         id: String,
     },
+    /// The last byte of a whole event was written.
+    Event {
+        id: String,
+    },
+    /// The answer is spoilt from here on; no event follows.
+    Spoilt {
+        id: String,
+    },
+    /// The server has broken the connection of an attempt itself.
+    BrokenByServer {
+        id: String,
+    },
     /// The last byte of a stream was written.
     StreamWhole {
         id: String,
--- a/programs/soak/src/servers.rs
+++ b/programs/soak/src/servers.rs
@@ -9,12 +9,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use rustix::net::sockopt::set_socket_linger;
+use rustix::net::sockopt::{set_socket_linger, set_socket_recv_buffer_size};
 
 use crate::draw::{Chance, Day};
 use crate::faults::Fault;
 use crate::record::{Record, Seen};
 use crate::slow_start::{ColdServer, SlowStartTerms};
+use crate::spoilt::{self, Shape, Spoil};
 use crate::traffic::Work;
 
 /// How often a connection's thread looks at what has changed.
@@ -35,8 +36,22 @@
 const FIRST_TOKEN_FRACTION: f64 = 0.02;
 const SHORT_STREAM_PAUSE_S: f64 = 0.02;
 const SECONDS_PER_EVENT: f64 = 0.25;
+/// Receive buffer of servers that read slowly; they do so beyond so many bytes of a request, a piece at a time.
+const SHORT_BUFFER: usize = 4096;
+const SLOW_FROM: usize = 8192;
+const PIECE_PAUSE: Duration = Duration::from_millis(60);
+/// Fraction of the requests that are read slowly, where they are large.
+const SLOW_READS: f64 = 0.5;
+/// What follows an answer that has a second one, and what comes before another.
+const SECOND_ANSWER: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+const INTERIM_ANSWER: &str = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+const STREAM_HEAD: &str =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 /// Connections that are taken so soon after a server takes any may have waited.
 const TAKEN_AT_ONCE: Duration = Duration::from_millis(100);
+/// Events of a slow answer that are slow, and the bytes of such an event that come one by one.
+const SLOW_EVENTS: usize = 2;
+const SLOW_BYTES: usize = 8;
 /// Share of prefills that end well though their connection has just ended.
 const LEFT_SHARE: f64 = 0.3;
 
@@ -87,6 +102,9 @@
     /// Speeds by the servers' numbers, as multiples of the mean.
     speeds: Vec<f64>,
     has_long_answers: bool,
+    may_spoil: bool,
+    may_drag: bool,
+    reads_slowly: bool,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -105,6 +123,9 @@
             slow_start: day.slow_start,
             speeds: day.server_speeds.clone(),
             has_long_answers: day.has(Fault::AtCapacity),
+            may_spoil: day.has(Fault::SpoiltStreams),
+            may_drag: day.has(Fault::SlowStreams),
+            reads_slowly: day.has(Fault::SlowRequests),
         })
     }
 
@@ -120,6 +141,10 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         rustix::net::listen(&listener, QUEUE)?;
         listener.set_nonblocking(true)?;
+        if self.reads_slowly {
+            // What is not read waits at the other side.
+            set_socket_recv_buffer_size(&listener, SHORT_BUFFER)?;
+        }
         let mut all = lock(&self.all);
         let server = Arc::new(Server {
             number: all.len(),
@@ -248,7 +273,7 @@
                         let chance = Chance::new(servers.seed ^ number.wrapping_mul(0x9E37_79B9));
                         let spell = server.spells.load(Ordering::SeqCst);
                         let start = server.starts.load(Ordering::SeqCst);
-                        let connection = Connection {
+                        let mut connection = Connection {
                             start,
                             taken_late,
                             servers,
@@ -260,7 +285,11 @@
                             attempt: None,
                             transfer: None,
                             was_hung: false,
+                            is_slow: false,
+                            reading_since: None,
                         };
+                        connection.is_slow = connection.servers.reads_slowly
+                            && connection.chance.happens(SLOW_READS);
                         // A connection that breaks has nobody left to be told.
                         let _ = connection.serve();
                     });
@@ -348,6 +377,10 @@
     transfer: Option<String>,
     /// The server has hung since the attempt arrived.
     was_hung: bool,
+    /// When the first bytes of the next request were read.
+    reading_since: Option<Instant>,
+    /// The next large request is read slowly.
+    is_slow: bool,
 }
 
 /// A request as it has arrived.
@@ -449,6 +482,9 @@
     }
 
     fn reset(&mut self) -> Result<(), Ended> {
+        if let Some(id) = self.attempt.clone() {
+            self.note(Seen::BrokenByServer { id });
+        }
         // Without the option the connection ends in order, which is as good an end.
         let _ = set_socket_linger(&self.stream, Some(Duration::ZERO));
         Err(Ended)
@@ -470,9 +506,15 @@
             if let Some(call) = self.whole_call() {
                 return Ok(call);
             }
+            if self.unread.len() > SLOW_FROM && self.is_slow {
+                thread::sleep(PIECE_PAUSE);
+            }
             match self.stream.read(&mut buffer) {
                 Ok(0) => return Err(Ended),
-                Ok(n) => self.unread.extend_from_slice(&buffer[..n]),
+                Ok(n) => {
+                    self.reading_since.get_or_insert_with(Instant::now);
+                    self.unread.extend_from_slice(&buffer[..n]);
+                }
                 Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
                 Err(_) => return Err(Ended),
             }
@@ -495,11 +537,17 @@
             return None;
         }
         self.unread.drain(..head_end + length);
+        self.is_slow = self.servers.reads_slowly && self.chance.happens(SLOW_READS);
         let mut words = head.split(' ');
         let (method, path) = (words.next()?.to_string(), words.next()?.to_string());
         let id = field("req-id:")
             .unwrap_or_else(|| path.rsplit('/').next().unwrap_or_default().to_string());
-        let told_ms = field("req-deadline-ms:")
+        // The time is told with the head; what the server itself takes to read the rest is not the dispatcher's.
+        let own = self
+            .reading_since
+            .take()
+            .map_or(Duration::ZERO, |at| at.elapsed());
+        let told_ms: u64 = field("req-deadline-ms:")
             .and_then(|ms| ms.parse().ok())
             .unwrap_or(0);
         let work = Work::read(field);
@@ -507,7 +555,13 @@
             method,
             path,
             id,
-            told_ms: if self.taken_late { 0 } else { told_ms },
+            told_ms: match self.taken_late {
+                true => 0,
+                false if self.servers.reads_slowly => {
+                    told_ms.saturating_sub(own.as_millis() as u64)
+                }
+                false => told_ms,
+            },
             work,
         })
     }
@@ -721,14 +775,29 @@
         } else {
             events
         };
-        self.say("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+        let shape = spoilt::draw(
+            &mut self.chance,
+            self.servers.may_spoil,
+            self.servers.may_drag,
+        );
+        let spoilt_at = match &shape {
+            Shape::Spoilt(spoil) if spoil.before_head => return self.spoil(call, spoil),
+            // At least one event comes before it, by which the stream has begun.
+            Shape::Spoilt(_) => 1 + self.chance.below(events - 1),
+            _ => events,
+        };
+        if shape == Shape::Interim {
+            self.say(INTERIM_ANSWER)?;
+        }
+        self.say(STREAM_HEAD)?;
         for event in 0..events {
             if event == broken_at {
                 return self.reset();
             }
-            self.say(&chunk(&format!(
-                "data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{event}\"}}}}]}}\n\n"
-            )))?;
+            if let (Shape::Spoilt(spoil), true) = (&shape, event == spoilt_at) {
+                return self.spoil(call, spoil);
+            }
+            self.say_event(call, event, &shape)?;
             let pause_s = match service.slot {
                 Some(_) => service.stream_s / events as f64 / self.server.capacity(),
                 None => SHORT_STREAM_PAUSE_S,
@@ -741,12 +810,55 @@
                  \"prompt_tokens_details\":{{\"cached_tokens\":0}}}}}}\n\n"
             ))
         });
-        self.say(&format!("{usage}{}0\r\n\r\n", chunk("data: [DONE]\n\n")))?;
+        let mut end = format!("{usage}{}0\r\n\r\n", chunk("data: [DONE]\n\n"));
+        if shape == Shape::SecondAnswer {
+            end.push_str(SECOND_ANSWER);
+        }
+        self.say(&end)?;
         self.note(Seen::StreamWhole {
             id: call.id.clone(),
         });
         Ok(())
     }
+
+    /// Writes one whole event, and notes it.
+    fn say_event(&mut self, call: &Call, number: usize, shape: &Shape) -> Result<(), Ended> {
+        let event = chunk(&format!(
+            "data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{number}\"}}}}]}}\n\n"
+        ));
+        let is_slow = (1..=SLOW_EVENTS).contains(&number);
+        match shape {
+            Shape::SlowEvents(pause_s) if is_slow => {
+                self.work(*pause_s)?;
+                self.say(&event)?;
+            }
+            Shape::SlowBytes(event_s) if is_slow => {
+                let (first, rest) = event.split_at(event.len() - SLOW_BYTES);
+                self.say(first)?;
+                for byte in rest.chars() {
+                    self.work(event_s / SLOW_BYTES as f64)?;
+                    self.say(&byte.to_string())?;
+                }
+            }
+            _ => self.say(&event)?,
+        }
+        self.note(Seen::Event {
+            id: call.id.clone(),
+        });
+        Ok(())
+    }
+
+    /// Spoils an answer, and goes on with it until the other side ends the connection.
+    fn spoil(&mut self, call: &Call, spoil: &Spoil) -> Result<(), Ended> {
+        self.note(Seen::Spoilt {
+            id: call.id.clone(),
+        });
+        self.say(&spoil.once)?;
+        loop {
+            self.work(spoil.every.as_secs_f64())?;
+            self.say(&spoil.repeated)?;
+        }
+    }
 }
 
 /// What is left of the work on a request when its answer begins.
--- a/programs/soak/tests/judge.rs
+++ b/programs/soak/tests/judge.rs
@@ -9,7 +9,7 @@
 const ID: &str = "p0-1";
 const TERMS: Terms = Terms {
     pin_limit: Duration::from_millis(1000),
-    servers_break: false,
+    servers_read_late: false,
     slow_start: None,
 };
 
@@ -403,3 +403,59 @@
     assert!((max_work(29.0) - (29.0 + 3.0 * 29f64.sqrt() + 3.0)).abs() < 1e-9);
     assert!((max_work(30.0) - (30.0 + 2.0 * 30f64.sqrt() + 2.0)).abs() < 1e-9);
 }
+
+/// A stream that has begun, with its last whole event after two seconds.
+fn begun() -> Vec<(u64, Seen)> {
+    let event = |at| (at, Seen::Event { id: id() });
+    vec![
+        (0, asked()),
+        (10, arrived(1, true)),
+        event(100),
+        event(2000),
+    ]
+}
+
+#[test]
+fn a_stream_is_neither_waited_for_beyond_the_limit_nor_cut_before_it() {
+    let spoilt = (2100, Seen::Spoilt { id: id() });
+    let reset = (2100, Seen::BrokenByServer { id: id() });
+    let whole = (2100, Seen::StreamWhole { id: id() });
+    const SPOILT: usize = 0;
+    const RESET: usize = 1;
+    const WHOLE: usize = 2;
+    let marks = [spoilt, reset, whole];
+    let table: [(Option<usize>, u64, End, bool); 11] = [
+        (None, 6900, End::Broken, true),
+        (None, 7040, End::Broken, true),
+        (None, 7100, End::Broken, false),
+        (None, 6400, End::Broken, false),
+        (None, 9000, End::Nothing, false),
+        (Some(SPOILT), 2200, End::Broken, true),
+        (Some(SPOILT), 7100, End::Broken, false),
+        (Some(SPOILT), 2200, End::Served, false),
+        (Some(RESET), 2200, End::Broken, true),
+        (Some(WHOLE), 2200, End::Served, true),
+        (Some(WHOLE), 2200, End::Broken, false),
+    ];
+    for (mark, at, end, holds) in table {
+        let mut record = begun();
+        record.extend(mark.map(|mark| marks[mark].clone()));
+        let found = with(record, &[(at, ended(end))]);
+        assert_eq!(found.is_empty(), holds, "{mark:?} {at} {end:?}: {found:?}");
+    }
+}
+
+#[test]
+fn an_attempt_does_not_begin_after_its_client_has_its_answer_or_has_left() {
+    for end in [End::Left, End::Failed] {
+        let record = |after: u64| {
+            broken(&[
+                (0, asked()),
+                (500, ended(end)),
+                (500 + after, arrived(0, false)),
+            ])
+        };
+        assert_eq!(record(140), [], "{end:?}");
+        assert_eq!(record(200), [Rule::Lost], "{end:?}");
+    }
+}
--- a/programs/soak/tests/soak.rs
+++ b/programs/soak/tests/soak.rs
@@ -109,6 +109,20 @@
     assert_held("12", &DAYS);
 }
 
+/// Guards against streams that are not ended or are cut, and against requests that arrive after their end.
+#[test]
+fn short_days_with_spoilt_and_slow_answers_and_slowly_read_requests_hold_all_rules() {
+    const DAYS: [(&str, &str, &str); 6] = [
+        ("1", "1", "spoilt-streams"),
+        ("3", "2", "spoilt-streams,slow-streams"),
+        ("1", "3", "slow-requests,clients"),
+        ("2", "4", "slow-streams,restart"),
+        ("2", "5", "spoilt-streams,crowd"),
+        ("3", "6", "spoilt-streams,restart"),
+    ];
+    assert_held("12", &DAYS);
+}
+
 /// A judge that never finds a cold server overloaded would prove nothing.
 #[test]
 fn dispatchers_without_slow_start_are_found_to_overload_cold_servers() {
