--- a/programs/soak/src/judge.rs
+++ b/programs/soak/src/judge.rs
@@ -233,12 +233,12 @@
     terms: Terms,
     record: &[Entry],
 ) -> Option<(Rule, String)> {
-    // What the system still sends of a killed process is nobody's doing.
-    if terms.servers_read_late || process.killed {
+    if terms.servers_read_late {
         return None;
     }
-    let last = record.last()?.at;
-    let is_late = begins_after_end(&asked.seen, |from| held_up(record, from, last));
+    let is_late = begins_after_end(&asked.seen, process.gone, |from, to| {
+        held_up(record, from, to)
+    });
     is_late.then(|| {
         (
             Rule::Lost,
--- a/programs/soak/src/judge_streams.rs
+++ b/programs/soak/src/judge_streams.rs
@@ -64,15 +64,23 @@
     is_cut.then_some("its stream was cut while its server's events still came")
 }
 
-/// Whether an attempt began after its client's end, where servers read at once what arrives.
-pub fn begins_after_end(seen: &[&Entry], held_up: impl Fn(Instant) -> Duration) -> bool {
+/// Whether an attempt began after its client's end, where servers read at once what arrives. What the system still sends
+/// of a process that has `gone` is nobody's doing.
+pub fn begins_after_end(
+    seen: &[&Entry],
+    gone: Option<Instant>,
+    held_up: impl Fn(Instant, Instant) -> Duration,
+) -> bool {
     let ended = seen.iter().find(|e| matches!(e.seen, Seen::Ended { .. }));
     let Some(ended_at) = ended.map(|e| e.at) else {
         return false;
     };
-    let is_late = |e: &&&Entry| {
+    let mut arrivals = seen
+        .iter()
+        .filter(|e| matches!(e.seen, Seen::Arrived { .. }))
+        .filter(|e| gone.is_none_or(|gone| e.at < gone));
+    arrivals.any(|e| {
         let after = e.at.saturating_duration_since(ended_at);
-        matches!(e.seen, Seen::Arrived { .. }) && after > BEGINS_AFTER_END + held_up(ended_at)
-    };
-    seen.iter().any(|e| is_late(&e))
+        after > BEGINS_AFTER_END + held_up(ended_at, e.at)
+    })
 }
