policy: decisions use libm, so that they are alike on x86-64 and arm64

Cause: powf and ln of the standard library differ in the last bit from one platform to another, and decisions.rs holds digests of decisions.

--- a/crates/policy/src/choice/decay.rs
+++ b/crates/policy/src/choice/decay.rs
@@ -41,7 +41,8 @@
 
 /// Weight, from 0 to 1, of a value last updated at `updated_at`; it halves with each half-life.
 pub(super) fn age_weight(updated_at: f64, now: f64, half_life_s: f64) -> f64 {
-    0.5f64.powf((now - updated_at).max(0.0) / half_life_s)
+    // The standard library's functions differ in the last bit from one platform to another.
+    libm::exp2(-(now - updated_at).max(0.0) / half_life_s)
 }
 
 /// Returns the value, or 0 if it is negative, infinite or not a number.
--- a/crates/policy/src/choice/replica_ranking.rs
+++ b/crates/policy/src/choice/replica_ranking.rs
@@ -36,7 +36,8 @@
         let draw = unit_interval_53_bits(hash_pair(key, u64::from(id)));
         RankedReplica {
             other_zone: server.entry.zone != own_zone,
-            rank: -draw.max(MIN_DRAW).ln() / weight,
+            // As in `age_weight`, alike on every platform.
+            rank: -libm::log(draw.max(MIN_DRAW)) / weight,
             server: id,
         }
     }
