platform: discovery's watch is read before all other connections

Change: connections that are ready in one iteration are served in the order discovery, clients that wait, servers, other clients.

--- a/crates/platform-net/src/event_loop.rs
+++ b/crates/platform-net/src/event_loop.rs
@@ -20,6 +20,18 @@
 /// clients when the timers became due is processed first.
 const MAX_TIMER_DELAY_SECS: f64 = 0.01;
 
+/// Order in which ready connections are served in one iteration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum ServiceOrder {
+    /// A drain must be known before a response or a request starts an attempt.
+    Discovery,
+    /// A client with an open request can only disconnect or send a further request.
+    WaitingClient,
+    /// Before new requests, which must not be sent on a connection that its server has just closed.
+    Server,
+    OtherClient,
+}
+
 /// Readiness events collected by one or more polls.
 #[derive(Default)]
 struct Readiness {
@@ -74,20 +86,7 @@
         let mut ready = self.poll_ready(events);
         ready.extend(std::mem::take(&mut self.ready_again));
         self.handle_signals();
-        // Clients with an open request are served first: they can only disconnect or send a further request. Servers
-        // are next, so that a new request is not sent on a connection that its server has just closed. Other clients
-        // are last.
-        let rank = |conn: &ConnId| match self.sockets.get(conn) {
-            Some(socket) if socket.accepted => {
-                if self.node.has_open_request(*conn) {
-                    0
-                } else {
-                    2
-                }
-            }
-            _ => 1,
-        };
-        ready.sort_by_key(rank);
+        ready.sort_by_key(|conn| self.service_order(*conn));
         let iteration_start = self.observed_at;
         for conn in ready {
             self.repoll_if_due(events);
@@ -108,6 +107,23 @@
         }
     }
 
+    /// Order in which the connections that are ready are served.
+    fn service_order(&self, conn: ConnId) -> ServiceOrder {
+        let is_client = self
+            .sockets
+            .get(&conn)
+            .is_some_and(|socket| socket.accepted);
+        if self.node.is_discovery_watch(conn) {
+            ServiceOrder::Discovery
+        } else if !is_client {
+            ServiceOrder::Server
+        } else if self.node.has_open_request(conn) {
+            ServiceOrder::WaitingClient
+        } else {
+            ServiceOrder::OtherClient
+        }
+    }
+
     /// Runs the timers of the node that are due.
     fn run_due_timers(&mut self) {
         if self
