--- a/crates/platform/src/access_log/record.rs
+++ b/crates/platform/src/access_log/record.rs
@@ -307,6 +307,7 @@
 fn cause_text(cause: Cause) -> &'static str {
     match cause {
         Cause::NoPrefillServer => "NoPrefillServer",
+        Cause::NoEndpointList => "NoEndpointList",
         Cause::NoDecodeServer => "NoDecodeServer",
         Cause::ExpectedLate => "ExpectedLate",
         Cause::NoRetryLeft => "NoRetryLeft",
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -1,6 +1,7 @@
 //! Endpoint lists as discovery sends them, and the current state of all listed model servers.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 
 use bitternlatch_core::Micros;
@@ -90,6 +91,53 @@
             .and_then(|raw| EndpointList::read(raw, names))
     }
 
+    /// Returns the list if it is not older than `version`.
+    ///
+    /// # Errors
+    /// An older list.
+    pub fn not_older_than(self, version: u64) -> Result<EndpointList, String> {
+        if self.version < version {
+            return Err(format!(
+                "version {} is older than the current version {version}",
+                self.version
+            ));
+        }
+        Ok(self)
+    }
+
+    /// Combines the first list from discovery with the one cached in the configuration. Changes apply to the cached
+    /// list. A full list replaces it, whatever its version: versions may have begun anew, and the cached list may name
+    /// servers that no longer exist. If the full list is the older one, a server that drains by the cached list still
+    /// drains.
+    ///
+    /// # Errors
+    /// Changes that are older than the cached list.
+    pub fn after_cached(mut self, cached: &EndpointList) -> Result<EndpointList, String> {
+        if !self.is_full {
+            let mut changes = self.not_older_than(cached.version)?;
+            let unchanged = |cached: &&Endpoint| changes.find(&cached.uid).is_none();
+            let kept: Vec<Endpoint> = cached.endpoints.iter().filter(unchanged).cloned().collect();
+            changes.endpoints.extend(kept);
+            changes.is_full = true;
+            return Ok(changes);
+        }
+        if self.version < cached.version {
+            for endpoint in &mut self.endpoints {
+                let before = cached.find(&endpoint.uid);
+                let same_process =
+                    before.filter(|before| before.listed_start_s == endpoint.listed_start_s);
+                if same_process.is_some_and(|before| before.status == ServerStatus::Draining) {
+                    endpoint.status = ServerStatus::Draining;
+                }
+            }
+        }
+        Ok(self)
+    }
+
+    fn find(&self, uid: &str) -> Option<&Endpoint> {
+        self.endpoints.iter().find(|endpoint| endpoint.uid == uid)
+    }
+
     fn read(raw: RawList, names: &Names) -> Result<EndpointList, String> {
         let endpoints = raw
             .targets
@@ -180,6 +228,28 @@
     notified_at: Option<Micros>,
 }
 
+/// Describes an endpoint list for the log.
+fn describe<'a>(version: u64, endpoints: impl Iterator<Item = &'a Endpoint>) -> String {
+    let (mut count, mut draining) = (0, 0);
+    for endpoint in endpoints {
+        count += 1;
+        draining += usize::from(endpoint.status == ServerStatus::Draining);
+    }
+    format!("version {version}, {count} servers, {draining} of them draining")
+}
+
+impl fmt::Display for EndpointList {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&describe(self.version, self.endpoints.iter()))
+    }
+}
+
+impl fmt::Display for Endpoints {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&describe(self.version, self.servers.values()))
+    }
+}
+
 impl Endpoints {
     /// Version of the list that was applied last.
     pub fn version(&self) -> u64 {
--- a/crates/platform/src/node/discovery_updates.rs
+++ b/crates/platform/src/node/discovery_updates.rs
@@ -3,12 +3,17 @@
 use bitternlatch_core::Micros;
 use bitternlatch_policy::interface::{Event, ListForm};
 
-use super::Node;
+use super::{log, Node};
 use crate::discovery::{AppliedList, EndpointList};
 use crate::timer::Timer;
-use crate::types::Command;
+use crate::types::{Command, ConnId, Level};
 
 impl Node {
+    /// Whether a connection is the discovery watch's.
+    pub fn is_discovery_watch(&self, conn: ConnId) -> bool {
+        self.discovery.owns_connection(conn)
+    }
+
     /// Starts the watch when it is due, and restarts one that has missed a timeout.
     pub(super) fn update_watch(&mut self, now: Micros, commands: &mut Vec<Command>) {
         if let Some(cause) = self.discovery.overdue_cause(now) {
@@ -27,13 +32,20 @@
         bytes: &[u8],
         commands: &mut Vec<Command>,
     ) {
+        let had_list = self.discovery.has_list();
         let progress = self.discovery.receive(now, bytes);
         let read = progress.objects.iter().try_for_each(|object| {
             let list = EndpointList::parse(object, &self.names)?;
             self.apply_list(now, list, commands)
         });
         if progress.received_line && read.is_ok() {
-            self.discovery.record_notification(now);
+            if let Some(applied) = self.discovery.record_notification(now) {
+                self.pass_on_list(now, applied, commands);
+            }
+        }
+        if !had_list && self.discovery.has_list() {
+            let line = self.discovery.first_list_line(now);
+            log(commands, Level::Info, line);
         }
         if let Some(cause) = read.err().or(progress.failure) {
             self.restart_watch(now, &cause, commands);
@@ -67,11 +79,17 @@
         list: EndpointList,
         commands: &mut Vec<Command>,
     ) -> Result<(), String> {
+        let applied = self.discovery.apply(now, list)?;
+        self.pass_on_list(now, applied, commands);
+        Ok(())
+    }
+
+    fn pass_on_list(&mut self, now: Micros, applied: AppliedList, commands: &mut Vec<Command>) {
         let AppliedList {
             form,
             entries,
             restarted,
-        } = self.discovery.apply(now, list)?;
+        } = applied;
         for server in restarted {
             self.close_idle_connections(server, commands);
         }
@@ -79,6 +97,15 @@
             self.events.push_back(Event::Servers { form, entries });
         }
         self.log_warm_ups(now, commands);
-        Ok(())
+    }
+
+    /// Reports the node ready though discovery has not answered: a load balancer waits only so long.
+    pub(super) fn on_readiness_timeout(&mut self, commands: &mut Vec<Command>) {
+        self.readiness_timed_out = true;
+        if !self.discovery.has_list() {
+            let text = "ready without an endpoint list: discovery has not answered since the start, and nothing is \
+                        sent to servers until it does";
+            log(commands, Level::Warn, text.into());
+        }
     }
 }
--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -18,7 +18,7 @@
 use std::net::SocketAddr;
 
 use bitternlatch_core::{Micros, Timers, TracedDecision};
-use bitternlatch_policy::interface::{Action, Event, ListForm, Role};
+use bitternlatch_policy::interface::{Action, Event, Role};
 use bitternlatch_routing_settings::{Bounds, Names};
 
 use crate::abandoned_ids::AbandonedIds;
@@ -51,6 +51,8 @@
 pub struct Node {
     decisions: Decisions,
     discovery: DiscoveryClient,
+    /// Whether the node reports ready even without an endpoint list.
+    readiness_timed_out: bool,
     cold_servers: ColdServers,
     clients: Clients,
     requests: Requests,
@@ -75,8 +77,7 @@
 }
 
 impl Node {
-    /// Creates a node without clients or requests. It uses the endpoint list from the configuration until discovery
-    /// sends one.
+    /// Creates a node without clients or requests. It sends nothing to servers until discovery has sent a line.
     pub fn new(now: Micros, config: Config, commands: &mut Vec<Command>) -> Node {
         Node::build(now, config, false, commands)
     }
@@ -97,11 +98,16 @@
             config.bounds.allows_peer_messages,
         );
         let watch = DiscoveryWatch::new(config.seed, &config.name);
+        if let Some(cached) = &config.cached_list {
+            let line = format!("endpoint list of the configuration: {cached}");
+            log(commands, Level::Info, line);
+        }
         let mut node = Node {
             roles: config.settings.kinds.iter().map(|k| k.role).collect(),
             cold_servers: ColdServers::new(config.settings.slow_start.clone()),
             decisions: Decisions::new(config.settings, config.seed, traced),
-            discovery: DiscoveryClient::new(config.discovery, watch),
+            discovery: DiscoveryClient::new(now, config.discovery, watch, config.cached_list),
+            readiness_timed_out: false,
             clients: Clients::new(connections.clients),
             requests: Requests::default(),
             abandoned_ids: AbandonedIds::default(),
@@ -124,13 +130,9 @@
             bounds: config.bounds,
             limits: config.limits,
         };
-        if let Some(known) = config.cached_list {
-            let entries = node.discovery.load(now, known);
-            node.events.push_back(Event::Servers {
-                form: ListForm::Cached,
-                entries,
-            });
-        }
+        node.events.push_back(Event::EndpointListPending);
+        node.timers
+            .set(node.discovery.readiness_deadline(), Timer::ReadinessTimeout);
         node.timers.set(now, Timer::DiscoveryWatch);
         node.timers
             .set(now.after(SWEEP_INTERVAL_SECS), Timer::Sweep);
@@ -160,10 +162,11 @@
         self.timers.next()
     }
 
-    /// Whether the node can take requests: an endpoint list is known, from the configuration or discovery, and no
-    /// shutdown was requested.
+    /// Whether the node can take requests: discovery has sent or confirmed an endpoint list, or has not done so for too
+    /// long, and no shutdown was requested.
     pub fn is_ready(&self) -> bool {
-        self.discovery.has_list() && !self.shutdown.is_requested()
+        let has_started = self.discovery.has_list() || self.readiness_timed_out;
+        has_started && !self.shutdown.is_requested()
     }
 
     /// Current sizes of the node's tables.
@@ -235,6 +238,7 @@
                 Timer::Release { id } => self.hedge_release(now, id, commands),
                 Timer::Sweep => self.sweep(now, commands),
                 Timer::DiscoveryWatch => self.update_watch(now, commands),
+                Timer::ReadinessTimeout => self.on_readiness_timeout(commands),
                 Timer::StopAccepting => commands.push(Command::StopListening),
                 Timer::StreamCheck { request } => self.check_stream(now, request, commands),
                 Timer::StreamsEnd => self.end_streams(now, commands),
--- a/crates/platform/src/timer.rs
+++ b/crates/platform/src/timer.rs
@@ -22,6 +22,8 @@
     Sweep,
     /// The discovery watch has to be started or has missed a timeout.
     DiscoveryWatch,
+    /// The node reports ready without an endpoint list.
+    ReadinessTimeout,
     /// Shutdown: the listener is closed.
     StopAccepting,
     /// Shutdown: streams that are still running are ended.
--- a/crates/policy/src/choice/arrivals.rs
+++ b/crates/policy/src/choice/arrivals.rs
@@ -17,7 +17,7 @@
 /// the probe wait.
 const MIN_TIME_LEFT_IN_PROBE_WAITS: f64 = 10.0;
 /// Retry-after, in seconds, when no server may take the prompt.
-const NO_SERVER_RETRY_AFTER_S: f64 = 1.0;
+pub(super) const NO_SERVER_RETRY_AFTER_S: f64 = 1.0;
 /// Lowest retry-after, in seconds, when the first token is expected too late.
 const MIN_LATE_RETRY_AFTER_S: f64 = 0.2;
 
@@ -44,15 +44,31 @@
     pub(super) fn on_arrival(&mut self, now: f64, mut request: Request, out: &mut Actions) {
         sanitize(&mut request, self.settings.classes.len());
         let (id, time_left_s) = (request.id, non_negative(request.time_left_s));
-        let mut state = self.register_arrival(now, request, time_left_s);
+        let state = self.register_arrival(now, request, time_left_s);
         self.retry_budget.record_arrival();
+        let deadline_margin_s = 2.0 * self.settings.tick_s;
+        set_timer(id, now + (time_left_s - deadline_margin_s).max(0.0), out);
+        if self.endpoint_list_pending {
+            return self.await_endpoint_list(now, state, out);
+        }
+        self.admit(now, state, time_left_s, out);
+    }
+
+    /// Grants a new request its slow-start turns and routes it, after probes of its prefix replicas
+    /// if these are needed.
+    pub(super) fn admit(
+        &mut self,
+        now: f64,
+        mut state: RequestState,
+        time_left_s: f64,
+        out: &mut Actions,
+    ) {
+        let id = state.request.id;
         let context = self.selector().context(now);
         self.answer_rates.observe(now, &context);
         self.grant_slow_start_turns(now, &mut state, &context);
         let replicas = self.selector().prefix_replicas(&state, &context, now);
         self.requests.insert(id, state);
-        let deadline_margin_s = 2.0 * self.settings.tick_s;
-        set_timer(id, now + (time_left_s - deadline_margin_s).max(0.0), out);
         let probed = self.probe(now, &replicas, out);
         if probed.is_empty() || time_left_s < MIN_TIME_LEFT_IN_PROBE_WAITS * PROBE_WAIT_S {
             return self.route_new_request(now, id, out);
--- a/crates/policy/src/choice/attempts.rs
+++ b/crates/policy/src/choice/attempts.rs
@@ -161,6 +161,9 @@
             return self.finish(id, Some(Action::Fail { request: id }), out);
         }
         match state.stage {
+            Stage::AwaitingEndpointList { until, .. } if now >= until => {
+                self.end_endpoint_list_wait(id, out)
+            }
             Stage::Probing { until } if now >= until => self.route_new_request(now, id, out),
             Stage::AwaitingDecode => self.send_decode(now, id, out),
             Stage::InFlight => self.cancel_if_silent(now, id, out),
--- a/crates/policy/src/choice/mod.rs
+++ b/crates/policy/src/choice/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! Each component owns its state and returns values. `selection::Selector` chooses servers; it
 //! reads the components and modifies none. The router's event handlers are in `arrivals`,
-//! `attempts` and `completion`.
+//! `attempts`, `completion` and `endpoint_list_wait`.
 
 mod admission;
 mod answer_rate;
@@ -12,6 +12,7 @@
 mod completion;
 mod decay;
 mod decode_choice;
+mod endpoint_list_wait;
 mod hash;
 mod health;
 mod held_states;
@@ -66,6 +67,8 @@
     seed: u64,
     servers: ServerTable,
     requests: BTreeMap<RequestId, RequestState>,
+    /// Whether no endpoint list may be used yet.
+    endpoint_list_pending: bool,
     prefix_cache_index: PrefixCacheIndex,
     load: LoadEstimator,
     slow_start: SlowStartLimiter,
@@ -85,6 +88,7 @@
             seed,
             servers: ServerTable::new(settings.kinds.clone()),
             requests: BTreeMap::new(),
+            endpoint_list_pending: false,
             prefix_cache_index: PrefixCacheIndex::default(),
             load: LoadEstimator::new(&settings),
             slow_start: SlowStartLimiter::new(settings.slow_start.clone()),
@@ -130,6 +134,7 @@
     /// `out`.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         match event {
+            Event::EndpointListPending => self.endpoint_list_pending = true,
             Event::Servers { form, entries } => self.on_endpoint_list(now, form, entries, out),
             Event::Arrival(request) => self.on_arrival(now, request, out),
             Event::FirstToken {
@@ -188,6 +193,9 @@
             out.push(Action::Subscribe);
         }
         self.servers.apply_endpoint_list(now, form, entries);
+        if self.endpoint_list_pending && form != ListForm::Failed {
+            self.route_waiting_requests(now, out);
+        }
     }
 
     fn on_probe_end(
--- a/crates/policy/src/choice/request_state.rs
+++ b/crates/policy/src/choice/request_state.rs
@@ -17,6 +17,13 @@
     InFlight,
     /// A KV state waits at a prefill server and no attempt is in flight.
     AwaitingDecode,
+    /// The request waits for the first endpoint list.
+    AwaitingEndpointList {
+        /// Clock time, in seconds, at which the request arrived.
+        since: f64,
+        /// Clock time, in seconds, at which the wait ends.
+        until: f64,
+    },
     /// The request waits for load probes before its prefill server is chosen.
     Probing {
         /// Clock time, in seconds, at which the wait for probes ends.
--- a/crates/policy/src/interface/event.rs
+++ b/crates/policy/src/interface/event.rs
@@ -106,6 +106,8 @@
 /// One event that a router reacts to.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
+    /// No endpoint list may be used yet; one is being fetched. New requests wait for it.
+    EndpointListPending,
     /// The endpoint list was received, changed, or could not be fetched.
     Servers {
         /// How the entries relate to the endpoint list known so far.
--- a/crates/policy/src/interface/explanation.rs
+++ b/crates/policy/src/interface/explanation.rs
@@ -9,6 +9,8 @@
 pub enum Cause {
     /// No prefill server was available for the prompt.
     NoPrefillServer,
+    /// No endpoint list came in the time that the request may wait for one.
+    NoEndpointList,
     /// No decode server became available in the time that the KV cache state may wait for one.
     NoDecodeServer,
     /// The estimated time to the first token exceeded the limit for admission.
--- a/crates/policy/tests/common/digest.rs
+++ b/crates/policy/tests/common/digest.rs
@@ -127,5 +127,6 @@
         Cause::Deadline => 7,
         Cause::NotSent => 8,
         Cause::Forbidden => 9,
+        Cause::NoEndpointList => 10,
     }
 }
--- a/programs/dispatch/tests/descriptors.rs
+++ b/programs/dispatch/tests/descriptors.rs
@@ -50,6 +50,7 @@
     let listen = reserved_address();
     let text = configuration_with(listen, discovery.at, &known);
     let dispatcher = Dispatcher::start_with(name, listen, text, program);
+    discovery.begin_outage();
     Site {
         prefill,
         decode,
@@ -263,6 +264,11 @@
             after.unwrap_or_default()
         );
         let more = idle(site.dispatcher.listen, IDLE_CLIENTS);
+        site.discovery.recover(&site.drains());
+        let by = Instant::now() + SOON;
+        while site.dispatcher.status("front", "again") != Some(200) {
+            assert!(Instant::now() < by, "{name}: nothing is served again");
+        }
         site.dispatcher.assert_served("again");
         drop((held, crowd, more));
     }
--- a/programs/dispatch/tests/told.rs
+++ b/programs/dispatch/tests/told.rs
@@ -53,8 +53,20 @@
         }
     }
 
-    fn open(&self) {
+    /// Accepts one call, answers it with an empty line, and stops listening. Returns the open watch.
+    fn confirm_one_call(&self) -> thread::JoinHandle<TcpStream> {
         let listener = TcpListener::bind(self.at).expect("its port");
+        thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a call");
+            message(&mut BufReader::new(stream.try_clone().expect("a stream"))).expect("a call");
+            let line = format!("{STREAM_HEAD}{}", chunk("\n"));
+            stream.write_all(line.as_bytes()).expect("a watch");
+            stream
+        })
+    }
+
+    fn open(&self) {
+        let listener = listen_again(self.at);
         let (script, tell) = (self.script.clone(), self.tell.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -179,7 +191,7 @@
 }
 
 impl Case {
-    /// Starts the dispatcher while discovery is not listening.
+    /// Starts the dispatcher; discovery confirms its list and then stops listening.
     fn start(name: &'static str) -> Case {
         let ((old_at, old), (new_at, new)) = (prefill_server(), prefill_server());
         let drains = target("a", old_at, "reads").replace("in_service", "terminating");
@@ -191,6 +203,7 @@
         ];
         let listen = reserved_address();
         let text = configuration_with(listen, discovery.at, &known);
+        let confirming = discovery.confirm_one_call();
         let mut dispatcher = Dispatcher::start_with(name, listen, text, program);
         let logs = Arc::new(Mutex::new(Vec::new()));
         let from = BufReader::new(dispatcher.child.stderr.take().expect("its log"));
@@ -201,6 +214,7 @@
             }
         });
         dispatcher.assert_served("before");
+        drop(confirming.join().expect("no panic"));
         old.recv_timeout(SOON)
             .expect("the host of the configuration is asked");
         Case {
--- a/programs/simulator-adapter/src/encode.rs
+++ b/programs/simulator-adapter/src/encode.rs
@@ -71,7 +71,8 @@
             elapsed_s,
             report,
         } => probe_done_record(*server, *outcome, *elapsed_s, report),
-        Event::ReservationAnswer { .. }
+        Event::EndpointListPending
+        | Event::ReservationAnswer { .. }
         | Event::PeerMessage { .. }
         | Event::QuotaFraction { .. }
         | Event::PeerReport { .. } => return None,
