platform: requests that hold no server connection leave places for new clients

Requests that wait for the first endpoint list hold a client's place and no connection to a server, so that nothing bounded them below the client table. They filled it, and each client after them was closed without a response, the load balancer's check included. Change: no more requests are open than there are connections to servers; the next one is answered 503.

--- a/crates/platform/src/node/mod.rs
+++ b/crates/platform/src/node/mod.rs
@@ -97,6 +97,13 @@
             config.bounds.dispatcher_index,
             config.bounds.allows_peer_messages,
         );
+        let bounds = Bounds {
+            max_open_requests: config
+                .bounds
+                .max_open_requests
+                .min(connections.open_requests()),
+            ..config.bounds
+        };
         let watch = DiscoveryWatch::new(config.seed, &config.name);
         if let Some(cached) = &config.cached_list {
             let line = format!("endpoint list of the configuration: {cached}");
@@ -127,7 +134,7 @@
             counts_log: CountsLog::new(now),
             last_conn: 0,
             names: config.names,
-            bounds: config.bounds,
+            bounds,
             limits: config.limits,
         };
         node.events.push_back(Event::EndpointListPending);
--- a/crates/platform/src/resource_limits.rs
+++ b/crates/platform/src/resource_limits.rs
@@ -66,6 +66,12 @@
 }
 
 impl ConnectionLimits {
+    /// Most open requests. Each holds a client connection, even while it waits and holds no connection to a server; the
+    /// other client connections are left for new clients.
+    pub fn open_requests(&self) -> usize {
+        self.servers
+    }
+
     /// Divides the descriptors that are left after the reserve between clients and model servers.
     pub fn of(limits: &Limits) -> ConnectionLimits {
         let usable = limits.descriptors.saturating_sub(RESERVED_DESCRIPTORS);
--- a/crates/platform/tests/descriptors.rs
+++ b/crates/platform/tests/descriptors.rs
@@ -288,6 +288,83 @@
     }
 }
 
+/// What the open requests of a full client table wait for, without a connection to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AwaitedEvent {
+    /// The first endpoint list.
+    EndpointList,
+    /// A decode server that may take their KV states.
+    DecodeServer,
+}
+
+impl AwaitedEvent {
+    /// A harness with a request that waits for this, and then many more that do.
+    fn fill(self, sockets: u32) -> (Harness, Vec<ConnId>) {
+        let mut harness = match self {
+            AwaitedEvent::EndpointList => Harness::starting(config_of(sockets)),
+            AwaitedEvent::DecodeServer => harness(sockets),
+        };
+        if self == AwaitedEvent::DecodeServer {
+            let draining = servers()
+                .into_iter()
+                .filter(|server| server.2 == "writes")
+                .map(|server| endpoint_json(server.0, server.1, server.2, "terminating"));
+            let line = endpoint_list_json(8, false, &draining.collect::<Vec<_>>()) + "\n";
+            let watch = harness.watch_conn();
+            harness.receive_text(watch, &chunk(&line));
+        }
+        let mut clients = Vec::new();
+        for i in 0..2 * sockets as usize {
+            let prefills = harness.count_calls(Call::is_prefill);
+            clients.push(connect_client_of_kind(
+                &mut harness,
+                ClientKind::OpenRequest,
+                i,
+            ));
+            if harness.count_calls(Call::is_prefill) > prefills {
+                harness.complete_prefill();
+            }
+        }
+        (harness, clients)
+    }
+}
+
+/// Requests that waited for the first endpoint list took every place of the client table, and the clients after them were
+/// closed without a response.
+#[test]
+fn requests_without_a_server_connection_leave_client_places() {
+    for awaited in [AwaitedEvent::EndpointList, AwaitedEvent::DecodeServer] {
+        for sockets in [64, 256, 1024] {
+            let name = format!("{awaited:?} {sockets}");
+            let connection_limits = ConnectionLimits::of(&limits(sockets as usize));
+            let (mut harness, clients) = awaited.fill(sockets);
+            let (answered, waiting): (Vec<ConnId>, Vec<ConnId>) = clients
+                .into_iter()
+                .partition(|client| !harness.client_output(*client).is_empty());
+            let lost = waiting.iter().filter(|c| harness.closed.contains(c));
+            assert_eq!(lost.count(), 0, "{name}: closed without a response");
+            assert!(
+                answered
+                    .iter()
+                    .all(|client| harness.status(*client) == "503"),
+                "{name}"
+            );
+            println!("{name}: {} wait", waiting.len());
+            assert!(
+                waiting.len() <= connection_limits.servers,
+                "{name}: {} wait",
+                waiting.len()
+            );
+            let load_balancer = harness.connect_client();
+            harness.receive_text(load_balancer, READY);
+            assert!(
+                ["200", "503"].contains(&harness.status(load_balancer)),
+                "{name}: /ready"
+            );
+        }
+    }
+}
+
 #[test]
 fn discovery_returns_while_client_table_is_full() {
     for client_kind in CLIENT_KINDS {
