--- a/programs/chaos/src/main.rs
+++ b/programs/chaos/src/main.rs
@@ -154,6 +154,7 @@
             .lines()
             .iter()
             .for_each(|line| println!("{name}: {line}"));
+        println!("{name}: {}", o.machine);
         o.views.iter().for_each(|view| println!("{name}: {view}"));
         o.verdict
             .breaches
--- a/programs/chaos/src/run.rs
+++ b/programs/chaos/src/run.rs
@@ -19,6 +19,7 @@
 use crate::process::Dispatcher;
 use crate::secured::{Proofs, SecuredFacts};
 use crate::views;
+use bitternlatch_machine_load::{MachineLoad, Monitor};
 
 /// What a day came to.
 pub struct Outcome {
@@ -35,6 +36,7 @@
     pub views: Vec<String>,
     /// Kills, pauses and cuts that were drawn from the seed.
     pub drawn: usize,
+    pub machine: MachineLoad,
 }
 
 /// What a script's thread writes down.
@@ -132,6 +134,7 @@
         None => None,
     };
     let scripted = unix_us();
+    let monitor = Monitor::start();
     let scripts = scripts(day, dir, image, &settings, &hosts, &dispatchers, &noted);
     let scripts = match &joined {
         Some(joined) => {
@@ -164,6 +167,7 @@
         }
     }
     let mut secured = keys.and_then(|script| script.join().ok());
+    let machine = monitor.finish();
     let told_to_stop = unix_us();
     let (orderly, records) = stop(&dispatchers);
     hosts.stop();
@@ -243,6 +247,7 @@
         secured,
         views,
         drawn,
+        machine,
     })
 }
 
--- a/programs/soak/src/clients.rs
+++ b/programs/soak/src/clients.rs
@@ -250,7 +250,6 @@
         let mut until = asked_at + Duration::from_secs_f64(request.deadline_s) + PATIENCE;
         let mut said = Vec::new();
         let mut buffer = [0; 4096];
-        let _ = stream.set_read_timeout(Some(Duration::from_millis(5)));
         loop {
             if let Some(end) = whole(&said) {
                 return end;
@@ -263,6 +262,8 @@
             if now >= until {
                 return End::Nothing;
             }
+            let next = leaves.map_or(until, |at| at.min(until));
+            let _ = stream.set_read_timeout(Some(next - now));
             match stream.read(&mut buffer) {
                 Ok(0) => {
                     return if said.is_empty() {
--- a/programs/soak/src/draw.rs
+++ b/programs/soak/src/draw.rs
@@ -4,6 +4,7 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 
 use crate::faults::{Fault, DRAWN_FAULTS, FAULTS};
+use crate::outage_starts;
 use crate::slow_start::{SlowStartTerms, WarmUp};
 use crate::traffic::Traffic;
 
@@ -81,6 +82,10 @@
     Restart {
         process: usize,
     },
+    /// A process is killed and started again.
+    Kill {
+        process: usize,
+    },
     Reload {
         process: usize,
         whole: bool,
@@ -272,6 +277,10 @@
         if faults.contains(&Fault::Crowd) {
             spells.extend(crowd(&deployment, processes, length_s, &mut chance));
         }
+        if faults.contains(&Fault::OutageStart) {
+            let servers = deployment.servers_by_role;
+            spells.extend(outage_starts::spells(seed, servers, processes, length_s));
+        }
         let traffic = Traffic::draw(&faults, length_s, &mut chance);
         spells.sort_by(|a, b| a.from_s.total_cmp(&b.from_s));
         Day {
@@ -515,7 +524,8 @@
         | Fault::HiddenLengths
         | Fault::SpoiltStreams
         | Fault::SlowStreams
-        | Fault::SlowRequests => (0, (0.0, 0.0)),
+        | Fault::SlowRequests
+        | Fault::OutageStart => (0, (0.0, 0.0)),
     }
 }
 
--- a/programs/soak/src/faults.rs
+++ b/programs/soak/src/faults.rs
@@ -67,10 +67,12 @@
     SlowStreams,
     /// Some requests are large, and servers read them slowly.
     SlowRequests,
+    /// Processes are killed and start again in an outage of discovery, after servers have begun to drain.
+    OutageStart,
 }
 
 /// All classes by their names.
-pub const FAULTS: [(&str, Fault); 29] = [
+pub const FAULTS: [(&str, Fault); 30] = [
     ("silent-decode", Fault::SilentDecode),
     ("silent-prefill", Fault::SilentPrefill),
     ("silent-kept", Fault::SilentKept),
@@ -100,6 +102,7 @@
     ("spoilt-streams", Fault::SpoiltStreams),
     ("slow-streams", Fault::SlowStreams),
     ("slow-requests", Fault::SlowRequests),
+    ("outage-start", Fault::OutageStart),
 ];
 /// How many of [`FAULTS`], from the first on, a seed draws from. The others are named where they are wanted: those of cold starts refine such
 /// days, and those of slow and spoilt answers would change what earlier seeds draw.
--- a/programs/soak/src/main.rs
+++ b/programs/soak/src/main.rs
@@ -55,6 +55,9 @@
         .ok_or_else(|| format!("{length} is not from 5 to 300 s"))
 }
 
+/// Broken rules of a day that are printed one by one.
+const MAX_PRINTED: usize = 8;
+
 fn main() -> ExitCode {
     let mut words = std::env::args_os();
     if std::env::args_os()
@@ -142,10 +145,13 @@
     played
         .breaks
         .iter()
-        .take(8)
+        .take(MAX_PRINTED)
         .for_each(|b| println!("    {b}"));
-    if played.breaks.len() > 8 {
-        println!("    and {} more", played.breaks.len() - 8);
+    if played.breaks.len() > MAX_PRINTED {
+        println!("    and {} more", played.breaks.len() - MAX_PRINTED);
+    }
+    if !played.breaks.is_empty() {
+        println!("    {}", played.machine);
     }
     if !played.never_injected.is_empty() {
         println!("    never injected: {}", played.never_injected.join(", "));
--- a/programs/soak/src/process.rs
+++ b/programs/soak/src/process.rs
@@ -12,6 +12,7 @@
 
 use crate::draw::Day;
 use crate::faults::Fault;
+use crate::processor_wait::record_waits;
 use crate::record::{Record, Seen};
 use crate::slow_start::{SlowStartTerms, WarmUp};
 
@@ -196,7 +197,9 @@
             command.env("FAULT_SHIM_COUNTS", self.file("injected"));
         }
         let child = command.stdin(Stdio::null()).stdout(out).stderr(log).spawn();
-        self.child = Some(child.map_err(|e| fault("a dispatcher", e))?);
+        let child = child.map_err(|e| fault("a dispatcher", e))?;
+        record_waits(self.number, child.id(), self.record.clone());
+        self.child = Some(child);
         let began = Instant::now();
         while began.elapsed() < READY && !self.is_ready() && !self.has_ended() {
             std::thread::sleep(Duration::from_millis(10));
--- a/programs/soak/src/record.rs
+++ b/programs/soak/src/record.rs
@@ -1,7 +1,7 @@
 //! What clients and servers have seen, by monotonic time. The dispatcher's own word is not in it.
 
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// How a request ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +49,8 @@
         told_ms: u64,
         /// In requests of mean work.
         work: f64,
+        /// How long the machine kept the threads of the mock that read it from running, up to now.
+        held_up_s: f64,
     },
     /// It has its answer, or its connection has ended. `declined`: it never ran.
     Over {
@@ -126,6 +128,11 @@
     HeldUp {
         seconds: f64,
     },
+    /// A process was ready to run for so long, up to now, while the machine ran others.
+    WaitedForProcessor {
+        process: usize,
+        seconds: f64,
+    },
 }
 
 /// One thing and its time.
@@ -135,6 +142,9 @@
     pub seen: Seen,
 }
 
+/// What the mock does at once takes longer than that only where the machine holds it up.
+pub const MIN_HELD_UP: Duration = Duration::from_millis(30);
+
 /// The record of one day, shared by all that write it.
 #[derive(Clone, Default)]
 pub struct Record(Arc<Mutex<Vec<Entry>>>);
@@ -142,9 +152,20 @@
 impl Record {
     /// Notes one thing; returns the time under which it stands.
     pub fn note(&self, seen: Seen) -> Instant {
+        let asked_at = Instant::now();
         // The time is taken under the lock, so that entries stand in order of time.
         let mut entries = self.0.lock().unwrap_or_else(|e| e.into_inner());
         let at = Instant::now();
+        let waited = at.saturating_duration_since(asked_at);
+        if waited > MIN_HELD_UP {
+            // A thread that held the lock was kept from running.
+            entries.push(Entry {
+                at,
+                seen: Seen::HeldUp {
+                    seconds: waited.as_secs_f64(),
+                },
+            });
+        }
         entries.push(Entry { at, seen });
         at
     }
