--- a/crates/net/src/accept.rs
+++ b/crates/net/src/accept.rs
@@ -249,13 +249,7 @@
     let reply = match head.upgrade() {
         Some(Ok(reply)) => reply,
         Some(Err((status, reason))) => {
-            respond(
-                status,
-                &format!(
-                    "{reason}
-"
-                ),
-            );
+            respond(status, &format!("{reason}\n"));
             return None;
         }
         None if head.method == "GET" => {
@@ -274,13 +268,7 @@
     ) {
         Ok(caller) => caller,
         Err((status, reason)) => {
-            respond(
-                status,
-                &format!(
-                    "{reason}
-"
-                ),
-            );
+            respond(status, &format!("{reason}\n"));
             return None;
         }
     };
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -5,7 +5,7 @@
 use bitternlatch_core::Micros;
 use bitternlatch_policy::interface::RequestId;
 
-use crate::client::Client;
+use crate::client::{Client, EvictionRank};
 use crate::http1::MAX_HEAD_BYTES;
 use crate::types::ConnId;
 
@@ -109,23 +109,22 @@
 
     /// Returns the client to evict first, or `None` if none may be evicted.
     pub fn eviction_candidate(&self, now: Micros) -> Option<ConnId> {
-        let ranked = self
-            .open
-            .iter()
-            .filter_map(|(id, client)| Some((client.eviction_rank(now)?, *id)));
-        ranked.min().map(|(_, id)| id)
+        self.evictable(now).min().map(|(_, id)| id)
     }
 
     /// Returns the client to evict first of those that rest, or `None` if none does.
     pub fn resting_candidate(&self, now: Micros) -> Option<ConnId> {
-        let ranked = self
-            .open
-            .iter()
-            .filter_map(|(id, client)| Some((client.eviction_rank(now)?, *id)));
-        let resting = ranked.filter(|(rank, _)| rank.is_resting());
+        let resting = self.evictable(now).filter(|(rank, _)| rank.is_resting());
         resting.min().map(|(_, id)| id)
     }
 
+    /// The clients that may be evicted, with their ranks.
+    fn evictable(&self, now: Micros) -> impl Iterator<Item = (EvictionRank, ConnId)> + '_ {
+        self.open
+            .iter()
+            .filter_map(move |(id, client)| Some((client.eviction_rank(now)?, *id)))
+    }
+
     /// Number of client connections.
     pub fn len(&self) -> usize {
         self.open.len()
