--- a/programs/dispatch/tests/ready.rs
+++ b/programs/dispatch/tests/ready.rs
@@ -124,7 +124,8 @@
 }
 
 fn play_full_queue(kind: ClientKind, is_in_outage: bool) {
-    let name = format!("crowd-{kind:?}-{is_in_outage}");
+    let discovery_state = if is_in_outage { "outage" } else { "answering" };
+    let name = format!("crowd-{kind:?}-{discovery_state}");
     let (prefill, decode) = (crowd::server(true), crowd::server(false));
     // Complete requests stay in flight, so that their connections stay open.
     prefill.is_holding.store(true, Ordering::SeqCst);
