--- a/crates/platform/tests/descriptors.rs
+++ b/crates/platform/tests/descriptors.rs
@@ -376,12 +376,7 @@
         while watch_connects(&harness) == before {
             harness.advance(0.1);
         }
-        let (watch, _) = *harness
-            .connects
-            .iter()
-            .rev()
-            .find(|c| c.1.to_string() == DISCOVERY)
-            .expect("the node connects to discovery");
+        let watch = harness.watch_conn();
         let servers = servers();
         let draining = [endpoint_json(
             servers[0].0,
--- a/crates/platform/tests/output_order.rs
+++ b/crates/platform/tests/output_order.rs
@@ -393,7 +393,7 @@
         let head = if opened.pending_calls.is_empty() {
             ""
         } else {
-            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            common::DISCOVERY_HEAD
         };
         opened.pending_calls.clear();
         let line = match self.random.below(12) {
--- a/crates/platform/tests/shutdown.rs
+++ b/crates/platform/tests/shutdown.rs
@@ -319,10 +319,7 @@
             .last()
             .expect("the node connects to discovery");
         assert_eq!(to.to_string(), "127.0.2.2:8500");
-        harness.receive_text(
-            watch,
-            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
-        );
+        harness.receive_text(watch, DISCOVERY_HEAD);
         let draining = endpoint_list_json(
             8,
             false,
--- a/programs/dispatch/tests/common/mod.rs
+++ b/programs/dispatch/tests/common/mod.rs
@@ -120,9 +120,8 @@
                 let mut from = BufReader::new(stream);
                 // Most tests do not look at the calls.
                 let _ = tell.send(message(&mut from)?.0);
-                to.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-                    .ok()?;
-                while to.write_all(b"1\r\n\n\r\n").is_ok() {
+                to.write_all(STREAM_HEAD.as_bytes()).ok()?;
+                while to.write_all(chunk("\n").as_bytes()).is_ok() {
                     thread::sleep(Duration::from_secs(1));
                 }
                 Some(())
@@ -311,6 +310,14 @@
         Ok(answer)
     }
 
+    /// Sends requests one after the other until one is served.
+    pub fn wait_until_served(&self, client: &str, id: &str, within: Duration) {
+        let until = Instant::now() + within;
+        while self.status(client, id) != Some(200) {
+            assert!(Instant::now() < until, "{client}-{id}: nothing is served");
+        }
+    }
+
     /// Checks that a request is answered with a complete stream.
     pub fn assert_served(&self, id: &str) {
         let answer = self.answer(id).expect("an answer");
--- a/programs/dispatch/tests/descriptors.rs
+++ b/programs/dispatch/tests/descriptors.rs
@@ -265,10 +265,7 @@
         );
         let more = idle(site.dispatcher.listen, IDLE_CLIENTS);
         site.discovery.recover(&site.drains());
-        let by = Instant::now() + SOON;
-        while site.dispatcher.status("front", "again") != Some(200) {
-            assert!(Instant::now() < by, "{name}: nothing is served again");
-        }
+        site.dispatcher.wait_until_served("front", "again", SOON);
         site.dispatcher.assert_served("again");
         drop((held, crowd, more));
     }
--- a/programs/dispatch/tests/ready.rs
+++ b/programs/dispatch/tests/ready.rs
@@ -74,10 +74,7 @@
     assert_eq!(prefill.asked.load(Ordering::SeqCst), 0, "{name}");
     discovery.recover("");
     for (i, dispatcher) in all.iter().enumerate() {
-        let by = Instant::now() + READY_AGAIN;
-        while dispatcher.status(&format!("again-{i}"), name) != Some(200) {
-            assert!(Instant::now() < by, "{name}-{i} serves nothing");
-        }
+        dispatcher.wait_until_served(&format!("again-{i}"), name, READY_AGAIN);
         dispatcher.assert_served(&format!("{name}-{i}"));
     }
     drop(kept);
--- a/programs/dispatch/tests/start_in_outage.rs
+++ b/programs/dispatch/tests/start_in_outage.rs
@@ -187,7 +187,7 @@
         Change::Drains,
         Outage::Slow(Duration::from_millis(500)),
     );
-    let asked = || site.others[0].asked.load(Ordering::SeqCst) + site.asked_of_changed();
+    let asked = || asked_of(&site.others) + site.asked_of_changed();
     let before = asked();
     let client = ask_and_wait(&site.dispatcher, "leaves");
     drop(client);
@@ -296,33 +296,32 @@
     assert_eq!(served, REQUESTS, "{answers:?}");
 }
 
-/// An agent that sends a list at once if it has a newer one than the caller, and otherwise an empty line each 2 s only.
-fn agent(whole: String) -> SocketAddr {
+/// An agent that sends its list at once if it is newer than the caller's, and otherwise an empty line each 2 s only.
+fn agent(version: u64, targets: &[String]) -> SocketAddr {
+    let whole = list(version, true, targets);
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let at = listener.local_addr().expect("an address");
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let whole = whole.clone();
-            thread::spawn(move || {
+            thread::spawn(move || -> Option<()> {
                 let mut to = stream.try_clone().ok()?;
                 let (call, _) = message(&mut BufReader::new(stream))?;
                 to.write_all(STREAM_HEAD.as_bytes()).ok()?;
-                let version = call
+                let from = call
                     .split("from=")
                     .nth(1)?
                     .split(' ')
                     .next()?
                     .parse::<u64>()
                     .ok()?;
-                if version < 8 && !(version == 7 && whole.contains("\"rev\":7")) {
+                if from < version {
                     to.write_all(chunk(&format!("{whole}\n")).as_bytes()).ok()?;
                 }
                 loop {
                     thread::sleep(Duration::from_secs(2));
                     to.write_all(chunk("\n").as_bytes()).ok()?;
                 }
-                #[allow(unreachable_code)]
-                Some(())
             });
         }
     });
@@ -338,7 +337,7 @@
             target("b", server(false), "writes"),
         ];
         let listen = reserved_address();
-        let text = configuration_with(listen, agent(list(version, true, &known)), &known);
+        let text = configuration_with(listen, agent(version, &known), &known);
         let since = Instant::now();
         let dispatcher =
             Dispatcher::start_with(&format!("start-roll{version}"), listen, text, program);
